--- a/packages/cli/dahliaarch_cli/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Command line of dahliaarch for callers and operators."""
--- a/packages/kernel/dahliaarch_kernel/breakers/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Circuit breakers for workers that fail everything they start."""
-
-from .core import Breaker, BreakerSettings
-
-__all__ = ('Breaker', 'BreakerSettings')
--- a/packages/kernel/dahliaarch_kernel/configuration/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/__init__.py
@@ -1,19 +1,16 @@
-"""The cluster configuration that operators edit: schema, checks, versions."""
+"""The operators' configuration: queues, client accounts and limits."""
 
-from .acceptance import accept, Accepted, decode_accepted, encode_accepted, read_accepted
-from .core import Account, Configuration, Limits, read_configuration
-from .difference import Change, differences
+from .core import Account, Configuration, HttpLimits, Queue, ServiceSettings
+from .lookup import AccessDenied, authorize, find_queue, RouteNotFound
 
 __all__ = (
-    'Accepted',
+    'AccessDenied',
     'Account',
-    'Change',
     'Configuration',
-    'Limits',
-    'accept',
-    'decode_accepted',
-    'differences',
-    'encode_accepted',
-    'read_accepted',
-    'read_configuration',
+    'HttpLimits',
+    'Queue',
+    'RouteNotFound',
+    'ServiceSettings',
+    'authorize',
+    'find_queue',
 )
--- a/packages/kernel/dahliaarch_kernel/errors/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/errors/__init__.py
@@ -1,25 +1,19 @@
-"""Typed exceptions and refusals shared by every package."""
+"""Typed exceptions shared by every package."""
 
 from .core import (
-    ConfigurationError,
-    ConfigurationProblem,
     DahliaarchError,
-    IllegalTransitionError,
+    JobRejectedError,
     PolicyError,
+    ProtocolError,
     RegistryError,
     SettingsError,
 )
-from .refusals import Ran, Refusal, RefusalKind
 
 __all__ = (
-    'ConfigurationError',
-    'ConfigurationProblem',
     'DahliaarchError',
-    'IllegalTransitionError',
+    'JobRejectedError',
     'PolicyError',
-    'Ran',
-    'Refusal',
-    'RefusalKind',
+    'ProtocolError',
     'RegistryError',
     'SettingsError',
 )
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
@@ -0,0 +1,27 @@
+"""Which task runs where and when: pure decisions over jobs and workers."""
+
+from .clock import Moment
+from .core import Scheduler
+from .effects import Effect, StartRun, StopRun
+from .events import EndKind
+from .job_state import JobPhase, JobState
+from .progress import JobProgress, StepProgress
+from .settings import SchedulerSettings
+from .workers import Lease, WorkerProfile, WorkerState
+
+__all__ = (
+    'Effect',
+    'EndKind',
+    'JobPhase',
+    'JobProgress',
+    'JobState',
+    'Lease',
+    'Moment',
+    'Scheduler',
+    'SchedulerSettings',
+    'StartRun',
+    'StepProgress',
+    'StopRun',
+    'WorkerProfile',
+    'WorkerState',
+)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -0,0 +1,221 @@
+"""The scheduler of one pool: facts come in, orders come out."""
+
+from collections.abc import Mapping, Sequence
+
+from ..configuration import Queue
+from ..workload import JobSpec, TaskKey
+from .clock import Moment
+from .effects import Effect
+from .ends import take_in_end
+from .events import EndKind, RunEnd, RunSeen
+from .health import expire_leases, watch_progress
+from .job_state import ENDED_PHASES, JobPhase, JobState
+from .passes import Pass, REFUSED_PAUSE_S
+from .progress import JobProgress
+from .runs import RunPhase
+from .settings import SchedulerSettings
+from .state import SchedulerState
+from .surveys import take_in_survey
+from .workers import WorkerProfile, WorkerState
+from .worth import job_work
+
+
+class Scheduler:
+    """Decides over one pool of workers; does no I/O and reads no clock.
+
+    Parameters
+    ----------
+    settings : SchedulerSettings
+        Limits and weights.
+    epoch : int
+        Epoch of the owner; later owners have larger ones.
+    """
+
+    def __init__(self, settings: SchedulerSettings, epoch: int) -> None:
+        """Start without jobs and workers."""
+        self._state = SchedulerState(settings, epoch)
+
+    @property
+    def job_by_id(self) -> Mapping[str, JobState]:
+        """Jobs that are known, ended ones included."""
+        return self._state.job_by_id
+
+    @property
+    def worker_by_id(self) -> Mapping[str, WorkerState]:
+        """Workers that are known."""
+        return self._state.worker_by_id
+
+    def set_guarantees(self, guaranteed_by_account: dict[str, int]) -> None:
+        """Replace the accelerators that accounts are guaranteed."""
+        self._state.guaranteed_by_account = guaranteed_by_account
+
+    def add_job(
+        self,
+        spec: JobSpec,
+        queue: Queue,
+        now: Moment,
+        *,
+        revision: int = 0,
+        progress: JobProgress | None = None,
+        not_before_s: float = 0.0,
+    ) -> bool:
+        """Take in an accepted job; false when it is known already.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job.
+        queue : Queue
+            Its queue when it was accepted.
+        now : Moment
+            The present.
+        revision : int
+            Store revision of its acceptance.
+        progress : JobProgress or None
+            What an earlier owner kept of it.
+        not_before_s : float
+            Steady time before which a silent worker may still run it.
+        """
+        if spec.job_id in self._state.job_by_id:
+            return False
+        job = JobState(spec, queue, revision)
+        job.known_since_s = not_before_s
+        if progress is not None:
+            job.restore(progress)
+        self._state.job_by_id[spec.job_id] = job
+        if not job.has_ended:
+            self._state.active_job_by_id[spec.job_id] = job
+            job.open_due(now.wall_s + self._state.settings.early_s / 2)
+            self._state.times.observe_job(queue.name, job_work(job, self._state.times))
+        return True
+
+    def cancel(self, job_id: str, now: Moment) -> bool:
+        """Cancel a job; false when it is unknown or has ended."""
+        job = self._state.job_by_id.get(job_id)
+        if job is None or job.has_ended:
+            return False
+        self._state.end_job(job, JobPhase.CANCELLED, now.wall_s, 'job cancelled')
+        return True
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget a job that ended long ago."""
+        self._state.job_by_id.pop(job_id, None)
+        self._state.active_job_by_id.pop(job_id, None)
+
+    def update_worker(self, profile: WorkerProfile, now: Moment) -> bool:
+        """Take in what a worker publishes; true when it is new."""
+        worker = self._state.worker_by_id.get(profile.worker_id)
+        is_new = worker is None
+        if worker is None:
+            worker = WorkerState(profile)
+            self._state.worker_by_id[profile.worker_id] = worker
+        worker.profile = profile
+        worker.is_listed = True
+        if not profile.draining:
+            worker.draining_since_s = None
+            worker.leaves_at_s = None
+            return is_new
+        if worker.draining_since_s is None:
+            worker.draining_since_s = now.steady_s
+        if profile.leaves_in_s is not None:
+            worker.leaves_at_s = now.steady_s + profile.leaves_in_s
+        return is_new
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """Record that a worker's entry is gone; what runs there is waited for."""
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is not None:
+            worker.is_listed = False
+
+    def worker_silent(self, worker_id: str, now: Moment) -> None:
+        """Record that a worker does not answer."""
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is not None and not worker.is_silent:
+            worker.is_silent = True
+            worker.silent_since_s = now.steady_s
+
+    def worker_over(self, worker_id: str, now: Moment) -> None:
+        """Record that this life of a worker has ended for certain."""
+        worker = self._state.worker_by_id.pop(worker_id, None)
+        if worker is None:
+            return
+        for run in tuple(worker.run_by_key.values()):
+            end = RunEnd(worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint)
+            take_in_end(self._state, end, now)
+
+    def run_started(self, worker_id: str, key: TaskKey, run: int, now: Moment) -> None:
+        """Record that a worker acknowledged a start."""
+        worker = self._state.worker_by_id.get(worker_id)
+        found = None if worker is None else worker.run_by_key.get(key)
+        if found is None or found.number != run:
+            return
+        found.seen_s = max(found.seen_s, now.steady_s)
+        if found.phase is RunPhase.STARTING:
+            found.phase = RunPhase.RUNNING
+        self._state.job_by_id[found.key.job_id].mark_begun()
+
+    def run_ended(self, end: RunEnd, now: Moment) -> None:
+        """Take in the end of a run; the same report again changes nothing."""
+        if end.kind is EndKind.REFUSED:
+            step = self._state.step_of(end.key)
+            if step is not None:
+                step.refused_until_s = now.steady_s + REFUSED_PAUSE_S
+        take_in_end(self._state, end, now)
+
+    def worker_surveyed(self, worker_id: str, running: Sequence[RunSeen], begun_s: float, now: Moment) -> None:
+        """Take in a worker's list of what runs."""
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is not None:
+            take_in_survey(self._state, worker, running, begun_s, now)
+
+    def decide(self, now: Moment) -> list[Effect]:
+        """Decide what to start and stop at this moment."""
+        state = self._state
+        expire_leases(state, now)
+        for job in state.active_jobs():
+            job.open_due(now.wall_s)
+        watch_progress(state, now)
+        Pass(state, now).run()
+        effects = state.effects
+        state.effects = []
+        return effects
+
+    def next_due_s(self) -> float | None:
+        """Return when the next occurrence is due, seconds since 1970."""
+        due = (job.next_due_s() for job in self._state.active_jobs())
+        return min((each for each in due if each is not None), default=None)
+
+    def take_dirty_jobs(self) -> set[str]:
+        """Return the jobs whose progress must be kept, and forget that it must."""
+        dirty = self._state.dirty_jobs
+        self._state.dirty_jobs = set()
+        return dirty
+
+    @property
+    def has_dirty_jobs(self) -> bool:
+        """Whether the progress of any job must be kept."""
+        return bool(self._state.dirty_jobs)
+
+    def mark_kept(self, job_id: str) -> None:
+        """Record that a job's progress is kept, so that its end may be shown."""
+        job = self._state.job_by_id.get(job_id)
+        if job is not None and job.has_ended and job_id not in self._state.dirty_jobs:
+            job.is_end_kept = True
+
+    def mark_dirty(self, job_ids: set[str]) -> None:
+        """Ask for the progress of jobs to be kept, after a write that failed."""
+        self._state.dirty_jobs |= job_ids
+
+    def pending_in(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return sum(
+            job.queue.name == queue and not job.has_begun for job in self._state.active_jobs()
+        )
+
+    def ended_before(self, wall_s: float) -> list[str]:
+        """Return the jobs that ended before a time, seconds since 1970."""
+        return [
+            job_id
+            for job_id, job in self._state.job_by_id.items()
+            if job.phase in ENDED_PHASES and 0 < job.ended_s < wall_s
+        ]
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -0,0 +1,107 @@
+"""What the end of a run changes; `singledispatch` has no kinds of enum, so a table serves."""
+
+from collections.abc import Callable
+
+from .clock import Moment
+from .events import EndKind, RunEnd
+from .job_state import JobPhase, StepState
+from .runs import Run, RunPhase
+from .state import SchedulerState
+
+# A job that failed on this many workers without a success is at fault itself.
+_WORKERS_THAT_CONVICT_A_JOB = 2
+# A worker on which this many jobs failed in turn is at fault itself.
+_JOBS_THAT_CONVICT_A_WORKER = 2
+
+
+def take_in_end(state: SchedulerState, end: RunEnd, now: Moment) -> None:
+    """Take in the end of a run; a report that comes again changes nothing."""
+    step = state.step_of(end.key)
+    if step is None:
+        return
+    run = step.run_by_index.get(end.key.index)
+    is_current = run is not None and run.number == end.run and run.worker_id == end.worker_id
+    _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
+    if is_current and run is not None:
+        state.remove_run(run)
+
+
+def _on_done(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
+    job = step.job
+    if step.spec.lasting:
+        return
+    if run is not None and not run.checkpoint:
+        state.times.observe(job.queue.name, step.spec, now.steady_s - run.started_s)
+    worker = state.worker_by_id.get(end.worker_id)
+    if worker is not None:
+        worker.failed_jobs.clear()
+    job.has_success = True
+    was_done = end.key.index in step.done
+    step.mark_done(end.key.index)
+    _stop_needless(state, step, end)
+    if not was_done and not job.has_ended:
+        state.dirty_jobs.add(job.spec.job_id)
+    if not job.has_ended and job.has_succeeded():
+        state.end_job(job, JobPhase.SUCCEEDED, now.wall_s, 'job succeeded')
+
+
+def _stop_needless(state: SchedulerState, step: StepState, end: RunEnd) -> None:
+    """Stop other runs of what has succeeded; members of this gang end by themselves."""
+    for index, other in tuple(step.run_by_index.items()):
+        if index in step.done and other.number != end.run:
+            state.stop(other, 'task has succeeded')
+
+
+def _on_failed(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
+    job = step.job
+    _blame(state, step, end, now)
+    if step.spec.lasting or end.key.index in step.done:
+        return
+    failures = step.count_failure(end.key.index, end.run)
+    step.failed_on.add(end.worker_id)
+    if job.has_ended:
+        return
+    state.dirty_jobs.add(job.spec.job_id)
+    if failures >= job.queue.max_attempts:
+        state.end_job(job, JobPhase.FAILED, now.wall_s, 'job failed')
+
+
+def _blame(state: SchedulerState, step: StepState, end: RunEnd, now: Moment) -> None:
+    """Tell a worker that fails everything from a job that fails everywhere."""
+    job = step.job
+    job.failed_on.add(end.worker_id)
+    worker = state.worker_by_id.get(end.worker_id)
+    if worker is None:
+        return
+    if len(job.failed_on) >= _WORKERS_THAT_CONVICT_A_JOB and not job.has_success:
+        worker.failed_jobs.discard(job.spec.job_id)
+        return
+    worker.failed_jobs.add(job.spec.job_id)
+    worker.failed_at_s = now.steady_s
+    if len(worker.failed_jobs) >= _JOBS_THAT_CONVICT_A_WORKER:
+        worker.quarantined_until_s = now.steady_s + state.settings.quarantine_s
+
+
+def _on_interrupted(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
+    """Keep the checkpoint of a run that was stopped, lapsed or lost its gang."""
+    if not end.checkpoint or step.job.has_ended or end.key.index in step.done:
+        return
+    step.checkpoint_by_index[end.key.index] = end.checkpoint
+    state.dirty_jobs.add(step.job.spec.job_id)
+
+
+def _on_refused(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
+    """A run that never was: its gang cannot come together either."""
+    if not step.spec.gang or run is None:
+        return
+    for member in tuple(step.run_by_index.values()):
+        if member is not run and member.number == run.number and member.phase is not RunPhase.STOPPING:
+            state.stop(member, 'a member of the gang was refused')
+
+
+_Handler = Callable[[SchedulerState, StepState, RunEnd, Run | None, Moment], None]
+_HANDLER_BY_KIND: dict[EndKind, _Handler] = {
+    EndKind.DONE: _on_done,
+    EndKind.FAILED: _on_failed,
+    EndKind.REFUSED: _on_refused,
+}
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -0,0 +1,63 @@
+"""Facts about runs that workers report."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..workload import TaskKey
+
+
+class EndKind(StrEnum):
+    """How a run ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    BROKEN = 'broken'
+    ALONE = 'alone'
+    REFUSED = 'refused'
+
+
+class RunEnd(NamedTuple):
+    """The end of a run.
+
+    Parameters
+    ----------
+    worker_id : str
+        Where it ran.
+    key : TaskKey
+        Its task.
+    run : int
+        Number of the run.
+    kind : EndKind
+        How it ended.
+    checkpoint : str
+        Latest checkpoint; empty for none.
+    """
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    kind: EndKind
+    checkpoint: str = ''
+
+
+class RunSeen(NamedTuple):
+    """A run that a worker lists as running.
+
+    Parameters
+    ----------
+    key : TaskKey
+        Its task.
+    run : int
+        Number of the run.
+    checkpoint : str
+        Latest checkpoint; empty for none.
+    percent : float
+        Work done so far, 0 to 100.
+    """
+
+    key: TaskKey
+    run: int
+    checkpoint: str
+    percent: float
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -0,0 +1,213 @@
+"""State of one job: what is done, what runs and what may start."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+from ..configuration import Queue
+from ..workload import JobSpec, StepSpec, TaskKey
+from .progress import JobProgress, StepProgress
+from .runs import Run
+
+
+class JobPhase(StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+ENDED_PHASES = frozenset((JobPhase.SUCCEEDED, JobPhase.FAILED, JobPhase.CANCELLED))
+
+
+class StepState:
+    """State of one step in one occurrence.
+
+    Parameters
+    ----------
+    job : JobState
+        Its job.
+    occurrence, number : int
+        Which step.
+    """
+
+    def __init__(self, job: 'JobState', occurrence: int, number: int) -> None:
+        """Start with every task pending."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec: StepSpec = job.spec.steps[number]
+        self.pending = set(range(self.spec.count))
+        self.done: set[int] = set()
+        self.run_by_index: dict[int, Run] = {}
+        self.failed_runs_by_index: dict[int, set[int]] = {}
+        self.failed_on: set[str] = set()
+        self.checkpoint_by_index: dict[int, str] = {}
+        self.ready_s = 0.0
+        self.refused_until_s = 0.0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has succeeded."""
+        return len(self.done) == self.spec.count
+
+    def key(self, index: int) -> TaskKey:
+        """Return the key of a task."""
+        return TaskKey(self.job.spec.job_id, self.occurrence, self.number, index)
+
+    def mark_done(self, index: int) -> None:
+        """Record a success; one member's stands for its whole gang."""
+        indices = range(self.spec.count) if self.spec.gang else (index,)
+        for each in indices:
+            self.pending.discard(each)
+            self.checkpoint_by_index.pop(each, None)
+            self.done.add(each)
+
+    def count_failure(self, index: int, run: int) -> int:
+        """Record a failed run, once; return how many there are of its task."""
+        failed = self.failed_runs_by_index.setdefault(0 if self.spec.gang else index, set())
+        failed.add(run)
+        return len(failed)
+
+    def gang_checkpoint(self) -> str:
+        """Return a checkpoint that every member can go on from."""
+        return max(self.checkpoint_by_index.values(), default='')
+
+    def progress(self) -> StepProgress | None:
+        """Return what must be kept; nothing for an untouched step."""
+        if not (self.done or self.failed_runs_by_index or self.checkpoint_by_index):
+            return None
+        all_done = self.is_done
+        return StepProgress(
+            self.occurrence,
+            self.number,
+            () if all_done else tuple(sorted(self.done)),
+            all_done,
+            {index: tuple(sorted(runs)) for index, runs in self.failed_runs_by_index.items()},
+            {} if all_done else dict(self.checkpoint_by_index),
+        )
+
+    def restore(self, kept: StepProgress) -> None:
+        """Take in what was kept."""
+        for index in range(self.spec.count) if kept.all_done else kept.done:
+            self.pending.discard(index)
+            self.done.add(index)
+        self.failed_runs_by_index = {index: set(runs) for index, runs in kept.failures.items()}
+        self.checkpoint_by_index = dict(kept.checkpoints)
+
+
+class JobState:
+    """State of one job.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job as submitted.
+    queue : Queue
+        Its queue when it was accepted.
+    revision : int
+        Store revision of its acceptance.
+    """
+
+    def __init__(self, spec: JobSpec, queue: Queue, revision: int = 0) -> None:
+        """Start with nothing done."""
+        self.spec = spec
+        self.queue = queue
+        self.revision = revision
+        self.phase = JobPhase.QUEUED
+        self.has_begun = False
+        self.ended_s = 0.0
+        self.known_since_s = 0.0
+        self.step_by_key: dict[tuple[int, int], StepState] = {}
+        self.opened = 0
+        self.failed_on: set[str] = set()
+        self.has_success = False
+        self.is_end_kept = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more will run."""
+        return self.phase in ENDED_PHASES
+
+    @property
+    def shown_phase(self) -> JobPhase:
+        """Phase to show: an end only once it can't be lost any more."""
+        if self.has_ended and not self.is_end_kept and self.phase is not JobPhase.CANCELLED:
+            return JobPhase.RUNNING
+        return self.phase
+
+    def open_due(self, wall_s: float) -> bool:
+        """Create the steps of occurrences that are due; tell whether any was."""
+        opened = False
+        while self.opened < self.spec.occurrences and self.spec.due_s(self.opened) <= wall_s:
+            self._open(self.opened)
+            self.opened += 1
+            opened = True
+        return opened
+
+    def next_due_s(self) -> float | None:
+        """Return when the next occurrence is due, seconds since 1970."""
+        if self.opened >= self.spec.occurrences:
+            return None
+        return self.spec.due_s(self.opened)
+
+    def ready_steps(self) -> Iterator[StepState]:
+        """Yield the steps that have tasks to start and wait for no other."""
+        for (occurrence, _), step in self.step_by_key.items():
+            if not step.pending:
+                continue
+            before = step.spec.after
+            if all(self.step_by_key[occurrence, earlier].is_done for earlier in before):
+                yield step
+
+    def step_of(self, key: TaskKey) -> StepState | None:
+        """Return the step of a task; nothing when the job has no such task."""
+        if key.step >= len(self.spec.steps) or key.occurrence >= self.spec.occurrences:
+            return None
+        step = self.step_by_key.get((key.occurrence, key.step))
+        if step is None:
+            self._open(key.occurrence)
+            step = self.step_by_key[key.occurrence, key.step]
+        return step if key.index < step.spec.count else None
+
+    def has_succeeded(self) -> bool:
+        """Whether every task of every occurrence has succeeded."""
+        if self.opened < self.spec.occurrences:
+            return False
+        return all(step.is_done for step in self.step_by_key.values())
+
+    def mark_begun(self) -> None:
+        """Record that one of its tasks has begun."""
+        self.has_begun = True
+        if self.phase is JobPhase.QUEUED:
+            self.phase = JobPhase.RUNNING
+
+    def runs(self) -> Iterator[Run]:
+        """Yield the runs that hold capacity."""
+        for step in self.step_by_key.values():
+            yield from step.run_by_index.values()
+
+    def progress(self) -> JobProgress:
+        """Return what must outlast every instance."""
+        kept = (step.progress() for step in self.step_by_key.values())
+        return JobProgress(str(self.phase), tuple(each for each in kept if each), self.ended_s)
+
+    def restore(self, kept: JobProgress) -> None:
+        """Take in what was kept."""
+        self.phase = JobPhase(kept.phase)
+        self.ended_s = kept.ended_s
+        self.is_end_kept = self.has_ended
+        for each in kept.steps:
+            step = self.step_of(TaskKey(self.spec.job_id, each.occurrence, each.step, 0))
+            if step is not None:
+                step.restore(each)
+        if kept.steps:
+            self.has_begun = True
+
+    def _open(self, occurrence: int) -> None:
+        for number in range(len(self.spec.steps)):
+            key = (occurrence, number)
+            if key not in self.step_by_key:
+                self.step_by_key[key] = StepState(self, occurrence, number)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -0,0 +1,201 @@
+"""One pass over all steps that have tasks to start."""
+
+from collections import defaultdict
+
+from ..workload import Resources
+from .clock import Moment
+from .job_state import JobState, StepState
+from .placement import place, Placement, Request
+from .preemption import Plan, Preemption
+from .reservation import earliest_claim
+from .room import Claim, effective_demand, Room
+from .state import SchedulerState
+from .worth import Standing, standing
+
+RANK_GUARANTEED = 0
+RANK_URGENT = 1
+RANK_ORDINARY = 2
+
+# A claim whose room did not come free by then is made anew, in seconds.
+_CLAIM_SLACK_S = 1.0
+# A step that a worker refused waits this long, in seconds.
+REFUSED_PAUSE_S = 0.3
+
+_Signature = tuple[Resources, str, str, bool, bool]
+
+
+class Pass:
+    """One pass of decisions at one moment.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        What is believed; starts and stops are recorded there.
+    now : Moment
+        The present.
+    """
+
+    def __init__(self, state: SchedulerState, now: Moment) -> None:
+        """Read the free room."""
+        self._state = state
+        self._now = now
+        self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
+        self._room = Room(self._workers, state.claims)
+        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s)
+        self._blocked: dict[_Signature, int] = {}
+        self._reserved = 0
+
+    def run(self) -> None:
+        """Place every step that fits, in order of standing."""
+        self._drop_stale_claims()
+        for order, step in self._ordered_steps():
+            self._consider(step, order.rank)
+
+    def _ordered_steps(self) -> list[tuple[Standing, StepState]]:
+        ranks = _rank_by_job(self._state)
+        unit = self._state.worker_unit()
+        found = []
+        for job in self._state.active_jobs():
+            if not self._may_start(job):
+                continue
+            rank = ranks.get(job.spec.job_id, RANK_ORDINARY)
+            for step in job.ready_steps():
+                if step.refused_until_s > self._now.steady_s:
+                    continue
+                order = standing(step, rank, self._state.times, unit, self._now.wall_s)
+                found.append((order, step))
+        found.sort(key=lambda pair: pair[0])
+        return found
+
+    def _may_start(self, job: JobState) -> bool:
+        """A task of an old job may run on a worker that has not been heard yet."""
+        return job.known_since_s <= self._now.steady_s
+
+    def _consider(self, step: StepState, rank: int) -> None:
+        if step.spec.gang and step.run_by_index:
+            return
+        request = self._request(step)
+        placement = self._place(request)
+        if placement.count:
+            self._start(step, placement, request, rank)
+        missing = len(step.pending)
+        if not missing:
+            self._forget_claim(step)
+            return
+        if rank < RANK_ORDINARY:
+            self._preempt(step, missing, rank)
+        elif step.spec.gang:
+            self._reserve(step, missing)
+
+    def _request(self, step: StepState) -> Request:
+        work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
+        waited_s = self._now.wall_s - _since_s(step)
+        settings = self._state.settings
+        return Request(
+            step,
+            len(step.pending),
+            work_s,
+            self._now.steady_s,
+            waited_s > settings.far_after_share * work_s,
+            settings.far_factor,
+        )
+
+    def _place(self, request: Request) -> Placement:
+        """Try a placement unless a like request failed in this pass."""
+        step = request.step
+        spec = step.spec
+        signature = (spec.demand, spec.label, spec.data_rack, spec.same_rack, request.may_go_far)
+        wanted = request.count if spec.gang else 1
+        is_plain = not spec.max_per_worker and not step.failed_on and not self._has_claim(step)
+        if is_plain and self._blocked.get(signature, wanted + 1) <= wanted:
+            return Placement(())
+        placement = place(request, self._room)
+        if is_plain and not placement.count:
+            self._blocked[signature] = min(wanted, self._blocked.get(signature, wanted))
+        return placement
+
+    def _start(self, step: StepState, placement: Placement, request: Request, rank: int) -> None:
+        indices = sorted(step.pending)
+        gang_run = self._state.next_run_number() if step.spec.gang else 0
+        demand = effective_demand(step)
+        work_s = request.work_s * placement.slowdown
+        for spot in placement.spots:
+            for _ in range(spot.count):
+                number = gang_run or self._state.next_run_number()
+                index = indices.pop(0)
+                run = self._state.start(step, index, spot.worker, number, work_s, self._now.steady_s)
+                run.rank = rank
+                self._room.take(spot.worker, demand)
+        self._forget_claim(step)
+
+    def _preempt(self, step: StepState, count: int, rank: int) -> None:
+        if self._has_claim(step):
+            return
+        plan = self._preemption.plan(step, count if step.spec.gang else 1, self._room, rank)
+        if plan is None:
+            self._reserve(step, count)
+            return
+        for victim in plan.victims:
+            self._state.stop_unit(victim, f'makes room for {step.job.spec.job_id}')
+        self._claim(step, plan)
+
+    def _claim(self, step: StepState, plan: Plan) -> None:
+        ready_s = self._now.steady_s + self._state.settings.stop_timeout_s
+        self._state.claims.append(Claim(step, plan.count_by_worker, ready_s, self._now.steady_s))
+
+    def _reserve(self, step: StepState, count: int) -> None:
+        if self._has_claim(step) or self._reserved >= self._state.settings.reservations:
+            return
+        if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
+            return
+        self._reserved += 1
+        claim = earliest_claim(step, count, self._workers, self._state.claims, self._now.steady_s)
+        if claim is not None:
+            self._state.claims.append(claim)
+
+    def _has_claim(self, step: StepState) -> bool:
+        return any(claim.step is step for claim in self._state.claims)
+
+    def _forget_claim(self, step: StepState) -> None:
+        claims = self._state.claims
+        claims[:] = [claim for claim in claims if claim.step is not step]
+
+    def _drop_stale_claims(self) -> None:
+        """Drop claims that came to nothing; those of ordinary work are made anew each time."""
+        known = {worker.worker_id for worker in self._workers}
+        kept = [claim for claim in self._state.claims if self._still_holds(claim, known)]
+        self._state.claims[:] = kept
+
+    def _still_holds(self, claim: Claim, known: set[str]) -> bool:
+        if claim.step.job.has_ended or not claim.step.pending:
+            return False
+        if claim.step.job.queue.priority:
+            return False
+        late_s = self._now.steady_s - claim.ready_s
+        return late_s < _CLAIM_SLACK_S and known.issuperset(claim.count_by_worker)
+
+
+def _since_s(step: StepState) -> float:
+    """Return when a step's occurrence came up, seconds since 1970."""
+    spec = step.job.spec
+    return spec.due_s(step.occurrence) or spec.accepted_s
+
+
+def _rank_by_job(state: SchedulerState) -> dict[str, int]:
+    """Return the ranks of the jobs of priority 0, guaranteed ones first."""
+    jobs_by_account: dict[str, list[JobState]] = defaultdict(list)
+    for job in state.active_jobs():
+        if job.queue.priority == 0:
+            jobs_by_account[job.spec.account].append(job)
+    ranks = {}
+    for account, jobs in jobs_by_account.items():
+        left = state.guaranteed_by_account.get(account, 0)
+        for job in sorted(jobs, key=lambda each: each.spec.accepted_s):
+            left -= _accelerators(job)
+            ranks[job.spec.job_id] = RANK_GUARANTEED if left >= 0 else RANK_URGENT
+    return ranks
+
+
+def _accelerators(job: JobState) -> int:
+    return sum(step.count * step.demand.accelerators for step in job.spec.steps[:1])
+
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -0,0 +1,164 @@
+"""Where the tasks of a step go."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from ..workload import Resources
+from .job_state import StepState
+from .room import effective_demand, fitting, is_admissible, is_near, per_worker_limit, rack_of, Room
+from .workers import WorkerState
+
+
+class Spot(NamedTuple):
+    """A worker and how many tasks of the step it takes."""
+
+    worker: WorkerState
+    count: int
+
+
+class Placement(NamedTuple):
+    """Workers for tasks of a step.
+
+    Parameters
+    ----------
+    spots : tuple of Spot
+        Workers, in order of use.
+    slowdown : float
+        How many times as long the tasks take there.
+    """
+
+    spots: tuple[Spot, ...]
+    slowdown: float = 1.0
+
+    @property
+    def count(self) -> int:
+        """Number of tasks placed."""
+        return sum(spot.count for spot in self.spots)
+
+
+class Request(NamedTuple):
+    """A step that asks for room.
+
+    Parameters
+    ----------
+    step : StepState
+        The step.
+    count : int
+        Tasks to place; a gang needs them all.
+    work_s : float
+        Expected run time near its data, in one rack.
+    now_s : float
+        The present, steady clock.
+    may_go_far : bool
+        Whether a slower place is acceptable.
+    far_factor : float
+        How many times as long tasks take there.
+    """
+
+    step: StepState
+    count: int
+    work_s: float
+    now_s: float
+    may_go_far: bool
+    far_factor: float
+
+
+NOWHERE = Placement(())
+
+
+def place(request: Request, room: Room) -> Placement:
+    """Return room for a step: all of a gang, or as many tasks as fit."""
+    near = _spots(request, room, request.work_s, near=True)
+    if request.step.spec.gang:
+        return _place_gang(request, room, near)
+    placement = Placement(_fill(near, request.count, request.step))
+    if placement.count < request.count and request.may_go_far and request.step.spec.data_rack:
+        far = _spots(request, room, request.work_s * request.far_factor, near=False)
+        if not placement.count:
+            return Placement(_fill(far, request.count, request.step), request.far_factor)
+    return placement
+
+
+def admissible_workers(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
+    """Return the workers that may run a step, those it failed on left out."""
+    able = [worker for worker in workers if is_admissible(worker, step)]
+    if not step.failed_on:
+        return able
+    others = [worker for worker in able if worker.worker_id not in step.failed_on]
+    return others if len(others) * 2 >= len(able) else able
+
+
+def by_rack(spots: list[Spot]) -> dict[str, list[Spot]]:
+    """Group spots by rack."""
+    spots_by_rack: dict[str, list[Spot]] = defaultdict(list)
+    for spot in spots:
+        spots_by_rack[rack_of(spot.worker)].append(spot)
+    return spots_by_rack
+
+
+def _place_gang(request: Request, room: Room, near: list[Spot]) -> Placement:
+    step = request.step
+    if sum(spot.count for spot in near) >= request.count:
+        found = _one_rack(request, near) if step.spec.same_rack else _fill(near, request.count, step)
+        if found:
+            return Placement(found)
+    if not request.may_go_far or not (step.spec.same_rack or step.spec.data_rack):
+        return NOWHERE
+    far = _spots(request, room, request.work_s * request.far_factor, near=False)
+    if sum(spot.count for spot in far) < request.count:
+        return NOWHERE
+    return Placement(_fill(far, request.count, step), request.far_factor)
+
+
+def _one_rack(request: Request, spots: list[Spot]) -> tuple[Spot, ...]:
+    """Return the fullest rack that still holds a whole gang."""
+    best: list[Spot] = []
+    best_count = 0
+    for rack_spots in by_rack(spots).values():
+        count = sum(spot.count for spot in rack_spots)
+        if count >= request.count and (not best or count < best_count):
+            best = rack_spots
+            best_count = count
+    return _fill(best, request.count, request.step) if best else ()
+
+
+def _spots(request: Request, room: Room, work_s: float, *, near: bool) -> list[Spot]:
+    step = request.step
+    demand = effective_demand(step)
+    end_s = request.now_s + work_s
+    found = []
+    for worker in admissible_workers(step, room.workers):
+        if near and not is_near(worker, step):
+            continue
+        free = room.free_for(worker, step, end_s)
+        count = min(fitting(free, demand), per_worker_limit(worker, step))
+        if count:
+            found.append(Spot(worker, count))
+    free_by_id = room.free_by_id
+    found.sort(key=lambda spot: _preference(spot, free_by_id[spot.worker.worker_id], request.now_s))
+    return found
+
+
+def _preference(spot: Spot, free: Resources, now_s: float) -> tuple[bool, int, int]:
+    """Prefer sound workers, then full ones, so that whole workers stay free."""
+    worker = spot.worker
+    is_suspect = bool(worker.failed_jobs) or worker.slowness > _SLOW_ENOUGH
+    return (is_suspect, free.accelerators, free.memory_mb)
+
+
+def _fill(spots: list[Spot], count: int, step: StepState) -> tuple[Spot, ...]:
+    chosen = []
+    left = count
+    for spot in spots:
+        if not left:
+            break
+        taken = min(left, spot.count)
+        chosen.append(Spot(spot.worker, taken))
+        left -= taken
+    if left and step.spec.gang:
+        return ()
+    return tuple(chosen)
+
+
+# A worker this many times as slow as expected is used last.
+_SLOW_ENOUGH = 2.0
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -0,0 +1,169 @@
+"""Which runs are stopped to make room for more urgent work."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..workload import Resources, weighted_cores
+from .job_state import StepState
+from .placement import admissible_workers
+from .room import effective_demand, fitting, is_near, per_worker_limit, rack_of, Room
+from .runs import Run, RunPhase
+from .workers import WorkerState
+
+# Cost of any stop, in seconds of the run's work: its restart elsewhere.
+_RESTART_S = 0.5
+# A run with less than this left is cheaper to wait for than to stop.
+_NEARLY_DONE_S = 0.4
+
+StepOf = Callable[[Run], StepState | None]
+
+
+class Plan(NamedTuple):
+    """Room for a step once some runs are stopped.
+
+    Parameters
+    ----------
+    count_by_worker : dict
+        Tasks of the step for each worker.
+    victims : tuple of Run
+        Runs to stop.
+    cost : float
+        Work lost, in weighted core-seconds.
+    """
+
+    count_by_worker: dict[str, int]
+    victims: tuple[Run, ...]
+    cost: float
+
+
+class _Offer(NamedTuple):
+    """One more task on a worker, after more runs there are stopped."""
+
+    worker: WorkerState
+    victims: tuple[Run, ...]
+    count: int
+    cost: float
+
+
+class Preemption:
+    """Finds the cheapest victims.
+
+    Parameters
+    ----------
+    step_of : callable
+        Returns the step of a run.
+    now_s : float
+        The present, steady clock.
+    """
+
+    def __init__(self, step_of: StepOf, now_s: float) -> None:
+        """Start a search at one moment."""
+        self._step_of = step_of
+        self._now_s = now_s
+
+    def plan(self, step: StepState, count: int, room: Room, rank: int) -> Plan | None:
+        """Return the cheapest way to make room, if there is one."""
+        able = [worker for worker in admissible_workers(step, room.workers) if is_near(worker, step)]
+        groups = [able]
+        if step.spec.gang and step.spec.same_rack:
+            racks = sorted({rack_of(worker) for worker in able})
+            in_racks = [[worker for worker in able if rack_of(worker) == rack] for rack in racks]
+            groups = in_racks
+        plans = [self._plan_among(step, count, room, rank, group) for group in groups]
+        found = [plan for plan in plans if plan is not None]
+        if not found and len(groups) > 1:
+            whole = self._plan_among(step, count, room, rank, able)
+            return whole
+        return min(found, key=lambda plan: plan.cost, default=None)
+
+    def cost(self, run: Run) -> float:
+        """Return the work lost by stopping a run, its whole gang included."""
+        step = self._step_of(run)
+        if step is None:
+            return 0.0
+        members = list(step.run_by_index.values()) if step.spec.gang else [run]
+        return sum(self._own_cost(member, step) for member in members)
+
+    def _own_cost(self, run: Run, step: StepState) -> float:
+        worked_s = max(0.0, self._now_s - run.started_s)
+        unsaved_s = 0.0 if step.spec.checkpoints else worked_s
+        return weighted_cores(run.demand) * (unsaved_s + _RESTART_S)
+
+    def _plan_among(
+        self,
+        step: StepState,
+        count: int,
+        room: Room,
+        rank: int,
+        workers: list[WorkerState],
+    ) -> Plan | None:
+        offers = [offer for worker in workers for offer in self._offers(step, room, rank, worker)]
+        offers.sort(key=lambda offer: offer.cost / offer.count)
+        chosen: dict[str, _Offer] = {}
+        for offer in offers:
+            if sum(each.count for each in chosen.values()) >= count:
+                break
+            known = chosen.get(offer.worker.worker_id)
+            if known is None or offer.count > known.count:
+                chosen[offer.worker.worker_id] = offer
+        if sum(each.count for each in chosen.values()) < count:
+            return None
+        return _as_plan(chosen, count)
+
+    def _offers(self, step: StepState, room: Room, rank: int, worker: WorkerState) -> list[_Offer]:
+        demand = effective_demand(step)
+        limit = per_worker_limit(worker, step)
+        free = room.free_for(worker, step, self._now_s)
+        stopping = [run for run in worker.run_by_key.values() if run.phase is RunPhase.STOPPING]
+        for run in stopping:
+            free = free.plus(run.demand)
+        offers = []
+        best = min(fitting(free, demand), limit)
+        if best:
+            offers.append(_Offer(worker, (), best, 0.0))
+        victims: list[Run] = []
+        cost = 0.0
+        for run in self._victims(worker, rank):
+            free = free.plus(run.demand)
+            victims.append(run)
+            cost += self.cost(run)
+            count = min(fitting(free, demand), limit)
+            if count > best:
+                best = count
+                offers.append(_Offer(worker, tuple(victims), count, cost))
+        return offers
+
+    def _victims(self, worker: WorkerState, rank: int) -> list[Run]:
+        found = [
+            run
+            for run in worker.run_by_key.values()
+            if run.rank > rank and run.phase is not RunPhase.STOPPING and not self._is_lasting(run)
+        ]
+        return sorted(found, key=lambda run: self._price(run, worker.profile.capacity))
+
+    def _price(self, run: Run, capacity: Resources) -> float:
+        share = max(weighted_cores(run.demand), 1.0) / max(weighted_cores(capacity), 1.0)
+        if run.left_s(self._now_s) < _NEARLY_DONE_S:
+            return 0.0
+        return self.cost(run) / share
+
+    def _is_lasting(self, run: Run) -> bool:
+        step = self._step_of(run)
+        return step is not None and step.spec.lasting
+
+
+def _as_plan(chosen: dict[str, _Offer], count: int) -> Plan:
+    """Keep what is needed, the dearest offers last to stay."""
+    left = count
+    count_by_worker: dict[str, int] = {}
+    victims: list[Run] = []
+    cost = 0.0
+    for offer in sorted(chosen.values(), key=lambda each: each.cost / each.count):
+        if not left:
+            break
+        taken = min(left, offer.count)
+        left -= taken
+        count_by_worker[offer.worker.worker_id] = taken
+        victims.extend(offer.victims)
+        cost += offer.cost
+    return Plan(count_by_worker, tuple(victims), cost)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -0,0 +1,110 @@
+"""Room on workers during one pass of decisions."""
+
+from typing import NamedTuple
+
+from ..workload import NO_RESOURCES, Resources
+from .job_state import StepState
+from .runs import Run
+from .workers import WorkerState
+
+# Used where a demand has no part in a resource.
+_UNLIMITED = 1_000_000
+
+
+class Claim(NamedTuple):
+    """Room kept on workers for a step that waits for it.
+
+    Parameters
+    ----------
+    step : StepState
+        The step that waits.
+    count_by_worker : dict
+        Tasks that it will place on each worker.
+    ready_s : float
+        When the room is expected to be free, steady clock.
+    made_s : float
+        When the claim was made, steady clock.
+    """
+
+    step: StepState
+    count_by_worker: dict[str, int]
+    ready_s: float
+    made_s: float
+
+
+class Room:
+    """Free resources of the workers that may take starts.
+
+    Parameters
+    ----------
+    workers : list of WorkerState
+        Workers that may take starts.
+    claims : list of Claim
+        Room that is kept.
+    """
+
+    def __init__(self, workers: list[WorkerState], claims: list[Claim]) -> None:
+        """Read the free resources of each worker."""
+        self.workers = workers
+        self.free_by_id = {worker.worker_id: worker.free for worker in workers}
+        self._claims = claims
+
+    def take(self, worker: WorkerState, demand: Resources) -> None:
+        """Use up room."""
+        self.free_by_id[worker.worker_id] = self.free_by_id[worker.worker_id].minus(demand)
+
+    def free_for(self, worker: WorkerState, step: StepState, end_s: float) -> Resources:
+        """Return the room that a step may use until ``end_s``."""
+        free = self.free_by_id.get(worker.worker_id, NO_RESOURCES)
+        for claim in self._claims:
+            if claim.step is step or end_s <= claim.ready_s:
+                continue
+            count = claim.count_by_worker.get(worker.worker_id)
+            if count:
+                free = free.minus(effective_demand(claim.step).times(count))
+        return free
+
+
+def effective_demand(step: StepState) -> Resources:
+    """Return what a task counts against a worker's room."""
+    demand = step.spec.demand
+    return demand._replace(cpu_millis=0) if step.spec.fills else demand
+
+
+def fitting(free: Resources, demand: Resources) -> int:
+    """Return how many tasks of a demand fit into free room."""
+    count = _UNLIMITED
+    for have, want in zip(free, demand, strict=True):
+        if want:
+            count = min(count, have // want)
+    return max(count, 0)
+
+
+def per_worker_limit(worker: WorkerState, step: StepState) -> int:
+    """Return how many more tasks of a step a worker may take."""
+    if not step.spec.max_per_worker:
+        return _UNLIMITED
+    return max(0, step.spec.max_per_worker - sum(_is_of(run, step) for run in worker.run_by_key.values()))
+
+
+def rack_of(worker: WorkerState) -> str:
+    """Return a worker's rack: the label after its kind."""
+    labels = worker.profile.labels
+    return labels[1] if len(labels) > 1 else ''
+
+
+def is_admissible(worker: WorkerState, step: StepState) -> bool:
+    """Tell whether a worker may ever run a step's tasks."""
+    if worker.profile.service != step.job.queue.service:
+        return False
+    return not step.spec.label or step.spec.label in worker.profile.labels
+
+
+def is_near(worker: WorkerState, step: StepState) -> bool:
+    """Tell whether a worker is on the rack of a step's data."""
+    return not step.spec.data_rack or step.spec.data_rack in worker.profile.labels
+
+
+def _is_of(run: Run, step: StepState) -> bool:
+    key = run.key
+    return (key.job_id, key.occurrence, key.step) == (step.job.spec.job_id, step.occurrence, step.number)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -0,0 +1,96 @@
+"""Runs of tasks, as the scheduler believes them to be."""
+
+from enum import StrEnum
+
+from ..workload import Resources, TaskKey
+
+
+class RunPhase(StrEnum):
+    """What is known of a run."""
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+class Run:
+    """One run of one task on one worker; holds capacity until it ends.
+
+    Parameters
+    ----------
+    key : TaskKey
+        The task.
+    number : int
+        Number of the run.
+    worker_id : str
+        Where it runs.
+    demand : Resources
+        What it holds.
+    started_s : float
+        When the start was ordered, steady clock.
+    work_s : float
+        Expected run time from start to end.
+    """
+
+    __slots__ = (
+        'checkpoint',
+        'demand',
+        'is_saving',
+        'key',
+        'moved_s',
+        'number',
+        'percent',
+        'phase',
+        'rank',
+        'seen_s',
+        'started_s',
+        'work_s',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        key: TaskKey,
+        number: int,
+        worker_id: str,
+        demand: Resources,
+        started_s: float,
+        work_s: float,
+    ) -> None:
+        """Record a start that was ordered."""
+        self.key = key
+        self.number = number
+        self.worker_id = worker_id
+        self.demand = demand
+        self.started_s = started_s
+        self.work_s = work_s
+        self.phase = RunPhase.STARTING
+        self.checkpoint = ''
+        self.is_saving = False
+        self.percent = 0.0
+        self.moved_s = started_s
+        self.seen_s = started_s
+        self.rank = 0
+
+    def saw_progress(self, percent: float, now_s: float) -> None:
+        """Take in a report of progress."""
+        self.seen_s = now_s
+        if percent > self.percent:
+            self.percent = percent
+            self.moved_s = now_s
+
+    def left_s(self, now_s: float) -> float:
+        """Return the expected time to its end."""
+        by_plan_s = self.started_s + self.work_s - now_s
+        if self.percent < _PERCENT_THAT_TELLS:
+            return max(by_plan_s, _LEAST_LEFT_S)
+        # The pace so far tells more than any estimate made before.
+        pace_s = (self.seen_s - self.started_s) / self.percent
+        left_s = pace_s * (100.0 - self.percent) - (now_s - self.seen_s)
+        return max(left_s, _LEAST_LEFT_S)
+
+
+# Below this share the pace is mostly start-up time.
+_PERCENT_THAT_TELLS = 8.0
+# A run that should have ended is expected at any moment.
+_LEAST_LEFT_S = 0.1
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -0,0 +1,43 @@
+"""Limits and weights of the scheduler."""
+
+from typing import NamedTuple
+
+
+class SchedulerSettings(NamedTuple):
+    """Limits and weights, all times in seconds.
+
+    Parameters
+    ----------
+    far_factor : float
+        How many times as long a task takes away from its data or its gang.
+    stop_timeout_s : float
+        Longest time that stopping a run takes.
+    drain_s : float
+        A leaving worker gets no new task later than this.
+    early_s : float
+        How much before its due time an occurrence may start.
+    restore_s : float
+        Time to continue from a checkpoint.
+    quarantine_s : float
+        How long a worker that fails what it runs gets nothing.
+    stall_s : float
+        How long a run's progress may stand still before it is moved.
+    reserve_after_s : float
+        How long a gang waits before room is kept for it.
+    far_after_share : float
+        Share of its own work time that a task waits for the rack of its data
+        before it starts elsewhere.
+    reservations : int
+        Gangs for which room is kept at one time.
+    """
+
+    far_factor: float = 3.0
+    stop_timeout_s: float = 0.9
+    drain_s: float = 2.0
+    early_s: float = 0.25
+    restore_s: float = 0.25
+    quarantine_s: float = 6.0
+    stall_s: float = 1.8
+    reserve_after_s: float = 0.5
+    far_after_share: float = 1.5
+    reservations: int = 2
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -0,0 +1,119 @@
+"""Everything that the scheduler believes, in one place."""
+
+from collections.abc import Iterator
+
+from ..workload import Resources, TaskKey
+from .effects import Effect, StartRun, StopRun
+from .job_state import JobPhase, JobState, StepState
+from .learning import RunTimes
+from .room import Claim, effective_demand
+from .runs import Run, RunPhase
+from .settings import SchedulerSettings
+from .workers import WorkerState
+
+# Runs of one owner count up below its epoch, so that numbers rise over owners.
+RUNS_PER_EPOCH = 1 << 20
+
+
+class SchedulerState:
+    """Jobs, workers and what is to be done about them.
+
+    Parameters
+    ----------
+    settings : SchedulerSettings
+        Limits and weights.
+    epoch : int
+        Epoch of the owner; later owners have larger ones.
+    """
+
+    def __init__(self, settings: SchedulerSettings, epoch: int) -> None:
+        """Start empty."""
+        self.settings = settings
+        self.epoch = epoch
+        self.job_by_id: dict[str, JobState] = {}
+        self.active_job_by_id: dict[str, JobState] = {}
+        self.worker_by_id: dict[str, WorkerState] = {}
+        self.times = RunTimes()
+        self.claims: list[Claim] = []
+        self.dirty_jobs: set[str] = set()
+        self.effects: list[Effect] = []
+        self.guaranteed_by_account: dict[str, int] = {}
+        self._runs_started = 0
+
+    def step_of(self, key: TaskKey) -> StepState | None:
+        """Return the step of a task, if its job is known."""
+        job = self.job_by_id.get(key.job_id)
+        return None if job is None else job.step_of(key)
+
+    def run_of(self, key: TaskKey) -> Run | None:
+        """Return the run of a task, if it has one."""
+        step = self.step_of(key)
+        return None if step is None else step.run_by_index.get(key.index)
+
+    def next_run_number(self) -> int:
+        """Return a run number above all that were given before."""
+        self._runs_started += 1
+        return self.epoch * RUNS_PER_EPOCH + self._runs_started
+
+    def add_run(self, step: StepState, run: Run) -> None:
+        """Let a run hold its task and its room."""
+        step.pending.discard(run.key.index)
+        step.run_by_index[run.key.index] = run
+        worker = self.worker_by_id.get(run.worker_id)
+        if worker is not None:
+            worker.add_run(run)
+
+    def remove_run(self, run: Run) -> None:
+        """Free a run's room; its task waits again unless it has succeeded."""
+        worker = self.worker_by_id.get(run.worker_id)
+        if worker is not None:
+            worker.remove_run(run)
+        step = self.step_of(run.key)
+        if step is None or step.run_by_index.get(run.key.index) is not run:
+            return
+        del step.run_by_index[run.key.index]
+        if run.key.index not in step.done:
+            step.pending.add(run.key.index)
+
+    def start(self, step: StepState, index: int, worker: WorkerState, run: int, work_s: float, now_s: float) -> Run:
+        """Order a start."""
+        checkpoint = step.gang_checkpoint() if step.spec.gang else step.checkpoint_by_index.get(index, '')
+        started = Run(step.key(index), run, worker.worker_id, effective_demand(step), now_s, work_s)
+        started.checkpoint = checkpoint
+        self.add_run(step, started)
+        self.effects.append(StartRun(worker.worker_id, started.key, run, checkpoint))
+        return started
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Order a stop, once."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        self.effects.append(StopRun(run.worker_id, run.key, run.number, reason))
+
+    def stop_unit(self, run: Run, reason: str) -> None:
+        """Order a stop of a run and of its whole gang."""
+        step = self.step_of(run.key)
+        members = list(step.run_by_index.values()) if step is not None and step.spec.gang else [run]
+        for member in members:
+            self.stop(member, reason)
+
+    def end_job(self, job: JobState, phase: JobPhase, wall_s: float, reason: str) -> None:
+        """Let a job end: nothing of it runs on."""
+        job.phase = phase
+        job.ended_s = wall_s
+        self.active_job_by_id.pop(job.spec.job_id, None)
+        self.dirty_jobs.add(job.spec.job_id)
+        self.claims = [claim for claim in self.claims if claim.step.job is not job]
+        for run in tuple(job.runs()):
+            self.stop(run, reason)
+
+    def active_jobs(self) -> Iterator[JobState]:
+        """Yield the jobs that have not ended."""
+        return iter(self.active_job_by_id.values())
+
+    def worker_unit(self) -> Resources:
+        """Return the capacity of a typical worker."""
+        for worker in self.worker_by_id.values():
+            return worker.profile.capacity
+        return Resources(1, 1, 1)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -0,0 +1,86 @@
+"""What a worker's list of runs changes: progress, adoption, losses."""
+
+from collections.abc import Sequence
+
+from .clock import Moment
+from .events import EndKind, RunEnd, RunSeen
+from .ends import take_in_end
+from .room import effective_demand
+from .runs import Run, RunPhase
+from .state import SchedulerState
+from .workers import WorkerState
+
+
+def take_in_survey(
+    state: SchedulerState,
+    worker: WorkerState,
+    running: Sequence[RunSeen],
+    begun_s: float,
+    now: Moment,
+) -> None:
+    """Compare a worker's list of runs with what is believed.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        What is believed.
+    worker : WorkerState
+        The worker.
+    running : sequence of RunSeen
+        What it lists; ends have been taken in before.
+    begun_s : float
+        When the list was asked for: it says nothing of later starts.
+    now : Moment
+        The present.
+    """
+    worker.is_surveyed = True
+    worker.is_silent = False
+    seen_keys = set()
+    for seen in running:
+        seen_keys.add((seen.key, seen.run))
+        _take_in_run(state, worker, seen, now)
+    for run in tuple(worker.run_by_key.values()):
+        is_listed = (run.key, run.number) in seen_keys
+        if is_listed or run.phase is RunPhase.STARTING or run.seen_s >= begun_s:
+            continue
+        take_in_end(state, RunEnd(worker.worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint), now)
+
+
+def _take_in_run(state: SchedulerState, worker: WorkerState, seen: RunSeen, now: Moment) -> None:
+    run = worker.run_by_key.get(seen.key)
+    if run is None or run.number != seen.run:
+        run = _adopt(state, worker, seen, now)
+        if run is None:
+            return
+    if run.phase is RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+        state.job_by_id[run.key.job_id].mark_begun()
+    run.saw_progress(seen.percent, now.steady_s)
+    if seen.checkpoint:
+        run.checkpoint = seen.checkpoint
+
+
+def _adopt(state: SchedulerState, worker: WorkerState, seen: RunSeen, now: Moment) -> Run | None:
+    """Take over a run that an earlier owner started, or stop one that is not wanted."""
+    step = state.step_of(seen.key)
+    stray = Run(seen.key, seen.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0)
+    if step is None or step.job.has_ended or seen.key.index in step.done:
+        state.stop(stray, 'run of a task that needs none')
+        return None
+    other = step.run_by_index.get(seen.key.index)
+    if other is not None or (step.spec.gang and _has_other_run(list(step.run_by_index.values()), seen.run)):
+        state.stop(stray, 'task runs elsewhere')
+        return None
+    work_s = state.times.expect_s(step.job.queue.name, step.spec)
+    started_s = now.steady_s - work_s * seen.percent / 100.0
+    run = Run(seen.key, seen.run, worker.worker_id, effective_demand(step), started_s, work_s)
+    run.phase = RunPhase.RUNNING
+    run.rank = min(step.job.queue.priority, 1) + 1  # urgent or ordinary; see passes
+    run.seen_s = now.steady_s
+    state.add_run(step, run)
+    step.job.mark_begun()
+    return run
+
+
+def _has_other_run(runs: list[Run], number: int) -> bool:
+    return any(run.number != number for run in runs)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -0,0 +1,140 @@
+"""Workers, as the scheduler believes them to be."""
+
+from typing import NamedTuple
+
+from ..workload import NO_RESOURCES, Resources, TaskKey
+from .runs import Run
+
+# A worker's steady clock may be 2% slow; the rest covers rounding.
+_SLOWEST_CLOCK = 1.03
+
+
+class WorkerProfile(NamedTuple):
+    """What a worker publishes about itself.
+
+    Parameters
+    ----------
+    worker_id : str
+        Identifier of this life of the worker.
+    service : str
+        Service that it belongs to.
+    domain : str
+        Failure domain.
+    capacity : Resources
+        What it has in all.
+    labels : tuple of str
+        Its kind and its rack.
+    draining : bool
+        Whether it is about to leave.
+    leaves_in_s : float or None
+        Least time left to it while it drains.
+    """
+
+    worker_id: str
+    service: str
+    domain: str
+    capacity: Resources
+    labels: tuple[str, ...]
+    draining: bool = False
+    leaves_in_s: float | None = None
+
+
+class Lease:
+    """Bounds the end of a worker's lease on the owner's clock."""
+
+    def __init__(self) -> None:
+        """Start without a reading of the worker's clock."""
+        self._clock_s: float | None = None
+        self._read_at_s = 0.0
+        self._until_s = 0.0
+        self._floor_s = 0.0
+
+    @property
+    def has_reading(self) -> bool:
+        """Whether the worker's clock has been read."""
+        return self._clock_s is not None
+
+    def read(self, clock_s: float, now_s: float) -> None:
+        """Take a reading of the worker's clock, not older than ``now_s``."""
+        if self._clock_s is None or clock_s >= self._clock_s:
+            self._clock_s = clock_s
+            self._read_at_s = now_s
+
+    def until(self, hold_s: float, now_s: float) -> float:
+        """Return the end, on the worker's clock, of a lease of ``hold_s`` from now."""
+        if self._clock_s is None:
+            return 0.0
+        return self._clock_s + (now_s - self._read_at_s) + hold_s
+
+    def sent(self, until_s: float) -> None:
+        """Record an end that was sent, answered or not: it is never shortened."""
+        self._until_s = max(self._until_s, until_s)
+
+    def assume(self, bound_s: float) -> None:
+        """Assume a lease given by an earlier owner up to ``bound_s``."""
+        self._floor_s = max(self._floor_s, bound_s)
+
+    def bound_s(self) -> float:
+        """Return the steady time after which nothing runs there any more."""
+        if self._clock_s is None:
+            return self._floor_s
+        left_s = max(0.0, self._until_s - self._clock_s)
+        return max(self._floor_s, self._read_at_s + left_s * _SLOWEST_CLOCK)
+
+
+class WorkerState:
+    """One life of a worker.
+
+    Parameters
+    ----------
+    profile : WorkerProfile
+        What it publishes.
+    """
+
+    def __init__(self, profile: WorkerProfile) -> None:
+        """Start empty and not yet heard of."""
+        self.profile = profile
+        self.lease = Lease()
+        self.run_by_key: dict[TaskKey, Run] = {}
+        self.used = NO_RESOURCES
+        self.is_listed = True
+        self.is_surveyed = False
+        self.is_silent = False
+        self.silent_since_s = 0.0
+        self.draining_since_s: float | None = None
+        self.leaves_at_s: float | None = None
+        self.quarantined_until_s = 0.0
+        self.failed_jobs: set[str] = set()
+        self.failed_at_s = -1000.0
+        self.slowness = 1.0
+
+    @property
+    def worker_id(self) -> str:
+        """Identifier of this life."""
+        return self.profile.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """What no run holds."""
+        return self.profile.capacity.minus(self.used)
+
+    def add_run(self, run: Run) -> None:
+        """Let a run hold its demand."""
+        self.run_by_key[run.key] = run
+        self.used = self.used.plus(run.demand)
+
+    def remove_run(self, run: Run) -> None:
+        """Free what a run held."""
+        if self.run_by_key.get(run.key) is run:
+            del self.run_by_key[run.key]
+            self.used = self.used.minus(run.demand)
+
+    def takes_starts(self, now_s: float) -> bool:
+        """Tell whether a start may be ordered here."""
+        return (
+            self.is_listed
+            and self.is_surveyed
+            and not self.is_silent
+            and not self.profile.draining
+            and now_s >= self.quarantined_until_s
+        )
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/workload/__init__.py
@@ -0,0 +1,17 @@
+"""What callers ask for: jobs, their steps and the keys of their tasks."""
+
+from .core import JobSpec, Resources, StepSpec, TaskKey
+from .demand import dominant_share, NO_RESOURCES, weighted_cores
+from .validation import check_job, MAX_TASKS
+
+__all__ = (
+    'JobSpec',
+    'MAX_TASKS',
+    'NO_RESOURCES',
+    'Resources',
+    'StepSpec',
+    'TaskKey',
+    'check_job',
+    'dominant_share',
+    'weighted_cores',
+)
--- a/packages/node/dahliaarch_node/__init__.py
+++ b/packages/node/dahliaarch_node/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon of an entry instance."""
+"""The daemon: one role on every instance, one of which owns the pool."""
--- a/packages/node/dahliaarch_node/front/__init__.py
+++ b/packages/node/dahliaarch_node/front/__init__.py
@@ -1,7 +1,5 @@
-"""The interface for callers and operators, and the routing of requests."""
+"""The callers' side: requests are checked, kept and answered."""
 
-from .app import front_app
-from .core import Front, FrontSettings
-from .routing import Router
+from .core import Front
 
-__all__ = ('Front', 'FrontSettings', 'Router', 'front_app')
+__all__ = ('Front',)
--- /dev/null
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -0,0 +1,79 @@
+"""Keeps accepted jobs and cancellations, and knows what it does not know.
+
+A write without an answer is neither done nor not done. It is tried again under
+the same condition, which tells the two apart; while that can't be told the
+caller gets 504, never a refusal that says the job will not run.
+"""
+
+import time
+from enum import StrEnum
+from typing import NamedTuple
+
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_platform.store import (
+    CommitStatus,
+    Condition,
+    StoreClient,
+    StoreRefused,
+    StoreUnanswered,
+    StoreUnreachable,
+    Write,
+)
+
+from ..logs import log_event
+from ..records import cancel_key, job_key
+
+# Longest time that a request is held for the store, in seconds: under half of
+# the shortest deadline seen, so that the caller can try elsewhere.
+HOLD_S = 1.3
+# Longest wait for one answer, in seconds; see StoreTiming.
+_ONE_CALL_S = 0.8
+
+
+class Fate(StrEnum):
+    """What became of a write."""
+
+    KEPT = 'kept'
+    NOT_KEPT = 'not_kept'
+    UNKNOWN = 'unknown'
+    NO_SUCH_JOB = 'no_such_job'
+
+
+class WriteOutcome(NamedTuple):
+    """What became of a write, and its revision when it was made now."""
+
+    fate: Fate
+    revision: int = 0
+
+
+async def keep_job(store: StoreClient, job_id: str, record: bytes) -> WriteOutcome:
+    """Keep a job unless one of its id is kept already."""
+    write = Write(job_key(job_id), record)
+    return await _commit(store, (Condition(write.key, 0),), write)
+
+
+async def keep_cancellation(store: StoreClient, job_id: str) -> WriteOutcome:
+    """Keep a cancellation."""
+    return await _commit(store, (), Write(cancel_key(job_id), b''))
+
+
+async def _commit(store: StoreClient, conditions: tuple[Condition, ...], write: Write) -> WriteOutcome:
+    deadline_s = time.monotonic() + HOLD_S
+    is_ambiguous = False
+    while True:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
+        try:
+            outcome = await store.commit(conditions, (write,), timeout_s=min(left_s, _ONE_CALL_S))
+        except StoreUnanswered as error:
+            log_event('write_unanswered', key=write.key, why=str(error))
+            is_ambiguous = True
+            continue
+        except (StoreRefused, StoreUnreachable, ProtocolError) as error:
+            log_event('write_refused', key=write.key, why=str(error), was_ambiguous=is_ambiguous)
+            return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
+        if outcome.status is CommitStatus.DONE:
+            return WriteOutcome(Fate.KEPT, outcome.revision)
+        # The key is there: by an earlier try of ours or of the caller.
+        return WriteOutcome(Fate.KEPT)
--- /dev/null
+++ b/packages/node/dahliaarch_node/instance.py
@@ -0,0 +1,218 @@
+"""One instance: its servers, its messages and, at times, the pool."""
+
+import secrets
+import signal
+import time
+from pathlib import Path
+
+import anyio
+from anyio.abc import TaskGroup
+
+from dahliaarch_kernel.errors import SettingsError
+from dahliaarch_platform.http import HttpClient, HttpServer, Request, Response
+from dahliaarch_platform.settings import InstanceSettings, read_settings
+from dahliaarch_platform.store import StoreClient
+from dahliaarch_platform.workers import WorkerClient
+
+from .following import ConfigurationFollower
+from .front import Front
+from .logs import log_event, LogWriter
+from .membership import Membership
+from .metrics import Metrics
+from .owner import PoolOwner
+from .owner.core import OwnerSettings
+from .ownership import Ownership, OwnershipSettings
+from .peers import Mesh
+from .records import Member
+from .replies import PeerReplies
+from .timing import StoreTiming
+
+# An instance with at least this much of a core is an able owner.
+_ABLE_CORES = 0.9
+# Descriptors that are not for callers' connections.
+_RESERVED_FDS = 400
+# How long a stopping instance still takes requests, in seconds: the balancer
+# drops it after two checks, one a second, that it misses.
+_STOP_ACCEPTING_S = 2.6
+# Part of the grace period kept for the end of the process, in seconds.
+_EXIT_MARGIN_S = 0.8
+# How often the settings file is looked at, in seconds.
+_SETTINGS_EVERY_S = 1.0
+
+
+class Instance:
+    """Everything that one process runs.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+        What the settings file says.
+    path : Path
+        That file, which may change.
+    log_writer : LogWriter
+        Writes the log lines.
+    """
+
+    def __init__(self, settings: InstanceSettings, path: Path, log_writer: LogWriter) -> None:
+        """Build the parts; nothing runs yet."""
+        self._settings = settings
+        self._path = path
+        self._log_writer = log_writer
+        self._metrics = Metrics()
+        self._timing = StoreTiming()
+        self._http = HttpClient()
+        self._store = StoreClient(settings.store, self._http)
+        self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
+        self._follower = ConfigurationFollower(self._store, self._timing, self._metrics)
+        self._ownership = Ownership(
+            self._member,
+            self._store,
+            self._timing,
+            OwnershipSettings(),
+            is_able=settings.cpu_share * settings.cores >= _ABLE_CORES,
+        )
+        self._replies = PeerReplies(self._store, self._follower, self._ownership)
+        self._mesh = Mesh(self._replies.answer)
+        self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
+        self._membership = Membership(self._member, self._store, self._timing, self._follower, self._mesh)
+        self._replies.membership = self._membership
+        self._front_server = HttpServer(
+            self._front.answer,
+            max_connections=max(64, settings.max_fds - _RESERVED_FDS),
+        )
+        self._side_server = HttpServer(self._answer_side)
+        self._is_stopping = False
+
+    async def run(self) -> None:
+        """Serve until the process is asked to stop."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._log_writer.run)
+            tasks.start_soon(self._mesh.run, self._settings.ip, self._settings.peer_ports[0])
+            tasks.start_soon(self._follower.run)
+            await self._front_server.listen(self._settings.front)
+            await self._side_server.listen(self._settings.ready)
+            log_event('started', domain=self._settings.domain, incarnation=self._member.incarnation)
+            tasks.start_soon(self._ownership.run)
+            tasks.start_soon(self._membership.register)
+            tasks.start_soon(self._greet_owners)
+            tasks.start_soon(self._own_when_owner)
+            tasks.start_soon(self._follow_limits)
+            tasks.start_soon(self._watch_settings)
+            await self._wait_for_signals(tasks)
+        self._log_writer.flush()
+
+    async def _answer_side(self, request: Request) -> Response:
+        """Answer readiness checks and show the metrics."""
+        if request.path == '/metrics':
+            return Response(200, self._metrics.render(), content_type='text/plain; version=0.0.4')
+        if request.path != '/ready':
+            return Response(404)
+        is_ready = self._follower.current is not None and not self._is_stopping
+        return Response(200 if is_ready else 503)
+
+    async def _own_when_owner(self) -> None:
+        """Run the pool's owner for as long as this instance owns the pool."""
+        while True:
+            changed = self._ownership.changed
+            if not self._ownership.is_own:
+                await changed.wait()
+                continue
+            await self._own(self._ownership.owner.epoch if self._ownership.owner else 0)
+
+    async def _own(self, epoch: int) -> None:
+        owner = PoolOwner(
+            OwnerSettings(epoch, self._settings.bounds, self._timing),
+            self._store,
+            WorkerClient(self._http),
+            self._metrics,
+        )
+        self._replies.owner = owner
+        self._metrics.is_owner.set(1)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._feed_guarantees, owner)
+                tasks.start_soon(self._membership.beat_forever, epoch)
+                tasks.start_soon(self._stop_when_replaced, owner, epoch)
+                await owner.run()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._replies.owner = None
+            self._metrics.is_owner.set(0)
+        if owner.is_deposed:
+            self._ownership.deposed()
+
+    async def _stop_when_replaced(self, owner: PoolOwner, epoch: int) -> None:
+        """Stop an owner whose epoch is over."""
+        while True:
+            changed = self._ownership.changed
+            known = self._ownership.owner
+            if known is None or not self._ownership.is_own or known.epoch != epoch:
+                owner.depose()
+                return
+            await changed.wait()
+
+    async def _feed_guarantees(self, owner: PoolOwner) -> None:
+        while True:
+            changed = self._follower.changed
+            if self._follower.current is not None:
+                owner.set_configuration(self._follower.current)
+            await changed.wait()
+
+    async def _greet_owners(self) -> None:
+        """Tell each new owner that this instance is there."""
+        while True:
+            changed = self._ownership.changed
+            owner = self._ownership.owner
+            if owner is not None and not self._ownership.is_own:
+                self._membership.greet(owner.member)
+            await changed.wait()
+
+    async def _follow_limits(self) -> None:
+        while True:
+            changed = self._follower.changed
+            if self._follower.current is not None:
+                limits = self._follower.current.limits
+                self._front_server.max_header_bytes = limits.header_bytes
+                self._front_server.max_body_bytes = limits.body_bytes
+            await changed.wait()
+
+    async def _watch_settings(self) -> None:
+        """Notice a settings file that changes without a signal."""
+        while True:
+            await anyio.sleep(_SETTINGS_EVERY_S)
+            self._reload('file')
+
+    def _reload(self, cause: str) -> None:
+        try:
+            settings = read_settings(self._path)
+        except (OSError, SettingsError) as error:
+            log_event('settings_unreadable', cause=cause, why=str(error))
+            return
+        if settings != self._settings:
+            log_event('settings_reloaded', cause=cause)
+            self._settings = settings
+
+    async def _wait_for_signals(self, tasks: TaskGroup) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            async for number in received:
+                if number == signal.SIGTERM:
+                    break
+                self._reload('signal')
+        await self._stop()
+        tasks.cancel_scope.cancel()
+
+    async def _stop(self) -> None:
+        """Hand the pool over, let the balancer turn away, finish what was read."""
+        begun_s = time.monotonic()
+        log_event('stopping', is_owner=self._ownership.is_own)
+        self._is_stopping = True
+        with anyio.move_on_after(self._settings.bounds.grace_s / 3):
+            await self._ownership.release()
+        await anyio.sleep(max(0.0, begun_s + _STOP_ACCEPTING_S - time.monotonic()))
+        self._front_server.begin_close()
+        last_s = begun_s + self._settings.bounds.grace_s - _EXIT_MARGIN_S
+        while self._front_server.connections and time.monotonic() < last_s:
+            await anyio.sleep(0.05)
+        log_event('stopped', took_s=round(time.monotonic() - begun_s, 3))
+        self._front_server.close()
+        self._side_server.close()
--- a/packages/node/dahliaarch_node/logs/__init__.py
+++ b/packages/node/dahliaarch_node/logs/__init__.py
@@ -1,5 +1,5 @@
-"""Logs as JSON lines."""
+"""JSON log lines that never hold the program up."""
 
-from .core import configure_logs, log_event
+from .core import configure_logs, log_event, LogWriter
 
-__all__ = ('configure_logs', 'log_event')
+__all__ = ('LogWriter', 'configure_logs', 'log_event')
--- a/packages/node/dahliaarch_node/logs/core.py
+++ b/packages/node/dahliaarch_node/logs/core.py
@@ -1,84 +1,104 @@
-"""One JSON object a line, through absl's logger."""
+"""One JSON object a line, through absl's logger and a bounded queue."""
 
-import json
 import logging as standard_logging
+import os
+import sys
 import time
+from collections import deque
 from typing import Any
 
+import anyio
 import msgspec
 from absl import logging
-from absl.logging import converter
 
-_LEVELS = {
-    'debug': logging.DEBUG,
-    'info': logging.INFO,
-    'warning': logging.WARNING,
-    'error': logging.ERROR,
-}
+# Lines that may wait to be written; more are dropped and counted.
+_MAX_WAITING_LINES = 2_000
+# How often waiting lines are written, in seconds.
+_FLUSH_EVERY_S = 0.25
+# Bytes written in one go: what a pipe takes without blocking.
+_CHUNK_BYTES = 32_768
 
-_CHATTY = ('httpx', 'httpcore')
 
+class LogWriter(standard_logging.Handler):
+    """Keeps lines in memory and writes them without blocking.
 
-class _JsonFormatter(standard_logging.Formatter):
-    """Writes each record as a JSON object."""
+    Parameters
+    ----------
+    instance : str
+        Name of the instance, part of every line.
+    """
 
     def __init__(self, instance: str) -> None:
+        """Start with nothing to write."""
         super().__init__()
+        self.dropped = 0
         self._instance = instance
-
-    def format(self, record: standard_logging.LogRecord) -> str:
-        """Return the record as one line."""
-        line = {
-            'at': time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(record.created)) + f'.{int(record.msecs):03d}Z',
+        self._lines: deque[bytes] = deque()
+        self._rest = b''
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Queue a line, or count it as dropped."""
+        if len(self._lines) >= _MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        line: dict[str, Any] = {
+            'at': round(record.created, 3),
             'level': record.levelname.lower(),
             'instance': self._instance,
+            'event': record.getMessage(),
         }
-        fields = getattr(record, 'fields', None)
-        if fields is None:
-            line['event'] = 'message'
-            line['text'] = record.getMessage()
-        else:
-            line['event'] = record.getMessage()
-            line |= fields
+        line.update(getattr(record, 'fields', {}))
         if record.exc_info:
-            line['trace'] = self.formatException(record.exc_info)
-        return json.dumps(line, default=_plain)
-
-
-def configure_logs(instance: str, level: str) -> None:
-    """Send JSON lines to standard error.
-
-    Parameters
-    ----------
-    instance : str
-        Name written on every line.
-    level : str
-        ``debug``, ``info``, ``warning`` or ``error``.
-    """
-    logging.use_absl_handler()
-    logging.set_verbosity(_LEVELS[level])
-    logging.get_absl_handler().setFormatter(_JsonFormatter(instance))
-    for chatty in _CHATTY:
-        standard_logging.getLogger(chatty).setLevel(standard_logging.WARNING)
-
-
-def log_event(event: str, level: int = logging.INFO, **fields: Any) -> None:
-    """Log an event with its fields.
-
-    Parameters
-    ----------
-    event : str
-        Stable name.
-    level : int
-        Level of absl's logger.
-    **fields
-        What belongs to it; units are part of the names.
-    """
+            line['trace'] = self.format(record)
+        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b'\n')
+
+    async def run(self) -> None:
+        """Write what waits, again and again."""
+        os.set_blocking(sys.stdout.fileno(), False)
+        while True:
+            await anyio.sleep(_FLUSH_EVERY_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write as much as standard output takes now."""
+        if self.dropped and len(self._lines) < _MAX_WAITING_LINES:
+            dropped, self.dropped = self.dropped, 0
+            line = {'at': round(time.time(), 3), 'event': 'log_lines_dropped', 'count': dropped}
+            self._lines.append(msgspec.json.encode(line) + b'\n')
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._next_chunk()
+            try:
+                written = os.write(sys.stdout.fileno(), self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no other place to say so.
+                self._rest = b''
+                self._lines.clear()
+                return
+            self._rest = self._rest[written:]
+
+    def _next_chunk(self) -> bytes:
+        parts = []
+        size = 0
+        while self._lines and size < _CHUNK_BYTES:
+            part = self._lines.popleft()
+            parts.append(part)
+            size += len(part)
+        return b''.join(parts)
+
+
+def configure_logs(instance: str) -> LogWriter:
+    """Send JSON lines to standard output; return their writer, to be run."""
+    writer = LogWriter(instance)
     logger = logging.get_absl_logger()
-    standard_level: int = converter.absl_to_standard(level)  # type: ignore[no-untyped-call]
-    if logger.isEnabledFor(standard_level):
-        logger.log(standard_level, event, extra={'fields': fields})
+    logger.handlers = [writer]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
+    return writer
 
 
-def _plain(found: Any) -> Any:
-    return msgspec.to_builtins(found)
+def log_event(event: str, **fields: Any) -> None:
+    """Write one line: what was decided or believed, and the inputs that decided it."""
+    logging.get_absl_logger().info(event, extra={'fields': fields})
--- /dev/null
+++ b/packages/node/dahliaarch_node/main.py
@@ -0,0 +1,27 @@
+"""Entry point of the daemon."""
+
+import os
+from pathlib import Path
+
+import anyio
+
+from dahliaarch_platform.settings import PATH_VARIABLE, read_settings
+
+from .instance import Instance
+from .logs import configure_logs
+
+# Where the platform places the settings file by default.
+_DEFAULT_PATH = '/etc/dahliaarch/boot.conf'
+
+
+def main() -> None:
+    """Run one instance until it is asked to stop."""
+    path = Path(os.environ.get(PATH_VARIABLE, _DEFAULT_PATH))
+    settings = read_settings(path)
+    writer = configure_logs(settings.instance)
+    instance = Instance(settings, path, writer)
+    anyio.run(instance.run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/node/dahliaarch_node/membership.py
@@ -0,0 +1,138 @@
+"""The instances that are there: each has an entry in the store and hears the owner."""
+
+import time
+from typing import NamedTuple
+
+import anyio
+
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_platform.store import STORE_FAILURES, StoreClient, Write
+
+from .following import ConfigurationFollower
+from .logs import log_event
+from .peers import Beat, BeatReply, Hello, Mesh, PeerSilent
+from .records import decode_member, encode_member, Member, member_key, MEMBERS_PREFIX
+from .timing import StoreTiming
+
+# How often the owner is heard, in seconds. News of a configuration that an
+# instance can't read from the store take at most this long.
+_BEAT_EVERY_S = 0.7
+# Longest wait for the answer to a beat, in seconds.
+_BEAT_ANSWER_S = 0.6
+# An instance that was silent for this long is taken off the list, in seconds.
+_FORGET_AFTER_S = 30.0
+
+
+class _Peer(NamedTuple):
+    member: Member
+    version: int
+    heard_s: float
+
+
+class Membership:
+    """Registers this instance and, on the owner, keeps in touch with all.
+
+    Parameters
+    ----------
+    member : Member
+        This instance.
+    store : StoreClient
+        The store.
+    timing : StoreTiming
+        Timeouts and pauses.
+    follower : ConfigurationFollower
+        The configuration in force.
+    mesh : Mesh
+        Messages to the others.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        store: StoreClient,
+        timing: StoreTiming,
+        follower: ConfigurationFollower,
+        mesh: Mesh,
+    ) -> None:
+        """Start knowing nobody."""
+        self._member = member
+        self._store = store
+        self._timing = timing
+        self._follower = follower
+        self._mesh = mesh
+        self._peer_by_instance: dict[str, _Peer] = {}
+
+    async def register(self) -> None:
+        """Write this instance's entry, until it is written."""
+        write = Write(member_key(self._member.instance), encode_member(self._member))
+        while True:
+            try:
+                await self._store.commit((), (write,), timeout_s=self._timing.call_s)
+            except (*STORE_FAILURES, ProtocolError) as error:
+                log_event('registration_failed', why=str(error))
+                await anyio.sleep(self._timing.retry_pause_s())
+                continue
+            return
+
+    def greet(self, owner: Member) -> None:
+        """Tell an owner that this instance is there."""
+        self._mesh.tell((owner.host, owner.port), Hello(self._member))
+
+    def add(self, member: Member) -> None:
+        """Take in an instance that is there."""
+        known = self._peer_by_instance.get(member.instance)
+        if member.instance == self._member.instance:
+            return
+        if known is None or known.member != member:
+            self._peer_by_instance[member.instance] = _Peer(member, -1, time.monotonic())
+
+    async def beat_forever(self, epoch: int) -> None:
+        """Tell every instance who owns the pool, again and again."""
+        await self._load()
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for peer in tuple(self._peer_by_instance.values()):
+                    tasks.start_soon(self._beat, peer, epoch)
+                tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
+            await self._forget_silent()
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                page = await self._store.list(MEMBERS_PREFIX, timeout_s=self._timing.call_s)
+            except (*STORE_FAILURES, ProtocolError) as error:
+                log_event('members_unreachable', why=str(error))
+                await anyio.sleep(self._timing.retry_pause_s())
+                continue
+            for item in page.items:
+                self.add(decode_member(item.value))
+            return
+
+    async def _beat(self, peer: _Peer, epoch: int) -> None:
+        member = peer.member
+        is_older = peer.version < self._follower.version
+        text = self._follower.text if is_older else b''
+        beat = Beat(self._member, epoch, self._follower.version, text)
+        try:
+            reply = await self._mesh.ask((member.host, member.port), beat, timeout_s=_BEAT_ANSWER_S)
+        except PeerSilent:
+            return
+        if not isinstance(reply, BeatReply):
+            return
+        if reply.configuration:
+            self._follower.offer(reply.configuration, member.instance)
+        if self._peer_by_instance.get(member.instance) is peer:
+            self._peer_by_instance[member.instance] = _Peer(member, reply.version, time.monotonic())
+
+    async def _forget_silent(self) -> None:
+        limit_s = time.monotonic() - _FORGET_AFTER_S
+        for instance, peer in tuple(self._peer_by_instance.items()):
+            if peer.heard_s > limit_s:
+                continue
+            log_event('member_forgotten', member=instance)
+            del self._peer_by_instance[instance]
+            self._mesh.forget((peer.member.host, peer.member.port))
+            try:
+                await self._store.commit((), (), (member_key(instance),), timeout_s=self._timing.call_s)
+            except (*STORE_FAILURES, ProtocolError) as error:
+                log_event('member_not_removed', member=instance, why=str(error))
--- a/packages/node/dahliaarch_node/metrics/__init__.py
+++ b/packages/node/dahliaarch_node/metrics/__init__.py
@@ -1,4 +1,4 @@
-"""Metrics by statsd."""
+"""Counters and latency histograms, served as text."""
 
 from .core import Metrics
 
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -1,43 +1,57 @@
-"""Counters, gauges and timings of one instance."""
+"""Metrics of one instance in the Prometheus text format."""
 
-from collections import Counter
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest, Histogram
 
-import statsd
-
-from ..settings import StatsdSettings
+# Upper bounds of latency buckets in seconds, from a local call to a timeout.
+_LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
 
 class Metrics:
-    """Sends metrics where the settings say, and keeps counters for ``top``.
-
-    Parameters
-    ----------
-    settings : StatsdSettings
-        Where they go; no host means that they are only kept.
-    instance : str
-        Name of the instance, part of every metric's name.
-    """
-
-    def __init__(self, settings: StatsdSettings, instance: str) -> None:
-        """Open the socket, if there is one."""
-        self.counts: Counter[str] = Counter()
-        self._client: statsd.StatsClient | None = None
-        if settings.host:
-            prefix = f'{settings.prefix}.{instance}'
-            self._client = statsd.StatsClient(settings.host, settings.port, prefix)
-
-    def count(self, name: str, by: int = 1) -> None:
-        """Add to a counter."""
-        self.counts[name] += by
-        if self._client is not None:
-            self._client.incr(name, by)
-
-    def gauge(self, name: str, level: float) -> None:
-        """Set a gauge."""
-        if self._client is not None:
-            self._client.gauge(name, level)
-
-    def timing(self, name: str, took_s: float) -> None:
-        """Note how long something took, in seconds."""
-        if self._client is not None:
-            self._client.timing(name, took_s * 1000)
+    """Everything that an instance counts."""
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'dahliaarch_requests',
+            'Answers to callers',
+            ['operation', 'status'],
+            registry=self.registry,
+        )
+        self.request_s = Histogram(
+            'dahliaarch_request_seconds',
+            'Time from a whole request to its answer',
+            ['operation'],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            'dahliaarch_store_calls',
+            'Calls of the store',
+            ['call', 'outcome'],
+            registry=self.registry,
+        )
+        self.orders = Counter(
+            'dahliaarch_orders',
+            'Orders to workers',
+            ['order', 'outcome'],
+            registry=self.registry,
+        )
+        self.run_ends = Counter('dahliaarch_run_ends', 'Ends of runs', ['kind'], registry=self.registry)
+        self.decide_s = Histogram(
+            'dahliaarch_decide_seconds',
+            'Time of one pass of decisions',
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.is_owner = Gauge('dahliaarch_is_owner', 'Whether this instance owns the pool', registry=self.registry)
+        self.configuration = Gauge(
+            'dahliaarch_configuration_version',
+            'Version of the configuration in force',
+            registry=self.registry,
+        )
+        self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- a/packages/node/dahliaarch_node/owner/__init__.py
+++ b/packages/node/dahliaarch_node/owner/__init__.py
@@ -1,8 +1,5 @@
-"""Ownership of cells: runs their schedulers and does what they ask for."""
+"""The owner of the pool: feeds, links to workers, decisions and their records."""
 
-from .context import RunnerSettings
-from .core import Ownership
-from .inbox import Ask, Reply
-from .runner import CellRunner
+from .core import PoolOwner, OwnerDeposed
 
-__all__ = ('Ask', 'CellRunner', 'Ownership', 'Reply', 'RunnerSettings')
+__all__ = ('OwnerDeposed', 'PoolOwner')
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -1,154 +1,403 @@
-"""Which cells this instance owns."""
+"""The owner of the pool: the one task that decides, and what it is fed by.
+
+Takeover: the records are read, every worker is asked what runs there, and only
+what cannot be running anywhere is started.
+"""
+
+import time
+from functools import singledispatchmethod
+from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
-from dahliaarch_kernel.scheduling import CellRoom, ConfigurationChanged, RoomElsewhere, WorkerLeaving
+from dahliaarch_kernel.configuration import Configuration
+from dahliaarch_kernel.errors import DahliaarchError, ProtocolError
+from dahliaarch_kernel.scheduler import (
+    JobProgress,
+    JobState,
+    Moment,
+    Scheduler,
+    SchedulerSettings,
+    StartRun,
+    StopRun,
+)
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.scheduler.progress import decode_progress
+from dahliaarch_platform.settings import Bounds
+from dahliaarch_platform.store import Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
+from dahliaarch_platform.workers import WorkerClient
 
-from ..control import Control, preferred_owner
 from ..logs import log_event
 from ..metrics import Metrics
-from ..wire import Answer, AnswerStatus
-from .context import HandOverCall, RunnerSettings
-from .inbox import Ask, Release, Reply, Superseded
-from .runner import CellRunner, log_supersession
+from ..records import job_id_of, JOBS_PREFIX, PROGRESS_PREFIX
+from ..timing import StoreTiming
+from .feeds import Feed, follow_jobs, post_job, WorkersFeed
+from .links import LinkContext, LinkSettings, WorkerLink
+from .messages import (
+    JobCancelled,
+    JobListed,
+    OwnerMessage,
+    RunNever,
+    StartAcknowledged,
+    WorkerListed,
+    WorkerOver,
+    WorkerSilent,
+    WorkerSurveyed,
+    WorkerUnlisted,
+)
+from .recorder import Recorder
+
+# Messages that may wait for the task that decides; senders see no limit in
+# practice, since one pass takes them all.
+_INBOX = 10_000
+# Longest time between two passes, in seconds: leases end and jobs fall due.
+_PASS_EVERY_S = 0.25
+# Shortest time between two passes, in seconds: news that come together share one.
+_PASS_GAP_S = 0.008
+# Longest wait for workers to answer at a takeover, in seconds.
+_TAKEOVER_SURVEY_S = 1.2
+# Share by which the slowest worker's clock prolongs a lease, and rounding.
+_SLOWEST_CLOCK = 1.03
+
 
-_REVIEW_S = 0.5
-_SETTLE_S = 1.5
+class OwnerDeposed(DahliaarchError):
+    """Another instance owns the pool."""
 
 
-class Ownership:
-    """Task that claims cells, runs them and gives them back.
+class OwnerSettings(NamedTuple):
+    """Everything that an owner is built with.
 
     Parameters
     ----------
-    control : Control
-        Membership and view of the others.
+    epoch : int
+        Its epoch.
+    bounds : Bounds
+        Time bounds of the platform.
+    timing : StoreTiming
+        Timeouts and pauses of the store.
+    """
+
+    epoch: int
+    bounds: Bounds
+    timing: StoreTiming
+
+
+class PoolOwner:
+    """Decides over the pool while this instance owns it.
+
+    Parameters
+    ----------
+    settings : OwnerSettings
+        Everything it is built with.
+    store : StoreClient
+        The store.
+    workers : WorkerClient
+        Calls of workers.
     metrics : Metrics
-        Where counts go.
-    hand_over : callable
-        Called with a cell and a job that belongs to it from now on.
+        Counters.
     """
 
-    def __init__(self, control: Control, metrics: Metrics, hand_over: HandOverCall) -> None:
-        """Own nothing."""
-        self._hand_over = hand_over
-        self.runner_by_cell: dict[str, CellRunner] = {}
-        self._control = control
+    def __init__(
+        self,
+        settings: OwnerSettings,
+        store: StoreClient,
+        workers: WorkerClient,
+        metrics: Metrics,
+    ) -> None:
+        """Prepare; `run` takes the pool over."""
+        self.is_ready = False
+        self.scheduler = Scheduler(_scheduler_settings(settings.bounds), settings.epoch)
+        self._settings = settings
+        self._store = store
         self._metrics = metrics
-        self._misplaced_since_s: dict[str, float] = {}
-        self._group: TaskGroup | None = None
+        self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](_INBOX)
+        self._link_by_id: dict[str, WorkerLink] = {}
+        self._tasks: TaskGroup | None = None
+        self._feed = Feed(store, settings.timing, self.post)
+        self._workers_feed = WorkersFeed(self._feed)
+        self._progress_by_id: dict[str, JobProgress] = {}
+        self._silent_until_s = 0.0
+        self._scope = anyio.CancelScope()
+        self._recorder = Recorder(
+            store,
+            settings.timing,
+            self.scheduler,
+            settings.epoch,
+            mark=self._ends_taken_in,
+            kept=self._ends_kept,
+            deposed=self.depose,
+        )
+        self._context = LinkContext(
+            workers,
+            settings.epoch,
+            LinkSettings(hold_s=settings.bounds.max_hold_s),
+            metrics,
+            self.post,
+            self.depose,
+            time.monotonic,
+        )
+        self.is_deposed = False
+
+    @property
+    def epoch(self) -> int:
+        """Its epoch."""
+        return self._settings.epoch
+
+    def post(self, message: OwnerMessage) -> bool:
+        """Hand a message to the task that decides; false when it was lost."""
+        try:
+            self._send.send_nowait(message)
+        except anyio.WouldBlock:
+            # Every message is a fact that is found again by the next survey,
+            # watch or list, so that losing one delays and breaks nothing.
+            log_event('owner_inbox_full', message=type(message).__name__)
+            return False
+        return True
+
+    def depose(self) -> None:
+        """Stop at once: another instance owns the pool."""
+        if not self.is_deposed:
+            self.is_deposed = True
+            log_event('owner_deposed', epoch=self.epoch)
+            self._scope.cancel()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take in the accounts' guarantees."""
+        accounts = configuration.account_by_name.values()
+        self.scheduler.set_guarantees({account.name: account.guaranteed_accelerators for account in accounts})
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return a job's state if it is known."""
+        return self.scheduler.job_by_id.get(job_id)
+
+    def pending_in(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self.scheduler.pending_in(queue)
 
     async def run(self) -> None:
-        """Claim and give back cells until cancelled."""
-        async with anyio.create_task_group() as group:
-            self._group = group
-            while True:
-                await self._review()
-                await self._control.view.wait_changed(_REVIEW_S)
-
-    def ask(self, cell: str, body: object, reply: Reply) -> None:
-        """Hand a request to the runner of a cell, if it is owned here."""
-        runner = self.runner_by_cell.get(cell)
-        if runner is None:
-            epoch = self._control.view.epoch(cell)
-            reply.give(Answer(AnswerStatus.NOT_OWNER, cell=cell, epoch=epoch))
+        """Take the pool over and decide until deposed or cancelled."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                jobs_revision, workers_revision = await self._load()
+                await self._survey_all()
+                self.is_ready = True
+                log_event('owner_ready', epoch=self.epoch, jobs=len(self.scheduler.job_by_id))
+                tasks.start_soon(follow_jobs, self._feed, jobs_revision)
+                tasks.start_soon(self._workers_feed.run, workers_revision)
+                tasks.start_soon(self._recorder.run)
+                tasks.start_soon(self._recorder.clean, self._settings.bounds.status_s, time.time)
+                await self._decide_forever()
+
+    async def _load(self) -> tuple[int, int]:
+        """Read the records; return the revisions to follow jobs and workers from."""
+        progress = await self._list(PROGRESS_PREFIX)
+        jobs = await self._list(JOBS_PREFIX)
+        workers = await self._list(WORKERS_PREFIX)
+        for item in progress.items:
+            try:
+                self._progress_by_id[job_id_of(item.key)] = decode_progress(item.value)
+            except ProtocolError as error:
+                log_event('progress_malformed', key=item.key, why=str(error))
+        # A silent worker may run jobs of earlier owners until its lease ends.
+        self._silent_until_s = time.monotonic() + self._settings.bounds.max_hold_s * _SLOWEST_CLOCK
+        self._workers_feed.take_in(workers)
+        for item in sorted(jobs.items, key=lambda each: len(each.key)):
+            post_job(item, self.post)
+        self._drain_inbox()
+        self._progress_by_id.clear()
+        return jobs.revision, workers.revision
+
+    async def _list(self, prefix: str) -> Page:
+        while True:
+            try:
+                return await self._store.list(prefix, timeout_s=self._settings.timing.call_s)
+            except (*STORE_FAILURES, ProtocolError) as error:
+                log_event('takeover_list_failed', prefix=prefix, why=str(error))
+                await anyio.sleep(self._settings.timing.retry_pause_s())
+
+    async def _survey_all(self) -> None:
+        """Hear from every worker, or give up on those that are silent."""
+        deadline_s = time.monotonic() + _TAKEOVER_SURVEY_S
+        while time.monotonic() < deadline_s and self._unheard():
+            with anyio.move_on_after(_PASS_EVERY_S):
+                self._handle(await self._receive.receive())
+            self._drain_inbox()
+        unheard = self._unheard()
+        if not unheard:
+            for job in self.scheduler.job_by_id.values():
+                job.known_since_s = 0.0
             return
-        try:
-            runner.inbox.send_nowait(Ask(body, reply))  # type: ignore[arg-type]
-        except (anyio.ClosedResourceError, anyio.BrokenResourceError):
-            reply.give(runner.not_owner)
-
-    def tell_rooms(self, rooms: tuple[CellRoom, ...]) -> None:
-        """Tell every cell owned here what the other cells have free."""
-        for cell, runner in self.runner_by_cell.items():
-            others = tuple(room for room in rooms if room.cell != cell)
-            _tell(runner, RoomElsewhere(others))
-
-    def tell_leaving(self, workers: set[str]) -> None:
-        """Tell every cell owned here which workers the platform shows as leaving."""
-        for runner in self.runner_by_cell.values():
-            for worker in workers & runner.scheduler.cell.capacity.by_worker.keys():
-                _tell(runner, WorkerLeaving(worker))
-
-    async def give_back_all(self, timeout_s: float) -> None:
-        """Give every cell back, in an orderly way."""
-        for runner in tuple(self.runner_by_cell.values()):
-            _tell(runner, Release('this instance is draining'))
-        with anyio.move_on_after(timeout_s):
-            while self.runner_by_cell:
-                await anyio.sleep(0.02)
-
-    async def _review(self) -> None:
-        view = self._control.view
-        for cell in view.cells():
-            await self._review_cell(cell)
-        for cell in tuple(self.runner_by_cell):
-            if cell not in view.cells():
-                _tell(self.runner_by_cell[cell], Release('the configuration no longer names it'))
-
-    async def _review_cell(self, cell: str) -> None:
-        view = self._control.view
-        mine = self._control.member.token
-        runner = self.runner_by_cell.get(cell)
-        claim = view.claim_by_cell.get(cell)
-        if runner is not None:
-            if claim is not None and (claim.owner != mine or claim.epoch != runner.settings.epoch):
-                _tell(runner, Superseded(f'epoch {claim.epoch} is owned elsewhere'))
+        log_event('takeover_incomplete', silent=sorted(unheard), until_s=self._silent_until_s)
+        for worker_id in unheard:
+            self.scheduler.worker_by_id[worker_id].lease.assume(self._silent_until_s)
+
+    def _unheard(self) -> list[str]:
+        workers = self.scheduler.worker_by_id.values()
+        return [worker.worker_id for worker in workers if not worker.is_surveyed]
+
+    async def _decide_forever(self) -> None:
+        while True:
+            self._decide()
+            await anyio.sleep(_PASS_GAP_S)
+            with anyio.move_on_after(_PASS_EVERY_S):
+                self._handle(await self._receive.receive())
+            self._drain_inbox()
+
+    def _decide(self) -> None:
+        begun_s = time.perf_counter()
+        effects = self.scheduler.decide(_now())
+        for effect in effects:
+            self._carry_out(effect)
+        self._close_idle_links()
+        self._metrics.decide_s.observe(time.perf_counter() - begun_s)
+        if self.scheduler.has_dirty_jobs or self._has_unkept_ends():
+            self._recorder.needed.set()
+
+    def _close_idle_links(self) -> None:
+        """Close links to workers that the scheduler has given up."""
+        gone = self._link_by_id.keys() - self.scheduler.worker_by_id.keys()
+        for worker_id in gone:
+            log_event('worker_given_up', worker=worker_id)
+            self._link_by_id.pop(worker_id).close()
+
+    def _drain_inbox(self) -> None:
+        while True:
+            try:
+                message = self._receive.receive_nowait()
+            except anyio.WouldBlock:
                 return
-            self._update(runner)
-            self._consider_moving(cell, runner)
-            return
-        preferred = preferred_owner(cell, view.member_by_name.values())
-        unowned = view.owner(cell) is None or (claim is not None and claim.owner == mine)
-        if unowned and preferred is not None and preferred.token == mine:
-            await self._claim(cell)
-
-    async def _claim(self, cell: str) -> None:
-        accepted = self._control.view.accepted
-        claim = await self._control.claim(cell)
-        if claim is None or accepted is None or self._group is None:
-            return
-        log_event('cell_claimed', cell=cell, epoch=claim.epoch)
-        self._metrics.count('cells_claimed')
-        settings = RunnerSettings(cell, claim.epoch, accepted)
-        runner = CellRunner(settings, self._control.store, self._metrics, self._hand_over)
-        self.runner_by_cell[cell] = runner
-        self._group.start_soon(self._run, runner)
-
-    async def _run(self, runner: CellRunner) -> None:
-        cell = runner.settings.cell
-        try:
-            await runner.run()
-        finally:
-            self.runner_by_cell.pop(cell, None)
-            self._misplaced_since_s.pop(cell, None)
-        log_supersession(runner)
-        claim = self._control.view.claim_by_cell.get(cell)
-        if claim is not None and claim.owner == self._control.member.token and claim.epoch == runner.settings.epoch:
-            await self._control.give_back(cell)
-
-    def _update(self, runner: CellRunner) -> None:
-        """Put a newer configuration in force in a cell."""
-        accepted = self._control.view.accepted
-        if accepted is not None and accepted.version > runner.settings.accepted.version:
-            runner.settings = runner.settings._replace(accepted=accepted)
-            runner.inbox.send_nowait(ConfigurationChanged(accepted))
-
-    def _consider_moving(self, cell: str, runner: CellRunner) -> None:
-        """Give a cell to the member that should own it, once that has settled."""
-        now_s = anyio.current_time()
-        preferred = preferred_owner(cell, self._control.view.member_by_name.values())
-        if preferred is None or preferred.token == self._control.member.token:
-            self._misplaced_since_s.pop(cell, None)
+            self._handle(message)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: object) -> None:
+        raise NotImplementedError(type(effect).__name__)
+
+    @_carry_out.register
+    def _(self, effect: StartRun) -> None:
+        link = self._link_by_id.get(effect.worker_id)
+        if link is None:
+            self.post(RunNever(effect.worker_id, effect.key, effect.run))
             return
-        since_s = self._misplaced_since_s.setdefault(cell, now_s)
-        if now_s - since_s >= _SETTLE_S:
-            _tell(runner, Release(f'{preferred.name} is to own it'))
+        job = self.scheduler.job_by_id[effect.key.job_id]
+        log_event('run_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, from_checkpoint=effect.checkpoint)
+        link.start(effect, job.spec.payload)
+
+    @_carry_out.register
+    def _(self, effect: StopRun) -> None:
+        log_event('stop_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, why=effect.reason)
+        link = self._link_by_id.get(effect.worker_id)
+        if link is not None:
+            link.stop(effect)
+
+    @singledispatchmethod
+    def _handle(self, message: object) -> None:
+        raise NotImplementedError(type(message).__name__)
+
+    @_handle.register
+    def _(self, message: JobListed) -> None:
+        job_id = message.spec.job_id
+        # Only jobs accepted before this owner may run on a worker not heard yet.
+        is_old = message.revision < self.epoch
+        added = self.scheduler.add_job(
+            message.spec,
+            message.queue,
+            _now(),
+            revision=message.revision,
+            progress=self._progress_by_id.get(job_id),
+            not_before_s=self._silent_until_s if is_old else 0.0,
+        )
+        if added:
+            log_event('job_known', job=job_id, queue=message.queue.name, revision=message.revision)
+
+    @_handle.register
+    def _(self, message: JobCancelled) -> None:
+        if self.scheduler.cancel(message.job_id, _now()):
+            log_event('job_cancelled', job=message.job_id)
+
+    @_handle.register
+    def _(self, message: WorkerListed) -> None:
+        profile = message.profile
+        is_new = self.scheduler.update_worker(profile, _now())
+        link = self._link_by_id.get(profile.worker_id)
+        if link is None:
+            lease = self.scheduler.worker_by_id[profile.worker_id].lease
+            link = WorkerLink(profile.worker_id, message.address, lease, self._context)
+            self._link_by_id[profile.worker_id] = link
+            assert self._tasks is not None  # noqa: S101
+            self._tasks.start_soon(link.run)
+        if is_new or link.is_draining != profile.draining:
+            log_event('worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s)
+        link.is_draining = profile.draining
+        link.is_listed = True
+
+    @_handle.register
+    def _(self, message: WorkerUnlisted) -> None:
+        log_event('worker_unlisted', worker=message.worker_id)
+        self.scheduler.unlist_worker(message.worker_id)
+        link = self._link_by_id.get(message.worker_id)
+        if link is not None:
+            link.is_listed = False
+
+    @_handle.register
+    def _(self, message: WorkerSurveyed) -> None:
+        now = _now()
+        for end in message.ended:
+            self._take_in_end(end, now)
+        self.scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now)
+        link = self._link_by_id.get(message.worker_id)
+        if link is not None:
+            link.processed = max(link.processed, message.last_end)
+
+    @_handle.register
+    def _(self, message: WorkerSilent) -> None:
+        self.scheduler.worker_silent(message.worker_id, _now())
+
+    @_handle.register
+    def _(self, message: WorkerOver) -> None:
+        log_event('worker_over', worker=message.worker_id)
+        self.scheduler.worker_over(message.worker_id, _now())
+        link = self._link_by_id.pop(message.worker_id, None)
+        if link is not None:
+            link.close()
+
+    @_handle.register
+    def _(self, message: StartAcknowledged) -> None:
+        self.scheduler.run_started(message.worker_id, message.key, message.run, _now())
+
+    @_handle.register
+    def _(self, message: RunNever) -> None:
+        self._take_in_end(RunEnd(message.worker_id, message.key, message.run, message.kind), _now())
+
+    def _take_in_end(self, end: RunEnd, now: Moment) -> None:
+        log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
+        self.scheduler.run_ended(end, now)
+
+    def _has_unkept_ends(self) -> bool:
+        return any(link.processed > link.acknowledged for link in self._link_by_id.values())
+
+    def _ends_taken_in(self) -> dict[str, int]:
+        return {worker_id: link.processed for worker_id, link in self._link_by_id.items()}
+
+    def _ends_kept(self, mark: dict[str, int]) -> None:
+        for worker_id, number in mark.items():
+            link = self._link_by_id.get(worker_id)
+            if link is not None:
+                link.acknowledge(number)
+
+
+def _now() -> Moment:
+    return Moment(time.monotonic(), time.time())
+
+
+def _scheduler_settings(bounds: Bounds) -> SchedulerSettings:
+    return SchedulerSettings(
+        far_factor=bounds.far_factor,
+        stop_timeout_s=bounds.stop_timeout_s,
+        drain_s=bounds.drain_s,
+        early_s=bounds.early_s,
+        restore_s=bounds.restore_s,
+    )
 
 
-def _tell(runner: CellRunner, message: Release | Superseded | RoomElsewhere | WorkerLeaving) -> None:
-    try:
-        runner.inbox.send_nowait(message)
-    except (anyio.ClosedResourceError, anyio.BrokenResourceError):
-        return
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -0,0 +1,161 @@
+"""Follows jobs, cancellations and workers in the store."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_kernel.scheduler import WorkerProfile
+from dahliaarch_platform.documents import decode_worker, WorkerEntry
+from dahliaarch_platform.store import Item, Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
+
+from ..logs import log_event
+from ..records import CANCEL_SUFFIX, decode_job_record, job_id_of, JOBS_PREFIX
+from ..timing import StoreTiming
+from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted
+
+Post = Callable[[OwnerMessage], bool]
+
+# Pause between two watches of jobs, in seconds: news come from the instances
+# themselves first, and each watch costs a call.
+_JOBS_WATCH_PAUSE_S = 0.25
+
+
+class Feed(NamedTuple):
+    """What a feed needs.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    timing : StoreTiming
+        Timeouts and pauses.
+    post : callable
+        Hands a message to the task that decides.
+    """
+
+    store: StoreClient
+    timing: StoreTiming
+    post: Post
+
+
+async def follow_jobs(feed: Feed, revision: int) -> None:
+    """Post jobs and cancellations from a revision on, until cancelled."""
+    while True:
+        try:
+            revision = await _watch_jobs(feed, revision)
+        except (*STORE_FAILURES, ProtocolError) as error:
+            log_event('jobs_unreachable', why=str(error), revision=revision)
+            await anyio.sleep(feed.timing.retry_pause_s())
+
+
+async def _watch_jobs(feed: Feed, revision: int) -> int:
+    page = await feed.store.watch(
+        JOBS_PREFIX,
+        revision,
+        wait_s=feed.timing.watch_wait_s,
+        timeout_s=feed.timing.watch_s,
+    )
+    if page is None:
+        log_event('jobs_history_gone', revision=revision)
+        page = await feed.store.list(JOBS_PREFIX, timeout_s=feed.timing.call_s)
+    for item in page.items:
+        post_job(item, feed.post)
+    if page.items:
+        await anyio.sleep(_JOBS_WATCH_PAUSE_S)
+    return max(revision, page.revision)
+
+
+def post_job(item: Item, post: Post) -> None:
+    """Post a job or a cancellation; removals are the owner's own."""
+    if item.removed:
+        return
+    if item.key.endswith(CANCEL_SUFFIX):
+        post(JobCancelled(job_id_of(item.key)))
+        return
+    try:
+        record = decode_job_record(item.value)
+    except ProtocolError as error:
+        log_event('job_record_malformed', key=item.key, why=str(error))
+        return
+    post(JobListed(record.spec, record.queue, item.revision))
+
+
+class WorkersFeed:
+    """Follows the workers' entries.
+
+    Parameters
+    ----------
+    feed : Feed
+        What it needs.
+    """
+
+    def __init__(self, feed: Feed) -> None:
+        """Start without entries."""
+        self._feed = feed
+        self._known: set[str] = set()
+
+    def take_in(self, page: Page) -> None:
+        """Post a whole list of entries, and what is missing from it."""
+        listed = {item.key for item in page.items}
+        for key in self._known - listed:
+            self._unlist(key)
+        for item in page.items:
+            self._post(item)
+
+    async def run(self, revision: int) -> None:
+        """Post news from a revision on, until cancelled."""
+        while True:
+            try:
+                revision = await self._watch(revision)
+            except (*STORE_FAILURES, ProtocolError) as error:
+                log_event('workers_unreachable', why=str(error), revision=revision)
+                await anyio.sleep(self._feed.timing.retry_pause_s())
+
+    async def _watch(self, revision: int) -> int:
+        feed = self._feed
+        page = await feed.store.watch(
+            WORKERS_PREFIX,
+            revision,
+            wait_s=feed.timing.watch_wait_s,
+            timeout_s=feed.timing.watch_s,
+        )
+        if page is None:
+            log_event('workers_history_gone', revision=revision)
+            page = await feed.store.list(WORKERS_PREFIX, timeout_s=feed.timing.call_s)
+            self.take_in(page)
+            return page.revision
+        for item in page.items:
+            if item.removed:
+                self._unlist(item.key)
+            else:
+                self._post(item)
+        return max(revision, page.revision)
+
+    def _post(self, item: Item) -> None:
+        worker_id = item.key.removeprefix(WORKERS_PREFIX)
+        try:
+            entry = decode_worker(worker_id, item.value)
+        except ProtocolError as error:
+            log_event('worker_entry_malformed', worker=worker_id, why=str(error))
+            return
+        self._known.add(item.key)
+        self._feed.post(WorkerListed(profile_of(entry), entry.address))
+
+    def _unlist(self, key: str) -> None:
+        self._known.discard(key)
+        self._feed.post(WorkerUnlisted(key.removeprefix(WORKERS_PREFIX)))
+
+
+def profile_of(entry: WorkerEntry) -> WorkerProfile:
+    """Return the scheduler's view of a worker's entry."""
+    return WorkerProfile(
+        entry.worker_id,
+        entry.service,
+        entry.domain,
+        entry.capacity,
+        entry.labels,
+        entry.draining,
+        entry.leaves_in_s,
+    )
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -0,0 +1,343 @@
+"""The owner's side of one worker: surveys, leases and orders."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun, StopRun
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import TaskKey
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.workers import (
+    OrderStatus,
+    StartOrder,
+    Survey,
+    WORKER_FAILURES,
+    WorkerClient,
+    WorkerReplaced,
+    WorkerUnreachable,
+)
+
+from ..logs import log_event
+from ..metrics import Metrics
+from .messages import OwnerMessage, RunNever, StartAcknowledged, WorkerOver, WorkerSilent, WorkerSurveyed
+
+
+class LinkSettings(NamedTuple):
+    """Times in seconds.
+
+    Parameters
+    ----------
+    hold_s : float
+        Lease given by each survey: the longest that workers allow, so that
+        work outlasts a takeover and an outage.
+    draining_hold_s : float
+        Lease on a worker that leaves: once it is gone its runs start
+        elsewhere soon.
+    start_hold_s : float
+        Lease that a start carries: a start that is carried out later than
+        this is refused by the worker as late.
+    wait_s : float
+        How long a survey waits for an end; also how old progress may be.
+    answer_s : float
+        Longest wait for an answer beside that: a lost packet is sent again
+        within it.
+    order_tries : int
+        Tries of a start before it is taken back.
+    retry_s : float
+        Pause after a survey that failed.
+    unacknowledged_s : float
+        Longest wait for ends to be kept before the next survey.
+    """
+
+    hold_s: float = 6.0
+    draining_hold_s: float = 2.0
+    start_hold_s: float = 2.0
+    wait_s: float = 1.0
+    answer_s: float = 0.6
+    order_tries: int = 3
+    retry_s: float = 0.25
+    unacknowledged_s: float = 0.4
+
+
+class LinkContext(NamedTuple):
+    """What every link uses.
+
+    Parameters
+    ----------
+    client : WorkerClient
+        Calls of workers.
+    fence : int
+        Epoch of the owner.
+    settings : LinkSettings
+        Times.
+    metrics : Metrics
+        Counters.
+    post : callable
+        Hands a message to the task that decides; false when it was lost.
+    fenced : callable
+        Called when a worker has seen a newer owner.
+    clock : callable
+        Steady clock.
+    """
+
+    client: WorkerClient
+    fence: int
+    settings: LinkSettings
+    metrics: Metrics
+    post: Callable[[OwnerMessage], bool]
+    fenced: Callable[[], None]
+    clock: Callable[[], float]
+
+
+class WorkerLink:
+    """Keeps in touch with one life of a worker.
+
+    Parameters
+    ----------
+    worker_id : str
+        Identifier of this life.
+    address : Address
+        Where it takes orders.
+    lease : Lease
+        Its lease, shared with the scheduler.
+    context : LinkContext
+        What every link uses.
+    """
+
+    def __init__(self, worker_id: str, address: Address, lease: Lease, context: LinkContext) -> None:
+        """Start without having asked anything."""
+        self.address = address
+        self.is_draining = False
+        self.is_listed = True
+        self.acknowledged = 0
+        self.listed = 0
+        self.processed = 0
+        self.acknowledged_more = anyio.Event()
+        self._worker_id = worker_id
+        self._lease = lease
+        self._context = context
+        self._tasks: TaskGroup | None = None
+        self._scope = anyio.CancelScope()
+        self._failures = 0
+        # Runs whose stop was acknowledged, by the time of that: once a later
+        # survey does not list them they are certainly not there.
+        self._stopped_at_by_run: dict[tuple[TaskKey, int], float] = {}
+        self._doubtful: set[tuple[TaskKey, int]] = set()
+
+    async def run(self) -> None:
+        """Survey until closed."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                while True:
+                    await self._survey_once()
+
+    def close(self) -> None:
+        """Stop surveying."""
+        self._scope.cancel()
+
+    def acknowledge(self, number: int) -> None:
+        """Let ends up to a number be acknowledged: they are kept."""
+        if number > self.acknowledged:
+            self.acknowledged = number
+            more, self.acknowledged_more = self.acknowledged_more, anyio.Event()
+            more.set()
+
+    def start(self, effect: StartRun, payload: str) -> None:
+        """Order a start."""
+        assert self._tasks is not None  # noqa: S101
+        self._tasks.start_soon(self._start, effect, payload)
+
+    def stop(self, effect: StopRun) -> None:
+        """Order a stop."""
+        assert self._tasks is not None  # noqa: S101
+        self._tasks.start_soon(self._stop, effect.key, effect.run)
+
+    async def _survey_once(self) -> None:
+        context = self._context
+        settings = context.settings
+        begun_s = context.clock()
+        has_news = self.listed > self.acknowledged or not self._lease.has_reading
+        wait_s = 0.0 if has_news or self._failures or self._stopped_at_by_run else settings.wait_s
+        until_s = self._lease_until(settings.draining_hold_s if self.is_draining else settings.hold_s)
+        try:
+            survey = await context.client.survey(
+                self.address,
+                self._worker_id,
+                fence=context.fence,
+                acknowledged=self.acknowledged,
+                lease_until_s=until_s,
+                wait_s=wait_s,
+                timeout_s=wait_s + settings.answer_s,
+            )
+        except (*WORKER_FAILURES, ProtocolError) as error:
+            await self._survey_failed(error)
+            return
+        if isinstance(survey, OrderStatus):
+            await self._survey_refused(survey)
+            return
+        self._failures = 0
+        self._lease.read(survey.clock_s, context.clock())
+        self._take_in(survey, begun_s)
+        await self._pause(survey)
+
+    async def _pause(self, survey: Survey) -> None:
+        """Wait until ends are kept: a survey before that lists them again at once."""
+        if self.listed > self.acknowledged:
+            with anyio.move_on_after(self._context.settings.unacknowledged_s):
+                await self.acknowledged_more.wait()
+        elif self._stopped_at_by_run:
+            await anyio.sleep(_STOP_POLL_S)
+
+    def _take_in(self, survey: Survey, begun_s: float) -> None:
+        ended = []
+        for end in survey.ended:
+            if end.number > self.listed:
+                kind = EndKind(end.kind.value)
+                ended.append(RunEnd(self._worker_id, end.key, end.run, kind, end.checkpoint))
+                self._context.metrics.run_ends.labels(kind.value).inc()
+        last_end = max((end.number for end in survey.ended), default=0)
+        running = tuple(RunSeen(run.key, run.run, run.checkpoint, run.percent) for run in survey.running)
+        self._resolve_stopped(survey, begun_s)
+        if self._context.post(WorkerSurveyed(self._worker_id, running, tuple(ended), last_end, begun_s)):
+            self.listed = max(self.listed, last_end)
+
+    def _resolve_stopped(self, survey: Survey, begun_s: float) -> None:
+        listed = {(run.key, run.run) for run in survey.running}
+        listed.update((end.key, end.run) for end in survey.ended)
+        for stopped, at_s in tuple(self._stopped_at_by_run.items()):
+            if at_s > begun_s:
+                continue
+            if stopped in listed:
+                if any((end.key, end.run) == stopped for end in survey.ended):
+                    del self._stopped_at_by_run[stopped]
+                continue
+            del self._stopped_at_by_run[stopped]
+            self._context.post(RunNever(self._worker_id, *stopped, EndKind.STOPPED))
+
+    async def _survey_failed(self, error: Exception) -> None:
+        if isinstance(error, WorkerReplaced):
+            self._context.post(WorkerOver(self._worker_id))
+            self.close()
+            return
+        self._failures += 1
+        if self._failures == 1:
+            return
+        if self._failures == _FAILURES_THAT_TELL:
+            log_event('worker_silent', worker=self._worker_id, why=str(error))
+        self._context.post(WorkerSilent(self._worker_id))
+        if self.is_draining and not self.is_listed and isinstance(error, WorkerUnreachable):
+            # It said that it leaves, its entry is gone and its port is closed.
+            self._context.post(WorkerOver(self._worker_id))
+            self.close()
+            return
+        await anyio.sleep(self._context.settings.retry_s)
+
+    async def _survey_refused(self, status: OrderStatus) -> None:
+        log_event('survey_refused', worker=self._worker_id, status=status)
+        if status is OrderStatus.FENCED:
+            self._context.fenced()
+        self._failures += 1
+        if self._failures >= _FAILURES_THAT_TELL:
+            self._context.post(WorkerSilent(self._worker_id))
+        await anyio.sleep(self._context.settings.retry_s)
+
+    async def _start(self, effect: StartRun, payload: str) -> None:
+        """Order a start until it is answered; take it back when it stays in doubt."""
+        is_doubtful = False
+        for _ in range(self._context.settings.order_tries):
+            try:
+                status = await self._start_once(effect, payload)
+            except WorkerReplaced:
+                self._context.post(WorkerOver(self._worker_id))
+                self.close()
+                return
+            except WorkerUnreachable:
+                status = OrderStatus.UNHEALTHY
+            except WORKER_FAILURES:
+                is_doubtful = True
+                continue
+            self._context.metrics.orders.labels('start', status.value).inc()
+            if status is OrderStatus.DONE:
+                self._context.post(StartAcknowledged(self._worker_id, effect.key, effect.run))
+                return
+            log_event('start_refused', worker=self._worker_id, task=effect.key, run=effect.run, status=status)
+            if status is OrderStatus.FENCED:
+                self._context.fenced()
+            if not is_doubtful:
+                self._context.post(RunNever(self._worker_id, effect.key, effect.run))
+                return
+            break
+        log_event('start_in_doubt', worker=self._worker_id, task=effect.key, run=effect.run)
+        self._context.metrics.orders.labels('start', 'in_doubt').inc()
+        await self._stop(effect.key, effect.run)
+
+    async def _start_once(self, effect: StartRun, payload: str) -> OrderStatus:
+        context = self._context
+        until_s = self._lease_until(context.settings.start_hold_s) or 0.0
+        order = StartOrder(effect.key, effect.run, payload, until_s, context.fence, effect.checkpoint)
+        reply = await context.client.start(
+            self.address,
+            self._worker_id,
+            order,
+            timeout_s=context.settings.answer_s,
+        )
+        self._read_clock(reply.clock_s)
+        return reply.status
+
+    async def _stop(self, key: TaskKey, run: int) -> None:
+        """Order a stop until it is acknowledged; the run can't start there after."""
+        if (key, run) in self._doubtful:
+            return
+        self._doubtful.add((key, run))
+        context = self._context
+        try:
+            while True:
+                try:
+                    reply = await context.client.stop(
+                        self.address,
+                        self._worker_id,
+                        key,
+                        run,
+                        context.fence,
+                        timeout_s=context.settings.answer_s,
+                    )
+                except WorkerReplaced:
+                    context.post(WorkerOver(self._worker_id))
+                    self.close()
+                    return
+                except (*WORKER_FAILURES, ProtocolError):
+                    await anyio.sleep(context.settings.retry_s)
+                    continue
+                context.metrics.orders.labels('stop', reply.status.value).inc()
+                self._read_clock(reply.clock_s)
+                if reply.status is OrderStatus.FENCED:
+                    context.fenced()
+                if reply.status is OrderStatus.UNHEALTHY:
+                    await anyio.sleep(context.settings.retry_s)
+                    continue
+                self._stopped_at_by_run[key, run] = context.clock()
+                return
+        finally:
+            self._doubtful.discard((key, run))
+
+    def _lease_until(self, hold_s: float) -> float | None:
+        if not self._lease.has_reading:
+            return None
+        until_s = self._lease.until(hold_s, self._context.clock())
+        self._lease.sent(until_s)
+        return until_s
+
+    def _read_clock(self, clock_s: float | None) -> None:
+        if clock_s is not None:
+            self._lease.read(clock_s, self._context.clock())
+
+
+# Failed surveys in a row after which a worker counts as silent.
+_FAILURES_THAT_TELL = 2
+# How often a worker is asked while a stop there is not over, in seconds.
+_STOP_POLL_S = 0.15
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -0,0 +1,102 @@
+"""Messages from the owner's tasks to the one that decides."""
+
+from typing import NamedTuple
+
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import EndKind, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import JobSpec, TaskKey
+from dahliaarch_platform.settings import Address
+
+
+class JobListed(NamedTuple):
+    """A job is in the store."""
+
+    spec: JobSpec
+    queue: Queue
+    revision: int
+
+
+class JobCancelled(NamedTuple):
+    """A cancellation is in the store."""
+
+    job_id: str
+
+
+class WorkerListed(NamedTuple):
+    """A worker's entry is in the store."""
+
+    profile: WorkerProfile
+    address: Address
+
+
+class WorkerUnlisted(NamedTuple):
+    """A worker's entry is gone."""
+
+    worker_id: str
+
+
+class WorkerSurveyed(NamedTuple):
+    """A worker said what runs and what has ended.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker.
+    running : tuple of RunSeen
+        What runs.
+    ended : tuple of RunEnd
+        Ends not seen before.
+    last_end : int
+        Number of the last end listed.
+    begun_s : float
+        When it was asked, steady clock.
+    """
+
+    worker_id: str
+    running: tuple[RunSeen, ...]
+    ended: tuple[RunEnd, ...]
+    last_end: int
+    begun_s: float
+
+
+class WorkerSilent(NamedTuple):
+    """A worker does not answer."""
+
+    worker_id: str
+
+
+class WorkerOver(NamedTuple):
+    """This life of a worker has ended for certain."""
+
+    worker_id: str
+
+
+class StartAcknowledged(NamedTuple):
+    """A worker took a start."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+
+
+class RunNever(NamedTuple):
+    """A run is certainly not on its worker and never will be."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    kind: EndKind = EndKind.REFUSED
+
+
+OwnerMessage = (
+    JobListed
+    | JobCancelled
+    | WorkerListed
+    | WorkerUnlisted
+    | WorkerSurveyed
+    | WorkerSilent
+    | WorkerOver
+    | StartAcknowledged
+    | RunNever
+)
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -1,128 +1,141 @@
-"""Writes the durable records that a cell's scheduler asks for."""
+"""Keeps the progress of jobs in the store, many jobs in one transaction."""
 
-import math
+from collections.abc import Callable
 
 import anyio
-import msgspec
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
-from result import Err
 
-from dahliaarch_kernel.jobs import decode_record, encode_record, JobRecord, TERMINAL
-from dahliaarch_kernel.scheduling import (
-    Event,
-    RecordConflicted,
-    RecordNotWritten,
-    RecordUnsettled,
-    RecordWritten,
-    WriteRecord,
-)
-from dahliaarch_platform.keyvalue import (
-    conditional_put,
-    Conflicted,
-    Entry,
-    KeyValue,
-    NotWritten,
-    unwrap,
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_kernel.scheduler import Scheduler
+from dahliaarch_kernel.scheduler.progress import encode_progress
+from dahliaarch_platform.store import (
+    CommitStatus,
+    Condition,
+    MAX_TRANSACTION_ENTRIES,
+    STORE_FAILURES,
+    StoreClient,
     Write,
-    Written,
 )
 
-from ..control import JOBS
 from ..logs import log_event
-
-_WRITERS = 8
+from ..records import cancel_key, job_key, OWNER_KEY, progress_key
+from ..timing import StoreTiming
+
+# Ends that come within this time share a transaction, in seconds. Ends are
+# owed their acknowledgement 0.1 s after they were listed.
+_GATHER_S = 0.03
+# Entries left for writes beside the condition on the owner's key.
+_MOST_WRITES = MAX_TRANSACTION_ENTRIES - 1
+# Keys of one job: its record, its cancellation and its progress.
+_KEYS_OF_A_JOB = 3
+# How often jobs that ended long ago are removed, in seconds.
+_CLEAN_EVERY_S = 30.0
+# Kept longer than promised, since clocks differ.
+_STATUS_SLACK_S = 30.0
 
 
 class Recorder:
-    """Tasks that write records, a few at a time.
+    """Writes progress under the condition that this owner is still the owner.
 
     Parameters
     ----------
-    store : KeyValue
-        The platform's service.
-    inbox : stream
-        Where outcomes are sent.
+    store : StoreClient
+        The store.
+    timing : StoreTiming
+        Timeouts and pauses.
+    scheduler : Scheduler
+        Whose jobs are kept.
+    epoch : int
+        Revision of the owner's key.
+    mark : callable
+        Returns, by worker, the last end that has been taken in.
+    kept : callable
+        Called with such a mark once everything up to it is kept.
+    deposed : callable
+        Called when another owner has taken the pool.
     """
 
-    def __init__(self, store: KeyValue, inbox: MemoryObjectSendStream[Event]) -> None:
-        """Have nothing to write."""
+    def __init__(  # noqa: PLR0913
+        self,
+        store: StoreClient,
+        timing: StoreTiming,
+        scheduler: Scheduler,
+        epoch: int,
+        *,
+        mark: Callable[[], dict[str, int]],
+        kept: Callable[[dict[str, int]], None],
+        deposed: Callable[[], None],
+    ) -> None:
+        """Start with nothing to keep."""
+        self.needed = anyio.Event()
         self._store = store
-        self._inbox = inbox
-        self._doubted: set[tuple[str, str]] = set()
-        streams = anyio.create_memory_object_stream[WriteRecord](math.inf)
-        self._send: MemoryObjectSendStream[WriteRecord] = streams[0]
-        self._receive: MemoryObjectReceiveStream[WriteRecord] = streams[1]
-
-    def push(self, effect: WriteRecord) -> None:
-        """Queue a write."""
-        self._send.send_nowait(effect)
+        self._timing = timing
+        self._scheduler = scheduler
+        self._epoch = epoch
+        self._mark = mark
+        self._kept = kept
+        self._deposed = deposed
 
     async def run(self) -> None:
-        """Write until cancelled."""
-        async with anyio.create_task_group() as group:
-            for _ in range(_WRITERS):
-                group.start_soon(self._write_all)
-
-    async def _write_all(self) -> None:
+        """Keep what has changed, again and again, until cancelled."""
         while True:
-            effect = await self._receive.receive()
-            self._inbox.send_nowait(await self._write(effect))
-
-    async def _write(self, effect: WriteRecord) -> Event:
-        record = effect.record
-        write_id = f'{effect.purpose}/{record.cell}/{record.epoch}/{record.attempt}/{effect.expected_version}'
-        key = f'{JOBS}{effect.job_id}'
-        write = Write(key, encode_record(record), effect.expected_version, write_id)
-        doubt = (effect.job_id, write_id)
-        outcome = await conditional_put(self._store, write, doubted=doubt in self._doubted)
-        self._doubted.discard(doubt)
-        if isinstance(outcome, Written):
-            return RecordWritten(effect.job_id, effect.purpose, outcome.version)
-        if isinstance(outcome, Conflicted):
-            return RecordConflicted(effect.job_id, effect.purpose, outcome.entry.version, _record(outcome.entry))
-        if isinstance(outcome, NotWritten):
-            return RecordNotWritten(effect.job_id, effect.purpose)
-        self._doubted.add(doubt)
-        log_event('record_unsettled', job=effect.job_id, purpose=effect.purpose, reason=outcome.detail)
-        return RecordUnsettled(effect.job_id, effect.purpose)
-
-
-async def read_records(store: KeyValue, cell: str) -> tuple[tuple[int, JobRecord], ...] | None:
-    """Return the records of ``cell`` with their versions, or None when the service fails."""
-    found: list[tuple[int, JobRecord]] = []
-    after = JOBS
-    while True:
-        outcome = await store.page(JOBS, after)
-        if isinstance(outcome, Err):
-            return None
-        for entry in outcome.ok_value.entries:
-            record = _record(entry)
-            if record is not None and record.cell == cell:
-                found.append((entry.version, record))
-        if not outcome.ok_value.more:
-            return tuple(found)
-        after = outcome.ok_value.entries[-1].key
+            await self.needed.wait()
+            self.needed = anyio.Event()
+            await anyio.sleep(_GATHER_S)
+            await self._keep_once()
 
-
-async def delete_old(store: KeyValue, records: tuple[tuple[int, JobRecord], ...], before_s: float) -> int:
-    """Delete the records of jobs that ended before a time; return how many went.
-
-    A record that changed since it was read stays. After that the
-    idempotency key is free again.
-    """
-    deleted = 0
-    for version, record in records:
-        if record.state in TERMINAL and 0 < record.ended_at_s < before_s:
-            outcome = await store.delete(f'{JOBS}{record.spec.job_id}', version)
-            deleted += outcome.is_ok()
-    return deleted
-
-
-def _record(entry: Entry) -> JobRecord | None:
-    if not entry.version:
-        return None
-    try:
-        return decode_record(unwrap(entry.value))
-    except msgspec.DecodeError as error:
-        log_event('record_unreadable', key=entry.key, reason=str(error))
-        return None
+    async def clean(self, status_s: float, wall_s: Callable[[], float]) -> None:
+        """Remove jobs that ended long ago, again and again, until cancelled."""
+        while True:
+            await anyio.sleep(_CLEAN_EVERY_S)
+            old = self._scheduler.ended_before(wall_s() - status_s - _STATUS_SLACK_S)
+            for job_id in old[: _MOST_WRITES // _KEYS_OF_A_JOB]:
+                await self._remove(job_id)
+
+    async def _keep_once(self) -> None:
+        mark = self._mark()
+        job_ids = self._scheduler.take_dirty_jobs()
+        writes = [self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id]
+        try:
+            for first in range(0, len(writes), _MOST_WRITES):
+                if not await self._commit(writes[first : first + _MOST_WRITES]):
+                    return
+        except (*STORE_FAILURES, ProtocolError) as error:
+            log_event('progress_not_kept', why=str(error), jobs=len(job_ids))
+            self._scheduler.mark_dirty(job_ids)
+            await anyio.sleep(self._timing.retry_pause_s())
+            self.needed.set()
+            return
+        for job_id in job_ids:
+            self._scheduler.mark_kept(job_id)
+        self._kept(mark)
+
+    async def _commit(self, writes: list[Write]) -> bool:
+        outcome = await self._store.commit(
+            [Condition(OWNER_KEY, self._epoch)],
+            writes,
+            timeout_s=self._timing.call_s,
+        )
+        if outcome.status is CommitStatus.DONE:
+            return True
+        log_event('progress_refused', status=outcome.status, epoch=self._epoch)
+        self._deposed()
+        return False
+
+    def _write_of(self, job_id: str) -> Write:
+        progress = self._scheduler.job_by_id[job_id].progress()
+        return Write(progress_key(job_id), encode_progress(progress))
+
+    async def _remove(self, job_id: str) -> None:
+        keys = [job_key(job_id), cancel_key(job_id), progress_key(job_id)]
+        try:
+            outcome = await self._store.commit(
+                [Condition(OWNER_KEY, self._epoch)],
+                [],
+                keys,
+                timeout_s=self._timing.call_s,
+            )
+        except (*STORE_FAILURES, ProtocolError) as error:
+            log_event('job_not_removed', job=job_id, why=str(error))
+            return
+        if outcome.status is CommitStatus.DONE:
+            self._scheduler.forget_job(job_id)
--- /dev/null
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -0,0 +1,183 @@
+"""Calls and answers between instances.
+
+Each instance binds one ROUTER socket, on which it answers, and has one DEALER
+socket to each peer that it calls.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import anyio
+import zmq
+import zmq.asyncio
+from anyio.abc import TaskGroup
+
+from dahliaarch_kernel.errors import DahliaarchError, ProtocolError
+
+from ..logs import log_event
+from .messages import decode, encode, Message
+
+Address = tuple[str, int]
+Handler = Callable[[Message], Awaitable[Message | None]]
+
+# Messages that may wait for a peer that does not read; more are dropped.
+_HIGH_WATER_MARK = 256
+# Bounds of the pause before a lost connection is tried again, in milliseconds.
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 1_000
+# A peer behind a cut is noticed, and its connection made anew, after this.
+_TRANSPORT_TIMEOUT_MS = 2_000
+_HEARTBEAT_MS = 1_000
+_CONNECT_TIMEOUT_MS = 1_000
+# Largest message: a configuration or a job with room to spare.
+_MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class PeerSilent(DahliaarchError):
+    """A peer did not answer in time; what was asked may have been done."""
+
+
+class Mesh:
+    """Sockets to and from the other instances.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers a message; returns nothing when there is no answer.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        """Create the context; nothing is bound yet."""
+        self._context = zmq.asyncio.Context()
+        self._handler = handler
+        self._router = self._socket(zmq.ROUTER)
+        self._link_by_address: dict[Address, _Link] = {}
+        self._tasks: TaskGroup | None = None
+
+    async def run(self, host: str, port: int) -> None:
+        """Bind and answer until cancelled."""
+        self._router.bind(f'tcp://{host}:{port}')
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                while True:
+                    identity, frame = await self._router.recv_multipart()
+                    tasks.start_soon(self._answer, identity, frame)
+        finally:
+            self._context.destroy(linger=0)
+
+    async def ask(self, address: Address, message: Message, *, timeout_s: float) -> Message:
+        """Return a peer's answer.
+
+        Raises
+        ------
+        PeerSilent
+            When there is none in time.
+        """
+        link = self._link(address)
+        try:
+            with anyio.fail_after(timeout_s):
+                return await link.ask(message)
+        except TimeoutError:
+            raise PeerSilent(f'{address}: no answer to {type(message).__name__}') from None
+
+    def tell(self, address: Address, message: Message) -> None:
+        """Send a message that needs no answer; it may be lost."""
+        self._link(address).send(0, message)
+
+    def forget(self, address: Address) -> None:
+        """Close the socket to a peer."""
+        link = self._link_by_address.pop(address, None)
+        if link is not None:
+            link.close()
+
+    async def _answer(self, identity: bytes, frame: bytes) -> None:
+        try:
+            call, message = decode(frame)
+        except ProtocolError as error:
+            log_event('peer_message_malformed', why=str(error))
+            return
+        reply = await self._handler(message)
+        if reply is not None and call:
+            await self._router.send_multipart([identity, encode(call, reply)])
+
+    def _link(self, address: Address) -> '_Link':
+        link = self._link_by_address.get(address)
+        if link is None:
+            socket = self._socket(zmq.DEALER)
+            socket.connect(f'tcp://{address[0]}:{address[1]}')
+            link = _Link(socket)
+            self._link_by_address[address] = link
+            assert self._tasks is not None  # noqa: S101
+            self._tasks.start_soon(link.run)
+        return link
+
+    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+        socket = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK)
+        socket.setsockopt(zmq.RCVHWM, _HIGH_WATER_MARK)
+        socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, _TRANSPORT_TIMEOUT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _TRANSPORT_TIMEOUT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        return socket
+
+
+class _Link:
+    """The socket to one peer and the calls that wait for its answers."""
+
+    def __init__(self, socket: zmq.asyncio.Socket) -> None:
+        self._socket = socket
+        self._calls = 0
+        self._waiter_by_call: dict[int, asyncio.Future[Message]] = {}
+
+    async def run(self) -> None:
+        """Hand answers to the calls that wait for them."""
+        try:
+            while True:
+                frame = await self._socket.recv()
+                self._resolve(frame)
+        except (zmq.ZMQError, asyncio.CancelledError) as error:
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            log_event('peer_socket_closed', why=str(error))
+
+    async def ask(self, message: Message) -> Message:
+        """Send a message and wait for its answer."""
+        self._calls += 1
+        call = self._calls
+        waiter: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._waiter_by_call[call] = waiter
+        try:
+            self.send(call, message)
+            return await waiter
+        finally:
+            self._waiter_by_call.pop(call, None)
+
+    def send(self, call: int, message: Message) -> None:
+        """Queue a message; drop it when the peer does not read."""
+        sent = self._socket.send(encode(call, message), flags=zmq.NOBLOCK)
+        sent.add_done_callback(_note_unsent)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close(linger=0)
+
+    def _resolve(self, frame: bytes) -> None:
+        try:
+            call, message = decode(frame)
+        except ProtocolError as error:
+            log_event('peer_message_malformed', why=str(error))
+            return
+        waiter = self._waiter_by_call.get(call)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(message)
+
+
+def _note_unsent(sent: 'asyncio.Future[None]') -> None:
+    if not sent.cancelled() and sent.exception() is not None:
+        log_event('peer_message_dropped', why=repr(sent.exception()))
--- /dev/null
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -0,0 +1,169 @@
+"""Messages between instances."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from dahliaarch_kernel.errors import ProtocolError
+
+from ..records import Member
+
+
+class Hello(NamedTuple):
+    """An instance tells the owner that it is there."""
+
+    member: Member
+
+
+class Beat(NamedTuple):
+    """The owner tells an instance that it owns the pool.
+
+    Parameters
+    ----------
+    owner : Member
+        The owner.
+    epoch : int
+        Its epoch; larger ones are newer.
+    version : int
+        Version of the configuration that it follows.
+    configuration : bytes
+        That configuration, if the instance's own seems older; else empty.
+    """
+
+    owner: Member
+    epoch: int
+    version: int
+    configuration: bytes = b''
+
+
+class BeatReply(NamedTuple):
+    """Version of the configuration that an instance follows, and itself if newer."""
+
+    version: int
+    configuration: bytes = b''
+
+
+class AskState(NamedTuple):
+    """Asks for the state of a job."""
+
+    job_id: str
+
+
+class StateReply(NamedTuple):
+    """State of a job; not known when the owner has not heard of it."""
+
+    is_known: bool
+    phase: str = ''
+    has_ended: bool = False
+
+
+class AskPending(NamedTuple):
+    """Asks how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class PendingReply(NamedTuple):
+    """How many jobs have not begun; not ready while the owner still takes over."""
+
+    is_ready: bool
+    count: int = 0
+
+
+class JobNews(NamedTuple):
+    """Tells the owner of a job or cancellation that is in the store now."""
+
+    job_id: str
+    record: bytes
+    revision: int
+    is_cancel: bool
+
+
+class AcceptJob(NamedTuple):
+    """Asks the owner to write a job for an instance that the store turns away."""
+
+    job_id: str
+    record: bytes
+
+
+class AcceptCancel(NamedTuple):
+    """Asks the owner to write a cancellation likewise."""
+
+    job_id: str
+
+
+class Accepted(NamedTuple):
+    """Outcome of a write done for another instance.
+
+    Parameters
+    ----------
+    is_done : bool
+        Whether it is in the store.
+    is_certain : bool
+        When not done: whether it certainly never will be.
+    is_missing : bool
+        Whether there is no such job.
+    """
+
+    is_done: bool
+    is_certain: bool = False
+    is_missing: bool = False
+
+
+Message = (
+    Hello
+    | Beat
+    | BeatReply
+    | AskState
+    | StateReply
+    | AskPending
+    | PendingReply
+    | JobNews
+    | AcceptJob
+    | AcceptCancel
+    | Accepted
+)
+
+_TYPES: tuple[type[Message], ...] = (
+    Hello,
+    Beat,
+    BeatReply,
+    AskState,
+    StateReply,
+    AskPending,
+    PendingReply,
+    JobNews,
+    AcceptJob,
+    AcceptCancel,
+    Accepted,
+)
+_NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
+
+
+class _Envelope(NamedTuple):
+    call: int
+    kind: int
+    body: msgspec.Raw
+
+
+def encode(call: int, message: Message) -> bytes:
+    """Return a message with the number of the call that it belongs to."""
+    body = msgspec.Raw(msgspec.msgpack.encode(message))
+    return msgspec.msgpack.encode(_Envelope(call, _NUMBER_BY_TYPE[type(message)], body))
+
+
+def decode(frame: bytes) -> tuple[int, Message]:
+    """Return the call's number and the message.
+
+    Raises
+    ------
+    ProtocolError
+        When the frame is not a message.
+    """
+    try:
+        envelope = msgspec.msgpack.decode(frame, type=_Envelope)
+        if not 0 <= envelope.kind < len(_TYPES):
+            raise ProtocolError('message', f'kind {envelope.kind} is unknown')
+        return envelope.call, msgspec.msgpack.decode(envelope.body, type=_TYPES[envelope.kind])
+    except msgspec.DecodeError as error:
+        raise ProtocolError('message', str(error)) from error
--- /dev/null
+++ b/packages/node/dahliaarch_node/records/__init__.py
@@ -0,0 +1,39 @@
+"""Keys and values that the system keeps in the store."""
+
+from .core import (
+    CANCEL_SUFFIX,
+    cancel_key,
+    decode_job_record,
+    decode_member,
+    encode_job_record,
+    encode_member,
+    job_id_of,
+    job_key,
+    JobRecord,
+    JOBS_PREFIX,
+    Member,
+    member_key,
+    MEMBERS_PREFIX,
+    OWNER_KEY,
+    progress_key,
+    PROGRESS_PREFIX,
+)
+
+__all__ = (
+    'CANCEL_SUFFIX',
+    'JOBS_PREFIX',
+    'JobRecord',
+    'MEMBERS_PREFIX',
+    'Member',
+    'OWNER_KEY',
+    'PROGRESS_PREFIX',
+    'cancel_key',
+    'decode_job_record',
+    'decode_member',
+    'encode_job_record',
+    'encode_member',
+    'job_id_of',
+    'job_key',
+    'member_key',
+    'progress_key',
+)
--- /dev/null
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -0,0 +1,111 @@
+"""Layout of the system's keys in the store.
+
+Jobs and cancellations lie under one prefix, since the owner watches both;
+progress lies under another, since only the owner writes it and its own writes
+need not come back to it.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_kernel.workload import JobSpec
+
+OWNER_KEY = 'dahliaarch/owner'
+MEMBERS_PREFIX = 'dahliaarch/members/'
+JOBS_PREFIX = 'dahliaarch/jobs/'
+PROGRESS_PREFIX = 'dahliaarch/progress/'
+CANCEL_SUFFIX = '.cancel'
+
+
+class JobRecord(NamedTuple):
+    """An accepted job and its queue as it was then."""
+
+    spec: JobSpec
+    queue: Queue
+
+
+class Member(NamedTuple):
+    """One run of an instance's process and where its peers reach it.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    incarnation : str
+        Drawn anew at each start of the process.
+    host : str
+        Its address.
+    port : int
+        Its port for peers.
+    """
+
+    instance: str
+    incarnation: str
+    host: str
+    port: int
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of a job's record."""
+    return JOBS_PREFIX + job_id
+
+
+def cancel_key(job_id: str) -> str:
+    """Return the key that marks a job as cancelled."""
+    return JOBS_PREFIX + job_id + CANCEL_SUFFIX
+
+
+def progress_key(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return PROGRESS_PREFIX + job_id
+
+
+def member_key(instance: str) -> str:
+    """Return the key of an instance's entry."""
+    return MEMBERS_PREFIX + instance
+
+
+def job_id_of(key: str) -> str:
+    """Return the job that a key of the jobs' or the progress prefix is about."""
+    return key.rpartition('/')[2].removesuffix(CANCEL_SUFFIX)
+
+
+def encode_job_record(record: JobRecord) -> bytes:
+    """Return the stored form of a job."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_job_record(value: bytes) -> JobRecord:
+    """Return a job from its stored form.
+
+    Raises
+    ------
+    ProtocolError
+        When the value is not one.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=JobRecord)
+    except msgspec.DecodeError as error:
+        raise ProtocolError('job record', str(error)) from error
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the stored form of a member."""
+    return msgspec.msgpack.encode(member)
+
+
+def decode_member(value: bytes) -> Member:
+    """Return a member from its stored form.
+
+    Raises
+    ------
+    ProtocolError
+        When the value is not one.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=Member)
+    except msgspec.DecodeError as error:
+        raise ProtocolError('member', str(error)) from error
--- /dev/null
+++ b/packages/node/dahliaarch_node/replies.py
@@ -0,0 +1,126 @@
+"""Answers to the other instances' messages."""
+
+from functools import singledispatchmethod
+
+from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_platform.store import STORE_FAILURES, StoreClient
+
+from .following import ConfigurationFollower
+from .front.acceptance import Fate, keep_cancellation, keep_job, WriteOutcome
+from .membership import Membership
+from .owner import PoolOwner
+from .owner.messages import JobCancelled, JobListed
+from .ownership import Owner, Ownership
+from .peers import (
+    AcceptCancel,
+    AcceptJob,
+    Accepted,
+    AskPending,
+    AskState,
+    Beat,
+    BeatReply,
+    Hello,
+    JobNews,
+    Message,
+    PendingReply,
+    StateReply,
+)
+from .records import decode_job_record, job_key
+
+# Longest wait for a read of the store, in seconds.
+_READ_S = 0.9
+
+
+class PeerReplies:
+    """Answers messages on behalf of this instance.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    follower : ConfigurationFollower
+        The configuration in force.
+    ownership : Ownership
+        Who owns the pool.
+    """
+
+    def __init__(self, store: StoreClient, follower: ConfigurationFollower, ownership: Ownership) -> None:
+        """Start without the pool."""
+        self.owner: PoolOwner | None = None
+        self.membership: Membership | None = None
+        self._store = store
+        self._follower = follower
+        self._ownership = ownership
+
+    async def answer(self, message: Message) -> Message | None:
+        """Answer a message; nothing when it needs no answer."""
+        return await self._reply(message)
+
+    @singledispatchmethod
+    async def _reply(self, message: object) -> Message | None:
+        raise NotImplementedError(type(message).__name__)
+
+    @_reply.register
+    async def _(self, message: Hello) -> Message | None:
+        if self.membership is not None:
+            self.membership.add(message.member)
+        return None
+
+    @_reply.register
+    async def _(self, message: Beat) -> Message | None:
+        self._ownership.heard(Owner(message.owner, message.epoch))
+        if message.configuration:
+            self._follower.offer(message.configuration, message.owner.instance)
+        is_newer = self._follower.version > message.version
+        return BeatReply(self._follower.version, self._follower.text if is_newer else b'')
+
+    @_reply.register
+    async def _(self, message: AskState) -> Message | None:
+        job = None if self.owner is None else self.owner.state_of(message.job_id)
+        if job is None:
+            return StateReply(is_known=False)
+        return StateReply(True, job.shown_phase.value, job.has_ended and job.is_end_kept)
+
+    @_reply.register
+    async def _(self, message: AskPending) -> Message | None:
+        if self.owner is None or not self.owner.is_ready:
+            return PendingReply(is_ready=False)
+        return PendingReply(True, self.owner.pending_in(message.queue))
+
+    @_reply.register
+    async def _(self, message: JobNews) -> Message | None:
+        self._pass_on(message.job_id, message.record, message.revision, is_cancel=message.is_cancel)
+        return None
+
+    @_reply.register
+    async def _(self, message: AcceptJob) -> Message | None:
+        outcome = await keep_job(self._store, message.job_id, message.record)
+        if outcome.fate is Fate.KEPT and outcome.revision:
+            self._pass_on(message.job_id, message.record, outcome.revision, is_cancel=False)
+        return _accepted(outcome)
+
+    @_reply.register
+    async def _(self, message: AcceptCancel) -> Message | None:
+        try:
+            if await self._store.get(job_key(message.job_id), timeout_s=_READ_S) is None:
+                return Accepted(is_done=False, is_certain=True, is_missing=True)
+        except (*STORE_FAILURES, ProtocolError):
+            return Accepted(is_done=False, is_certain=True)
+        outcome = await keep_cancellation(self._store, message.job_id)
+        if outcome.fate is Fate.KEPT:
+            self._pass_on(message.job_id, b'', outcome.revision, is_cancel=True)
+        return _accepted(outcome)
+
+    def _pass_on(self, job_id: str, record: bytes, revision: int, *, is_cancel: bool) -> None:
+        """Hand news to the pool's owner, if it is here; else the watch brings them."""
+        if self.owner is None:
+            return
+        if is_cancel:
+            self.owner.post(JobCancelled(job_id))
+            return
+        job = decode_job_record(record)
+        self.owner.post(JobListed(job.spec, job.queue, revision))
+
+
+def _accepted(outcome: WriteOutcome) -> Accepted:
+    return Accepted(outcome.fate is Fate.KEPT, outcome.fate is Fate.NOT_KEPT)
--- a/packages/platform/dahliaarch_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: key-value service, workers, list of instances."""
