Make guaranteed work preempt as soon as there is something to stop; test the decisions

A guaranteed gang that found no victims at first was given a claim on room that would be free seconds later, and while it had that claim nothing was stopped for it. Claims without stops are now made anew whenever their step is considered. Found by the new tests on the way: a run that had ended was stopped again, a survey with next to no progress divided by zero, and gangs' claims were dropped before denser work had been considered. Ruled out: a slow acceptance (6 ms) and a slow stop (0.3 s) in the logs.

--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -1,4 +1,8 @@
-"""What the end of a run changes; `singledispatch` has no kinds of enum, so a table serves."""
+"""What the end of a run changes.
+
+Kinds of end are members of one enumeration and not types, so a table stands
+where `singledispatch` would.
+"""
 
 from collections.abc import Callable
 
@@ -21,9 +25,9 @@
         return
     run = step.run_by_index.get(end.key.index)
     is_current = run is not None and run.number == end.run and run.worker_id == end.worker_id
-    _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
-    if is_current and run is not None:
+    if run is not None and is_current:
         state.remove_run(run)
+    _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
 
 
 def _on_done(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -65,7 +65,7 @@
         if lost_s < _MOST_LOST_S or still_s > _HOPELESS_STALL_S:
             state.stop_unit(run, 'stands still')
         return _SLOW_FACTOR
-    if run.percent <= 0:
+    if run.percent < _LEAST_PERCENT:
         return 1.0
     pace = ran_s / worked_s
     if pace < _SLOW_FACTOR:
@@ -75,6 +75,8 @@
     return pace
 
 
+# Below this share a pace says nothing, in percent.
+_LEAST_PERCENT = 1.0
 # Above this share of its work a run is left alone, in percent.
 _ALMOST_DONE = 97.0
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -21,6 +21,10 @@
 # A step that a worker refused waits this long, in seconds.
 REFUSED_PAUSE_S = 0.3
 
+# Guaranteed work waits this long for a place near its data or in one rack, in
+# seconds: under half of the shortest bound on its beginning that was seen.
+_GUARANTEED_NEAR_S = 1.2
+
 _Signature = tuple[Resources, str, str, bool, bool]
 
 
@@ -43,7 +47,6 @@
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s)
         self._blocked: dict[_Signature, int] = {}
-        self._reserved = 0
 
     def run(self) -> None:
         """Place every step that fits, in order of standing."""
@@ -74,7 +77,8 @@
     def _consider(self, step: StepState, rank: int) -> None:
         if step.spec.gang and step.run_by_index:
             return
-        request = self._request(step)
+        request = self._request(step, rank)
+        self._reopen_claim(step)
         placement = self._place(request)
         if placement.count:
             self._start(step, placement, request, rank)
@@ -83,11 +87,11 @@
             self._forget_claim(step)
             return
         if rank < RANK_ORDINARY:
-            self._preempt(step, missing, rank)
+            self._preempt(request, missing, rank)
         elif step.spec.gang:
             self._reserve(step, missing)
 
-    def _request(self, step: StepState) -> Request:
+    def _request(self, step: StepState, rank: int) -> Request:
         work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
         waited_s = self._now.wall_s - _since_s(step)
         settings = self._state.settings
@@ -96,7 +100,7 @@
             len(step.pending),
             work_s,
             self._now.steady_s,
-            waited_s > settings.far_after_share * work_s,
+            waited_s > (_GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s),
             settings.far_factor,
         )
 
@@ -128,10 +132,12 @@
                 self._room.take(spot.worker, demand)
         self._forget_claim(step)
 
-    def _preempt(self, step: StepState, count: int, rank: int) -> None:
+    def _preempt(self, request: Request, count: int, rank: int) -> None:
+        step = request.step
         if self._has_claim(step):
             return
-        plan = self._preemption.plan(step, count if step.spec.gang else 1, self._room, rank)
+        wanted = count if step.spec.gang else 1
+        plan = self._preemption.plan(step, wanted, self._room, rank, may_go_far=request.may_go_far)
         if plan is None:
             self._reserve(step, count)
             return
@@ -141,14 +147,14 @@
 
     def _claim(self, step: StepState, plan: Plan) -> None:
         ready_s = self._now.steady_s + self._state.settings.stop_timeout_s
-        self._state.claims.append(Claim(step, plan.count_by_worker, ready_s, self._now.steady_s))
+        self._state.claims.append(Claim(step, plan.count_by_worker, ready_s, is_firm=True))
 
     def _reserve(self, step: StepState, count: int) -> None:
-        if self._has_claim(step) or self._reserved >= self._state.settings.reservations:
+        kept = sum(not claim.is_firm for claim in self._state.claims)
+        if self._has_claim(step) or kept >= self._state.settings.reservations:
             return
         if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
             return
-        self._reserved += 1
         claim = earliest_claim(step, count, self._workers, self._state.claims, self._now.steady_s)
         if claim is not None:
             self._state.claims.append(claim)
@@ -160,8 +166,13 @@
         claims = self._state.claims
         claims[:] = [claim for claim in claims if claim.step is not step]
 
+    def _reopen_claim(self, step: StepState) -> None:
+        """Drop a step's claim that stops nothing: it is made anew on what is known now."""
+        claims = self._state.claims
+        claims[:] = [claim for claim in claims if claim.step is not step or claim.is_firm]
+
     def _drop_stale_claims(self) -> None:
-        """Drop claims that came to nothing; those of ordinary work are made anew each time."""
+        """Drop claims that came to nothing."""
         known = {worker.worker_id for worker in self._workers}
         kept = [claim for claim in self._state.claims if self._still_holds(claim, known)]
         self._state.claims[:] = kept
@@ -169,8 +180,8 @@
     def _still_holds(self, claim: Claim, known: set[str]) -> bool:
         if claim.step.job.has_ended or not claim.step.pending:
             return False
-        if claim.step.job.queue.priority:
-            return False
+        if not claim.is_firm:
+            return not claim.step.run_by_index
         late_s = self._now.steady_s - claim.ready_s
         return late_s < _CLAIM_SLACK_S and known.issuperset(claim.count_by_worker)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -61,7 +61,7 @@
         self._step_of = step_of
         self._now_s = now_s
 
-    def plan(self, step: StepState, count: int, room: Room, rank: int) -> Plan | None:
+    def plan(self, step: StepState, count: int, room: Room, rank: int, *, may_go_far: bool) -> Plan | None:
         """Return the cheapest way to make room, if there is one."""
         able = [worker for worker in admissible_workers(step, room.workers) if is_near(worker, step)]
         groups = [able]
@@ -71,9 +71,9 @@
             groups = in_racks
         plans = [self._plan_among(step, count, room, rank, group) for group in groups]
         found = [plan for plan in plans if plan is not None]
-        if not found and len(groups) > 1:
-            whole = self._plan_among(step, count, room, rank, able)
-            return whole
+        if not found and may_go_far:
+            everywhere = admissible_workers(step, room.workers)
+            return self._plan_among(step, count, room, rank, everywhere)
         return min(found, key=lambda plan: plan.cost, default=None)
 
     def cost(self, run: Run) -> float:
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -31,7 +31,7 @@
             high = middle - 1
         else:
             low = middle + 1
-    return Claim(step, best, ready_s, now_s) if best else None
+    return Claim(step, best, ready_s) if best else None
 
 
 def _fit_at(  # noqa: PLR0913
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -22,14 +22,15 @@
         Tasks that it will place on each worker.
     ready_s : float
         When the room is expected to be free, steady clock.
-    made_s : float
-        When the claim was made, steady clock.
+    is_firm : bool
+        Whether runs are being stopped for it; other claims are made anew
+        whenever their step is considered.
     """
 
     step: StepState
     count_by_worker: dict[str, int]
     ready_s: float
-    made_s: float
+    is_firm: bool = False
 
 
 class Room:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -105,8 +105,11 @@
         self.active_job_by_id.pop(job.spec.job_id, None)
         self.dirty_jobs.add(job.spec.job_id)
         self.claims = [claim for claim in self.claims if claim.step.job is not job]
-        for run in tuple(job.runs()):
-            self.stop(run, reason)
+        for step in job.step_by_key.values():
+            for run in tuple(step.run_by_index.values()):
+                # Members of a gang that has succeeded end by themselves.
+                if run.key.index not in step.done:
+                    self.stop(run, reason)
 
     def active_jobs(self) -> Iterator[JobState]:
         """Yield the jobs that have not ended."""
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -0,0 +1,158 @@
+"""A pool of obedient workers in memory, which checks every order that it gets."""
+
+from collections import defaultdict
+
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import EndKind, Moment, Scheduler, SchedulerSettings, StartRun, StopRun, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec
+
+WORKER = Resources(64_000, 262_144, 8)
+URGENT = Queue('urgent', 'h', '/u/', 'svc', priority=0, max_attempts=3, stretch=1.5, target_latency_s=0.25)
+ORDINARY = Queue('ordinary', 'h', '/o/', 'svc', priority=1, max_attempts=3, stretch=3.0, target_latency_s=1.0)
+PATIENT = Queue('patient', 'h', '/p/', 'svc', priority=2, max_attempts=3, stretch=3.0, target_latency_s=3.0)
+
+START_S = 1000.0
+WALL_S = 1_700_000_000.0
+
+
+class Pool:
+    """A scheduler and the workers that it orders about.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers, eight to a rack.
+    """
+
+    def __init__(self, workers=8, epoch=7, settings=None):
+        self.now_s = START_S
+        self.epoch = epoch
+        self.settings = settings or SchedulerSettings()
+        self.scheduler = Scheduler(self.settings, epoch)
+        self.running = {}
+        self.stopping = set()
+        self.done = set()
+        self.failed_runs = defaultdict(set)
+        self.ended_jobs = set()
+        self.spec_by_id = {}
+        self.starts = []
+        self.stops = []
+        self.silent = set()
+        self.profiles = {}
+        for number in range(workers):
+            self.add_worker(f'w{number}', f'r{number // 8}')
+
+    @property
+    def now(self):
+        return Moment(self.now_s, WALL_S + self.now_s - START_S)
+
+    def add_worker(self, worker_id, rack, labels=(), draining=False, leaves_in_s=None, capacity=WORKER):
+        profile = WorkerProfile(worker_id, 'svc', 'z', capacity, ('a', rack, *labels), draining, leaves_in_s)
+        self.profiles[worker_id] = profile
+        self.scheduler.update_worker(profile, self.now)
+        self.scheduler.worker_surveyed(worker_id, (), self.now_s, self.now)
+
+    def submit(self, job_id, *steps, queue=ORDINARY, account='acc', **fields):
+        spec = JobSpec(job_id, account, queue.name, 'payload', steps, accepted_s=self.now.wall_s, **fields)
+        self.spec_by_id[job_id] = spec
+        return self.scheduler.add_job(spec, queue, self.now)
+
+    def step(self, seconds=0.0):
+        """Let time pass, decide, carry out and check what was decided."""
+        self.now_s += seconds
+        effects = self.scheduler.decide(self.now)
+        for effect in effects:
+            if isinstance(effect, StartRun):
+                self._start(effect)
+            else:
+                assert isinstance(effect, StopRun)
+                self.stops.append(effect)
+                self.stopping.add((effect.worker_id, effect.key, effect.run))
+        self._check_gangs()
+        return effects
+
+    def end(self, worker_id, key, run, kind, checkpoint=''):
+        self.running.pop((worker_id, key), None)
+        self.stopping.discard((worker_id, key, run))
+        if kind is EndKind.DONE:
+            step = self.spec_by_id[key.job_id].steps[key.step]
+            indices = range(step.count) if step.gang else (key.index,)
+            self.done.update(key._replace(index=index) for index in indices)
+        if kind is EndKind.FAILED:
+            self.failed_runs[key].add(run)
+        self.scheduler.run_ended(RunEnd(worker_id, key, run, kind, checkpoint), self.now)
+
+    def end_unit(self, key, kind):
+        """End a run, and with it the rest of its gang as a worker would."""
+        worker_id, run = next((worker, run) for (worker, each), run in self.running.items() if each == key)
+        step = self.spec_by_id[key.job_id].steps[key.step]
+        self.end(worker_id, key, run, kind)
+        if not step.gang:
+            return
+        others = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
+        for (worker, each), number in tuple(self.running.items()):
+            if each[:3] == key[:3] and number == run:
+                self.end(worker, each, number, others)
+
+    def finish_stops(self):
+        for worker_id, key, run in sorted(self.stopping):
+            if self.running.get((worker_id, key)) == run:
+                self.end(worker_id, key, run, EndKind.STOPPED, f'c{run}')
+        self.stopping.clear()
+
+    def survey(self, worker_id, percent=50.0):
+        rows = tuple(RunSeen(key, run, '', percent) for (worker, key), run in self.running.items() if worker == worker_id)
+        self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now)
+
+    def used(self, worker_id):
+        total = Resources()
+        for worker, key in self.running:
+            if worker == worker_id:
+                total = total.plus(self.spec_by_id[key.job_id].steps[key.step].demand)
+        return total
+
+    def _start(self, effect):
+        key = effect.key
+        assert effect.worker_id not in self.silent, 'a start on a silent worker'
+        assert all(each != key for _, each in self.running), f'two runs of {key}'
+        assert key not in self.done, f'{key} has succeeded'
+        step = self.spec_by_id[key.job_id].steps[key.step]
+        for earlier in step.after:
+            for index in range(self.spec_by_id[key.job_id].steps[earlier].count):
+                assert key._replace(step=earlier, index=index) in self.done, 'a step began too early'
+        queue = self.scheduler.job_by_id[key.job_id].queue
+        attempts = self._attempts(key, step)
+        assert attempts < queue.max_attempts, 'a start beyond the attempts'
+        if step.label:
+            assert step.label in self.profiles[effect.worker_id].labels
+        self.running[effect.worker_id, key] = effect.run
+        self.starts.append(effect)
+        assert self.profiles[effect.worker_id].capacity.covers(self.used(effect.worker_id)), 'over capacity'
+        if step.max_per_worker:
+            same = [1 for worker, each in self.running if worker == effect.worker_id and each[:3] == key[:3]]
+            assert len(same) <= step.max_per_worker
+        self.scheduler.run_started(effect.worker_id, key, effect.run, self.now)
+
+    def _attempts(self, key, step):
+        if not step.gang:
+            return len(self.failed_runs[key])
+        runs = set()
+        for index in range(step.count):
+            runs |= self.failed_runs[key._replace(index=index)]
+        return len(runs)
+
+    def _check_gangs(self):
+        """All of a gang was ordered under one run number, or none of it."""
+        ordered = defaultdict(set)
+        for effect in self.starts:
+            step = self.spec_by_id[effect.key.job_id].steps[effect.key.step]
+            if step.gang:
+                ordered[effect.key[:3], effect.run].add(effect.key.index)
+        for (unit, _), indices in ordered.items():
+            assert len(indices) == self.spec_by_id[unit[0]].steps[unit[2]].count, 'a partial gang'
+
+
+def task(count=1, accelerators=1, work_s=5.0, **fields):
+    """Return a step of small tasks."""
+    return StepSpec(count, Resources(4_000, 16_000, accelerators), work_s, **fields)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -0,0 +1,234 @@
+"""Single decisions, each with the fault or the need that it answers."""
+
+import pytest
+
+from dahliaarch_kernel.scheduler import EndKind, StartRun, StopRun
+
+from .pool import ORDINARY, PATIENT, Pool, task, URGENT
+
+A, B, C = 'a' * 16, 'b' * 16, 'c' * 16
+
+
+def run_all(pool, job_id, kind=EndKind.DONE):
+    for key in [key for _, key in sorted(pool.running) if key.job_id == job_id]:
+        if any(each == key for _, each in pool.running):
+            pool.end_unit(key, kind)
+
+
+def test_a_job_of_two_steps_runs_in_order_and_succeeds():
+    pool = Pool()
+    pool.submit(A, task(2), task(3, after=(0,)))
+    assert len(pool.step()) == 2
+    run_all(pool, A)
+    assert len(pool.step()) == 3
+    run_all(pool, A)
+    assert pool.scheduler.job_by_id[A].phase == 'succeeded'
+
+
+def test_an_end_is_shown_only_once_it_is_kept():
+    pool = Pool()
+    pool.submit(A, task())
+    pool.step()
+    run_all(pool, A)
+    job = pool.scheduler.job_by_id[A]
+    assert job.shown_phase == 'running'
+    kept = pool.scheduler.take_dirty_jobs()
+    for job_id in kept:
+        pool.scheduler.mark_kept(job_id)
+    assert job.shown_phase == 'succeeded'
+
+
+def test_urgent_work_within_its_guarantee_preempts_and_takes_the_room():
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 16})
+    pool.submit(A, task(16, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True, same_rack=True), queue=URGENT)
+    assert {type(effect) for effect in pool.step()} == {StopRun}
+    pool.finish_stops()
+    started = [effect for effect in pool.step(0.1) if isinstance(effect, StartRun)]
+    assert [effect.key.job_id for effect in started] == [B, B]
+
+
+def test_guaranteed_work_that_first_finds_no_victims_preempts_as_soon_as_there_are_some():
+    """Kept room stayed kept for seconds and nothing was stopped meanwhile."""
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 8, 'other': 8})
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=9.0), queue=URGENT, account='other')
+    pool.step()
+    pool.submit(B, task(1, accelerators=8, gang=True), queue=URGENT)
+    pool.step()
+    pool.step(1.0)
+    run_all(pool, A)
+    pool.submit(C, task(16, work_s=9.0), queue=PATIENT)
+    started = [effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)]
+    assert B in started
+
+
+def test_the_cheapest_victims_are_those_that_lose_nothing():
+    pool = Pool(workers=2)
+    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
+    pool.submit(B, task(1, accelerators=8, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.step(3.0)
+    pool.submit(C, task(1, accelerators=8), queue=URGENT)
+    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
+    assert stopped == [B]
+
+
+def test_a_wide_gang_is_not_starved_by_small_jobs():
+    pool = Pool(workers=2)
+    for number in range(16):
+        pool.submit(f'{number:016x}', task(1, work_s=2.0 + number / 4), queue=PATIENT)
+    pool.step()
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=3.0), queue=ORDINARY)
+    pool.step(1.0)
+    for number in range(16):
+        run_all(pool, f'{number:016x}')
+        pool.submit(f'{number + 100:016x}', task(1, work_s=6.0), queue=PATIENT)
+        pool.step(0.25)
+    assert any(key.job_id == A for _, key in pool.running)
+
+
+def test_a_failed_task_is_tried_elsewhere_and_its_job_fails_at_the_bound():
+    pool = Pool()
+    pool.submit(A, task(), queue=ORDINARY)
+    workers = []
+    for _ in range(ORDINARY.max_attempts):
+        pool.step(0.1)
+        worker, key = next(iter(pool.running))
+        workers.append(worker)
+        pool.end_unit(key, EndKind.FAILED)
+    assert len(set(workers)) == ORDINARY.max_attempts
+    assert pool.scheduler.job_by_id[A].phase == 'failed'
+    assert not pool.step(0.1)
+
+
+def test_the_same_failure_reported_again_counts_once():
+    pool = Pool()
+    pool.submit(A, task())
+    effect = pool.step()[0]
+    for _ in range(ORDINARY.max_attempts):
+        pool.end(effect.worker_id, effect.key, effect.run, EndKind.FAILED)
+    assert not pool.scheduler.job_by_id[A].has_ended
+
+
+def test_a_worker_that_fails_all_it_runs_gets_nothing_for_a_while():
+    pool = Pool(workers=2)
+    for number in range(2):
+        pool.submit(f'{number:016x}', task(2))
+    pool.step()
+    for worker, key in sorted(pool.running):
+        if worker == 'w0':
+            pool.end_unit(key, EndKind.FAILED)
+    effects = pool.step(0.1)
+    assert effects
+    assert all(effect.worker_id == 'w1' for effect in effects if isinstance(effect, StartRun))
+
+
+def test_a_run_that_stands_still_is_moved_to_another_worker():
+    pool = Pool(workers=2)
+    pool.submit(A, task(work_s=6.0))
+    effect = pool.step()[0]
+    for _ in range(5):
+        pool.step(1.0)
+        pool.survey(effect.worker_id, percent=5.0)
+    pool.step()
+    assert [stop.reason for stop in pool.stops] == ['stands still']
+    pool.finish_stops()
+    again = pool.step(0.1)[0]
+    assert again.worker_id != effect.worker_id
+
+
+def test_gangs_move_whole_from_a_leaving_worker():
+    pool = Pool(workers=4)
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=9.0, checkpoints=True))
+    leaving = pool.step()[0].worker_id
+    pool.add_worker(leaving, 'r0', draining=True, leaves_in_s=4.0)
+    pool.survey(leaving, percent=5.0)
+    pool.step(0.5)
+    assert len(pool.stops) == 2
+    pool.finish_stops()
+    started = [effect.worker_id for effect in pool.step(0.1)]
+    assert len(started) == 2
+    assert leaving not in started
+
+
+def test_runs_of_an_earlier_owner_are_adopted_and_not_started_again():
+    pool = Pool(workers=2)
+    pool.submit(A, task(3))
+    pool.step()
+    heir = Pool(workers=2, epoch=9)
+    heir.running = dict(pool.running)
+    heir.submit(A, task(3))
+    for worker in ('w0', 'w1'):
+        heir.survey(worker)
+    assert not heir.step()
+    assert heir.scheduler.job_by_id[A].phase == 'running'
+
+
+def test_run_numbers_rise_over_owners():
+    first, second = Pool(epoch=7), Pool(epoch=8)
+    numbers = []
+    for pool in (first, second):
+        pool.submit(A, task(2))
+        numbers.append([effect.run for effect in pool.step()])
+    assert max(numbers[0]) < min(numbers[1])
+
+
+def test_progress_survives_a_takeover():
+    pool = Pool()
+    pool.submit(A, task(2), task(1, after=(0,)))
+    pool.step()
+    _, key = sorted(pool.running)[0]
+    pool.end_unit(key, EndKind.DONE)
+    _, other = sorted(pool.running)[0]
+    pool.end_unit(other, EndKind.FAILED)
+    kept = pool.scheduler.job_by_id[A].progress()
+    heir = Pool(epoch=9)
+    spec = pool.spec_by_id[A]
+    heir.spec_by_id[A] = spec
+    heir.done = set(pool.done)
+    heir.scheduler.add_job(spec, ORDINARY, heir.now, progress=kept)
+    assert [effect.key for effect in heir.step()] == [other]
+    state = heir.scheduler.job_by_id[A].step_by_key[0, 0]
+    assert len(state.failed_runs_by_index[other.index]) == 1
+
+
+def test_occurrences_start_at_their_due_times():
+    pool = Pool()
+    due_s = pool.now.wall_s + 2.0
+    pool.submit(A, task(), repeats=2, first_due_s=due_s, interval_s=1.0)
+    assert not pool.step(1.0)
+    assert [effect.key.occurrence for effect in pool.step(1.0)] == [0]
+    assert [effect.key.occurrence for effect in pool.step(1.0)] == [1]
+
+
+def test_lasting_tasks_start_again_however_they_end():
+    pool = Pool()
+    pool.submit(A, task(lasting=True))
+    for kind in (EndKind.FAILED, EndKind.FAILED, EndKind.FAILED, EndKind.DONE):
+        pool.step(0.1)
+        _, key = next(iter(pool.running))
+        pool.end_unit(key, kind)
+        pool.done.clear()
+        pool.failed_runs.clear()
+    assert pool.step(1.0)
+
+
+@pytest.mark.parametrize('listed', [True, False])
+def test_runs_on_a_silent_worker_count_until_its_lease_has_ended(listed):
+    pool = Pool(workers=2)
+    pool.submit(A, task())
+    effect = pool.step()[0]
+    worker = pool.scheduler.worker_by_id[effect.worker_id]
+    worker.lease.read(50.0, pool.now_s)
+    worker.lease.sent(worker.lease.until(6.0, pool.now_s))
+    pool.scheduler.worker_silent(effect.worker_id, pool.now)
+    if not listed:
+        pool.scheduler.unlist_worker(effect.worker_id)
+    assert not pool.step(6.1)
+    pool.running.clear()
+    again = pool.step(0.2)
+    assert [each.worker_id for each in again if isinstance(each, StartRun)] != [effect.worker_id]
+    assert len(again) == 1
