Try the holder of a claim though a like gang was blocked by that claim

A pass remembers the shapes that did not fit and skips the like; a smaller gang that was blocked by a claim stood for the claim's holder too, so that neither ever started on an empty pool. Ruled out: a run left over from the power loss (every run of the gangs had ended in the log).

--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -78,8 +78,9 @@
         if step.spec.gang and step.run_by_index:
             return
         request = self._request(step, rank)
+        had_claim = self._has_claim(step)
         self._reopen_claim(step)
-        placement = self._place(request)
+        placement = self._place(request, had_claim=had_claim)
         if placement.count:
             self._start(step, placement, request, rank)
         missing = len(step.pending)
@@ -104,13 +105,17 @@
             settings.far_factor,
         )
 
-    def _place(self, request: Request) -> Placement:
-        """Try a placement unless a like request failed in this pass."""
+    def _place(self, request: Request, *, had_claim: bool) -> Placement:
+        """Try a placement unless a like request failed in this pass.
+
+        What a step with a claim may use others may not, so that their failure
+        tells nothing about it.
+        """
         step = request.step
         spec = step.spec
         signature = (spec.demand, spec.label, spec.data_rack, spec.same_rack, request.may_go_far)
         wanted = request.count if spec.gang else 1
-        is_plain = not spec.max_per_worker and not step.failed_on and not self._has_claim(step)
+        is_plain = not spec.max_per_worker and not step.failed_on and not had_claim
         if is_plain and self._blocked.get(signature, wanted + 1) <= wanted:
             return Placement(())
         placement = place(request, self._room)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -232,3 +232,19 @@
     again = pool.step(0.2)
     assert [each.worker_id for each in again if isinstance(each, StartRun)] != [effect.worker_id]
     assert len(again) == 1
+
+
+def test_the_holder_of_a_claim_is_tried_though_a_like_gang_was_blocked_by_that_claim():
+    """A smaller gang of the same shape came first, failed, and stood for both for ever."""
+    pool = Pool(workers=3)
+    wide = {'accelerators': 8, 'gang': True, 'work_s': 6.0}
+    pool.submit(A, task(2, accelerators=8, work_s=4.0), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(3, **wide), queue=ORDINARY)
+    pool.step(1.0)
+    pool.submit(C, task(2, **wide), queue=ORDINARY)
+    pool.step(1.0)
+    run_all(pool, A)
+    for _ in range(3):
+        pool.step(0.3)
+    assert any(key.job_id == B for _, key in pool.running)
