Go on watching from the revision at which a key was read

A read now carries the store's revision, and a history that is gone is followed by a pause with jitter. Ruled out: retries after refusals (the store was up).

--- a/packages/node/dahliaarch_node/following.py
+++ b/packages/node/dahliaarch_node/following.py
@@ -60,6 +60,7 @@
         while True:
             try:
                 await self._follow()
+                await anyio.sleep(self._timing.retry_pause_s())
             except (*STORE_FAILURES, ProtocolError) as error:
                 log_event('configuration_unreachable', why=str(error), version=self.version)
                 await anyio.sleep(self._timing.retry_pause_s())
@@ -70,7 +71,7 @@
         revision = 0
         if item is not None:
             self.offer(item.value, 'store')
-            revision = item.revision
+            revision = item.read_at
         while True:
             page = await self._store.watch(
                 CONFIGURATION_KEY,
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -59,6 +59,7 @@
     )
     if page is None:
         log_event('jobs_history_gone', revision=revision)
+        await anyio.sleep(feed.timing.retry_pause_s())
         page = await feed.store.list(JOBS_PREFIX, timeout_s=feed.timing.call_s)
     for item in page.items:
         post_job(item, feed.post)
@@ -123,6 +124,7 @@
         )
         if page is None:
             log_event('workers_history_gone', revision=revision)
+            await anyio.sleep(feed.timing.retry_pause_s())
             page = await feed.store.list(WORKERS_PREFIX, timeout_s=feed.timing.call_s)
             self.take_in(page)
             return page.revision
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -207,7 +207,7 @@
 
     async def _watch(self, item: Item) -> None:
         """Wait until the owner's key changes or goes."""
-        revision = item.revision
+        revision = item.read_at
         while not self.is_own:
             page = await self._store.watch(
                 OWNER_KEY,
@@ -215,7 +215,10 @@
                 wait_s=self._timing.watch_wait_s,
                 timeout_s=self._timing.watch_s,
             )
-            if page is None or page.items:
+            if page is None:
+                await anyio.sleep(self._timing.retry_pause_s())
+                return
+            if page.items:
                 return
             revision = max(revision, page.revision)
 
