Tell a slow worker from an estimate that was off

A run is now held against other runs of its step on other workers, and against the estimate only at five times.

--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,15 +1,20 @@
 """Runs that stand still, workers that turn slow or leave, and what moves away."""
 
 from .clock import Moment
+from .job_state import StepState
 from .runs import Run, RunPhase
 from .state import SchedulerState
 from .workers import WorkerState
 
 # A run is judged once it has had this long to begin, in seconds.
 _GRACE_S = 1.5
-# A run this many times slower than expected is on a slow worker; owners'
-# guesses are off by up to 0.9, so less would be their fault.
-_SLOW_FACTOR = 3.0
+# A run this many times slower than others of its step is on a slow worker.
+_SLOW_FACTOR = 2.5
+# The same against the expectation, where the step has too few other runs:
+# owners' guesses are off by up to 0.9 and more would be their fault.
+_SLOW_FACTOR_ALONE = 5.0
+# Other runs of a step that tell what is usual.
+_PEERS_THAT_TELL = 2
 # Work thrown away by a move must be less than this many seconds a task.
 _MOST_LOST_S = 2.5
 # A run that stands still this long is moved whatever is lost.
@@ -68,11 +73,30 @@
     if run.percent < _LEAST_PERCENT:
         return 1.0
     pace = ran_s / worked_s
-    if pace < _SLOW_FACTOR:
+    usual = _usual_pace(step, run)
+    limit = _SLOW_FACTOR_ALONE if usual is None else _SLOW_FACTOR
+    slowness = pace / (usual or 1.0)
+    if slowness < limit:
         return 1.0
-    if run.left_s(now.steady_s) > _GAIN_FACTOR * (run.work_s - worked_s + lost_s):
+    again_s = run.work_s * (usual or 1.0) * (1.0 if lost_s else 1.0 - run.percent / 100.0)
+    if run.left_s(now.steady_s) > _GAIN_FACTOR * again_s + state.settings.stop_timeout_s:
         state.stop_unit(run, 'worker is slow')
-    return pace
+    return slowness
+
+
+def _usual_pace(step: StepState, run: Run) -> float | None:
+    """Return the pace of the step's other runs on other workers; nothing if too few tell."""
+    if step.spec.gang:
+        # Members of a gang advance together, the slow one as fast as the rest.
+        return None
+    paces = sorted(
+        (other.seen_s - other.started_s) * 100.0 / (other.work_s * other.percent)
+        for other in step.run_by_index.values()
+        if other.worker_id != run.worker_id and other.percent >= _LEAST_PERCENT
+    )
+    if len(paces) < _PEERS_THAT_TELL:
+        return None
+    return max(1.0, paces[len(paces) // 2])
 
 
 # Below this share a pace says nothing, in percent.
