Let the lease of a silent worker end; stand-ins and scenarios with real daemons

Cause: each survey of a worker that did not answer asked for more time, and the owner took the worker to have got it, so that runs on a vanished worker never started elsewhere. Surveys after a failure ask for no time, and time counts as given only if the call was sent. Ruled out: the removal of the entry (it was noticed) and the expiry (it is tested in the kernel).

--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -163,7 +163,10 @@
         begun_s = context.clock()
         has_news = self.listed > self.acknowledged or not self._lease.has_reading
         wait_s = 0.0 if has_news or self._failures or self._stopped_at_by_run else settings.wait_s
-        until_s = self._lease_until(settings.draining_hold_s if self.is_draining else settings.hold_s)
+        # A worker that does not answer is not given more time: its lease must end
+        # at some point for its runs to start elsewhere.
+        hold_s = settings.draining_hold_s if self.is_draining else settings.hold_s
+        until_s = None if self._failures else self._lease_until(hold_s)
         try:
             survey = await context.client.survey(
                 self.address,
@@ -174,9 +177,14 @@
                 wait_s=wait_s,
                 timeout_s=wait_s + settings.answer_s,
             )
+        except WorkerUnreachable as error:
+            await self._survey_failed(error)
+            return
         except (*WORKER_FAILURES, ProtocolError) as error:
+            self._lease.sent(until_s or 0.0)
             await self._survey_failed(error)
             return
+        self._lease.sent(until_s or 0.0)
         if isinstance(survey, OrderStatus):
             await self._survey_refused(survey)
             return
@@ -279,6 +287,7 @@
     async def _start_once(self, effect: StartRun, payload: str) -> OrderStatus:
         context = self._context
         until_s = self._lease_until(context.settings.start_hold_s) or 0.0
+        self._lease.sent(until_s)
         order = StartOrder(effect.key, effect.run, payload, until_s, context.fence, effect.checkpoint)
         reply = await context.client.start(
             self.address,
@@ -328,9 +337,7 @@
     def _lease_until(self, hold_s: float) -> float | None:
         if not self._lease.has_reading:
             return None
-        until_s = self._lease.until(hold_s, self._context.clock())
-        self._lease.sent(until_s)
-        return until_s
+        return self._lease.until(hold_s, self._context.clock())
 
     def _read_clock(self, clock_s: float | None) -> None:
         if clock_s is not None:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -0,0 +1,268 @@
+"""Starts daemons as processes of their own against stand-ins in this process."""
+
+import os
+import secrets
+import signal
+import socket
+import subprocess  # noqa: S404 - the daemons are real processes
+import sys
+from pathlib import Path
+from typing import Any
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from dahliaarch_node.records import decode_member, OWNER_KEY
+from dahliaarch_platform.http import CallNotSent, CallUnanswered, HttpClient, Reply
+from dahliaarch_platform.settings import Address, PATH_VARIABLE
+
+from ..platform import StoreStandIn, WorkerStandIn
+
+KEY = 'operator-made-key'
+HOST = '127.0.0.1'
+PREFIX_BY_QUEUE = {'urgent': '/urgent/', 'ordinary': '/ordinary/'}
+_START_S = 20.0
+_STOP_S = 8.0
+
+
+class Caller:
+    """A client of the system: asks any instance, in turn.
+
+    Parameters
+    ----------
+    addresses : list of Address
+        Where the instances take requests.
+    """
+
+    def __init__(self, addresses: list[Address]) -> None:
+        """Start with the first instance."""
+        self._addresses = addresses
+        self._http = HttpClient()
+        self._next = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        *,
+        key: str = KEY,
+        timeout_s: float = 3.0,
+    ) -> Reply | None:
+        """Make one call; nothing when there was no answer."""
+        self._next += 1
+        address = self._addresses[self._next % len(self._addresses)]
+        headers = {'Authorization': f'Token {key}'}
+        try:
+            return await self._http.call(
+                address,
+                method,
+                path,
+                msgspec.json.encode(body) if body is not None else b'',
+                timeout_s=timeout_s,
+                headers=headers,
+            )
+        except (CallNotSent, CallUnanswered):
+            return None
+
+    async def submit(self, queue: str, steps: list[dict[str, Any]], payload: str, job_id: str = '') -> str:
+        """Hand a job in, again and again until it is accepted."""
+        job_id = job_id or secrets.token_hex(8)
+        while True:
+            reply = await self.call('POST', PREFIX_BY_QUEUE[queue] + job_id, {'Spec': payload, 'Steps': steps})
+            if reply is not None and reply.status == 200:
+                return job_id
+            await anyio.sleep(0.2)
+
+    async def state(self, queue: str, job_id: str) -> str:
+        """Return a job's state, its status when there is none, or nothing."""
+        reply = await self.call('GET', PREFIX_BY_QUEUE[queue] + job_id)
+        if reply is None:
+            return ''
+        if reply.status != 200:
+            return str(reply.status)
+        return str(msgspec.json.decode(reply.body)['State'])
+
+    async def wait_for(self, queue: str, job_id: str, state: str, timeout_s: float = 20.0) -> None:
+        """Wait until a job is in a state.
+
+        Raises
+        ------
+        TimeoutError
+            When it is not in time.
+        """
+        with anyio.fail_after(timeout_s):
+            while await self.state(queue, job_id) != state:
+                await anyio.sleep(0.05)
+
+
+class Deployment:
+    """A store, workers and daemons.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings files and logs go.
+    instances, workers : int
+        How many of each.
+    """
+
+    def __init__(self, folder: Path, instances: int = 3, workers: int = 4) -> None:
+        """Prepare; nothing runs yet."""
+        self.store = StoreStandIn()
+        self.workers = [WorkerStandIn(f'w{number}', 'svc', f'r{number // 8}', self.store) for number in range(workers)]
+        self.version = 0
+        self._folder = folder
+        self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._ports_by_name = {f'i{number}': _free_ports(3) for number in range(instances)}
+        self._store_address = Address('127.0.0.1', 0)
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the instances."""
+        return sorted(self._ports_by_name)
+
+    def caller(self, *names: str) -> Caller:
+        """Return a client of some instances, or of all."""
+        chosen = names or tuple(self.names)
+        return Caller([Address('127.0.0.1', self._ports_by_name[name][0]) for name in chosen])
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start everything and wait until every instance is ready."""
+        self._store_address = await self.store.listen()
+        tasks.start_soon(self.store.run)
+        for worker in self.workers:
+            tasks.start_soon(worker.run)
+        self.configure()
+        for name in self.names:
+            self.launch(name)
+        with anyio.fail_after(_START_S):
+            for name in self.names:
+                await self.wait_ready(name)
+            await self.owner()
+
+    def configure(self, keys: tuple[str, ...] = (KEY,), guaranteed: int = 16) -> None:
+        """Write a new version of the configuration."""
+        self.version += 1
+        queues = [_queue(name, prefix, priority) for priority, (name, prefix) in enumerate(PREFIX_BY_QUEUE.items())]
+        configuration = {
+            'Version': self.version,
+            'Routes': queues,
+            'Services': [{'Name': 'svc', 'EnforcesCapacity': True}],
+            'Tenants': [{'Name': 'crew', 'ApiKeys': list(keys), 'Guaranteed': {'Gpu': guaranteed}}],
+        }
+        self.store.put('op/config', msgspec.json.encode(configuration))
+
+    def launch(self, name: str) -> None:
+        """Start a daemon."""
+        path = self._folder / f'{name}.conf'
+        path.write_text(self._settings(name), encoding='utf-8')
+        log = (self._folder / f'{name}.log').open('ab')
+        self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - our own program
+            [sys.executable, '-m', 'dahliaarch_node.main'],
+            env={**os.environ, PATH_VARIABLE: str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def kill(self, name: str) -> None:
+        """Kill a daemon."""
+        process = self._process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> None:
+        """Ask a daemon to stop."""
+        self._process_by_name[name].send_signal(signal.SIGTERM)
+
+    def pause(self, name: str) -> None:
+        """Let a daemon stand still."""
+        self._process_by_name[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let it go on."""
+        self._process_by_name[name].send_signal(signal.SIGCONT)
+
+    async def wait_stopped(self, name: str) -> int:
+        """Wait for a daemon's end; return its status."""
+        process = self._process_by_name.pop(name)
+        with anyio.fail_after(_STOP_S):
+            while process.poll() is None:
+                await anyio.sleep(0.05)
+        return int(process.returncode)
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a daemon says that it is ready."""
+        caller = Caller([Address('127.0.0.1', self._ports_by_name[name][1])])
+        while True:
+            reply = await caller.call('GET', '/ready')
+            if reply is not None and reply.status == 200:
+                return
+            await anyio.sleep(0.05)
+
+    async def owner(self) -> str:
+        """Return the name of the instance that owns the pool, once there is one."""
+        while True:
+            name = self.owner_now()
+            if name is not None:
+                return name
+            await anyio.sleep(0.05)
+
+    def owner_now(self) -> str | None:
+        """Return the name of the instance that owns the pool now."""
+        value = self.store.value(OWNER_KEY)
+        return None if value is None else decode_member(value).instance
+
+    def close(self) -> None:
+        """End every daemon."""
+        for process in self._process_by_name.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self._process_by_name.clear()
+
+    def _settings(self, name: str) -> str:
+        front, ready, peers = self._ports_by_name[name]
+        lines = {
+            'Node': name,
+            'Zone': 'z',
+            'Ip': '127.0.0.1',
+            'Listen.Front': f'127.0.0.1:{front}',
+            'Listen.Ready': f'127.0.0.1:{ready}',
+            'PortRange': f'{peers},{peers}',
+            'Limits.CpuShare': '1',
+            'Limits.Cores': '1',
+            'Limits.MaxFds': '2048',
+            'HeartbeatMs': '500',
+            'Bootstrap': 'true',
+            'Bounds.MaxHoldMs': '3000',
+            'Bounds.GraceS': '6',
+            'platform.Addr': f'{self._store_address.host}:{self._store_address.port}',
+        }
+        return ''.join(f'{key}={text}\n' for key, text in lines.items())
+
+
+def _queue(name: str, prefix: str, priority: int) -> dict[str, Any]:
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': prefix,
+        'Service': 'svc',
+        'Priority': priority,
+        'MaxAttempts': 3,
+        'Stretch': 3.0,
+        'TargetLatencyMs': 1000,
+    }
+
+
+def _free_ports(count: int) -> list[int]:
+    """Return free ports: all are held until the last is known, so that they differ."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [int(each.getsockname()[1]) for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
@@ -0,0 +1,14 @@
+import pytest
+from anyio.from_thread import start_blocking_portal
+
+from ..core import Deployment
+from .running import Running
+
+
+@pytest.fixture
+def running(tmp_path):
+    """A deployment of real daemons; the stand-ins run in a thread of this process."""
+    with start_blocking_portal() as portal:
+        deployment = portal.call(Deployment, tmp_path)
+        with portal.wrap_async_context_manager(Running(deployment, portal)) as started:
+            yield started
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -0,0 +1,103 @@
+Feature: What must hold while instances, the store and workers fail
+
+  Scenario: A job of independent tasks is served
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: An urgent gang takes the room that a guarantee gives it
+    Given a deployment of three instances
+    And every accelerator runs patient work
+    When an urgent gang is accepted
+    Then it begins within the bound of reclaim
+    And it is shown as succeeded
+
+  Scenario: The owner is killed while work runs
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And the owner is killed once its tasks run
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: The owner stands still and comes back after another took over
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And the owner is paused for four seconds once its tasks run
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: Every instance is killed right after the acceptance
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And every instance is killed and started again
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: The owner is asked to stop and hands the pool over
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And the owner is asked to stop once its tasks run
+    Then another instance owns the pool within two seconds
+    And the owner ended without an error
+    And it is shown as succeeded
+    And no task ran twice
+
+  Scenario: The store is away while work ends
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And the store is silent for three seconds once its tasks run
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: The store forgets its history
+    Given a deployment of three instances
+    When the store forgets its history
+    And a job of three tasks is accepted
+    Then it is shown as succeeded
+    And the store is not asked more often than it should be
+
+  Scenario: Answers of the store are lost
+    Given a deployment of three instances
+    When half of the answers to writes are lost
+    And a job of three tasks is accepted
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: Orders are answered by nobody and carried out late
+    Given a deployment of three instances
+    When a third of the orders to workers is carried out late
+    And a job of three tasks is accepted
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: A cancelled job stops
+    Given a deployment of three instances
+    When a long job is accepted
+    And it is cancelled
+    Then it is shown as cancelled
+    And nothing of it runs
+
+  Scenario: A worker vanishes with what it runs
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And a worker that runs some of it vanishes
+    Then it is shown as succeeded
+
+  Scenario: The same job is handed in at every instance
+    Given a deployment of three instances
+    When the same job is handed in at every instance
+    Then it is shown as succeeded
+    And no task ran twice
+
+  Scenario: A refusal is true and says when to come back
+    Given a deployment of three instances
+    When the store refuses every call
+    Then a job is refused with a time to come back
+    And it never runs
+
+  Scenario: Keys that are taken away are refused everywhere
+    Given a deployment of three instances
+    When the key is replaced by another
+    Then the old key is refused at every instance within two seconds
+    And the new key is taken
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -0,0 +1,212 @@
+"""Scenarios with real daemons; the stand-ins see every order that is given."""
+
+import time
+
+from pytest_bdd import given, scenarios, then, when
+
+from ..core import KEY
+from .running import GANG, PARALLEL
+
+scenarios('must_hold.feature')
+
+OTHER_KEY = 'another-key'
+JOB = '/ordinary/' + 'ab' * 8
+
+
+@given('a deployment of three instances')
+def _(running):
+    assert len(running.deployment.names) == 3
+
+
+@given('every accelerator runs patient work')
+def _(running):
+    steps = [{**PARALLEL[0], 'Count': 32, 'EstimateMs': 20_000}]
+    running.submit(steps, '20')
+    running.wait_until(lambda: sum(len(worker.running) for worker in running.workers) == 32)
+
+
+@when('a job of three tasks is accepted')
+def _(running):
+    running.submit(PARALLEL)
+
+
+@when('a long job is accepted')
+def _(running):
+    running.submit(PARALLEL, '20')
+    running.wait_until(lambda: len(running.starts()) == 3)
+
+
+@when('an urgent gang is accepted')
+def _(running):
+    running.submit(GANG, queue='urgent')
+
+
+@then('it begins within the bound of reclaim')
+def _(running):
+    def both_run():
+        job_id = running.job_ids[-1]
+        return sum(task.startswith(job_id) for worker in running.workers for task in worker.running) == 2
+
+    running.wait_until(both_run, timeout_s=3.4)
+
+
+@when('the owner is killed once its tasks run')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+    running.deployment.kill(running.owner())
+
+
+@when('the owner is paused for four seconds once its tasks run')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+    owner = running.owner()
+    running.deployment.pause(owner)
+    running.sleep(4.0)
+    running.deployment.resume(owner)
+
+
+@when('every instance is killed and started again')
+def _(running):
+    for name in running.deployment.names:
+        running.deployment.kill(name)
+    for name in running.deployment.names:
+        running.deployment.launch(name)
+
+
+@when('the owner is asked to stop once its tasks run', target_fixture='stopped')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+    owner = running.owner()
+    running.deployment.terminate(owner)
+    return owner
+
+
+@then('another instance owns the pool within two seconds')
+def _(running, stopped):
+    running.wait_until(lambda: running.owner_now() not in {None, stopped}, timeout_s=2.0)
+
+
+@then('the owner ended without an error')
+def _(running, stopped):
+    assert running.portal.call(running.deployment.wait_stopped, stopped) == 0
+
+
+@when('the store is silent for three seconds once its tasks run')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+    running.store.faults.is_silent = True
+    running.sleep(3.0)
+    running.store.faults.is_silent = False
+
+
+@when('the store forgets its history', target_fixture='calls_before')
+def _(running):
+    running.store.forget_history()
+    return running.store.calls
+
+
+@then('the store is not asked more often than it should be')
+def _(running, calls_before):
+    before = running.store.calls
+    running.sleep(2.0)
+    # Three instances: renewals, watches and beats make well under 20 a second.
+    assert running.store.calls - before < 40
+
+
+@when('half of the answers to writes are lost')
+def _(running):
+    running.store.faults.lost_share = 0.5
+
+
+@when('a third of the orders to workers is carried out late')
+def _(running):
+    for worker in running.workers:
+        worker.faults.lost_share = 0.33
+        worker.faults.late_s = 1.5
+
+
+@when('it is cancelled')
+def _(running):
+    assert running.call('DELETE', '/ordinary/' + running.job_ids[-1]).status == 200
+
+
+@then('it is shown as cancelled')
+def _(running):
+    running.wait_for(running.job_ids[-1], 'cancelled')
+
+
+@then('nothing of it runs')
+def _(running):
+    running.wait_until(lambda: not any(worker.running for worker in running.workers), timeout_s=3.0)
+
+
+@when('a worker that runs some of it vanishes')
+def _(running):
+    running.wait_until(lambda: any(worker.running for worker in running.workers))
+    worker = next(worker for worker in running.workers if worker.running)
+    running.portal.call(_vanish, worker)
+
+
+async def _vanish(worker):
+    worker.leave()
+
+
+@when('the same job is handed in at every instance')
+def _(running):
+    job_id = 'cd' * 8
+    for name in running.deployment.names:
+        running.submit(PARALLEL, job_id=job_id, names=(name,))
+
+
+@then('it is shown as succeeded')
+def _(running):
+    job_id = running.job_ids[-1]
+    queue = 'urgent' if running.starts() and running.state(job_id, 'ordinary') == '404' else 'ordinary'
+    running.wait_for(job_id, 'succeeded', queue)
+
+
+@then('no task ran twice')
+def _(running):
+    assert not running.doubled()
+
+
+@when('the store refuses every call')
+def _(running):
+    running.store.faults.is_refusing = True
+
+
+@then('a job is refused with a time to come back')
+def _(running):
+    reply = running.call('POST', JOB, {'Spec': '0.1', 'Steps': PARALLEL})
+    assert reply.status == 503
+
+
+@then('it never runs')
+def _(running):
+    running.store.faults.is_refusing = False
+    running.sleep(1.5)
+    assert not running.starts()
+    assert running.state('ab' * 8) == '410'
+
+
+@when('the key is replaced by another')
+def _(running):
+    running.portal.call(_configure, running)
+
+
+async def _configure(running):
+    running.deployment.configure(keys=(OTHER_KEY,))
+
+
+@then('the old key is refused at every instance within two seconds')
+def _(running):
+    deadline_s = time.monotonic() + 2.0
+    for name in running.deployment.names:
+        while running.call('GET', JOB, names=(name,), key=KEY).status != 401:
+            assert time.monotonic() < deadline_s
+
+
+@then('the new key is taken')
+def _(running):
+    for name in running.deployment.names:
+        assert running.call('GET', JOB, names=(name,), key=OTHER_KEY).status == 410
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/platform/faults.py
@@ -0,0 +1,48 @@
+"""Faults that a stand-in can be told to have."""
+
+import random
+
+import anyio
+
+from dahliaarch_platform.http import Request, Response
+
+# Longer than any client waits: silence, as far as they can tell.
+_SILENCE_S = 30.0
+
+
+class Faults:
+    """Faults of one server; all off at first.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the choice of calls whose answers are lost.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        """Start without any."""
+        self.is_silent = False
+        self.is_refusing = False
+        self.delay_s = 0.0
+        self.lost_share = 0.0
+        self.late_s = 0.0
+        self._random = random.Random(seed)
+
+    async def before(self, request: Request) -> Response | None:
+        """Delay, silence or refuse a call before it is carried out."""
+        if self.delay_s:
+            await anyio.sleep(self.delay_s)
+        if self.is_silent:
+            await anyio.sleep(_SILENCE_S)
+        if self.is_refusing or self.is_silent:
+            return Response(503)
+        return None
+
+    def loses(self) -> bool:
+        """Tell whether the answer to a write is lost."""
+        return self._random.random() < self.lost_share
+
+    async def lose(self) -> Response:
+        """Say nothing for longer than any client waits."""
+        await anyio.sleep(_SILENCE_S)
+        return Response(503)
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -0,0 +1,200 @@
+"""The platform's store in memory."""
+
+import base64
+import time
+from collections import deque
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import msgspec
+
+from dahliaarch_platform.http import HttpServer, Request, Response
+from dahliaarch_platform.settings import Address
+
+from .faults import Faults
+
+_MS = 1000.0
+_PAGE = 500
+
+
+class StoreStandIn:
+    """Keys with revisions, leases, watches and transactions.
+
+    Parameters
+    ----------
+    faults : Faults
+        Faults that it has.
+    """
+
+    def __init__(self, faults: Faults | None = None) -> None:
+        """Start empty."""
+        self.faults = faults or Faults()
+        self.calls = 0
+        self.revision = 0
+        self._item_by_key: dict[str, dict[str, Any]] = {}
+        self._history: deque[dict[str, Any]] = deque(maxlen=50_000)
+        self._oldest = 0
+        self._changed = anyio.Event()
+        self._lease_ends: dict[int, tuple[float, float]] = {}
+        self._leases = 0
+        self.server = HttpServer(self._answer, max_body_bytes=4 * 1024 * 1024)
+
+    async def listen(self) -> Address:
+        """Listen on a free port of the loopback address."""
+        await self.server.listen(Address('127.0.0.1', 0))
+        return Address('127.0.0.1', self.server.port)
+
+    async def run(self) -> None:
+        """Let leases run out, until cancelled."""
+        while True:
+            await anyio.sleep(0.05)
+            now_s = time.monotonic()
+            for lease, (end_s, _) in tuple(self._lease_ends.items()):
+                if end_s < now_s:
+                    self._end_lease(lease)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key as the operator or a worker does."""
+        self.revision += 1
+        known = self._item_by_key.get(key)
+        item = {
+            'Key': key,
+            'Value': base64.b64encode(value).decode(),
+            'Revision': self.revision,
+            'Created': known['Created'] if known else self.revision,
+            'Lease': lease,
+        }
+        self._item_by_key[key] = item
+        self._record(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._item_by_key.pop(key, None) is not None:
+            self.revision += 1
+            self._record({'Key': key, 'Revision': self.revision, 'Removed': True})
+
+    def value(self, key: str) -> bytes | None:
+        """Return a value."""
+        item = self._item_by_key.get(key)
+        return None if item is None else base64.b64decode(item['Value'])
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys of a prefix."""
+        return sorted(key for key in self._item_by_key if key.startswith(prefix))
+
+    def forget_history(self) -> None:
+        """Answer 410 to watches from any earlier revision."""
+        self._history.clear()
+        self._oldest = self.revision
+        self._wake()
+
+    async def _answer(self, request: Request) -> Response:
+        self.calls += 1
+        refusal = await self.faults.before(request)
+        if refusal is not None:
+            return refusal
+        parts = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        match (request.method, parts.path):
+            case ('GET', '/kv-key'):
+                return self._get(query['Key'])
+            case ('GET', '/kv-range'):
+                return self._range(query)
+            case ('GET', '/kv-watch'):
+                return await self._watch(query)
+            case ('POST', '/kv-txn'):
+                return await self._write(request)
+            case ('POST', '/kv-lease'):
+                return self._grant(request)
+        name, _, number = parts.path.strip('/').partition('/')
+        if name == 'kv-keep':
+            return self._keep(int(number))
+        if name == 'kv-lease-end':
+            self._end_lease(int(number))
+            return Response(200)
+        return Response(404)
+
+    async def _write(self, request: Request) -> Response:
+        """Carry out a transaction; its answer may be lost, or it may be late."""
+        if self.faults.loses():
+            if self.faults.late_s:
+                await anyio.sleep(self.faults.late_s)
+            self._transact(request)
+            return await self.faults.lose()
+        return self._transact(request)
+
+    def _get(self, key: str) -> Response:
+        item = self._item_by_key.get(key)
+        if item is None:
+            return Response(404)
+        return _json(item | {'StoreRevision': self.revision})
+
+    def _range(self, query: dict[str, str]) -> Response:
+        after = query.get('After', '')
+        keys = [key for key in self.keys(query['PathPrefix']) if key > after]
+        items = [self._item_by_key[key] for key in keys[:_PAGE]]
+        return _json({'items': items, 'Truncated': len(keys) > _PAGE, 'StoreRevision': self.revision})
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query['After'])
+        with anyio.move_on_after(int(query['WaitMs']) / _MS):
+            while True:
+                if after < self._oldest:
+                    return Response(410)
+                changed = self._changed
+                prefix = query['PathPrefix']
+                events = [each for each in self._history if each['Revision'] > after and each['Key'].startswith(prefix)]
+                if events:
+                    return _json({'events': events, 'StoreRevision': self.revision})
+                await changed.wait()
+        return _json({'events': [], 'StoreRevision': self.revision})
+
+    def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.body)
+        conditions = body.get('ExpectedRev', ())
+        for row in conditions:
+            item = self._item_by_key.get(row['Key'])
+            if (item['Revision'] if item else 0) != row['Revision']:
+                present = [self._item_by_key[each['Key']] for each in conditions if each['Key'] in self._item_by_key]
+                return _json({'items': present}, 412)
+        writes = body.get('Writes', ())
+        if any(row.get('Lease') and row['Lease'] not in self._lease_ends for row in writes):
+            return Response(404)
+        for row in writes:
+            self.put(row['Key'], base64.b64decode(row['Value']), row.get('Lease', 0))
+        for key in body.get('Remove', ()):
+            self.remove(key)
+        return _json({'Revision': self.revision})
+
+    def _grant(self, request: Request) -> Response:
+        ttl_s = msgspec.json.decode(request.body)['TtlMs'] / _MS
+        self._leases += 1
+        self._lease_ends[self._leases] = (time.monotonic() + ttl_s, ttl_s)
+        return _json({'Lease': self._leases, 'TtlMs': int(ttl_s * _MS)})
+
+    def _keep(self, lease: int) -> Response:
+        if lease not in self._lease_ends:
+            return Response(404)
+        _, ttl_s = self._lease_ends[lease]
+        self._lease_ends[lease] = (time.monotonic() + ttl_s, ttl_s)
+        return _json({'TtlMs': int(ttl_s * _MS)})
+
+    def _end_lease(self, lease: int) -> None:
+        self._lease_ends.pop(lease, None)
+        for key, item in tuple(self._item_by_key.items()):
+            if item['Lease'] == lease:
+                self.remove(key)
+
+    def _record(self, event: dict[str, Any]) -> None:
+        self._history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+
+def _json(fields: dict[str, Any], status: int = 200) -> Response:
+    return Response(status, msgspec.json.encode(fields))
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -0,0 +1,228 @@
+"""A worker in memory: runs tasks under leases and refuses older owners."""
+
+import time
+from typing import Any, NamedTuple
+
+import anyio
+import msgspec
+
+from dahliaarch_kernel.workload import Resources
+from dahliaarch_platform.http import HttpServer, Request, Response
+from dahliaarch_platform.settings import Address
+
+from .faults import Faults
+from .store import StoreStandIn
+
+_MS = 1000.0
+_HEARTBEAT_S = 0.5
+_TICK_S = 0.02
+
+
+class _Run:
+    """One run: its number, work done and whether it stops."""
+
+    def __init__(self, task: str, number: int, work_s: float, now_s: float) -> None:
+        self.task = task
+        self.number = number
+        self.work_s = work_s
+        self.started_s = now_s
+        self.stops_at_s: float | None = None
+
+    def percent(self, now_s: float) -> int:
+        return min(99, int(100 * (now_s - self.started_s) / self.work_s))
+
+
+class Started(NamedTuple):
+    """A start that a worker carried out."""
+
+    worker: str
+    task: str
+    run: int
+    fence: int
+    at_s: float
+
+
+class Ended(NamedTuple):
+    """An end of a run."""
+
+    worker: str
+    task: str
+    run: int
+    how: str
+    at_s: float
+
+
+class WorkerStandIn:
+    """One life of a worker.
+
+    Tasks take the time that their payload names in seconds; a payload that
+    begins with ``fail`` fails.
+
+    Parameters
+    ----------
+    worker_id : str
+        Identifier of this life.
+    service : str
+        Service that it belongs to.
+    rack : str
+        Its rack.
+    store : StoreStandIn
+        Where it publishes its entry.
+    faults : Faults
+        Faults that it has.
+    """
+
+    def __init__(
+        self,
+        worker_id: str,
+        service: str,
+        rack: str,
+        store: StoreStandIn,
+        faults: Faults | None = None,
+    ) -> None:
+        """Start empty."""
+        self.worker_id = worker_id
+        self.faults = faults or Faults()
+        self.starts: list[Started] = []
+        self.ends: list[Ended] = []
+        self.is_draining = False
+        self.capacity = Resources(64_000, 262_144, 8)
+        self._service = service
+        self._rack = rack
+        self._store = store
+        self._run_by_task: dict[str, _Run] = {}
+        self._highest_by_task: dict[str, int] = {}
+        self._finished: list[list[Any]] = []
+        self._ends = 0
+        self._fence = 0
+        self._until_s = 0.0
+        self._news = anyio.Event()
+        self._address = Address('127.0.0.1', 0)
+        self._seq = 0
+        self.server = HttpServer(self._answer)
+
+    @property
+    def running(self) -> dict[str, int]:
+        """Runs by task."""
+        return {task: run.number for task, run in self._run_by_task.items()}
+
+    async def run(self) -> None:
+        """Serve, work and publish, until cancelled."""
+        await self.server.listen(Address('127.0.0.1', 0))
+        self._address = Address('127.0.0.1', self.server.port)
+        next_beat_s = 0.0
+        while True:
+            if time.monotonic() >= next_beat_s:
+                self._publish()
+                next_beat_s = time.monotonic() + _HEARTBEAT_S
+            self._work(time.monotonic())
+            await anyio.sleep(_TICK_S)
+
+    def leave(self) -> None:
+        """Vanish without a word."""
+        self._store.remove(f'servers/{self.worker_id}')
+        self.server.close()
+        self._run_by_task.clear()
+
+    def _publish(self) -> None:
+        entry = {
+            'Service': self._service,
+            'Addr': f'{self._address.host}:{self._address.port}',
+            'Zone': 'z',
+            'Slots': 8,
+            'State': 'draining' if self.is_draining else 'ready',
+            'Capacity': {'Cpu': self.capacity[0], 'MemMb': self.capacity[1], 'Gpu': self.capacity[2]},
+            'Labels': ['a', self._rack],
+            'ClockMs': int(time.monotonic() * _MS),
+        }
+        if self.is_draining:
+            entry['RemainingMs'] = 4000
+        if self._seq == 0 or self.is_draining:
+            self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
+        self._seq += 1
+
+    def _work(self, now_s: float) -> None:
+        lapsed = self._until_s and now_s > self._until_s
+        for run in tuple(self._run_by_task.values()):
+            if lapsed:
+                self._end(run, 'lapsed', now_s)
+            elif run.stops_at_s is not None and now_s >= run.stops_at_s:
+                self._end(run, 'stopped', now_s)
+            elif now_s - run.started_s >= run.work_s:
+                self._end(run, 'failed' if run.work_s < 0 else 'done', now_s)
+
+    def _end(self, run: _Run, how: str, now_s: float) -> None:
+        self._run_by_task.pop(run.task, None)
+        self._ends += 1
+        self._finished.append([self._ends, run.task, run.number, how, ''])
+        self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s))
+        news, self._news = self._news, anyio.Event()
+        news.set()
+
+    async def _answer(self, request: Request) -> Response:
+        refusal = await self.faults.before(request)
+        if refusal is not None:
+            return refusal
+        if request.header('expected-instance') not in {'', self.worker_id}:
+            return Response(421)
+        body = msgspec.json.decode(request.body)
+        if body.get('Fence', 0) < self._fence:
+            return self._reply({'Reason': 'fence'}, 409)
+        self._fence = body.get('Fence', 0)
+        is_lost = self.faults.loses()
+        if is_lost and self.faults.late_s:
+            await anyio.sleep(self.faults.late_s)
+        response = await self._carry_out(request.path, body)
+        return await self.faults.lose() if is_lost else response
+
+    async def _carry_out(self, path: str, body: dict[str, Any]) -> Response:
+        if path == '/hold':
+            return await self._hold(body)
+        if path == '/run-start':
+            return self._start(body)
+        if path == '/run-stop':
+            return self._stop(body)
+        return Response(404)
+
+    async def _hold(self, body: dict[str, Any]) -> Response:
+        self._extend(body)
+        self._finished = [row for row in self._finished if row[0] > body['AckedUpto']]
+        if not self._finished and body.get('WaitMs'):
+            news = self._news
+            with anyio.move_on_after(body['WaitMs'] / _MS):
+                await news.wait()
+        now_s = time.monotonic()
+        running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._run_by_task.values()]
+        return self._reply({'Running': running, 'Finished': self._finished[:500]})
+
+    def _start(self, body: dict[str, Any]) -> Response:
+        now_s = time.monotonic()
+        task, number = body['Task'], body['Run']
+        known = self._run_by_task.get(task)
+        if known is not None and known.number == number:
+            return self._reply({})
+        if body['UntilMs'] / _MS <= now_s:
+            return self._reply({'Reason': 'late'}, 409)
+        if number <= self._highest_by_task.get(task, 0):
+            return self._reply({'Reason': 'old'}, 409)
+        self._extend(body)
+        self._highest_by_task[task] = number
+        payload = body['Spec']
+        work_s = -1.0 if payload.startswith('fail') else float(payload)
+        self._run_by_task[task] = _Run(task, number, work_s, now_s)
+        self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s))
+        return self._reply({})
+
+    def _stop(self, body: dict[str, Any]) -> Response:
+        task, number = body['Task'], body['Run']
+        run = self._run_by_task.get(task)
+        self._highest_by_task[task] = max(number, self._highest_by_task.get(task, 0))
+        if run is not None and run.number == number:
+            run.stops_at_s = time.monotonic() + 0.1
+        return self._reply({})
+
+    def _extend(self, body: dict[str, Any]) -> None:
+        self._until_s = max(self._until_s, body.get('UntilMs', 0) / _MS)
+
+    def _reply(self, fields: dict[str, Any], status: int = 200) -> Response:
+        return Response(status, msgspec.json.encode({'ClockMs': int(time.monotonic() * _MS), **fields}))
