--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -10,6 +10,8 @@
 from .runs import Run, RunPhase
 from .workers import WorkerState
 
+# Room that others have claimed is taken, however short the work that asks.
+_FOR_GOOD = float('inf')
 # Cost of any stop, in seconds of the run's work: its restart elsewhere.
 _RESTART_S = 0.5
 # A run with less than this left is cheaper to wait for than to stop.
@@ -113,7 +115,7 @@
     def _offers(self, step: StepState, room: Room, rank: int, worker: WorkerState) -> list[_Offer]:
         demand = effective_demand(step)
         limit = per_worker_limit(worker, step)
-        free = room.free_for(worker, step, self._now_s)
+        free = room.free_for(worker, step, _FOR_GOOD)
         stopping = [run for run in worker.run_by_key.values() if run.phase is RunPhase.STOPPING]
         for run in stopping:
             free = free.plus(run.demand)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -248,3 +248,17 @@
     for _ in range(3):
         pool.step(0.3)
     assert any(key.job_id == B for _, key in pool.running)
+
+
+def test_two_urgent_gangs_do_not_claim_the_same_room():
+    """Each was kept from the other's claim and both waited until the claims were stale."""
+    pool = Pool(workers=4)
+    pool.submit(A, task(4, accelerators=8, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
+    pool.step()
+    pool.submit(C, task(2, accelerators=8, gang=True), queue=URGENT)
+    pool.step(0.1)
+    pool.finish_stops()
+    started = {effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)}
+    assert started == {B, C}
