--- a/packages/node/dahliaarch_node/front/acceptance.py
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -9,7 +9,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_platform.store import (
     CommitStatus,
     Condition,
@@ -23,11 +22,10 @@
 from ..logs import log_event
 from ..records import cancel_key, job_key
 
-# Longest time that a request is held for the store, in seconds: under half of
-# the shortest deadline seen, so that the caller can try elsewhere.
-HOLD_S = 1.3
-# Longest wait for one answer, in seconds; see StoreTiming.
-_ONE_CALL_S = 0.8
+# Longest time that a request is held for the store, in seconds. A slow store
+# was seen to take 0.25 s; holding for 1.3 s, or asking a store again that had
+# refused, cost more than it saved (docs/design/measurements.md).
+HOLD_S = 0.8
 
 
 class Fate(StrEnum):
@@ -46,31 +44,36 @@
     revision: int = 0
 
 
-async def keep_job(store: StoreClient, job_id: str, record: bytes) -> WriteOutcome:
+async def keep_job(store: StoreClient, job_id: str, record: bytes, hold_s: float = HOLD_S) -> WriteOutcome:
     """Keep a job unless one of its id is kept already."""
     write = Write(job_key(job_id), record)
-    return await _commit(store, (Condition(write.key, 0),), write)
+    return await _commit(store, (Condition(write.key, 0),), write, hold_s)
 
 
-async def keep_cancellation(store: StoreClient, job_id: str) -> WriteOutcome:
+async def keep_cancellation(store: StoreClient, job_id: str, hold_s: float = HOLD_S) -> WriteOutcome:
     """Keep a cancellation."""
-    return await _commit(store, (), Write(cancel_key(job_id), b''))
+    return await _commit(store, (), Write(cancel_key(job_id), b''), hold_s)
 
 
-async def _commit(store: StoreClient, conditions: tuple[Condition, ...], write: Write) -> WriteOutcome:
-    deadline_s = time.monotonic() + HOLD_S
+async def _commit(
+    store: StoreClient,
+    conditions: tuple[Condition, ...],
+    write: Write,
+    hold_s: float,
+) -> WriteOutcome:
+    deadline_s = time.monotonic() + hold_s
     is_ambiguous = False
     while True:
         left_s = deadline_s - time.monotonic()
         if left_s <= 0:
             return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
         try:
-            outcome = await store.commit(conditions, (write,), timeout_s=min(left_s, _ONE_CALL_S))
+            outcome = await store.commit(conditions, (write,), timeout_s=left_s)
         except StoreUnanswered as error:
             log_event('write_unanswered', key=write.key, why=str(error))
             is_ambiguous = True
             continue
-        except (StoreRefused, StoreUnreachable, ProtocolError) as error:
+        except (StoreRefused, StoreUnreachable) as error:
             log_event('write_refused', key=write.key, why=str(error), was_ambiguous=is_ambiguous)
             return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
         if outcome.status is CommitStatus.DONE:
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -1,6 +1,8 @@
 """Answers callers' requests on any instance."""
 
 import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -36,9 +38,11 @@
 
 # Longest wait for the owner's answer, in seconds: a lost packet is sent again
 # within it, and the store can still be asked after.
-_ASK_OWNER_S = 0.5
+_ASK_OWNER_S = 0.4
+# Longest try at an own write before the owner is asked to make it, in seconds.
+_OWN_TRY_S = 0.35
 # Longest wait for a read of the store, in seconds.
-_READ_S = 0.9
+_READ_S = 0.6
 # When a caller may come again after a refusal, in whole seconds.
 _RETRY_AFTER_S = 1
 _JOB_ID_LENGTH = 16
@@ -46,6 +50,9 @@
 _TOKEN_SCHEME = 'Token '  # noqa: S105
 
 
+_Keep = Callable[[float], Awaitable[WriteOutcome]]
+
+
 class _Call(NamedTuple):
     """A request whose queue and account are known."""
 
@@ -147,10 +154,9 @@
             log_event('job_rejected', job=call.job_id, why=str(error))
             return _json(HTTPStatus.BAD_REQUEST, {'error': str(error)})
         record = encode_job_record(JobRecord(spec, call.queue))
-        outcome = await keep_job(self._store, call.job_id, record)
-        if outcome.fate is Fate.NOT_KEPT:
-            outcome = await self._keep_through_owner(AcceptJob(call.job_id, record))
-        elif outcome.fate is Fate.KEPT and outcome.revision:
+        keep = partial(keep_job, self._store, call.job_id, record)
+        outcome = await self._keep(keep, AcceptJob(call.job_id, record))
+        if outcome.fate is Fate.KEPT and outcome.revision:
             self._tell_owner(JobNews(call.job_id, record, outcome.revision, is_cancel=False))
         return _answer_to_write(outcome)
 
@@ -167,10 +173,9 @@
                 return _answer_to_write(await self._keep_through_owner(AcceptCancel(call.job_id)))
             if item is None:
                 return Response(HTTPStatus.GONE)
-        outcome = await keep_cancellation(self._store, call.job_id)
-        if outcome.fate is Fate.NOT_KEPT:
-            outcome = await self._keep_through_owner(AcceptCancel(call.job_id))
-        elif outcome.fate is Fate.KEPT:
+        keep = partial(keep_cancellation, self._store, call.job_id)
+        outcome = await self._keep(keep, AcceptCancel(call.job_id))
+        if outcome.fate is Fate.KEPT:
             self._tell_owner(JobNews(call.job_id, b'', outcome.revision, is_cancel=True))
         return _answer_to_write(outcome)
 
@@ -212,6 +217,18 @@
             log_event('owner_silent', owner=owner.member.instance, epoch=owner.epoch, why=str(error))
             return None
 
+    async def _keep(self, keep: _Keep, message: AcceptJob | AcceptCancel) -> WriteOutcome:
+        """Write, and let the owner write what the store does not take from this instance."""
+        if self._ownership.owner is None or self._ownership.is_own:
+            return await keep(HOLD_S)
+        own = await keep(_OWN_TRY_S)
+        if own.fate is Fate.KEPT:
+            return own
+        other = await self._keep_through_owner(message)
+        if other.fate is Fate.NOT_KEPT and own.fate is Fate.UNKNOWN:
+            return own
+        return other
+
     async def _keep_through_owner(self, message: AcceptJob | AcceptCancel) -> WriteOutcome:
         """Let the owner write what the store would not take from this instance."""
         owner = self._ownership.owner
@@ -219,7 +236,7 @@
             return WriteOutcome(Fate.NOT_KEPT)
         address = (owner.member.host, owner.member.port)
         try:
-            reply = await self._mesh.ask(address, message, timeout_s=HOLD_S)
+            reply = await self._mesh.ask(address, message, timeout_s=HOLD_S - _OWN_TRY_S)
         except PeerSilent as error:
             log_event('write_through_owner_unanswered', job=message.job_id, why=str(error))
             return WriteOutcome(Fate.UNKNOWN)
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -27,8 +27,11 @@
 )
 from .records import decode_job_record, job_key
 
+# Longest try at a write for another instance, in seconds: what is left of the
+# time that it holds its caller.
+_HOLD_S = 0.45
 # Longest wait for a read of the store, in seconds.
-_READ_S = 0.9
+_READ_S = 0.4
 
 
 class PeerReplies:
@@ -94,7 +97,7 @@
 
     @_reply.register
     async def _(self, message: AcceptJob) -> Message | None:
-        outcome = await keep_job(self._store, message.job_id, message.record)
+        outcome = await keep_job(self._store, message.job_id, message.record, _HOLD_S)
         if outcome.fate is Fate.KEPT and outcome.revision:
             self._pass_on(message.job_id, message.record, outcome.revision, is_cancel=False)
         return _accepted(outcome)
@@ -106,7 +109,7 @@
                 return Accepted(is_done=False, is_certain=True, is_missing=True)
         except (*STORE_FAILURES, ProtocolError):
             return Accepted(is_done=False, is_certain=True)
-        outcome = await keep_cancellation(self._store, message.job_id)
+        outcome = await keep_cancellation(self._store, message.job_id, _HOLD_S)
         if outcome.fate is Fate.KEPT:
             self._pass_on(message.job_id, b'', outcome.revision, is_cancel=True)
         return _accepted(outcome)
