--- a/Makefile
+++ b/Makefile
@@ -2,33 +2,26 @@
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
-USER_CASE ?= cascade
 SEED ?= 1
 
-.PHONY: demo test lint bench slopes clean
+.PHONY: demo test lint clean
 
-$(READY): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+$(READY): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt --requirement requirements.txt
 	touch $@
 
 demo: $(READY)
-	$(BIN)/dahliaarch demo --case $(USER_CASE) --seed $(SEED)
+	$(BIN)/dahliaarch demo --seed $(SEED)
 
 test: $(READY)
 	$(BIN)/python -m pytest
 
-bench: $(READY)
-	$(BIN)/dahliaarch bench --seed $(SEED)
-
-slopes: $(READY)
-	$(BIN)/dahliaarch slopes
-
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages
-	$(BIN)/mypy packages
+	$(BIN)/flake8 packages platform
+	$(BIN)/mypy packages platform
 	$(BIN)/lint-imports
 
 clean:
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/client.py
@@ -0,0 +1,86 @@
+"""Calls of the system's interface, with failures as values."""
+
+from enum import StrEnum
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+import httpx
+from result import Err, Ok, Result
+
+# Longest wait for an answer, in seconds.
+_TIMEOUT_S = 5.0
+
+
+class FailureKind(StrEnum):
+    """What a failed call tells."""
+
+    NOT_REACHED = 'not reached'
+    IN_DOUBT = 'in doubt: ask again with the same id'
+    REFUSED = 'refused: it has not run and will not'
+    NO_ACCESS = 'the key is not in force'
+    NOT_FOUND = 'no such queue'
+    GONE = 'no such job'
+    MALFORMED = 'malformed'
+
+
+class CallFailure(NamedTuple):
+    """A call that failed."""
+
+    kind: FailureKind
+    detail: str
+
+
+_KIND_BY_STATUS: dict[int, FailureKind] = {
+    HTTPStatus.BAD_REQUEST: FailureKind.MALFORMED,
+    HTTPStatus.UNAUTHORIZED: FailureKind.NO_ACCESS,
+    HTTPStatus.NOT_FOUND: FailureKind.NOT_FOUND,
+    HTTPStatus.GONE: FailureKind.GONE,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: FailureKind.MALFORMED,
+    HTTPStatus.TOO_MANY_REQUESTS: FailureKind.REFUSED,
+    HTTPStatus.SERVICE_UNAVAILABLE: FailureKind.REFUSED,
+}
+
+
+class Client:
+    """A caller.
+
+    Parameters
+    ----------
+    url : str
+        Address of an instance.
+    key : str
+        Key of a client account.
+    """
+
+    def __init__(self, url: str, key: str) -> None:
+        """Prepare; nothing is called yet."""
+        headers = {'Authorization': f'Token {key}'} if key else {}
+        self._http = httpx.Client(base_url=url, headers=headers, timeout=_TIMEOUT_S)
+
+    def submit(self, queue: str, job_id: str, body: bytes) -> Result[str, CallFailure]:
+        """Hand a job in."""
+        return self._call('POST', queue + job_id, body).map(lambda _: '')
+
+    def state(self, queue: str, job_id: str) -> Result[str, CallFailure]:
+        """Return the state of a job."""
+        return self._call('GET', queue + job_id).map(lambda reply: str(reply.json()['State']))
+
+    def cancel(self, queue: str, job_id: str) -> Result[str, CallFailure]:
+        """Cancel a job."""
+        return self._call('DELETE', queue + job_id).map(lambda _: '')
+
+    def status(self) -> Result[dict[str, Any], CallFailure]:
+        """Return what an instance knows of the pool."""
+        return self._call('GET', '/status').map(lambda reply: dict(reply.json()))
+
+    def _call(self, method: str, path: str, body: bytes = b'') -> Result[httpx.Response, CallFailure]:
+        try:
+            reply = self._http.request(method, path, content=body)
+        except httpx.ConnectError as error:
+            return Err(CallFailure(FailureKind.NOT_REACHED, str(error)))
+        except httpx.HTTPError as error:
+            return Err(CallFailure(FailureKind.IN_DOUBT, str(error)))
+        if reply.is_success:
+            return Ok(reply)
+        kind = _KIND_BY_STATUS.get(reply.status_code, FailureKind.IN_DOUBT)
+        return Err(CallFailure(kind, reply.text or str(reply.status_code)))
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -0,0 +1,102 @@
+"""Tells from log lines what became of a job."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+
+class LogLine(NamedTuple):
+    """One line of a log.
+
+    Parameters
+    ----------
+    at_s : float
+        When it was written, seconds since 1970.
+    instance : str
+        Which instance wrote it.
+    event : str
+        What it is about.
+    fields : dict
+        The whole line.
+    """
+
+    at_s: float
+    instance: str
+    event: str
+    fields: dict[str, Any]
+
+
+_SENTENCE_BY_EVENT = {
+    'request_answered': "a caller's {operation} was answered {status} after {took_s} s (configuration {configuration})",
+    'job_rejected': 'the job was refused as malformed: {why}',
+    'job_known': 'the owner learnt of the job on queue {queue} (store revision {revision})',
+    'job_cancelled': 'the owner cancelled the job',
+    'run_ordered': 'task {task} was ordered to start on {worker} as run {run}',
+    'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
+    'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
+    'start_refused': '{worker} refused run {run} of task {task}: {status}',
+    'start_in_doubt': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
+    'write_unanswered': 'the store did not answer a write: {why}',
+    'write_refused': 'the store refused a write (an earlier try in doubt: {was_ambiguous}): {why}',
+    'state_unknown': 'the state could not be told: {why}',
+    'cancel_in_doubt': 'the store could not be asked about a cancellation: {why}',
+}
+
+
+def read_lines(path: Path) -> Iterator[LogLine]:
+    """Yield the log lines of a file; other lines are passed over."""
+    with path.open(encoding='utf-8') as lines:
+        for text in lines:
+            try:
+                fields = json.loads(text[text.find('{') :])
+            except ValueError:
+                continue
+            if isinstance(fields, dict) and 'event' in fields and 'at' in fields:
+                yield LogLine(fields['at'], fields.get('instance', '?'), fields['event'], fields)
+
+
+def explain_job(job_id: str, lines: Iterable[LogLine], *, as_json: bool = False) -> Iterator[str]:
+    """Yield what the lines tell of a job, in order of time, and what they don't."""
+    about = sorted((line for line in lines if _is_about(line, job_id)), key=lambda line: line.at_s)
+    if as_json:
+        for line in about:
+            yield json.dumps(line.fields)
+        return
+    for line in about:
+        yield f'{line.at_s:.3f} {line.instance}: {_sentence(line)}'
+    yield from _gaps(about)
+
+
+def _sentence(line: LogLine) -> str:
+    pattern = _SENTENCE_BY_EVENT.get(line.event)
+    if pattern is None:
+        return f'{line.event} {json.dumps(line.fields)}'
+    return pattern.format_map(line.fields)
+
+
+def _is_about(line: LogLine, job_id: str) -> bool:
+    task = line.fields.get('task')
+    if isinstance(task, list) and task and task[0] == job_id:
+        return True
+    if line.fields.get('job') == job_id:
+        return True
+    return any(job_id in str(line.fields.get(name, '')) for name in ('target', 'key'))
+
+
+def _gaps(lines: list[LogLine]) -> Iterator[str]:
+    """Yield what the lines do not tell."""
+    events = {line.event for line in lines}
+    if not lines:
+        yield 'not known: no line names this job; it was never received, or the logs are of other instances or times'
+        return
+    if 'request_answered' not in events:
+        yield 'not known: which instance took the job; the log of that instance is missing'
+    if 'job_known' not in events:
+        yield 'not known: whether an owner learnt of the job; it was refused, or the log of the owner is missing'
+    if 'job_known' in events and 'run_ordered' not in events:
+        yield 'nothing of it was started in this time: see its queue in the status, and what else ran'
+    ordered = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event == 'run_ordered'}
+    ended = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event == 'run_ended'}
+    for task, run in sorted(ordered - ended):
+        yield f'not known: how run {run} of task {list(task)} ended'
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -0,0 +1,103 @@
+"""Commands for owners of jobs and for operators."""
+
+import json
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+from result import is_ok, Result
+from rich.console import Console
+from rich.table import Table
+
+from dahliaarch_standins.demo import run_demo
+
+from .client import CallFailure, Client
+from .explaining import explain_job, LogLine, read_lines
+
+app = typer.Typer(no_args_is_help=True, help=__doc__)
+_console = Console()
+
+Url = Annotated[str, typer.Option('--url', envvar='DAHLIAARCH_URL', help='Address of any instance, for callers.')]
+Key = Annotated[str, typer.Option('--key', envvar='DAHLIAARCH_KEY', help='Key of a client account.')]
+Queue = Annotated[str, typer.Argument(help='Path of the queue, for example /reconciliation/.')]
+JobId = Annotated[str, typer.Argument(help='16 hexadecimal digits, chosen by the caller.')]
+
+
+@app.command()
+def submit(queue: Queue, job_id: JobId, job: Path, url: Url, key: Key = '') -> None:
+    """Hand a job in: JOB is a file with the body of the request."""
+    _finish(Client(url, key).submit(queue, job_id, job.read_bytes()), 'accepted')
+
+
+@app.command()
+def state(queue: Queue, job_id: JobId, url: Url, key: Key = '') -> None:
+    """Show the state of a job."""
+    _finish(Client(url, key).state(queue, job_id))
+
+
+@app.command()
+def cancel(queue: Queue, job_id: JobId, url: Url, key: Key = '') -> None:
+    """Cancel a job."""
+    _finish(Client(url, key).cancel(queue, job_id), 'cancelled')
+
+
+@app.command()
+def status(
+    url: Annotated[str, typer.Option('--status-url', envvar='DAHLIAARCH_STATUS_URL', help='Readiness address.')],
+    as_json: Annotated[bool, typer.Option('--json', help='Print the whole answer.')] = False,
+) -> None:
+    """Show in one look who owns the pool, what waits, who borrows and which workers are bad."""
+    answer = Client(url, '').status()
+    if not is_ok(answer):
+        _fail(answer.unwrap_err())
+    if as_json:
+        typer.echo(json.dumps(answer.unwrap(), indent=2))
+        return
+    for name, rows in answer.unwrap().items():
+        _print(name, rows)
+
+
+@app.command()
+def explain(
+    job_id: JobId,
+    logs: Annotated[list[Path], typer.Argument(help='Files with log lines of the instances, in any order.')],
+    as_json: Annotated[bool, typer.Option('--json', help='Print the lines as they were written.')] = False,
+) -> None:
+    """Tell from logs what became of a job, step by step, and what they do not tell."""
+    lines: list[LogLine] = []
+    for path in logs:
+        lines.extend(read_lines(path))
+    for sentence in explain_job(job_id, lines, as_json=as_json):
+        typer.echo(sentence)
+
+
+@app.command()
+def demo(jobs: int = 40, seed: int = 1) -> None:
+    """Run real daemons against stand-ins, kill the owner meanwhile, and count."""
+    counts = run_demo(jobs, seed)
+    typer.echo(json.dumps(counts._asdict()))
+    raise typer.Exit(0 if counts.is_right else 1)
+
+
+def _print(name: str, rows: object) -> None:
+    if not isinstance(rows, list):
+        _console.print(f'{name}: {rows}')
+        return
+    table = Table(title=name)
+    columns = list(rows[0]) if rows else []
+    for column in columns:
+        table.add_column(column)
+    for row in rows:
+        table.add_row(*(str(row[column]) for column in columns))
+    _console.print(table)
+
+
+def _finish(answer: Result[str, CallFailure], done: str = '') -> None:
+    if not is_ok(answer):
+        _fail(answer.unwrap_err())
+    typer.echo(done or answer.unwrap())
+
+
+def _fail(failure: CallFailure) -> NoReturn:
+    typer.echo(f'{failure.kind}: {failure.detail}', err=True)
+    raise typer.Exit(1)
--- a/packages/kernel/dahliaarch_kernel/configuration/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/__init__.py
@@ -1,15 +1,15 @@
 """The operators' configuration: queues, client accounts and limits."""
 
 from .core import Account, Configuration, HttpLimits, Queue, ServiceSettings
-from .lookup import AccessDenied, authorize, find_queue, RouteNotFound
+from .lookup import AccessDeniedError, authorize, find_queue, RouteNotFoundError
 
 __all__ = (
-    'AccessDenied',
+    'AccessDeniedError',
     'Account',
     'Configuration',
     'HttpLimits',
     'Queue',
-    'RouteNotFound',
+    'RouteNotFoundError',
     'ServiceSettings',
     'authorize',
     'find_queue',
--- a/packages/kernel/dahliaarch_kernel/configuration/lookup.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/lookup.py
@@ -6,11 +6,11 @@
 from .core import Configuration, Queue
 
 
-class RouteNotFound(DahliaarchError):
+class RouteNotFoundError(DahliaarchError):
     """No queue matches the host and path of a request."""
 
 
-class AccessDenied(DahliaarchError):
+class AccessDeniedError(DahliaarchError):
     """The key of a request is not in force."""
 
 
@@ -19,18 +19,18 @@
 
     Raises
     ------
-    RouteNotFound
+    RouteNotFoundError
         When none does.
     """
     bare_host = host.partition(':')[0].lower()
-    best: Queue | None = None
-    for queue in configuration.queue_by_name.values():
-        if queue.host != bare_host or not path.startswith(queue.path_prefix):
-            continue
-        if best is None or len(queue.path_prefix) > len(best.path_prefix):
-            best = queue
+    matching = [
+        queue
+        for queue in configuration.queue_by_name.values()
+        if queue.host == bare_host and path.startswith(queue.path_prefix)
+    ]
+    best = max(matching, key=lambda queue: len(queue.path_prefix), default=None)
     if best is None:
-        raise RouteNotFound(f'no queue for {bare_host} {path}')
+        raise RouteNotFoundError(f'no queue for {bare_host} {path}')
     return best
 
 
@@ -39,7 +39,7 @@
 
     Raises
     ------
-    AccessDenied
+    AccessDeniedError
         When the queue needs a key and this one is not in force.
     """
     account = ''
@@ -49,4 +49,4 @@
             account = owner
     if account or queue.public:
         return account
-    raise AccessDenied('the key is not in force')
+    raise AccessDeniedError('the key is not in force')
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -8,8 +8,9 @@
 from .effects import Effect
 from .ends import take_in_end
 from .events import EndKind, RunEnd, RunSeen
-from .health import expire_leases, watch_progress
+from .health import watch_progress
 from .job_state import ENDED_PHASES, JobPhase, JobState
+from .leaving import empty_leaving, expire_leases
 from .passes import Pass, REFUSED_PAUSE_S
 from .progress import JobProgress
 from .runs import RunPhase
@@ -174,6 +175,7 @@
         expire_leases(state, now)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
+        empty_leaving(state, now)
         watch_progress(state, now)
         Pass(state, now).run()
         effects = state.effects
@@ -208,9 +210,7 @@
 
     def pending_in(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
-        return sum(
-            job.queue.name == queue and not job.has_begun for job in self._state.active_jobs()
-        )
+        return sum(job.queue.name == queue and not job.has_begun for job in self._state.active_jobs())
 
     def ended_before(self, wall_s: float) -> list[str]:
         """Return the jobs that ended before a time, seconds since 1970."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -23,7 +23,7 @@
     step = state.step_of(end.key)
     if step is None:
         return
-    run = step.run_by_index.get(end.key.index)
+    run = step.run_by_index.get(end.key.task_index)
     is_current = run is not None and run.number == end.run and run.worker_id == end.worker_id
     if run is not None and is_current:
         state.remove_run(run)
@@ -40,8 +40,8 @@
     if worker is not None:
         worker.failed_jobs.clear()
     job.has_success = True
-    was_done = end.key.index in step.done
-    step.mark_done(end.key.index)
+    was_done = end.key.task_index in step.done
+    step.mark_done(end.key.task_index)
     _stop_needless(state, step, end)
     if not was_done and not job.has_ended:
         state.dirty_jobs.add(job.spec.job_id)
@@ -59,9 +59,9 @@
 def _on_failed(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
     job = step.job
     _blame(state, step, end, now)
-    if step.spec.lasting or end.key.index in step.done:
+    if step.spec.lasting or end.key.task_index in step.done:
         return
-    failures = step.count_failure(end.key.index, end.run)
+    failures = step.count_failure(end.key.task_index, end.run)
     step.failed_on.add(end.worker_id)
     if job.has_ended:
         return
@@ -88,14 +88,14 @@
 
 def _on_interrupted(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
     """Keep the checkpoint of a run that was stopped, lapsed or lost its gang."""
-    if not end.checkpoint or step.job.has_ended or end.key.index in step.done:
+    if not end.checkpoint or step.job.has_ended or end.key.task_index in step.done:
         return
-    step.checkpoint_by_index[end.key.index] = end.checkpoint
+    step.checkpoint_by_index[end.key.task_index] = end.checkpoint
     state.dirty_jobs.add(step.job.spec.job_id)
 
 
 def _on_refused(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
-    """A run that never was: its gang cannot come together either."""
+    """Give up the rest of a gang: it can't come together without this run."""
     if not step.spec.gang or run is None:
         return
     for member in tuple(step.run_by_index.values()):
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,10 +1,9 @@
-"""Runs that stand still, workers that turn slow or leave, and what moves away."""
+"""Runs that stand still or crawl, and what moves away."""
 
 from .clock import Moment
 from .job_state import StepState
 from .runs import Run, RunPhase
 from .state import SchedulerState
-from .workers import WorkerState
 
 # A run is judged once it has had this long to begin, in seconds.
 _GRACE_S = 1.5
@@ -23,22 +22,6 @@
 _GAIN_FACTOR = 1.5
 # How long a worker with stalled or slow runs gets nothing new, in seconds.
 _AVOID_S = 2.0
-# Time kept free at the end of a leaving worker's life, in seconds.
-_LEAVE_MARGIN_S = 0.3
-
-
-def expire_leases(state: SchedulerState, now: Moment) -> list[str]:
-    """Give up what ran on silent workers whose leases have ended; return their ids."""
-    gone = []
-    for worker in tuple(state.worker_by_id.values()):
-        if not worker.is_silent or now.steady_s <= worker.lease.bound_s():
-            continue
-        for run in tuple(worker.run_by_key.values()):
-            state.remove_run(run)
-        if not worker.is_listed:
-            del state.worker_by_id[worker.worker_id]
-            gone.append(worker.worker_id)
-    return gone
 
 
 def watch_progress(state: SchedulerState, now: Moment) -> None:
@@ -46,51 +29,63 @@
     for worker in state.worker_by_id.values():
         if worker.is_silent:
             continue
-        if worker.profile.draining:
-            _empty_leaving(state, worker, now)
-        slowness = 1.0
-        for run in tuple(worker.run_by_key.values()):
-            if run.phase is RunPhase.RUNNING:
-                slowness = max(slowness, _judge(state, run, now))
-        worker.slowness = slowness
-        if slowness >= _SLOW_FACTOR:
+        runs = [run for run in worker.run_by_key.values() if run.phase is RunPhase.RUNNING]
+        worker.slowness = max((_judge(state, run, now) for run in runs), default=1.0)
+        if worker.slowness >= _SLOW_FACTOR:
             worker.quarantined_until_s = max(worker.quarantined_until_s, now.steady_s + _AVOID_S)
 
 
 def _judge(state: SchedulerState, run: Run, now: Moment) -> float:
     """Move a run if that pays; return how many times too slow it is."""
-    ran_s = run.seen_s - run.started_s
     step = state.step_of(run.key)
-    if ran_s < _GRACE_S or step is None or step.spec.lasting:
+    if step is None or step.spec.lasting or run.seen_s - run.started_s < _GRACE_S:
         return 1.0
-    worked_s = run.work_s * run.percent / 100.0
-    lost_s = 0.0 if step.spec.checkpoints else worked_s
-    still_s = run.seen_s - run.moved_s
-    if still_s > state.settings.stall_s and run.percent < _ALMOST_DONE:
-        if lost_s < _MOST_LOST_S or still_s > _HOPELESS_STALL_S:
-            state.stop_unit(run, 'stands still')
-        return _SLOW_FACTOR
+    if run.seen_s - run.moved_s > state.settings.stall_s and run.percent < _ALMOST_DONE:
+        return _judge_still(state, step, run)
     if run.percent < _LEAST_PERCENT:
         return 1.0
-    pace = ran_s / worked_s
+    return _judge_pace(state, step, run, now)
+
+
+def _judge_still(state: SchedulerState, step: StepState, run: Run) -> float:
+    """Move a run that stands still, unless much work would be lost."""
+    still_s = run.seen_s - run.moved_s
+    if _lost_s(step, run) < _MOST_LOST_S or still_s > _HOPELESS_STALL_S:
+        state.stop_unit(run, 'stands still')
+    return _SLOW_FACTOR
+
+
+def _judge_pace(state: SchedulerState, step: StepState, run: Run, now: Moment) -> float:
+    """Move a run that crawls if it ends sooner elsewhere."""
     usual = _usual_pace(step, run)
     limit = _SLOW_FACTOR_ALONE if usual is None else _SLOW_FACTOR
-    slowness = pace / (usual or 1.0)
+    slowness = (run.seen_s - run.started_s) / _worked_s(run) / (usual or 1.0)
     if slowness < limit:
         return 1.0
-    again_s = run.work_s * (usual or 1.0) * (1.0 if lost_s else 1.0 - run.percent / 100.0)
+    left_share = 1.0 if _lost_s(step, run) else 1.0 - run.percent / _WHOLE
+    again_s = run.work_s * (usual or 1.0) * left_share
     if run.left_s(now.steady_s) > _GAIN_FACTOR * again_s + state.settings.stop_timeout_s:
         state.stop_unit(run, 'worker is slow')
     return slowness
 
 
+def _worked_s(run: Run) -> float:
+    """Return the work done so far, in seconds on a sound worker."""
+    return run.work_s * run.percent / _WHOLE
+
+
+def _lost_s(step: StepState, run: Run) -> float:
+    """Return the work that a stop throws away, in seconds."""
+    return 0.0 if step.spec.checkpoints else _worked_s(run)
+
+
 def _usual_pace(step: StepState, run: Run) -> float | None:
     """Return the pace of the step's other runs on other workers; nothing if too few tell."""
     if step.spec.gang:
         # Members of a gang advance together, the slow one as fast as the rest.
         return None
     paces = sorted(
-        (other.seen_s - other.started_s) * 100.0 / (other.work_s * other.percent)
+        (other.seen_s - other.started_s) / _worked_s(other)
         for other in step.run_by_index.values()
         if other.worker_id != run.worker_id and other.percent >= _LEAST_PERCENT
     )
@@ -99,19 +94,9 @@
     return max(1.0, paces[len(paces) // 2])
 
 
+# All of a run's work, in percent.
+_WHOLE = 100.0
 # Below this share a pace says nothing, in percent.
 _LEAST_PERCENT = 1.0
 # Above this share of its work a run is left alone, in percent.
 _ALMOST_DONE = 97.0
-
-
-def _empty_leaving(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
-    """Move what will not end before a worker leaves."""
-    if worker.leaves_at_s is None:
-        return
-    stop_by_s = worker.leaves_at_s - state.settings.stop_timeout_s - _LEAVE_MARGIN_S
-    for run in tuple(worker.run_by_key.values()):
-        if run.phase is not RunPhase.RUNNING:
-            continue
-        if now.steady_s + run.left_s(now.steady_s) > worker.leaves_at_s and now.steady_s < stop_by_s:
-            state.stop_unit(run, 'worker leaves')
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -39,7 +39,7 @@
         self.occurrence = occurrence
         self.number = number
         self.spec: StepSpec = job.spec.steps[number]
-        self.pending = set(range(self.spec.count))
+        self.pending = set(range(self.spec.task_count))
         self.done: set[int] = set()
         self.run_by_index: dict[int, Run] = {}
         self.failed_runs_by_index: dict[int, set[int]] = {}
@@ -51,7 +51,7 @@
     @property
     def is_done(self) -> bool:
         """Whether every task has succeeded."""
-        return len(self.done) == self.spec.count
+        return len(self.done) == self.spec.task_count
 
     def key(self, index: int) -> TaskKey:
         """Return the key of a task."""
@@ -59,7 +59,7 @@
 
     def mark_done(self, index: int) -> None:
         """Record a success; one member's stands for its whole gang."""
-        indices = range(self.spec.count) if self.spec.gang else (index,)
+        indices = range(self.spec.task_count) if self.spec.gang else (index,)
         for each in indices:
             self.pending.discard(each)
             self.checkpoint_by_index.pop(each, None)
@@ -91,7 +91,7 @@
 
     def restore(self, kept: StepProgress) -> None:
         """Take in what was kept."""
-        for index in range(self.spec.count) if kept.all_done else kept.done:
+        for index in range(self.spec.task_count) if kept.all_done else kept.done:
             self.pending.discard(index)
             self.done.add(index)
         self.failed_runs_by_index = {index: set(runs) for index, runs in kept.failures.items()}
@@ -170,7 +170,7 @@
         if step is None:
             self._open(key.occurrence)
             step = self.step_by_key[key.occurrence, key.step]
-        return step if key.index < step.spec.count else None
+        return step if key.task_index < step.spec.task_count else None
 
     def has_succeeded(self) -> bool:
         """Whether every task of every occurrence has succeeded."""
@@ -207,7 +207,7 @@
             self.has_begun = True
 
     def _open(self, occurrence: int) -> None:
-        for number in range(len(self.spec.steps)):
+        for number, _ in enumerate(self.spec.steps):
             key = (occurrence, number)
             if key not in self.step_by_key:
                 self.step_by_key[key] = StepState(self, occurrence, number)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -0,0 +1,40 @@
+"""Workers that leave, or that are given up once their leases have ended."""
+
+from .clock import Moment
+from .runs import RunPhase
+from .state import SchedulerState
+from .workers import WorkerState
+
+# Time kept free at the end of a leaving worker's life, in seconds.
+_LEAVE_MARGIN_S = 0.3
+
+
+def expire_leases(state: SchedulerState, now: Moment) -> None:
+    """Give up what ran on silent workers whose leases have ended."""
+    for worker in tuple(state.worker_by_id.values()):
+        if worker.is_silent and now.steady_s > worker.lease.bound_s():
+            _give_up(state, worker)
+
+
+def empty_leaving(state: SchedulerState, now: Moment) -> None:
+    """Move what will not end before its worker leaves."""
+    for worker in state.worker_by_id.values():
+        if worker.profile.draining and not worker.is_silent:
+            _empty(state, worker, now)
+
+
+def _give_up(state: SchedulerState, worker: WorkerState) -> None:
+    for run in tuple(worker.run_by_key.values()):
+        state.remove_run(run)
+    if not worker.is_listed:
+        del state.worker_by_id[worker.worker_id]
+
+
+def _empty(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
+    leaves_at_s = worker.leaves_at_s
+    if leaves_at_s is None or now.steady_s > leaves_at_s - state.settings.stop_timeout_s - _LEAVE_MARGIN_S:
+        return
+    for run in tuple(worker.run_by_key.values()):
+        ends_s = now.steady_s + run.left_s(now.steady_s)
+        if run.phase is RunPhase.RUNNING and ends_s > leaves_at_s:
+            state.stop_unit(run, 'worker leaves')
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -3,12 +3,13 @@
 from collections import defaultdict
 
 from ..workload import Resources
+from .claims import Claim
 from .clock import Moment
 from .job_state import JobState, StepState
 from .placement import place, Placement, Request
 from .preemption import Plan, Preemption
 from .reservation import earliest_claim
-from .room import Claim, effective_demand, Room
+from .room import effective_demand, Room
 from .state import SchedulerState
 from .worth import Standing, standing
 
@@ -43,6 +44,7 @@
         """Read the free room."""
         self._state = state
         self._now = now
+        self._claims = state.claims
         self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s)
@@ -71,17 +73,17 @@
         return found
 
     def _may_start(self, job: JobState) -> bool:
-        """A task of an old job may run on a worker that has not been heard yet."""
+        """Tell whether no task of a job can be running on a worker not heard yet."""
         return job.known_since_s <= self._now.steady_s
 
     def _consider(self, step: StepState, rank: int) -> None:
         if step.spec.gang and step.run_by_index:
             return
         request = self._request(step, rank)
-        had_claim = self._has_claim(step)
+        had_claim = self._claims.has(step)
         self._reopen_claim(step)
         placement = self._place(request, had_claim=had_claim)
-        if placement.count:
+        if placement.task_count:
             self._start(step, placement, request, rank)
         missing = len(step.pending)
         if not missing:
@@ -114,12 +116,12 @@
         step = request.step
         spec = step.spec
         signature = (spec.demand, spec.label, spec.data_rack, spec.same_rack, request.may_go_far)
-        wanted = request.count if spec.gang else 1
+        wanted = request.task_count if spec.gang else 1
         is_plain = not spec.max_per_worker and not step.failed_on and not had_claim
         if is_plain and self._blocked.get(signature, wanted + 1) <= wanted:
             return Placement(())
         placement = place(request, self._room)
-        if is_plain and not placement.count:
+        if is_plain and not placement.task_count:
             self._blocked[signature] = min(wanted, self._blocked.get(signature, wanted))
         return placement
 
@@ -129,7 +131,7 @@
         demand = effective_demand(step)
         work_s = request.work_s * placement.slowdown
         for spot in placement.spots:
-            for _ in range(spot.count):
+            for _ in range(spot.task_count):
                 number = gang_run or self._state.next_run_number()
                 index = indices.pop(0)
                 run = self._state.start(step, index, spot.worker, number, work_s, self._now.steady_s)
@@ -139,7 +141,7 @@
 
     def _preempt(self, request: Request, count: int, rank: int) -> None:
         step = request.step
-        if self._has_claim(step):
+        if self._claims.has(step):
             return
         wanted = count if step.spec.gang else 1
         plan = self._preemption.plan(step, wanted, self._room, rank, may_go_far=request.may_go_far)
@@ -152,35 +154,28 @@
 
     def _claim(self, step: StepState, plan: Plan) -> None:
         ready_s = self._now.steady_s + self._state.settings.stop_timeout_s
-        self._state.claims.append(Claim(step, plan.count_by_worker, ready_s, is_firm=True))
+        self._claims.add(Claim(step, plan.count_by_worker, ready_s, is_firm=True))
 
     def _reserve(self, step: StepState, count: int) -> None:
-        kept = sum(not claim.is_firm for claim in self._state.claims)
-        if self._has_claim(step) or kept >= self._state.settings.reservations:
+        if self._claims.has(step) or self._claims.open_ones() >= self._state.settings.reservations:
             return
         if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
             return
-        claim = earliest_claim(step, count, self._workers, self._state.claims, self._now.steady_s)
+        claim = earliest_claim(step, count, self._workers, self._claims, self._now.steady_s)
         if claim is not None:
-            self._state.claims.append(claim)
-
-    def _has_claim(self, step: StepState) -> bool:
-        return any(claim.step is step for claim in self._state.claims)
+            self._claims.add(claim)
 
     def _forget_claim(self, step: StepState) -> None:
-        claims = self._state.claims
-        claims[:] = [claim for claim in claims if claim.step is not step]
+        self._claims.drop(lambda claim: claim.step is step)
 
     def _reopen_claim(self, step: StepState) -> None:
         """Drop a step's claim that stops nothing: it is made anew on what is known now."""
-        claims = self._state.claims
-        claims[:] = [claim for claim in claims if claim.step is not step or claim.is_firm]
+        self._claims.drop(lambda claim: claim.step is step and not claim.is_firm)
 
     def _drop_stale_claims(self) -> None:
         """Drop claims that came to nothing."""
         known = {worker.worker_id for worker in self._workers}
-        kept = [claim for claim in self._state.claims if self._still_holds(claim, known)]
-        self._state.claims[:] = kept
+        self._claims.drop(lambda claim: not self._still_holds(claim, known))
 
     def _still_holds(self, claim: Claim, known: set[str]) -> bool:
         if claim.step.job.has_ended or not claim.step.pending:
@@ -213,5 +208,4 @@
 
 
 def _accelerators(job: JobState) -> int:
-    return sum(step.count * step.demand.accelerators for step in job.spec.steps[:1])
-
+    return sum(step.task_count * step.demand.accelerators for step in job.spec.steps[:1])
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -13,7 +13,7 @@
     """A worker and how many tasks of the step it takes."""
 
     worker: WorkerState
-    count: int
+    task_count: int
 
 
 class Placement(NamedTuple):
@@ -31,9 +31,9 @@
     slowdown: float = 1.0
 
     @property
-    def count(self) -> int:
+    def task_count(self) -> int:
         """Number of tasks placed."""
-        return sum(spot.count for spot in self.spots)
+        return sum(spot.task_count for spot in self.spots)
 
 
 class Request(NamedTuple):
@@ -43,7 +43,7 @@
     ----------
     step : StepState
         The step.
-    count : int
+    task_count : int
         Tasks to place; a gang needs them all.
     work_s : float
         Expected run time near its data, in one rack.
@@ -56,7 +56,7 @@
     """
 
     step: StepState
-    count: int
+    task_count: int
     work_s: float
     now_s: float
     may_go_far: bool
@@ -71,11 +71,11 @@
     near = _spots(request, room, request.work_s, near=True)
     if request.step.spec.gang:
         return _place_gang(request, room, near)
-    placement = Placement(_fill(near, request.count, request.step))
-    if placement.count < request.count and request.may_go_far and request.step.spec.data_rack:
+    placement = Placement(_fill(near, request.task_count, request.step))
+    if placement.task_count < request.task_count and request.may_go_far and request.step.spec.data_rack:
         far = _spots(request, room, request.work_s * request.far_factor, near=False)
-        if not placement.count:
-            return Placement(_fill(far, request.count, request.step), request.far_factor)
+        if not placement.task_count:
+            return Placement(_fill(far, request.task_count, request.step), request.far_factor)
     return placement
 
 
@@ -98,16 +98,16 @@
 
 def _place_gang(request: Request, room: Room, near: list[Spot]) -> Placement:
     step = request.step
-    if sum(spot.count for spot in near) >= request.count:
-        found = _one_rack(request, near) if step.spec.same_rack else _fill(near, request.count, step)
+    if sum(spot.task_count for spot in near) >= request.task_count:
+        found = _one_rack(request, near) if step.spec.same_rack else _fill(near, request.task_count, step)
         if found:
             return Placement(found)
     if not request.may_go_far or not (step.spec.same_rack or step.spec.data_rack):
         return NOWHERE
     far = _spots(request, room, request.work_s * request.far_factor, near=False)
-    if sum(spot.count for spot in far) < request.count:
+    if sum(spot.task_count for spot in far) < request.task_count:
         return NOWHERE
-    return Placement(_fill(far, request.count, step), request.far_factor)
+    return Placement(_fill(far, request.task_count, step), request.far_factor)
 
 
 def _one_rack(request: Request, spots: list[Spot]) -> tuple[Spot, ...]:
@@ -115,11 +115,11 @@
     best: list[Spot] = []
     best_count = 0
     for rack_spots in by_rack(spots).values():
-        count = sum(spot.count for spot in rack_spots)
-        if count >= request.count and (not best or count < best_count):
+        count = sum(spot.task_count for spot in rack_spots)
+        if count >= request.task_count and (not best or count < best_count):
             best = rack_spots
             best_count = count
-    return _fill(best, request.count, request.step) if best else ()
+    return _fill(best, request.task_count, request.step) if best else ()
 
 
 def _spots(request: Request, room: Room, work_s: float, *, near: bool) -> list[Spot]:
@@ -152,7 +152,7 @@
     for spot in spots:
         if not left:
             break
-        taken = min(left, spot.count)
+        taken = min(left, spot.task_count)
         chosen.append(Spot(spot.worker, taken))
         left -= taken
     if left and step.spec.gang:
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -43,7 +43,7 @@
 
     worker: WorkerState
     victims: tuple[Run, ...]
-    count: int
+    task_count: int
     cost: float
 
 
@@ -100,15 +100,15 @@
         workers: list[WorkerState],
     ) -> Plan | None:
         offers = [offer for worker in workers for offer in self._offers(step, room, rank, worker)]
-        offers.sort(key=lambda offer: offer.cost / offer.count)
+        offers.sort(key=lambda offer: offer.cost / offer.task_count)
         chosen: dict[str, _Offer] = {}
         for offer in offers:
-            if sum(each.count for each in chosen.values()) >= count:
+            if sum(each.task_count for each in chosen.values()) >= count:
                 break
             known = chosen.get(offer.worker.worker_id)
-            if known is None or offer.count > known.count:
+            if known is None or offer.task_count > known.task_count:
                 chosen[offer.worker.worker_id] = offer
-        if sum(each.count for each in chosen.values()) < count:
+        if sum(each.task_count for each in chosen.values()) < count:
             return None
         return _as_plan(chosen, count)
 
@@ -160,10 +160,10 @@
     count_by_worker: dict[str, int] = {}
     victims: list[Run] = []
     cost = 0.0
-    for offer in sorted(chosen.values(), key=lambda each: each.cost / each.count):
+    for offer in sorted(chosen.values(), key=lambda each: each.cost / each.task_count):
         if not left:
             break
-        taken = min(left, offer.count)
+        taken = min(left, offer.task_count)
         left -= taken
         count_by_worker[offer.worker.worker_id] = taken
         victims.extend(offer.victims)
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -29,8 +29,8 @@
     step: int
     done: tuple[int, ...] = ()
     all_done: bool = False
-    failures: dict[int, tuple[int, ...]] = {}  # noqa: RUF012
-    checkpoints: dict[int, str] = {}  # noqa: RUF012
+    failures: dict[int, tuple[int, ...]] = {}
+    checkpoints: dict[int, str] = {}
 
 
 class JobProgress(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -1,8 +1,10 @@
 """Room kept for gangs that wait, with smaller work let in before."""
 
+from ..workload import Resources
+from .claims import Claim, Claims
 from .job_state import StepState
 from .placement import admissible_workers
-from .room import Claim, effective_demand, fitting, is_near, per_worker_limit, rack_of
+from .room import effective_demand, fitting, is_near, per_worker_limit, rack_of
 from .workers import WorkerState
 
 # Points in time that are tried; later ends say little anyway.
@@ -13,7 +15,7 @@
     step: StepState,
     count: int,
     workers: list[WorkerState],
-    claims: list[Claim],
+    claims: Claims,
     now_s: float,
 ) -> Claim | None:
     """Return a claim on the room that is expected to be free first."""
@@ -34,11 +36,11 @@
     return Claim(step, best, ready_s) if best else None
 
 
-def _fit_at(  # noqa: PLR0913
+def _fit_at(
     step: StepState,
     count: int,
     workers: list[WorkerState],
-    claims: list[Claim],
+    claims: Claims,
     now_s: float,
     after_s: float,
 ) -> dict[str, int]:
@@ -46,14 +48,7 @@
     demand = effective_demand(step)
     slots: dict[str, int] = {}
     for worker in workers:
-        free = worker.free
-        for run in worker.run_by_key.values():
-            if run.left_s(now_s) <= after_s:
-                free = free.plus(run.demand)
-        for claim in claims:
-            kept = claim.count_by_worker.get(worker.worker_id)
-            if kept:
-                free = free.minus(effective_demand(claim.step).times(kept))
+        free = _free_after(worker, claims, now_s, after_s)
         found = min(fitting(free, demand), per_worker_limit(worker, step))
         if found:
             slots[worker.worker_id] = found
@@ -71,6 +66,19 @@
     return {}
 
 
+def _free_after(worker: WorkerState, claims: Claims, now_s: float, after_s: float) -> Resources:
+    """Return what is free on a worker once the runs that end by then have ended."""
+    free = worker.free
+    for run in worker.run_by_key.values():
+        if run.left_s(now_s) <= after_s:
+            free = free.plus(run.demand)
+    for claim in claims:
+        kept = claim.count_by_worker.get(worker.worker_id)
+        if kept:
+            free = free.minus(effective_demand(claim.step).times(kept))
+    return free
+
+
 def _choose(slots: dict[str, int], count: int) -> dict[str, int]:
     if sum(slots.values()) < count:
         return {}
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -1,8 +1,7 @@
 """Room on workers during one pass of decisions."""
 
-from typing import NamedTuple
-
 from ..workload import NO_RESOURCES, Resources
+from .claims import Claims
 from .job_state import StepState
 from .runs import Run
 from .workers import WorkerState
@@ -11,28 +10,6 @@
 _UNLIMITED = 1_000_000
 
 
-class Claim(NamedTuple):
-    """Room kept on workers for a step that waits for it.
-
-    Parameters
-    ----------
-    step : StepState
-        The step that waits.
-    count_by_worker : dict
-        Tasks that it will place on each worker.
-    ready_s : float
-        When the room is expected to be free, steady clock.
-    is_firm : bool
-        Whether runs are being stopped for it; other claims are made anew
-        whenever their step is considered.
-    """
-
-    step: StepState
-    count_by_worker: dict[str, int]
-    ready_s: float
-    is_firm: bool = False
-
-
 class Room:
     """Free resources of the workers that may take starts.
 
@@ -40,11 +17,11 @@
     ----------
     workers : list of WorkerState
         Workers that may take starts.
-    claims : list of Claim
+    claims : Claims
         Room that is kept.
     """
 
-    def __init__(self, workers: list[WorkerState], claims: list[Claim]) -> None:
+    def __init__(self, workers: list[WorkerState], claims: Claims) -> None:
         """Read the free resources of each worker."""
         self.workers = workers
         self.free_by_id = {worker.worker_id: worker.free for worker in workers}
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterator
 
 from ..workload import Resources, TaskKey
+from .claims import Claims
 from .effects import Effect, StartRun, StopRun
 from .job_state import JobPhase, JobState, StepState
 from .learning import RunTimes
-from .room import Claim, effective_demand
+from .room import effective_demand
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
 from .workers import WorkerState
@@ -34,7 +35,7 @@
         self.active_job_by_id: dict[str, JobState] = {}
         self.worker_by_id: dict[str, WorkerState] = {}
         self.times = RunTimes()
-        self.claims: list[Claim] = []
+        self.claims = Claims()
         self.dirty_jobs: set[str] = set()
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
@@ -48,7 +49,7 @@
     def run_of(self, key: TaskKey) -> Run | None:
         """Return the run of a task, if it has one."""
         step = self.step_of(key)
-        return None if step is None else step.run_by_index.get(key.index)
+        return None if step is None else step.run_by_index.get(key.task_index)
 
     def next_run_number(self) -> int:
         """Return a run number above all that were given before."""
@@ -57,8 +58,8 @@
 
     def add_run(self, step: StepState, run: Run) -> None:
         """Let a run hold its task and its room."""
-        step.pending.discard(run.key.index)
-        step.run_by_index[run.key.index] = run
+        step.pending.discard(run.key.task_index)
+        step.run_by_index[run.key.task_index] = run
         worker = self.worker_by_id.get(run.worker_id)
         if worker is not None:
             worker.add_run(run)
@@ -69,11 +70,11 @@
         if worker is not None:
             worker.remove_run(run)
         step = self.step_of(run.key)
-        if step is None or step.run_by_index.get(run.key.index) is not run:
+        if step is None or step.run_by_index.get(run.key.task_index) is not run:
             return
-        del step.run_by_index[run.key.index]
-        if run.key.index not in step.done:
-            step.pending.add(run.key.index)
+        del step.run_by_index[run.key.task_index]
+        if run.key.task_index not in step.done:
+            step.pending.add(run.key.task_index)
 
     def start(self, step: StepState, index: int, worker: WorkerState, run: int, work_s: float, now_s: float) -> Run:
         """Order a start."""
@@ -104,11 +105,11 @@
         job.ended_s = wall_s
         self.active_job_by_id.pop(job.spec.job_id, None)
         self.dirty_jobs.add(job.spec.job_id)
-        self.claims = [claim for claim in self.claims if claim.step.job is not job]
+        self.claims.drop(lambda claim: claim.step.job is job)
         for step in job.step_by_key.values():
             for run in tuple(step.run_by_index.values()):
                 # Members of a gang that has succeeded end by themselves.
-                if run.key.index not in step.done:
+                if run.key.task_index not in step.done:
                     self.stop(run, reason)
 
     def active_jobs(self) -> Iterator[JobState]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 
 from .clock import Moment
-from .events import EndKind, RunEnd, RunSeen
 from .ends import take_in_end
+from .events import EndKind, RunEnd, RunSeen
 from .room import effective_demand
 from .runs import Run, RunPhase
 from .state import SchedulerState
@@ -64,10 +64,10 @@
     """Take over a run that an earlier owner started, or stop one that is not wanted."""
     step = state.step_of(seen.key)
     stray = Run(seen.key, seen.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0)
-    if step is None or step.job.has_ended or seen.key.index in step.done:
+    if step is None or step.job.has_ended or seen.key.task_index in step.done:
         state.stop(stray, 'run of a task that needs none')
         return None
-    other = step.run_by_index.get(seen.key.index)
+    other = step.run_by_index.get(seen.key.task_index)
     if other is not None or (step.spec.gang and _has_other_run(list(step.run_by_index.values()), seen.run)):
         state.stop(stray, 'task runs elsewhere')
         return None
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -77,8 +77,8 @@
         self.stopping.discard((worker_id, key, run))
         if kind is EndKind.DONE:
             step = self.spec_by_id[key.job_id].steps[key.step]
-            indices = range(step.count) if step.gang else (key.index,)
-            self.done.update(key._replace(index=index) for index in indices)
+            indices = range(step.task_count) if step.gang else (key.task_index,)
+            self.done.update(key._replace(task_index=index) for index in indices)
         if kind is EndKind.FAILED:
             self.failed_runs[key].add(run)
         self.scheduler.run_ended(RunEnd(worker_id, key, run, kind, checkpoint), self.now)
@@ -102,7 +102,9 @@
         self.stopping.clear()
 
     def survey(self, worker_id, percent=50.0):
-        rows = tuple(RunSeen(key, run, '', percent) for (worker, key), run in self.running.items() if worker == worker_id)
+        rows = tuple(
+            RunSeen(key, run, '', percent) for (worker, key), run in self.running.items() if worker == worker_id
+        )
         self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now)
 
     def used(self, worker_id):
@@ -119,8 +121,8 @@
         assert key not in self.done, f'{key} has succeeded'
         step = self.spec_by_id[key.job_id].steps[key.step]
         for earlier in step.after:
-            for index in range(self.spec_by_id[key.job_id].steps[earlier].count):
-                assert key._replace(step=earlier, index=index) in self.done, 'a step began too early'
+            for index in range(self.spec_by_id[key.job_id].steps[earlier].task_count):
+                assert key._replace(step=earlier, task_index=index) in self.done, 'a step began too early'
         queue = self.scheduler.job_by_id[key.job_id].queue
         attempts = self._attempts(key, step)
         assert attempts < queue.max_attempts, 'a start beyond the attempts'
@@ -138,8 +140,8 @@
         if not step.gang:
             return len(self.failed_runs[key])
         runs = set()
-        for index in range(step.count):
-            runs |= self.failed_runs[key._replace(index=index)]
+        for index in range(step.task_count):
+            runs |= self.failed_runs[key._replace(task_index=index)]
         return len(runs)
 
     def _check_gangs(self):
@@ -148,9 +150,9 @@
         for effect in self.starts:
             step = self.spec_by_id[effect.key.job_id].steps[effect.key.step]
             if step.gang:
-                ordered[effect.key[:3], effect.run].add(effect.key.index)
+                ordered[effect.key[:3], effect.run].add(effect.key.task_index)
         for (unit, _), indices in ordered.items():
-            assert len(indices) == self.spec_by_id[unit[0]].steps[unit[2]].count, 'a partial gang'
+            assert len(indices) == self.spec_by_id[unit[0]].steps[unit[2]].task_count, 'a partial gang'
 
 
 def task(count=1, accelerators=1, work_s=5.0, **fields):
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -192,7 +192,7 @@
     heir.scheduler.add_job(spec, ORDINARY, heir.now, progress=kept)
     assert [effect.key for effect in heir.step()] == [other]
     state = heir.scheduler.job_by_id[A].step_by_key[0, 0]
-    assert len(state.failed_runs_by_index[other.index]) == 1
+    assert len(state.failed_runs_by_index[other.task_index]) == 1
 
 
 def test_occurrences_start_at_their_due_times():
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -1,6 +1,7 @@
 """What must hold over any history: the pool checks each start that it is told."""
 
-from hypothesis import settings, strategies as st
+from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule, RuleBasedStateMachine
 
 from dahliaarch_kernel.scheduler import EndKind
--- a/packages/kernel/dahliaarch_kernel/scheduler/worth.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/worth.py
@@ -40,7 +40,7 @@
 def job_work(job: JobState, times: RunTimes) -> float:
     """Return the expected work of one occurrence in weighted core-seconds."""
     return sum(
-        step.count * times.expect_s(job.queue.name, step) * weighted_cores(step.demand) for step in job.spec.steps
+        step.task_count * times.expect_s(job.queue.name, step) * weighted_cores(step.demand) for step in job.spec.steps
     )
 
 
@@ -98,7 +98,7 @@
     for number, later in enumerate(step.job.spec.steps):
         if step.number in later.after and number != step.number:
             later_s = times.expect_s(step.job.queue.name, later)
-            area += later.count * later_s * dominant_share(later.demand, unit)
+            area += later.task_count * later_s * dominant_share(later.demand, unit)
     return area
 
 
@@ -118,9 +118,9 @@
     longest = 0.0
     steps = step.job.spec.steps
     reach: dict[int, float] = {step.number: 0.0}
-    for number in range(step.number + 1, len(steps)):
-        begins = [reach[earlier] for earlier in steps[number].after if earlier in reach]
+    for number, later in enumerate(steps):
+        begins = [reach[earlier] for earlier in later.after if earlier in reach]
         if begins:
-            reach[number] = max(begins) + times.expect_s(step.job.queue.name, steps[number])
+            reach[number] = max(begins) + times.expect_s(step.job.queue.name, later)
             longest = max(longest, reach[number])
     return longest
--- a/packages/kernel/dahliaarch_kernel/workload/core.py
+++ b/packages/kernel/dahliaarch_kernel/workload/core.py
@@ -60,14 +60,14 @@
         Which repetition of the steps, from 0.
     step : int
         Which step of the job, from 0.
-    index : int
+    task_index : int
         Which task of the step, from 0.
     """
 
     job_id: str
     occurrence: int
     step: int
-    index: int
+    task_index: int
 
 
 class StepSpec(NamedTuple):
@@ -75,7 +75,7 @@
 
     Parameters
     ----------
-    count : int
+    task_count : int
         Number of tasks.
     demand : Resources
         What one task needs.
@@ -109,7 +109,7 @@
         Lasting tasks that the scheduler may take away at once.
     """
 
-    count: int
+    task_count: int
     demand: Resources
     estimate_s: float = 0.0
     after: tuple[int, ...] = ()
--- a/packages/kernel/dahliaarch_kernel/workload/validation.py
+++ b/packages/kernel/dahliaarch_kernel/workload/validation.py
@@ -19,22 +19,29 @@
     JobRejectedError
         When it could never run as it stands.
     """
-    if len(job.payload.encode()) > MAX_PAYLOAD_BYTES:
-        raise JobRejectedError('payload', f'longer than {MAX_PAYLOAD_BYTES} bytes')
-    if not job.steps or len(job.steps) > _MAX_STEPS:
-        raise JobRejectedError('steps', f'a job has 1 to {_MAX_STEPS} steps')
-    if job.occurrences > _MAX_OCCURRENCES:
-        raise JobRejectedError('repeats', f'at most {_MAX_OCCURRENCES} occurrences')
-    tasks = sum(step.count for step in job.steps) * job.occurrences
-    if tasks > MAX_TASKS:
-        raise JobRejectedError('steps', f'more than {MAX_TASKS} tasks')
+    _check_sizes(job)
     for number, step in enumerate(job.steps):
         _check_step(number, step)
 
 
+def _check_sizes(job: JobSpec) -> None:
+    tasks = sum(step.task_count for step in job.steps) * job.occurrences
+    limits = (
+        ('payload', len(job.payload.encode()), MAX_PAYLOAD_BYTES),
+        ('steps', len(job.steps), _MAX_STEPS),
+        ('repeats', job.occurrences, _MAX_OCCURRENCES),
+        ('tasks', tasks, MAX_TASKS),
+    )
+    for where, size, most in limits:
+        if size > most:
+            raise JobRejectedError(where, f'{size}, at most {most}')
+    if not job.steps:
+        raise JobRejectedError('steps', 'a job has at least one step')
+
+
 def _check_step(number: int, step: StepSpec) -> None:
-    if step.count < 1:
-        raise JobRejectedError(f'steps.{number}.count', 'a step has at least one task')
+    if step.task_count < 1:
+        raise JobRejectedError(f'steps.{number}.task_count', 'a step has at least one task')
     if min(step.demand) < 0:
         raise JobRejectedError(f'steps.{number}', 'resources are not negative')
     if any(earlier < 0 or earlier >= number for earlier in step.after):
--- a/packages/node/dahliaarch_node/following.py
+++ b/packages/node/dahliaarch_node/following.py
@@ -61,7 +61,7 @@
             try:
                 await self._follow()
                 await anyio.sleep(self._timing.retry_pause_s())
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('configuration_unreachable', why=str(error), version=self.version)
                 await anyio.sleep(self._timing.retry_pause_s())
 
--- a/packages/node/dahliaarch_node/front/acceptance.py
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -9,15 +9,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from dahliaarch_platform.store import (
-    CommitStatus,
-    Condition,
-    StoreClient,
-    StoreRefused,
-    StoreUnanswered,
-    StoreUnreachable,
-    Write,
-)
+from dahliaarch_platform.store import Condition, STORE_FAILURES, StoreClient, StoreUnansweredError, Write
 
 from ..logs import log_event
 from ..records import cancel_key, job_key
@@ -62,21 +54,18 @@
     hold_s: float,
 ) -> WriteOutcome:
     deadline_s = time.monotonic() + hold_s
-    is_ambiguous = False
-    while True:
-        left_s = deadline_s - time.monotonic()
-        if left_s <= 0:
-            return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
+    fate = Fate.NOT_KEPT
+    while time.monotonic() < deadline_s:
         try:
-            outcome = await store.commit(conditions, (write,), timeout_s=left_s)
-        except StoreUnanswered as error:
+            outcome = await store.commit(conditions, (write,), timeout_s=deadline_s - time.monotonic())
+        except StoreUnansweredError as error:
             log_event('write_unanswered', key=write.key, why=str(error))
-            is_ambiguous = True
+            fate = Fate.UNKNOWN
             continue
-        except (StoreRefused, StoreUnreachable) as error:
-            log_event('write_refused', key=write.key, why=str(error), was_ambiguous=is_ambiguous)
-            return WriteOutcome(Fate.UNKNOWN if is_ambiguous else Fate.NOT_KEPT)
-        if outcome.status is CommitStatus.DONE:
-            return WriteOutcome(Fate.KEPT, outcome.revision)
-        # The key is there: by an earlier try of ours or of the caller.
-        return WriteOutcome(Fate.KEPT)
+        except STORE_FAILURES as error:
+            log_event('write_refused', key=write.key, why=str(error), was_ambiguous=fate is Fate.UNKNOWN)
+            break
+        # A condition that fails tells that the key is there, by an earlier try
+        # of ours or of the caller.
+        return WriteOutcome(Fate.KEPT, outcome.revision)
+    return WriteOutcome(fate)
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from dahliaarch_kernel.configuration import AccessDenied, authorize, find_queue, Queue, RouteNotFound
-from dahliaarch_kernel.errors import JobRejectedError, ProtocolError
+from dahliaarch_kernel.configuration import AccessDeniedError, authorize, find_queue, Queue, RouteNotFoundError
+from dahliaarch_kernel.errors import JobRejectedError
 from dahliaarch_kernel.scheduler.progress import decode_progress
 from dahliaarch_kernel.workload import check_job
 from dahliaarch_platform.documents import decode_job
@@ -22,14 +22,14 @@
 from ..ownership import Ownership
 from ..peers import (
     AcceptCancel,
-    AcceptJob,
     Accepted,
+    AcceptJob,
     AskPending,
     AskState,
     JobNews,
     Mesh,
     Message,
-    PeerSilent,
+    PeerSilentError,
     PendingReply,
     StateReply,
 )
@@ -99,7 +99,7 @@
         begun_s = time.monotonic()
         try:
             operation, response = await self._route(request)
-        except Exception as error:  # noqa: BLE001 - the last line before the caller
+        except Exception as error:
             log_event('request_failed', method=request.method, target=request.target, why=repr(error))
             operation, response = 'failed', Response(HTTPStatus.INTERNAL_SERVER_ERROR)
         self._metrics.requests.labels(operation, str(int(response.status))).inc()
@@ -121,12 +121,12 @@
             return 'no_configuration', _unavailable()
         try:
             queue = find_queue(configuration, request.header('host'), request.path)
-        except RouteNotFound:
+        except RouteNotFoundError:
             return 'no_queue', Response(HTTPStatus.NOT_FOUND)
         key = request.header('authorization').removeprefix(_TOKEN_SCHEME)
         try:
             account = authorize(configuration, queue, key)
-        except AccessDenied:
+        except AccessDeniedError:
             return 'no_access', Response(HTTPStatus.UNAUTHORIZED)
         job_id = request.path.removeprefix(queue.path_prefix).lstrip('/')
         call = _Call(request, queue, account, job_id)
@@ -168,7 +168,7 @@
         else:
             try:
                 item = await self._store.get(job_key(call.job_id), timeout_s=_READ_S)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('cancel_in_doubt', job=call.job_id, why=str(error))
                 return _answer_to_write(await self._keep_through_owner(AcceptCancel(call.job_id)))
             if item is None:
@@ -185,7 +185,7 @@
             return _json(HTTPStatus.OK, {'State': known.phase})
         try:
             return await self._state_in_store(call.job_id)
-        except (*STORE_FAILURES, ProtocolError) as error:
+        except STORE_FAILURES as error:
             log_event('state_unknown', job=call.job_id, why=str(error))
             return _unavailable()
 
@@ -202,7 +202,7 @@
             return Response(HTTPStatus.METHOD_NOT_ALLOWED)
         reply = await self._ask_owner(AskPending(call.queue.name))
         if isinstance(reply, PendingReply) and reply.is_ready:
-            return _json(HTTPStatus.OK, {'Pending': reply.count})
+            return _json(HTTPStatus.OK, {'Pending': reply.job_count})
         log_event('pending_unknown', queue=call.queue.name)
         return _unavailable()
 
@@ -213,7 +213,7 @@
         address = (owner.member.host, owner.member.port)
         try:
             return await self._mesh.ask(address, message, timeout_s=_ASK_OWNER_S)
-        except PeerSilent as error:
+        except PeerSilentError as error:
             log_event('owner_silent', owner=owner.member.instance, epoch=owner.epoch, why=str(error))
             return None
 
@@ -237,7 +237,7 @@
         address = (owner.member.host, owner.member.port)
         try:
             reply = await self._mesh.ask(address, message, timeout_s=HOLD_S - _OWN_TRY_S)
-        except PeerSilent as error:
+        except PeerSilentError as error:
             log_event('write_through_owner_unanswered', job=message.job_id, why=str(error))
             return WriteOutcome(Fate.UNKNOWN)
         if not isinstance(reply, Accepted):
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.errors import SettingsError
@@ -25,6 +26,7 @@
 from .peers import Mesh
 from .records import Member
 from .replies import PeerReplies
+from .status import describe
 from .timing import StoreTiming
 
 # An instance with at least this much of a core is an able owner.
@@ -102,9 +104,12 @@
         self._log_writer.flush()
 
     async def _answer_side(self, request: Request) -> Response:
-        """Answer readiness checks and show the metrics."""
+        """Answer readiness checks, show the metrics and the state."""
         if request.path == '/metrics':
             return Response(200, self._metrics.render(), content_type='text/plain; version=0.0.4')
+        if request.path == '/status':
+            found = describe(self._ownership, self._follower, self._store, self._replies.owner)
+            return Response(200, msgspec.json.encode(found))
         if request.path != '/ready':
             return Response(404)
         is_ready = self._follower.current is not None and not self._is_stopping
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -5,12 +5,11 @@
 
 import anyio
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient, Write
 
 from .following import ConfigurationFollower
 from .logs import log_event
-from .peers import Beat, BeatReply, Hello, Mesh, PeerSilent
+from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
 from .records import decode_member, encode_member, Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
 
@@ -68,7 +67,7 @@
         while True:
             try:
                 await self._store.commit((), (write,), timeout_s=self._timing.call_s)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('registration_failed', why=str(error))
                 await anyio.sleep(self._timing.retry_pause_s())
                 continue
@@ -100,7 +99,7 @@
         while True:
             try:
                 page = await self._store.list(MEMBERS_PREFIX, timeout_s=self._timing.call_s)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('members_unreachable', why=str(error))
                 await anyio.sleep(self._timing.retry_pause_s())
                 continue
@@ -115,7 +114,7 @@
         beat = Beat(self._member, epoch, self._follower.version, text)
         try:
             reply = await self._mesh.ask((member.host, member.port), beat, timeout_s=_BEAT_ANSWER_S)
-        except PeerSilent:
+        except PeerSilentError:
             return
         if not isinstance(reply, BeatReply):
             return
@@ -134,5 +133,5 @@
             self._mesh.forget((peer.member.host, peer.member.port))
             try:
                 await self._store.commit((), (), (member_key(instance),), timeout_s=self._timing.call_s)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('member_not_removed', member=instance, why=str(error))
--- a/packages/node/dahliaarch_node/owner/__init__.py
+++ b/packages/node/dahliaarch_node/owner/__init__.py
@@ -1,5 +1,5 @@
 """The owner of the pool: feeds, links to workers, decisions and their records."""
 
-from .core import PoolOwner, OwnerDeposed
+from .core import PoolOwner
 
-__all__ = ('OwnerDeposed', 'PoolOwner')
+__all__ = ('PoolOwner',)
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -12,10 +12,9 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.configuration import Configuration
-from dahliaarch_kernel.errors import DahliaarchError, ProtocolError
+from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import (
     JobProgress,
-    JobState,
     Moment,
     Scheduler,
     SchedulerSettings,
@@ -61,10 +60,6 @@
 _SLOWEST_CLOCK = 1.03
 
 
-class OwnerDeposed(DahliaarchError):
-    """Another instance owns the pool."""
-
-
 class OwnerSettings(NamedTuple):
     """Everything that an owner is built with.
 
@@ -167,14 +162,6 @@
         accounts = configuration.account_by_name.values()
         self.scheduler.set_guarantees({account.name: account.guaranteed_accelerators for account in accounts})
 
-    def state_of(self, job_id: str) -> JobState | None:
-        """Return a job's state if it is known."""
-        return self.scheduler.job_by_id.get(job_id)
-
-    def pending_in(self, queue: str) -> int:
-        """Return how many jobs of a queue have not begun."""
-        return self.scheduler.pending_in(queue)
-
     async def run(self) -> None:
         """Take the pool over and decide until deposed or cancelled."""
         with self._scope:
@@ -213,7 +200,7 @@
         while True:
             try:
                 return await self._store.list(prefix, timeout_s=self._settings.timing.call_s)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('takeover_list_failed', prefix=prefix, why=str(error))
                 await anyio.sleep(self._settings.timing.retry_pause_s())
 
@@ -281,7 +268,9 @@
             self.post(RunNever(effect.worker_id, effect.key, effect.run))
             return
         job = self.scheduler.job_by_id[effect.key.job_id]
-        log_event('run_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, from_checkpoint=effect.checkpoint)
+        log_event(
+            'run_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, from_checkpoint=effect.checkpoint
+        )
         link.start(effect, job.spec.payload)
 
     @_carry_out.register
@@ -328,7 +317,9 @@
             assert self._tasks is not None  # noqa: S101
             self._tasks.start_soon(link.run)
         if is_new or link.is_draining != profile.draining:
-            log_event('worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s)
+            log_event(
+                'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
+            )
         link.is_draining = profile.draining
         link.is_listed = True
 
@@ -399,5 +390,3 @@
         early_s=bounds.early_s,
         restore_s=bounds.restore_s,
     )
-
-
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -45,7 +45,7 @@
     while True:
         try:
             revision = await _watch_jobs(feed, revision)
-        except (*STORE_FAILURES, ProtocolError) as error:
+        except STORE_FAILURES as error:
             log_event('jobs_unreachable', why=str(error), revision=revision)
             await anyio.sleep(feed.timing.retry_pause_s())
 
@@ -110,7 +110,7 @@
         while True:
             try:
                 revision = await self._watch(revision)
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('workers_unreachable', why=str(error), revision=revision)
                 await anyio.sleep(self._feed.timing.retry_pause_s())
 
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -6,7 +6,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun, StopRun
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import TaskKey
@@ -17,8 +16,8 @@
     Survey,
     WORKER_FAILURES,
     WorkerClient,
-    WorkerReplaced,
-    WorkerUnreachable,
+    WorkerReplacedError,
+    WorkerUnreachableError,
 )
 
 from ..logs import log_event
@@ -126,7 +125,7 @@
         # Runs whose stop was acknowledged, by the time of that: once a later
         # survey does not list them they are certainly not there.
         self._stopped_at_by_run: dict[tuple[TaskKey, int], float] = {}
-        self._doubtful: set[tuple[TaskKey, int]] = set()
+        self._stops_under_way: set[tuple[TaskKey, int]] = set()
 
     async def run(self) -> None:
         """Survey until closed."""
@@ -177,10 +176,10 @@
                 wait_s=wait_s,
                 timeout_s=wait_s + settings.answer_s,
             )
-        except WorkerUnreachable as error:
+        except WorkerUnreachableError as error:
             await self._survey_failed(error)
             return
-        except (*WORKER_FAILURES, ProtocolError) as error:
+        except WORKER_FAILURES as error:
             self._lease.sent(until_s or 0.0)
             await self._survey_failed(error)
             return
@@ -228,9 +227,8 @@
             self._context.post(RunNever(self._worker_id, *stopped, EndKind.STOPPED))
 
     async def _survey_failed(self, error: Exception) -> None:
-        if isinstance(error, WorkerReplaced):
-            self._context.post(WorkerOver(self._worker_id))
-            self.close()
+        if isinstance(error, WorkerReplacedError):
+            self._over()
             return
         self._failures += 1
         if self._failures == 1:
@@ -238,10 +236,9 @@
         if self._failures == _FAILURES_THAT_TELL:
             log_event('worker_silent', worker=self._worker_id, why=str(error))
         self._context.post(WorkerSilent(self._worker_id))
-        if self.is_draining and not self.is_listed and isinstance(error, WorkerUnreachable):
+        if self.is_draining and not self.is_listed and isinstance(error, WorkerUnreachableError):
             # It said that it leaves, its entry is gone and its port is closed.
-            self._context.post(WorkerOver(self._worker_id))
-            self.close()
+            self._over()
             return
         await anyio.sleep(self._context.settings.retry_s)
 
@@ -258,31 +255,40 @@
         """Order a start until it is answered; take it back when it stays in doubt."""
         is_doubtful = False
         for _ in range(self._context.settings.order_tries):
-            try:
-                status = await self._start_once(effect, payload)
-            except WorkerReplaced:
-                self._context.post(WorkerOver(self._worker_id))
-                self.close()
-                return
-            except WorkerUnreachable:
-                status = OrderStatus.UNHEALTHY
-            except WORKER_FAILURES:
-                is_doubtful = True
-                continue
-            self._context.metrics.orders.labels('start', status.value).inc()
-            if status is OrderStatus.DONE:
-                self._context.post(StartAcknowledged(self._worker_id, effect.key, effect.run))
-                return
-            log_event('start_refused', worker=self._worker_id, task=effect.key, run=effect.run, status=status)
-            if status is OrderStatus.FENCED:
-                self._context.fenced()
-            if not is_doubtful:
-                self._context.post(RunNever(self._worker_id, effect.key, effect.run))
-                return
-            break
-        log_event('start_in_doubt', worker=self._worker_id, task=effect.key, run=effect.run)
-        self._context.metrics.orders.labels('start', 'in_doubt').inc()
-        await self._stop(effect.key, effect.run)
+            status = await self._try_start(effect, payload)
+            if status is not None:
+                self._start_answered(effect, status, is_doubtful=is_doubtful)
+                is_doubtful = is_doubtful and status is not OrderStatus.DONE
+                break
+            is_doubtful = True
+        if is_doubtful:
+            log_event('start_in_doubt', worker=self._worker_id, task=effect.key, run=effect.run)
+            self._context.metrics.orders.labels('start', 'in_doubt').inc()
+            await self._stop(effect.key, effect.run)
+
+    async def _try_start(self, effect: StartRun, payload: str) -> OrderStatus | None:
+        """Order a start once; return nothing when it is not known what became of it."""
+        try:
+            return await self._start_once(effect, payload)
+        except WorkerReplacedError:
+            self._over()
+            return OrderStatus.UNHEALTHY
+        except WorkerUnreachableError:
+            return OrderStatus.UNHEALTHY
+        except WORKER_FAILURES:
+            return None
+
+    def _start_answered(self, effect: StartRun, status: OrderStatus, *, is_doubtful: bool) -> None:
+        context = self._context
+        context.metrics.orders.labels('start', status.value).inc()
+        if status is OrderStatus.DONE:
+            context.post(StartAcknowledged(self._worker_id, effect.key, effect.run))
+            return
+        log_event('start_refused', worker=self._worker_id, task=effect.key, run=effect.run, status=status)
+        if status is OrderStatus.FENCED:
+            context.fenced()
+        if not is_doubtful:
+            context.post(RunNever(self._worker_id, effect.key, effect.run))
 
     async def _start_once(self, effect: StartRun, payload: str) -> OrderStatus:
         context = self._context
@@ -300,39 +306,45 @@
 
     async def _stop(self, key: TaskKey, run: int) -> None:
         """Order a stop until it is acknowledged; the run can't start there after."""
-        if (key, run) in self._doubtful:
+        if (key, run) in self._stops_under_way:
             return
-        self._doubtful.add((key, run))
-        context = self._context
+        self._stops_under_way.add((key, run))
         try:
-            while True:
-                try:
-                    reply = await context.client.stop(
-                        self.address,
-                        self._worker_id,
-                        key,
-                        run,
-                        context.fence,
-                        timeout_s=context.settings.answer_s,
-                    )
-                except WorkerReplaced:
-                    context.post(WorkerOver(self._worker_id))
-                    self.close()
-                    return
-                except (*WORKER_FAILURES, ProtocolError):
-                    await anyio.sleep(context.settings.retry_s)
-                    continue
-                context.metrics.orders.labels('stop', reply.status.value).inc()
-                self._read_clock(reply.clock_s)
-                if reply.status is OrderStatus.FENCED:
-                    context.fenced()
-                if reply.status is OrderStatus.UNHEALTHY:
-                    await anyio.sleep(context.settings.retry_s)
-                    continue
-                self._stopped_at_by_run[key, run] = context.clock()
-                return
+            while not await self._try_stop(key, run):
+                await anyio.sleep(self._context.settings.retry_s)
         finally:
-            self._doubtful.discard((key, run))
+            self._stops_under_way.discard((key, run))
+
+    async def _try_stop(self, key: TaskKey, run: int) -> bool:
+        """Order a stop once; tell whether it was acknowledged or has no object any more."""
+        context = self._context
+        try:
+            reply = await context.client.stop(
+                self.address,
+                self._worker_id,
+                key,
+                run,
+                context.fence,
+                timeout_s=context.settings.answer_s,
+            )
+        except WorkerReplacedError:
+            self._over()
+            return True
+        except WORKER_FAILURES:
+            return False
+        context.metrics.orders.labels('stop', reply.status.value).inc()
+        self._read_clock(reply.clock_s)
+        if reply.status is OrderStatus.FENCED:
+            context.fenced()
+        if reply.status is OrderStatus.UNHEALTHY:
+            return False
+        self._stopped_at_by_run[key, run] = context.clock()
+        return True
+
+    def _over(self) -> None:
+        """Tell that this life of the worker has ended for certain."""
+        self._context.post(WorkerOver(self._worker_id))
+        self.close()
 
     def _lease_until(self, hold_s: float) -> float | None:
         if not self._lease.has_reading:
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -67,7 +67,7 @@
 
 
 class WorkerOver(NamedTuple):
-    """This life of a worker has ended for certain."""
+    """A life of a worker has ended for certain."""
 
     worker_id: str
 
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import Scheduler
 from dahliaarch_kernel.scheduler.progress import encode_progress
 from dahliaarch_platform.store import (
@@ -54,7 +53,7 @@
         Called when another owner has taken the pool.
     """
 
-    def __init__(  # noqa: PLR0913
+    def __init__(
         self,
         store: StoreClient,
         timing: StoreTiming,
@@ -99,7 +98,7 @@
             for first in range(0, len(writes), _MOST_WRITES):
                 if not await self._commit(writes[first : first + _MOST_WRITES]):
                     return
-        except (*STORE_FAILURES, ProtocolError) as error:
+        except STORE_FAILURES as error:
             log_event('progress_not_kept', why=str(error), jobs=len(job_ids))
             self._scheduler.mark_dirty(job_ids)
             await anyio.sleep(self._timing.retry_pause_s())
@@ -134,7 +133,7 @@
                 keys,
                 timeout_s=self._timing.call_s,
             )
-        except (*STORE_FAILURES, ProtocolError) as error:
+        except STORE_FAILURES as error:
             log_event('job_not_removed', job=job_id, why=str(error))
             return
         if outcome.status is CommitStatus.DONE:
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -9,14 +9,13 @@
 
 import anyio
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_platform.store import (
     CommitStatus,
     Condition,
     Item,
     STORE_FAILURES,
     StoreClient,
-    StoreUnanswered,
+    StoreUnansweredError,
     Write,
 )
 
@@ -118,7 +117,7 @@
         while True:
             try:
                 await self._step()
-            except (*STORE_FAILURES, ProtocolError) as error:
+            except STORE_FAILURES as error:
                 log_event('owner_key_unreachable', why=str(error), is_own=self.is_own)
                 await anyio.sleep(self._timing.retry_pause_s())
 
@@ -189,7 +188,7 @@
                 [write],
                 timeout_s=self._timing.call_s,
             )
-        except StoreUnanswered:
+        except StoreUnansweredError:
             await self._read_back(lease)
             return
         if outcome.status is CommitStatus.DONE:
--- a/packages/node/dahliaarch_node/peers/__init__.py
+++ b/packages/node/dahliaarch_node/peers/__init__.py
@@ -1,10 +1,10 @@
 """Messages between instances over ZeroMQ."""
 
-from .core import Mesh, PeerSilent
+from .core import Mesh, PeerSilentError
 from .messages import (
     AcceptCancel,
-    AcceptJob,
     Accepted,
+    AcceptJob,
     AskPending,
     AskState,
     Beat,
@@ -28,7 +28,7 @@
     'JobNews',
     'Mesh',
     'Message',
-    'PeerSilent',
+    'PeerSilentError',
     'PendingReply',
     'StateReply',
 )
--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -9,8 +9,8 @@
 
 import anyio
 import zmq
-import zmq.asyncio
 from anyio.abc import TaskGroup
+from zmq.asyncio import Context, Socket
 
 from dahliaarch_kernel.errors import DahliaarchError, ProtocolError
 
@@ -33,7 +33,7 @@
 _MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
-class PeerSilent(DahliaarchError):
+class PeerSilentError(DahliaarchError):
     """A peer did not answer in time; what was asked may have been done."""
 
 
@@ -48,7 +48,7 @@
 
     def __init__(self, handler: Handler) -> None:
         """Create the context; nothing is bound yet."""
-        self._context = zmq.asyncio.Context()
+        self._context = Context()
         self._handler = handler
         self._router = self._socket(zmq.ROUTER)
         self._link_by_address: dict[Address, _Link] = {}
@@ -71,7 +71,7 @@
 
         Raises
         ------
-        PeerSilent
+        PeerSilentError
             When there is none in time.
         """
         link = self._link(address)
@@ -79,7 +79,7 @@
             with anyio.fail_after(timeout_s):
                 return await link.ask(message)
         except TimeoutError:
-            raise PeerSilent(f'{address}: no answer to {type(message).__name__}') from None
+            raise PeerSilentError(f'{address}: no answer to {type(message).__name__}') from None
 
     def tell(self, address: Address, message: Message) -> None:
         """Send a message that needs no answer; it may be lost."""
@@ -112,7 +112,7 @@
             self._tasks.start_soon(link.run)
         return link
 
-    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+    def _socket(self, kind: int) -> Socket:
         socket = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK)
@@ -130,7 +130,7 @@
 class _Link:
     """The socket to one peer and the calls that wait for its answers."""
 
-    def __init__(self, socket: zmq.asyncio.Socket) -> None:
+    def __init__(self, socket: Socket) -> None:
         self._socket = socket
         self._calls = 0
         self._waiter_by_call: dict[int, asyncio.Future[Message]] = {}
@@ -160,7 +160,7 @@
 
     def send(self, call: int, message: Message) -> None:
         """Queue a message; drop it when the peer does not read."""
-        sent = self._socket.send(encode(call, message), flags=zmq.NOBLOCK)
+        sent = asyncio.ensure_future(self._socket.send(encode(call, message), flags=zmq.NOBLOCK))
         sent.add_done_callback(_note_unsent)
 
     def close(self) -> None:
@@ -178,6 +178,6 @@
             waiter.set_result(message)
 
 
-def _note_unsent(sent: 'asyncio.Future[None]') -> None:
+def _note_unsent(sent: 'asyncio.Future[zmq.MessageTracker | None]') -> None:
     if not sent.cancelled() and sent.exception() is not None:
         log_event('peer_message_dropped', why=repr(sent.exception()))
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -67,7 +67,7 @@
     """How many jobs have not begun; not ready while the owner still takes over."""
 
     is_ready: bool
-    count: int = 0
+    job_count: int = 0
 
 
 class JobNews(NamedTuple):
--- a/packages/node/dahliaarch_node/records/__init__.py
+++ b/packages/node/dahliaarch_node/records/__init__.py
@@ -1,8 +1,8 @@
 """Keys and values that the system keeps in the store."""
 
 from .core import (
-    CANCEL_SUFFIX,
     cancel_key,
+    CANCEL_SUFFIX,
     decode_job_record,
     decode_member,
     encode_job_record,
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -2,7 +2,6 @@
 
 from functools import singledispatchmethod
 
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
 from .following import ConfigurationFollower
@@ -13,8 +12,8 @@
 from .ownership import Owner, Ownership
 from .peers import (
     AcceptCancel,
-    AcceptJob,
     Accepted,
+    AcceptJob,
     AskPending,
     AskState,
     Beat,
@@ -64,10 +63,9 @@
         raise NotImplementedError(type(message).__name__)
 
     @_reply.register
-    async def _(self, message: Hello) -> Message | None:
+    async def _(self, message: Hello) -> None:
         if self.membership is not None:
             self.membership.add(message.member)
-        return None
 
     @_reply.register
     async def _(self, message: Beat) -> Message | None:
@@ -79,7 +77,7 @@
 
     @_reply.register
     async def _(self, message: AskState) -> Message | None:
-        job = None if self.owner is None else self.owner.state_of(message.job_id)
+        job = None if self.owner is None else self.owner.scheduler.job_by_id.get(message.job_id)
         if job is None:
             return StateReply(is_known=False)
         return StateReply(True, job.shown_phase.value, job.has_ended and job.is_end_kept)
@@ -88,12 +86,11 @@
     async def _(self, message: AskPending) -> Message | None:
         if self.owner is None or not self.owner.is_ready:
             return PendingReply(is_ready=False)
-        return PendingReply(True, self.owner.pending_in(message.queue))
+        return PendingReply(True, self.owner.scheduler.pending_in(message.queue))
 
     @_reply.register
-    async def _(self, message: JobNews) -> Message | None:
+    async def _(self, message: JobNews) -> None:
         self._pass_on(message.job_id, message.record, message.revision, is_cancel=message.is_cancel)
-        return None
 
     @_reply.register
     async def _(self, message: AcceptJob) -> Message | None:
@@ -107,7 +104,7 @@
         try:
             if await self._store.get(job_key(message.job_id), timeout_s=_READ_S) is None:
                 return Accepted(is_done=False, is_certain=True, is_missing=True)
-        except (*STORE_FAILURES, ProtocolError):
+        except STORE_FAILURES:
             return Accepted(is_done=False, is_certain=True)
         outcome = await keep_cancellation(self._store, message.job_id, _HOLD_S)
         if outcome.fate is Fate.KEPT:
--- /dev/null
+++ b/packages/node/dahliaarch_node/status.py
@@ -0,0 +1,68 @@
+"""What an operator needs in one look, as plain rows."""
+
+from collections import Counter
+from typing import Any
+
+from dahliaarch_kernel.scheduler import JobState, WorkerState
+from dahliaarch_platform.store import StoreClient
+
+from .following import ConfigurationFollower
+from .owner import PoolOwner
+from .ownership import Ownership
+
+# Times as slow as expected from which a worker is shown as slow.
+_SLOW = 1.5
+
+
+def describe(
+    ownership: Ownership,
+    follower: ConfigurationFollower,
+    store: StoreClient,
+    owner: PoolOwner | None,
+) -> dict[str, Any]:
+    """Return what this instance knows, and of the pool if it owns it."""
+    known = ownership.owner
+    found: dict[str, Any] = {
+        'owner': known.member.instance if known else 'not known',
+        'epoch': known.epoch if known else 0,
+        'configuration': follower.version,
+        'store_calls': [{'call': call, 'count': count} for call, count in sorted(store.count_by_call.items())],
+    }
+    if owner is not None:
+        jobs = [job for job in owner.scheduler.job_by_id.values() if not job.has_ended]
+        found['waiting'] = _waiting(jobs)
+        found['accounts'] = _accounts(jobs)
+        found['workers'] = [_worker(worker) for worker in owner.scheduler.worker_by_id.values()]
+    return found
+
+
+def _waiting(jobs: list[JobState]) -> list[dict[str, Any]]:
+    waiting = Counter(job.queue.name for job in jobs if not job.has_begun)
+    begun = Counter(job.queue.name for job in jobs if job.has_begun)
+    return [{'queue': name, 'waiting': waiting[name], 'begun': begun[name]} for name in sorted(waiting | begun)]
+
+
+def _accounts(jobs: list[JobState]) -> list[dict[str, Any]]:
+    used: Counter[str] = Counter()
+    for job in jobs:
+        used[job.spec.account] += sum(run.demand.accelerators for run in job.runs())
+    return [{'account': name, 'accelerators': count} for name, count in sorted(used.items())]
+
+
+def _worker(worker: WorkerState) -> dict[str, Any]:
+    return {
+        'worker': worker.worker_id,
+        'runs': len(worker.run_by_key),
+        'free_accelerators': worker.free.accelerators,
+        'state': _state(worker),
+    }
+
+
+def _state(worker: WorkerState) -> str:
+    if worker.is_silent:
+        return 'silent'
+    if worker.profile.draining:
+        return 'draining'
+    if worker.failed_jobs:
+        return f'failed {len(worker.failed_jobs)} jobs in turn'
+    return 'slow' if worker.slowness > _SLOW else 'sound'
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/demo/core.py
@@ -0,0 +1,135 @@
+"""Runs jobs on a deployment while its owner is killed and the store is away."""
+
+import random
+import secrets
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+
+from ..deployment import Caller, Deployment
+
+_QUEUES = ('urgent', 'ordinary')
+# Longest time for all jobs to end, in seconds.
+_ALL_ENDED_S = 60.0
+# When the owner is killed and the store falls silent, seconds from the start.
+_KILL_AT_S = 2.0
+_SILENCE_AT_S = 5.0
+_SILENCE_S = 1.5
+# Shares of jobs that are gangs, and that have a second step.
+_GANG_SHARE = 0.5
+_TWO_STEP_SHARE = 0.3
+# Mean time between two jobs, in seconds.
+_GAP_S = 0.15
+
+
+class DemoCounts(NamedTuple):
+    """What became of the jobs.
+
+    Parameters
+    ----------
+    accepted, succeeded : int
+        Jobs accepted, and shown as succeeded.
+    lost : int
+        Accepted jobs that did not succeed.
+    doubled : int
+        Tasks that succeeded more than once.
+    starts : int
+        Starts that workers carried out.
+    owners : int
+        Instances that owned the pool, one after another.
+    """
+
+    accepted: int
+    succeeded: int
+    lost: int
+    doubled: int
+    starts: int
+    owners: int
+
+    @property
+    def is_right(self) -> bool:
+        """Whether nothing was lost or doubled."""
+        return not self.lost and not self.doubled
+
+
+def run_demo(jobs: int, seed: int) -> DemoCounts:
+    """Run the demonstration."""
+    return anyio.run(_run, jobs, seed)
+
+
+async def _run(jobs: int, seed: int) -> DemoCounts:
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(Path(folder), workers=8)
+        async with anyio.create_task_group() as tasks:
+            try:
+                await deployment.start(tasks)
+                counts = await _play(deployment, jobs, random.Random(seed))
+            finally:
+                deployment.close()
+                tasks.cancel_scope.cancel()
+    return counts
+
+
+async def _play(deployment: Deployment, jobs: int, choice: random.Random) -> DemoCounts:
+    accepted: dict[str, str] = {}
+    caller = deployment.caller()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_trouble, deployment)
+        for _ in range(jobs):
+            tasks.start_soon(_hand_in, caller, accepted, choice.choice(_QUEUES), _steps(choice))
+            await anyio.sleep(choice.expovariate(1 / _GAP_S))
+    succeeded = 0
+    with anyio.move_on_after(_ALL_ENDED_S):
+        for job_id, queue in accepted.items():
+            await caller.wait_for(queue, job_id, 'succeeded', _ALL_ENDED_S)
+            succeeded += 1
+    return _count(deployment, len(accepted), succeeded)
+
+
+async def _trouble(deployment: Deployment) -> None:
+    await anyio.sleep(_KILL_AT_S)
+    owner = await deployment.owner()
+    deployment.kill(owner)
+    await anyio.sleep(_SILENCE_AT_S - _KILL_AT_S)
+    deployment.launch(owner)
+    deployment.store.faults.is_silent = True
+    await anyio.sleep(_SILENCE_S)
+    deployment.store.faults.is_silent = False
+
+
+async def _hand_in(caller: Caller, accepted: dict[str, str], queue: str, steps: list[dict[str, Any]]) -> None:
+    job_id = await caller.submit(queue, steps, '0.4', secrets.token_hex(8))
+    accepted[job_id] = queue
+
+
+def _steps(choice: random.Random) -> list[dict[str, Any]]:
+    first = {
+        'Count': choice.randint(1, 4),
+        'Cpu': 4000,
+        'MemMb': 16_000,
+        'Gpu': choice.choice((1, 2, 4, 8)),
+        'EstimateMs': 400,
+        'Gang': choice.random() < _GANG_SHARE,
+    }
+    if choice.random() < _TWO_STEP_SHARE:
+        return [first, {**first, 'After': [0]}]
+    return [first]
+
+
+def _count(deployment: Deployment, accepted: int, succeeded: int) -> DemoCounts:
+    done: dict[str, set[int]] = {}
+    for worker in deployment.workers:
+        for end in worker.ends:
+            if end.how == 'done':
+                done.setdefault(end.task, set()).add(end.run)
+    fences = {start.fence for worker in deployment.workers for start in worker.starts}
+    return DemoCounts(
+        accepted,
+        succeeded,
+        accepted - succeeded,
+        sum(len(runs) > 1 for runs in done.values()),
+        sum(len(worker.starts) for worker in deployment.workers),
+        len(fences),
+    )
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -14,7 +14,7 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_node.records import decode_member, OWNER_KEY
-from dahliaarch_platform.http import CallNotSent, CallUnanswered, HttpClient, Reply
+from dahliaarch_platform.http import CallNotSentError, CallUnansweredError, HttpClient, Reply
 from dahliaarch_platform.settings import Address, PATH_VARIABLE
 
 from ..platform import StoreStandIn, WorkerStandIn
@@ -63,7 +63,7 @@
                 timeout_s=timeout_s,
                 headers=headers,
             )
-        except (CallNotSent, CallUnanswered):
+        except (CallNotSentError, CallUnansweredError):
             return None
 
     async def submit(self, queue: str, steps: list[dict[str, Any]], payload: str, job_id: str = '') -> str:
@@ -159,7 +159,7 @@
         path = self._folder / f'{name}.conf'
         path.write_text(self._settings(name), encoding='utf-8')
         log = (self._folder / f'{name}.log').open('ab')
-        self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - our own program
+        self._process_by_name[name] = subprocess.Popen(
             [sys.executable, '-m', 'dahliaarch_node.main'],
             env={**os.environ, PATH_VARIABLE: str(path)},
             stdout=log,
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -28,6 +28,14 @@
         self.started_s = now_s
         self.stops_at_s: float | None = None
 
+    def ended_how(self, now_s: float) -> str:
+        """Return how it has ended; nothing while it runs."""
+        if self.stops_at_s is not None and now_s >= self.stops_at_s:
+            return 'stopped'
+        if now_s - self.started_s < self.work_s:
+            return ''
+        return 'failed' if self.work_s < 0 else 'done'
+
     def percent(self, now_s: float) -> int:
         return min(99, int(100 * (now_s - self.started_s) / self.work_s))
 
@@ -144,12 +152,9 @@
     def _work(self, now_s: float) -> None:
         lapsed = self._until_s and now_s > self._until_s
         for run in tuple(self._run_by_task.values()):
-            if lapsed:
-                self._end(run, 'lapsed', now_s)
-            elif run.stops_at_s is not None and now_s >= run.stops_at_s:
-                self._end(run, 'stopped', now_s)
-            elif now_s - run.started_s >= run.work_s:
-                self._end(run, 'failed' if run.work_s < 0 else 'done', now_s)
+            how = 'lapsed' if lapsed else run.ended_how(now_s)
+            if how:
+                self._end(run, how, now_s)
 
     def _end(self, run: _Run, how: str, now_s: float) -> None:
         self._run_by_task.pop(run.task, None)
