Ask the last owner's workers at a takeover though their entries have lapsed

An owner now keeps the workers that it knows under its own key, and its successor asks those first. Ruled out: an acknowledgement before the write (the ends were never acknowledged by the first owner). Weighed: waiting 2.2 s after any store failure before old jobs start, which delays every restart. A worker whose entry is missing but which answers also takes starts. The new scenario fails on the commit before and passes.

--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -130,11 +130,11 @@
             self.used = self.used.minus(run.demand)
 
     def takes_starts(self, now_s: float) -> bool:
-        """Tell whether a start may be ordered here."""
+        """Tell whether a start may be ordered here.
+
+        A worker whose entry is missing but which answers is alive: entries
+        lapse while the store is away.
+        """
         return (
-            self.is_listed
-            and self.is_surveyed
-            and not self.is_silent
-            and not self.profile.draining
-            and now_s >= self.quarantined_until_s
+            self.is_surveyed and not self.is_silent and not self.profile.draining and now_s >= self.quarantined_until_s
         )
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -12,7 +12,6 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.configuration import Configuration
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import (
     JobProgress,
     Moment,
@@ -22,14 +21,13 @@
     StopRun,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
-from dahliaarch_kernel.scheduler.progress import decode_progress
 from dahliaarch_platform.settings import Bounds
-from dahliaarch_platform.store import Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
+from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
 from ..logs import log_event
 from ..metrics import Metrics
-from ..records import job_id_of, JOBS_PREFIX, PROGRESS_PREFIX
+from ..records import RosterEntry
 from ..timing import StoreTiming
 from .feeds import Feed, follow_jobs, post_job, WorkersFeed
 from .links import LinkContext, LinkSettings, WorkerLink
@@ -46,6 +44,7 @@
     WorkerUnlisted,
 )
 from .recorder import Recorder
+from .takeover import read_inheritance
 
 # Messages that may wait for the task that decides; senders see no limit in
 # practice, since one pass takes them all.
@@ -178,31 +177,20 @@
                 await self._decide_forever()
 
     async def _load(self) -> tuple[int, int]:
-        """Read the records; return the revisions to follow jobs and workers from."""
-        progress = await self._list(PROGRESS_PREFIX)
-        jobs = await self._list(JOBS_PREFIX)
-        workers = await self._list(WORKERS_PREFIX)
-        for item in progress.items:
-            try:
-                self._progress_by_id[job_id_of(item.key)] = decode_progress(item.value)
-            except ProtocolError as error:
-                log_event('progress_malformed', key=item.key, why=str(error))
+        """Take in the records; return the revisions to follow jobs and workers from."""
+        found = await read_inheritance(self._store, self._settings.timing)
+        self._progress_by_id = found.progress_by_id
         # A silent worker may run jobs of earlier owners until its lease ends.
         self._silent_until_s = time.monotonic() + self._settings.bounds.max_hold_s * _SLOWEST_CLOCK
-        self._workers_feed.take_in(workers)
-        for item in sorted(jobs.items, key=lambda each: len(each.key)):
+        self._workers_feed.take_in(found.workers)
+        for entry in found.roster:
+            self.post(WorkerListed(entry.profile, entry.address))
+            self.post(WorkerUnlisted(entry.profile.worker_id))
+        for item in sorted(found.jobs.items, key=lambda each: len(each.key)):
             post_job(item, self.post)
         self._drain_inbox()
-        self._progress_by_id.clear()
-        return jobs.revision, workers.revision
-
-    async def _list(self, prefix: str) -> Page:
-        while True:
-            try:
-                return await self._store.list(prefix, timeout_s=self._settings.timing.call_s)
-            except STORE_FAILURES as error:
-                log_event('takeover_list_failed', prefix=prefix, why=str(error))
-                await anyio.sleep(self._settings.timing.retry_pause_s())
+        self._progress_by_id = {}
+        return found.jobs.revision, found.workers.revision
 
     async def _survey_all(self) -> None:
         """Hear from every worker, or give up on those that are silent."""
@@ -241,6 +229,17 @@
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
         if self.scheduler.has_dirty_jobs or self._has_unkept_ends():
             self._recorder.needed.set()
+        self._note_roster()
+
+    def _note_roster(self) -> None:
+        """Have the known workers kept when they have changed."""
+        roster = [
+            RosterEntry(self.scheduler.worker_by_id[worker_id].profile._replace(leaves_in_s=None), link.address)
+            for worker_id, link in sorted(self._link_by_id.items())
+        ]
+        if roster != self._recorder.roster:
+            self._recorder.roster = roster
+            self._recorder.needed.set()
 
     def _close_idle_links(self) -> None:
         """Close links to workers that the scheduler has given up."""
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -16,7 +16,7 @@
 )
 
 from ..logs import log_event
-from ..records import cancel_key, job_key, OWNER_KEY, progress_key
+from ..records import cancel_key, encode_roster, job_key, OWNER_KEY, progress_key, ROSTER_KEY, RosterEntry
 from ..timing import StoreTiming
 
 # Ends that come within this time share a transaction, in seconds. Ends are
@@ -66,6 +66,8 @@
     ) -> None:
         """Start with nothing to keep."""
         self.needed = anyio.Event()
+        self.roster: list[RosterEntry] = []
+        self._kept_roster: list[RosterEntry] = []
         self._store = store
         self._timing = timing
         self._scheduler = scheduler
@@ -94,6 +96,9 @@
         mark = self._mark()
         job_ids = self._scheduler.take_dirty_jobs()
         writes = [self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id]
+        roster = self.roster
+        if roster != self._kept_roster:
+            writes.append(Write(ROSTER_KEY, encode_roster(roster)))
         try:
             for first in range(0, len(writes), _MOST_WRITES):
                 if not await self._commit(writes[first : first + _MOST_WRITES]):
@@ -104,6 +109,7 @@
             await anyio.sleep(self._timing.retry_pause_s())
             self.needed.set()
             return
+        self._kept_roster = roster
         for job_id in job_ids:
             self._scheduler.mark_kept(job_id)
         self._kept(mark)
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -11,12 +11,15 @@
 
 from dahliaarch_kernel.configuration import Queue
 from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.workload import JobSpec
+from dahliaarch_platform.settings import Address
 
 OWNER_KEY = 'dahliaarch/owner'
 MEMBERS_PREFIX = 'dahliaarch/members/'
 JOBS_PREFIX = 'dahliaarch/jobs/'
 PROGRESS_PREFIX = 'dahliaarch/progress/'
+ROSTER_KEY = 'dahliaarch/workers'
 CANCEL_SUFFIX = '.cancel'
 
 
@@ -27,6 +30,17 @@
     queue: Queue
 
 
+class RosterEntry(NamedTuple):
+    """A worker that an owner has given orders to.
+
+    Workers' own entries lapse while the store is away; a new owner asks these
+    what they run before it starts anything.
+    """
+
+    profile: WorkerProfile
+    address: Address
+
+
 class Member(NamedTuple):
     """One run of an instance's process and where its peers reach it.
 
@@ -109,3 +123,22 @@
         return msgspec.msgpack.decode(value, type=Member)
     except msgspec.DecodeError as error:
         raise ProtocolError('member', str(error)) from error
+
+
+def encode_roster(roster: list[RosterEntry]) -> bytes:
+    """Return the stored form of the workers that an owner knows."""
+    return msgspec.msgpack.encode(roster)
+
+
+def decode_roster(value: bytes) -> list[RosterEntry]:
+    """Return the workers that an owner knew.
+
+    Raises
+    ------
+    ProtocolError
+        When the value is not a list of them.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=list[RosterEntry])
+    except msgspec.DecodeError as error:
+        raise ProtocolError('roster', str(error)) from error
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -50,6 +50,14 @@
     Then it is shown as succeeded
     And no task ran twice
 
+  Scenario: Workers' entries have lapsed when another owner takes over
+    Given a deployment of three instances
+    When a job of three tasks is accepted
+    And its tasks end while the store is away
+    And the entries of the workers that ran it lapse and the owner is killed
+    Then it is shown as succeeded
+    And no task ran twice
+
   Scenario: The store forgets its history
     Given a deployment of three instances
     When the store forgets its history
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -99,6 +99,33 @@
     running.store.faults.is_silent = False
 
 
+@when('its tasks end while the store is away')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+    running.store.faults.is_silent = True
+    running.wait_until(lambda: len(running.ends()) == 3)
+
+
+@when('the entries of the workers that ran it lapse and the owner is killed')
+def _(running):
+    running.portal.call(_lapse, running)
+    running.deployment.kill(running.owner())
+    running.store.faults.is_silent = False
+    running.sleep(4.0)
+    running.portal.call(_return, running)
+
+
+async def _lapse(running):
+    for worker in running.workers:
+        if worker.starts:
+            running.store.remove(f'servers/{worker.worker_id}')
+
+
+async def _return(running):
+    for worker in running.workers:
+        worker.publish()
+
+
 @when('the store forgets its history', target_fixture='calls_before')
 def _(running):
     running.store.forget_history()
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -121,7 +121,7 @@
         next_beat_s = 0.0
         while True:
             if time.monotonic() >= next_beat_s:
-                self._publish()
+                self._heartbeat()
                 next_beat_s = time.monotonic() + _HEARTBEAT_S
             self._work(time.monotonic())
             await anyio.sleep(_TICK_S)
@@ -132,7 +132,14 @@
         self.server.close()
         self._run_by_task.clear()
 
-    def _publish(self) -> None:
+    def _heartbeat(self) -> None:
+        """Write the entry when it has changed."""
+        if self._seq == 0 or self.is_draining:
+            self.publish()
+        self._seq += 1
+
+    def publish(self) -> None:
+        """Write the entry."""
         entry = {
             'Service': self._service,
             'Addr': f'{self._address.host}:{self._address.port}',
@@ -145,9 +152,7 @@
         }
         if self.is_draining:
             entry['RemainingMs'] = 4000
-        if self._seq == 0 or self.is_draining:
-            self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
-        self._seq += 1
+        self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
 
     def _work(self, now_s: float) -> None:
         lapsed = self._until_s and now_s > self._until_s
