Let operators' programs act on the new model; settings of our own, checked whole

Programs for priority, placement and reclaim see the new model's variables; the interpreter is imported by the first program only (16 MB and 0.2 s on every instance otherwise). The shipped policies are written anew; the default is the built-in choice, by worth.

--- a/packages/kernel/dahliaarch_kernel/policies/core.py
+++ b/packages/kernel/dahliaarch_kernel/policies/core.py
@@ -1,18 +1,16 @@
 """Compilation, checking and safe evaluation of policy programs."""
 
+import importlib
 import math
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import cel
-
 from ..errors import PolicyError
 from .settings import PolicySettings
 from .variables import CandidateVariables, JobVariables, VictimVariables
 
 _LONGEST_PROGRAM = 2000
 _MACROS = ('.map(', '.filter(', '.all(', '.exists(', '.exists_one(')
-_PREEMPTION_PENALTY = 60.0
 
 Variables = JobVariables | CandidateVariables | VictimVariables
 OnFailure = Callable[[str, Exception], None]
@@ -25,9 +23,9 @@
     extreme: Variables
 
 
-_JOB_SAMPLES = _Samples(JobVariables(), JobVariables(True, True, 1e6, 1e-3, 128.0, 128.0, 1.0, 3.0))
-_CANDIDATE_SAMPLES = _Samples(CandidateVariables(), CandidateVariables(0.0, 1.0, 8.0, 0.0, 0.0, 0.0, 0.0, 8.0, 1.0))
-_VICTIM_SAMPLES = _Samples(VictimVariables(), VictimVariables(0.0, 0.0, 128.0, True, 9.0))
+_JOB_SAMPLES = _Samples(JobVariables(), JobVariables(True, True, 1e6, 1e-3, -1e6, 128.0, 128.0, True, 1e3))
+_CANDIDATE_SAMPLES = _Samples(CandidateVariables(), CandidateVariables(0.0, 1.0, 8.0, 0.0, True))
+_VICTIM_SAMPLES = _Samples(VictimVariables(), VictimVariables(0.0, 0.0, 128.0, True, 128.0))
 
 
 class Policy:
@@ -59,6 +57,21 @@
         self._score = _compile(settings.placement_score, 'placement_score', _CANDIDATE_SAMPLES, float)
         self._reclaim = _compile(settings.reclaim, 'reclaim', _VICTIM_SAMPLES, float)
 
+    @property
+    def has_priority(self) -> bool:
+        """Whether a program decides the order."""
+        return self._priority is not None
+
+    @property
+    def has_placement(self) -> bool:
+        """Whether a program filters or scores workers."""
+        return self._filter is not None or self._score is not None
+
+    @property
+    def has_reclaim(self) -> bool:
+        """Whether a program chooses victims."""
+        return self._reclaim is not None
+
     def priority(self, job: JobVariables) -> float:
         """Return the priority of a job; higher goes first."""
         if self._priority is None:
@@ -110,6 +123,8 @@
     return Policy(settings, lambda name, error: None)
 
 
+# The interpreter of programs is imported by the first program only: it costs
+# 16 MB and 0.2 s, and most instances never own the pool.
 def _compile(text: str, name: str, samples: _Samples, wanted: type) -> Any:
     if not text:
         return None
@@ -118,7 +133,7 @@
     if any(macro in text for macro in _MACROS):
         raise PolicyError(f'{name}: loops over lists are not allowed, so that its cost stays bounded')
     try:
-        program = cel.compile(text)
+        program = importlib.import_module('cel').compile(text)
     except ValueError as error:
         raise PolicyError(f'{name}: {error}') from error
     for sample in samples:
@@ -139,15 +154,23 @@
 
 
 def _default_priority(job: JobVariables) -> float:
-    return (1e9 if job.urgent else 0.0) + job.waited_s
+    return (_URGENT_FIRST if job.urgent else 0.0) + job.built_in + job.waited_s * _AGEING
 
 
 def _default_score(candidate: CandidateVariables) -> float:
-    misplaced = candidate.accelerators > 0 and not candidate.wanted_accelerators
-    cut = candidate.largest - candidate.largest_after
-    return cut + candidate.free / candidate.slots + (1000.0 if misplaced else 0.0)
+    return candidate.free + candidate.memory_free + (_SUSPECT_LAST if candidate.suspect else 0.0)
 
 
 def _default_cost(victim: VictimVariables) -> float:
     lost_s = 0.0 if victim.checkpointable else victim.ran_s
-    return victim.slots * (1.0 + lost_s) + _PREEMPTION_PENALTY * victim.preemptions
+    return victim.slots * victim.members * (_RESTART_S + lost_s)
+
+
+# Above any priority that a job of another queue reaches.
+_URGENT_FIRST = 1e9
+# Added to the priority for each second of waiting where a program failed.
+_AGEING = 1.0
+# Above any score that free accelerators give.
+_SUSPECT_LAST = 1000.0
+# Cost of any stop in seconds of the run's work: its restart.
+_RESTART_S = 0.5
--- a/packages/kernel/dahliaarch_kernel/policies/shipped.py
+++ b/packages/kernel/dahliaarch_kernel/policies/shipped.py
@@ -2,36 +2,18 @@
 
 from .settings import PolicySettings
 
-_RECLAIM = 'slots * (checkpointable ? 1.0 : 1.0 + ran_s) + 60.0 * preemptions'
-_SMALLEST_WORK = '(urgent ? 1e9 : 0.0) + waited_s / (expected_s * slots)'
-_LARGEST_GANG = '(urgent ? 1e9 : 0.0) + slots + waited_s / 60.0'
-_KEEP_BLOCKS = (
-    '(largest - largest_after) * 10.0 + rack_free / 64.0 + free / slots'
-    ' + (accelerators > 0.0 && wanted_accelerators == 0.0 ? 1000.0 : 0.0)'
-)
+_SMALLEST_WORK = '(urgent ? 1e9 : 0.0) + (1.0 + waited_s / expected_s) / (expected_s * slots + 1.0)'
+_LARGEST_GANG = '(urgent ? 1e9 : 0.0) + (gang ? slots : 0.0) + waited_s / 60.0'
+_FULLEST_FIRST = 'free + memory_free + (suspect ? 1000.0 : 0.0)'
+_LEAST_LOST = 'slots * members * (checkpointable ? 0.5 : 0.5 + ran_s)'
 
 SHIPPED = {
-    'completion': PolicySettings(
-        name='completion',
-        priority='(urgent ? 1e9 : 0.0) + (1.0 + waited_s / expected_s) / (expected_s * slots)',
-        reclaim=_RECLAIM,
-        reserve_after_s=10.0,
-        defragment=True,
-    ),
+    'worth': PolicySettings(name='worth'),
+    'completion': PolicySettings(name='completion', priority=_SMALLEST_WORK, reclaim=_LEAST_LOST),
     'fragmentation': PolicySettings(
         name='fragmentation',
         priority=_LARGEST_GANG,
-        placement_score=_KEEP_BLOCKS,
-        reclaim=_RECLAIM,
-        reserve_after_s=5.0,
-        defragment=True,
-    ),
-    'blend': PolicySettings(
-        name='blend',
-        priority=_SMALLEST_WORK,
-        placement_score=_KEEP_BLOCKS,
-        reclaim=_RECLAIM,
-        reserve_after_s=10.0,
-        defragment=True,
+        placement_score=_FULLEST_FIRST,
+        reclaim=_LEAST_LOST,
     ),
 }
--- a/packages/kernel/dahliaarch_kernel/policies/variables.py
+++ b/packages/kernel/dahliaarch_kernel/policies/variables.py
@@ -8,36 +8,39 @@
 
 
 class JobVariables(NamedTuple):
-    """What a ``priority`` program sees: the job at the head of its class.
+    """What a ``priority`` program sees: a step that has tasks to start.
 
     Parameters
     ----------
     urgent : bool
-        Whether somebody waits for the job.
+        Whether its queue has priority 0.
     guaranteed : bool
-        Whether it would run inside its account's guarantee.
+        Whether it runs inside its account's guarantee.
     waited_s : float
-        Seconds since it was accepted.
+        Seconds since it was accepted or fell due.
     expected_s : float
-        Expected run time in seconds.
+        Expected run time of one task in seconds.
+    slack_s : float
+        Seconds that it may still wait and end in time.
     slots : float
-        Slots of the whole gang.
+        Accelerators of all its waiting tasks.
     members : float
-        Tasks of the gang.
-    usage : float
-        Share of its quota that the account uses.
-    retries : float
-        Attempts that ended early.
+        Its waiting tasks.
+    gang : bool
+        Whether they run all together or not at all.
+    built_in : float
+        Priority by the built-in choice: worth for the room and time taken.
     """
 
     urgent: bool = False
     guaranteed: bool = False
     waited_s: float = 0.0
     expected_s: float = 60.0
+    slack_s: float = 0.0
     slots: float = 1.0
     members: float = 1.0
-    usage: float = 0.0
-    retries: float = 0.0
+    gang: bool = False
+    built_in: float = 0.0
 
 
 class CandidateVariables(NamedTuple):
@@ -46,55 +49,43 @@
     Parameters
     ----------
     free : float
-        Usable slots of the worker.
+        Free accelerators of the worker.
     slots : float
-        All slots of the worker.
+        All its accelerators.
     block : float
-        Slots of the wanted block.
-    largest : float
-        Largest usable aligned block of the worker.
-    largest_after : float
-        The same after the block is taken.
-    rack_free : float
-        Free slots of the worker's rack.
-    accelerators : float
-        Accelerators of the worker.
-    wanted_accelerators : float
-        Accelerators of one member.
-    homed : float
-        Share of the worker's slots that guarantees hold.
+        Accelerators that one task wants.
+    memory_free : float
+        Share of its memory that is free.
+    suspect : bool
+        Whether tasks failed or crawled there of late.
     """
 
     free: float = 8.0
     slots: float = 8.0
     block: float = 1.0
-    largest: float = 8.0
-    largest_after: float = 4.0
-    rack_free: float = 64.0
-    accelerators: float = 8.0
-    wanted_accelerators: float = 1.0
-    homed: float = 0.0
+    memory_free: float = 1.0
+    suspect: bool = False
 
 
 class VictimVariables(NamedTuple):
-    """What a ``reclaim`` program sees of a job that could be preempted.
+    """What a ``reclaim`` program sees of a run that could be stopped.
 
     Parameters
     ----------
     ran_s : float
-        Seconds it has run since it started or was resumed.
+        Seconds since it started.
     left_s : float
-        Expected seconds that it still needs.
+        Expected seconds until it ends.
     slots : float
-        Slots that it holds in all.
+        Cores that it holds, each accelerator counted as eight.
     checkpointable : bool
-        Whether its work so far can be kept.
-    preemptions : float
-        How often it was preempted before.
+        Whether its work so far is kept.
+    members : float
+        Runs that end with it: its gang.
     """
 
     ran_s: float = 10.0
     left_s: float = 10.0
     slots: float = 1.0
     checkpointable: bool = False
-    preemptions: float = 0.0
+    members: float = 1.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from ..configuration import Queue
+from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, TaskKey
 from .clock import Moment
 from .effects import Effect
@@ -30,11 +31,13 @@
         Limits and weights.
     epoch : int
         Epoch of the owner; later owners have larger ones.
+    policy : Policy or None
+        The operators' programs; nothing for the built-in choices.
     """
 
-    def __init__(self, settings: SchedulerSettings, epoch: int) -> None:
+    def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
         """Start without jobs and workers."""
-        self._state = SchedulerState(settings, epoch)
+        self._state = SchedulerState(settings, epoch, policy or compile_policy(SHIPPED['worth']))
 
     @property
     def job_by_id(self) -> Mapping[str, JobState]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -11,6 +11,7 @@
 from .reservation import earliest_claim
 from .room import effective_demand, Room
 from .state import SchedulerState
+from .variables import job_variables
 from .worth import Standing, standing
 
 RANK_GUARANTEED = 0
@@ -47,7 +48,7 @@
         self._claims = state.claims
         self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
         self._room = Room(self._workers, state.claims)
-        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s)
+        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy)
         self._blocked: dict[_Signature, int] = {}
 
     def run(self) -> None:
@@ -67,11 +68,18 @@
             for step in job.ready_steps():
                 if step.refused_until_s > self._now.steady_s:
                     continue
-                order = standing(step, rank, self._state.times, unit, self._now.wall_s)
-                found.append((order, step))
+                found.append((self._standing(step, rank, unit), step))
         found.sort(key=lambda pair: pair[0])
         return found
 
+    def _standing(self, step: StepState, rank: int, unit: Resources) -> Standing:
+        order = standing(step, rank, self._state.times, unit, self._now.wall_s)
+        policy = self._state.policy
+        if not policy.has_priority:
+            return order
+        variables = job_variables(step, order, self._state.times, self._now.wall_s)
+        return order._replace(density=-policy.priority(variables))
+
     def _may_start(self, job: JobState) -> bool:
         """Tell whether no task of a job can be running on a worker not heard yet."""
         return job.known_since_s <= self._now.steady_s
@@ -105,6 +113,7 @@
             self._now.steady_s,
             waited_s > (_GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s),
             settings.far_factor,
+            self._state.policy,
         )
 
     def _place(self, request: Request, *, had_claim: bool) -> Placement:
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -3,9 +3,11 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+from ..policies import Policy
 from ..workload import Resources
 from .job_state import StepState
 from .room import effective_demand, fitting, is_admissible, is_near, per_worker_limit, rack_of, Room
+from .variables import candidate_variables, is_suspect
 from .workers import WorkerState
 
 
@@ -53,6 +55,8 @@
         Whether a slower place is acceptable.
     far_factor : float
         How many times as long tasks take there.
+    policy : Policy
+        The operators' programs.
     """
 
     step: StepState
@@ -61,6 +65,7 @@
     now_s: float
     may_go_far: bool
     far_factor: float
+    policy: Policy
 
 
 NOWHERE = Placement(())
@@ -134,16 +139,26 @@
         count = min(fitting(free, demand), per_worker_limit(worker, step))
         if count:
             found.append(Spot(worker, count))
+    return _by_preference(found, request, room)
+
+
+def _by_preference(spots: list[Spot], request: Request, room: Room) -> list[Spot]:
+    """Return the spots that the policy admits, the best first."""
     free_by_id = room.free_by_id
-    found.sort(key=lambda spot: _preference(spot, free_by_id[spot.worker.worker_id], request.now_s))
-    return found
+    policy = request.policy
+    if not policy.has_placement:
+        return sorted(spots, key=lambda spot: _preference(spot.worker, free_by_id[spot.worker.worker_id]))
+    scored = []
+    for spot in spots:
+        candidate = candidate_variables(spot.worker, request.step, free_by_id[spot.worker.worker_id])
+        if policy.admits(candidate):
+            scored.append((policy.score(candidate), spot))
+    return [spot for _, spot in sorted(scored, key=lambda pair: pair[0])]
 
 
-def _preference(spot: Spot, free: Resources, now_s: float) -> tuple[bool, int, int]:
+def _preference(worker: WorkerState, free: Resources) -> tuple[bool, int, int]:
     """Prefer sound workers, then full ones, so that whole workers stay free."""
-    worker = spot.worker
-    is_suspect = bool(worker.failed_jobs) or worker.slowness > _SLOW_ENOUGH
-    return (is_suspect, free.accelerators, free.memory_mb)
+    return (is_suspect(worker), free.accelerators, free.memory_mb)
 
 
 def _fill(spots: list[Spot], count: int, step: StepState) -> tuple[Spot, ...]:
@@ -158,7 +173,3 @@
     if left and step.spec.gang:
         return ()
     return tuple(chosen)
-
-
-# A worker this many times as slow as expected is used last.
-_SLOW_ENOUGH = 2.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..policies import Policy
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
 from .placement import admissible_workers
 from .room import effective_demand, fitting, is_near, per_worker_limit, rack_of, Room
 from .runs import Run, RunPhase
+from .variables import victim_variables
 from .workers import WorkerState
 
 # Room that others have claimed is taken, however short the work that asks.
@@ -56,10 +58,13 @@
         Returns the step of a run.
     now_s : float
         The present, steady clock.
+    policy : Policy
+        The operators' programs.
     """
 
-    def __init__(self, step_of: StepOf, now_s: float) -> None:
+    def __init__(self, step_of: StepOf, now_s: float, policy: Policy) -> None:
         """Start a search at one moment."""
+        self._policy = policy
         self._step_of = step_of
         self._now_s = now_s
 
@@ -84,6 +89,8 @@
         if step is None:
             return 0.0
         members = list(step.run_by_index.values()) if step.spec.gang else [run]
+        if self._policy.has_reclaim:
+            return self._policy.reclaim_cost(victim_variables(run, step, len(members), self._now_s))
         return sum(self._own_cost(member, step) for member in members)
 
     def _own_cost(self, run: Run, step: StepState) -> float:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from ..policies import Policy
 from ..workload import Resources, TaskKey
 from .claims import Claims
 from .effects import Effect, StartRun, StopRun
@@ -25,11 +26,14 @@
         Limits and weights.
     epoch : int
         Epoch of the owner; later owners have larger ones.
+    policy : Policy
+        The operators' programs, with built-in choices for those left out.
     """
 
-    def __init__(self, settings: SchedulerSettings, epoch: int) -> None:
+    def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy) -> None:
         """Start empty."""
         self.settings = settings
+        self.policy = policy
         self.epoch = epoch
         self.job_by_id: dict[str, JobState] = {}
         self.active_job_by_id: dict[str, JobState] = {}
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/variables.py
@@ -0,0 +1,56 @@
+"""What policy programs see of the scheduler's beliefs."""
+
+from ..policies import CandidateVariables, JobVariables, VictimVariables
+from ..workload import Resources, weighted_cores
+from .job_state import StepState
+from .learning import RunTimes
+from .runs import Run
+from .workers import WorkerState
+from .worth import slack_s, Standing
+
+# A worker this many times as slow as expected is used last.
+_SLOW_ENOUGH = 2.0
+
+
+def is_suspect(worker: WorkerState) -> bool:
+    """Tell whether tasks failed or crawled on a worker of late."""
+    return bool(worker.failed_jobs) or worker.slowness > _SLOW_ENOUGH
+
+
+def job_variables(step: StepState, order: Standing, times: RunTimes, wall_s: float) -> JobVariables:
+    """Return what a priority program sees of a step."""
+    count = len(step.pending)
+    return JobVariables(
+        urgent=step.job.queue.priority == 0,
+        guaranteed=order.rank == 0,
+        waited_s=max(0.0, wall_s - order.accepted_s),
+        expected_s=times.expect_s(step.job.queue.name, step.spec),
+        slack_s=slack_s(step, times, wall_s),
+        slots=float(count * step.spec.demand.accelerators),
+        members=float(count),
+        gang=step.spec.gang,
+        built_in=-order.density,
+    )
+
+
+def candidate_variables(worker: WorkerState, step: StepState, free: Resources) -> CandidateVariables:
+    """Return what placement programs see of a worker."""
+    capacity = worker.profile.capacity
+    return CandidateVariables(
+        free=float(free.accelerators),
+        slots=float(capacity.accelerators),
+        block=float(step.spec.demand.accelerators),
+        memory_free=free.memory_mb / max(capacity.memory_mb, 1),
+        suspect=is_suspect(worker),
+    )
+
+
+def victim_variables(run: Run, step: StepState, members: int, now_s: float) -> VictimVariables:
+    """Return what a reclaim program sees of a run."""
+    return VictimVariables(
+        ran_s=max(0.0, now_s - run.started_s),
+        left_s=run.left_s(now_s),
+        slots=weighted_cores(run.demand),
+        checkpointable=step.spec.checkpoints,
+        members=float(members),
+    )
--- a/packages/kernel/dahliaarch_kernel/scheduler/worth.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/worth.py
@@ -87,6 +87,12 @@
     return Standing(rank, -_worth(job, times, end_s - begin_s, wanted_s) / area, begin_s)
 
 
+def slack_s(step: StepState, times: RunTimes, wall_s: float) -> float:
+    """Return how long a step may still wait and end in time; negative when it is too late."""
+    left_s = objective_s(step.job, times) - (wall_s - _begin_s(step.job.spec, step.occurrence))
+    return left_s - rest_s(step, times)
+
+
 def _begin_s(spec: JobSpec, occurrence: int) -> float:
     return spec.due_s(occurrence) or spec.accepted_s
 
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -20,9 +20,10 @@
 from .logs import log_event, LogWriter
 from .membership import Membership
 from .metrics import Metrics
+from .own_settings import OwnSettings
 from .owner import PoolOwner
 from .owner.core import OwnerSettings
-from .ownership import Ownership, OwnershipSettings
+from .ownership import Ownership
 from .peers import Mesh
 from .records import Member
 from .replies import PeerReplies
@@ -51,12 +52,15 @@
         What the settings file says.
     path : Path
         That file, which may change.
+    own : OwnSettings
+        What the project's own file says.
     log_writer : LogWriter
         Writes the log lines.
     """
 
-    def __init__(self, settings: InstanceSettings, path: Path, log_writer: LogWriter) -> None:
+    def __init__(self, settings: InstanceSettings, path: Path, own: OwnSettings, log_writer: LogWriter) -> None:
         """Build the parts; nothing runs yet."""
+        self._own_settings = own
         self._settings = settings
         self._path = path
         self._log_writer = log_writer
@@ -70,7 +74,7 @@
             self._member,
             self._store,
             self._timing,
-            OwnershipSettings(),
+            own.ownership,
             is_able=settings.cpu_share * settings.cores >= _ABLE_CORES,
         )
         self._replies = PeerReplies(self._store, self._follower, self._ownership)
@@ -126,7 +130,7 @@
 
     async def _own(self, epoch: int) -> None:
         owner = PoolOwner(
-            OwnerSettings(epoch, self._settings.bounds, self._timing),
+            OwnerSettings(epoch, self._settings.bounds, self._timing, self._own_settings),
             self._store,
             WorkerClient(self._http),
             self._metrics,
--- a/packages/node/dahliaarch_node/main.py
+++ b/packages/node/dahliaarch_node/main.py
@@ -1,14 +1,17 @@
 """Entry point of the daemon."""
 
 import os
+import sys
 from pathlib import Path
 
 import anyio
 
+from dahliaarch_kernel.errors import DahliaarchError
 from dahliaarch_platform.settings import PATH_VARIABLE, read_settings
 
 from .instance import Instance
 from .logs import configure_logs
+from .own_settings import read_own_settings
 
 # Where the platform places the settings file by default.
 _DEFAULT_PATH = '/etc/dahliaarch/boot.conf'
@@ -17,9 +20,13 @@
 def main() -> None:
     """Run one instance until it is asked to stop."""
     path = Path(os.environ.get(PATH_VARIABLE, _DEFAULT_PATH))
-    settings = read_settings(path)
+    try:
+        settings = read_settings(path)
+        own = read_own_settings()
+    except (DahliaarchError, OSError) as error:
+        sys.exit(f'dahliaarchd: {error}')
     writer = configure_logs(settings.instance)
-    instance = Instance(settings, path, writer)
+    instance = Instance(settings, path, own, writer)
     anyio.run(instance.run)
 
 
--- /dev/null
+++ b/packages/node/dahliaarch_node/own_settings.py
@@ -0,0 +1,116 @@
+"""The project's own settings: a TOML file, checked whole.
+
+What the platform decides (addresses, bounds, rates) stands in its own file;
+this one has what the project's operators decide: the policy and the limits.
+"""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from dahliaarch_kernel.errors import SettingsError
+from dahliaarch_kernel.policies import compile_policy, PolicySettings, SHIPPED
+from dahliaarch_kernel.scheduler import SchedulerSettings
+
+from .ownership import OwnershipSettings
+
+PATH_VARIABLE = 'DAHLIAARCH_SETTINGS'
+
+# Limits of the scheduler that the platform's file decides.
+_PLATFORMS = frozenset(('far_factor', 'stop_timeout_s', 'drain_s', 'early_s', 'restore_s'))
+_LARGEST_FILE_BYTES = 65_536
+
+
+class OwnSettings(NamedTuple):
+    """Settings of the project itself.
+
+    Parameters
+    ----------
+    policy : PolicySettings
+        Programs of the operators.
+    scheduler : SchedulerSettings
+        Limits and weights.
+    ownership : OwnershipSettings
+        Times of the owner's lease.
+    """
+
+    policy: PolicySettings = SHIPPED['worth']
+    scheduler: SchedulerSettings = SchedulerSettings()
+    ownership: OwnershipSettings = OwnershipSettings()
+
+
+def read_own_settings() -> OwnSettings:
+    """Read the file that the environment names, or return the defaults.
+
+    Raises
+    ------
+    SettingsError
+        When a key is unknown or its value is wrong; it names the key.
+    OSError
+        When the file can't be read.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        return OwnSettings()
+    return parse_own_settings(Path(path).read_text(encoding='utf-8'))
+
+
+def parse_own_settings(text: str) -> OwnSettings:
+    """Decode and check settings.
+
+    Raises
+    ------
+    SettingsError
+        When a key is unknown or its value is wrong; it names the key.
+    """
+    if len(text) > _LARGEST_FILE_BYTES:
+        raise SettingsError('file', f'larger than {_LARGEST_FILE_BYTES} bytes')
+    try:
+        found = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError('file', str(error)) from error
+    _refuse_unknown('', found, OwnSettings._fields)
+    scheduler = _numbers('scheduler', found, SchedulerSettings(), _PLATFORMS)
+    ownership = _numbers('ownership', found, OwnershipSettings(), frozenset())
+    return OwnSettings(
+        _policy(_table('policy', found)),
+        SchedulerSettings()._replace(**scheduler),
+        OwnershipSettings()._replace(**ownership),
+    )
+
+
+def _policy(table: Mapping[str, Any]) -> PolicySettings:
+    if not table:
+        return SHIPPED['worth']
+    _refuse_unknown('policy', table, PolicySettings._fields)
+    for key, setting in table.items():
+        if not isinstance(setting, str):
+            raise SettingsError(f'policy.{key}', f'{setting!r} is not a text')
+    name = table.get('name', 'own')
+    policy = PolicySettings(**{**SHIPPED.get(name, PolicySettings(name))._asdict(), **table})
+    compile_policy(policy)
+    return policy
+
+
+def _numbers(name: str, found: Mapping[str, Any], defaults: Any, kept: frozenset[str]) -> dict[str, Any]:
+    table = _table(name, found)
+    _refuse_unknown(name, table, tuple(field for field in defaults._fields if field not in kept))
+    for key, setting in table.items():
+        if isinstance(setting, bool) or not isinstance(setting, int | float) or setting < 0:
+            raise SettingsError(f'{name}.{key}', f'{setting!r} is not a number of at least 0')
+    return {key: type(getattr(defaults, key))(setting) for key, setting in table.items()}
+
+
+def _table(name: str, found: Mapping[str, Any]) -> Mapping[str, Any]:
+    table = found.get(name, {})
+    if not isinstance(table, dict):
+        raise SettingsError(name, 'is not a table')
+    return table
+
+
+def _refuse_unknown(where: str, table: Mapping[str, Any], known: tuple[str, ...]) -> None:
+    for key in table:
+        if key not in known:
+            raise SettingsError(f'{where}.{key}'.lstrip('.'), f'is unknown; known: {", ".join(known)}')
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.configuration import Configuration
+from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import (
     JobProgress,
     Moment,
@@ -27,6 +28,7 @@
 
 from ..logs import log_event
 from ..metrics import Metrics
+from ..own_settings import OwnSettings
 from ..records import RosterEntry
 from ..timing import StoreTiming
 from .feeds import Feed, follow_jobs, post_job, WorkersFeed
@@ -70,11 +72,14 @@
         Time bounds of the platform.
     timing : StoreTiming
         Timeouts and pauses of the store.
+    own : OwnSettings
+        What the project's operators decide.
     """
 
     epoch: int
     bounds: Bounds
     timing: StoreTiming
+    own: OwnSettings = OwnSettings()
 
 
 class PoolOwner:
@@ -101,7 +106,11 @@
     ) -> None:
         """Prepare; `run` takes the pool over."""
         self.is_ready = False
-        self.scheduler = Scheduler(_scheduler_settings(settings.bounds), settings.epoch)
+        self.scheduler = Scheduler(
+            _scheduler_settings(settings),
+            settings.epoch,
+            Policy(settings.own.policy, _note_policy_failure),
+        )
         self._settings = settings
         self._store = store
         self._metrics = metrics
@@ -381,8 +390,13 @@
     return Moment(time.monotonic(), time.time())
 
 
-def _scheduler_settings(bounds: Bounds) -> SchedulerSettings:
-    return SchedulerSettings(
+def _note_policy_failure(program: str, error: Exception) -> None:
+    log_event('policy_failed', program=program, why=str(error))
+
+
+def _scheduler_settings(settings: OwnerSettings) -> SchedulerSettings:
+    bounds = settings.bounds
+    return settings.own.scheduler._replace(
         far_factor=bounds.far_factor,
         stop_timeout_s=bounds.stop_timeout_s,
         drain_s=bounds.drain_s,
--- /dev/null
+++ b/packages/node/dahliaarch_node/tests/test_own_settings.py
@@ -0,0 +1,43 @@
+import pytest
+
+from dahliaarch_kernel.errors import PolicyError, SettingsError
+
+from ..own_settings import OwnSettings, parse_own_settings
+
+
+def test_nothing_means_the_defaults():
+    assert parse_own_settings('') == OwnSettings()
+
+
+def test_what_is_given_is_taken():
+    found = parse_own_settings(
+        '[policy]\nname = "fragmentation"\n[scheduler]\nreservations = 3\n[ownership]\nlease_s = 3'
+    )
+    assert found.policy.placement_score
+    assert found.scheduler.reservations == 3
+    assert found.ownership.lease_s == 3.0
+
+
+@pytest.mark.parametrize(
+    ('text', 'key'),
+    [
+        ('[polic]\n', 'polic'),
+        ('[policy]\nprioriti = "1.0"', 'policy.prioriti'),
+        ('[policy]\npriority = 1', 'policy.priority'),
+        ('[scheduler]\nreservations = "two"', 'scheduler.reservations'),
+        ('[scheduler]\nreservations = -1', 'scheduler.reservations'),
+        ('[scheduler]\ndrain_s = 9', 'scheduler.drain_s'),
+        ('[ownership]\nlease_s = true', 'ownership.lease_s'),
+        ('ownership = 3', 'ownership'),
+        ('[', 'file'),
+    ],
+)
+def test_each_error_names_its_key(text, key):
+    with pytest.raises(SettingsError) as raised:
+        parse_own_settings(text)
+    assert raised.value.where == key
+
+
+def test_a_program_that_does_not_compile_is_refused():
+    with pytest.raises(PolicyError):
+        parse_own_settings('[policy]\npriority = "slots +"')
