--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -49,6 +49,11 @@
         """Workers that are known."""
         return self._state.worker_by_id
 
+    @property
+    def active_jobs(self) -> int:
+        """Number of jobs that have not ended."""
+        return len(self._state.active_job_by_id)
+
     def set_guarantees(self, guaranteed_by_account: dict[str, int]) -> None:
         """Replace the accelerators that accounts are guaranteed."""
         self._state.guaranteed_by_account = guaranteed_by_account
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -67,7 +67,7 @@
         self._metrics = Metrics()
         self._timing = StoreTiming()
         self._http = HttpClient()
-        self._store = StoreClient(settings.store, self._http)
+        self._store = StoreClient(settings.store, self._http, self._metrics.observe_store_call)
         self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
         self._follower = ConfigurationFollower(self._store, self._timing, self._metrics)
         self._ownership = Ownership(
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -31,6 +31,13 @@
             ['call', 'outcome'],
             registry=self.registry,
         )
+        self.store_call_s = Histogram(
+            'dahliaarch_store_call_seconds',
+            'Time of a call of the store',
+            ['call'],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.orders = Counter(
             'dahliaarch_orders',
             'Orders to workers',
@@ -52,6 +59,11 @@
         )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
+    def observe_store_call(self, call: str, outcome: str, took_s: float) -> None:
+        """Count a call of the store."""
+        self.store_calls.labels(call, outcome).inc()
+        self.store_call_s.labels(call).observe(took_s)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -235,6 +235,7 @@
         for effect in effects:
             self._carry_out(effect)
         self._close_idle_links()
+        self._metrics.active_jobs.set(self.scheduler.active_jobs)
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
         if self.scheduler.has_dirty_jobs or self._has_unkept_ends():
             self._recorder.needed.set()
