Refuse at once, and truly, while the store does not answer

After a call without an answer an instance now sends no write until a probe (each 0.2 s) is answered; it refuses or lets the owner write. A write that is not sent can't be carried out late, so 503 is true. What binds: callers come again five times within 3 s, whatever Retry-After says, so jobs handed in more than 3 s before the end of an outage are lost to it.

--- a/packages/node/dahliaarch_node/front/acceptance.py
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -53,6 +53,9 @@
     write: Write,
     hold_s: float,
 ) -> WriteOutcome:
+    if store.is_suspect:
+        # What is not sent can't be carried out late.
+        return WriteOutcome(Fate.NOT_KEPT)
     deadline_s = time.monotonic() + hold_s
     fate = Fate.NOT_KEPT
     while time.monotonic() < deadline_s:
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -165,6 +165,8 @@
         if isinstance(known, StateReply) and known.is_known:
             if known.has_ended:
                 return Response(HTTPStatus.OK)
+        elif self._store.is_suspect:
+            return _answer_to_write(await self._keep_through_owner(AcceptCancel(call.job_id)))
         else:
             try:
                 item = await self._store.get(job_key(call.job_id), timeout_s=_READ_S)
@@ -183,6 +185,9 @@
         known = await self._ask_owner(AskState(call.job_id))
         if isinstance(known, StateReply) and known.is_known:
             return _json(HTTPStatus.OK, {'State': known.phase})
+        if self._store.is_suspect:
+            log_event('state_unknown', job=call.job_id, why='the store does not answer')
+            return _unavailable()
         try:
             return await self._state_in_store(call.job_id)
         except STORE_FAILURES as error:
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -25,6 +25,7 @@
 from .owner.core import OwnerSettings
 from .ownership import Ownership
 from .peers import Mesh
+from .probing import probe_store
 from .records import Member
 from .replies import PeerReplies
 from .status import describe
@@ -95,6 +96,7 @@
             tasks.start_soon(self._log_writer.run)
             tasks.start_soon(self._mesh.run, self._settings.ip, self._settings.peer_ports[0])
             tasks.start_soon(self._follower.run)
+            tasks.start_soon(probe_store, self._store)
             await self._front_server.listen(self._settings.front)
             await self._side_server.listen(self._settings.ready)
             log_event('started', domain=self._settings.domain, incarnation=self._member.incarnation)
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -101,6 +101,8 @@
 
     @_reply.register
     async def _(self, message: AcceptCancel) -> Message | None:
+        if self._store.is_suspect:
+            return Accepted(is_done=False, is_certain=True)
         try:
             if await self._store.get(job_key(message.job_id), timeout_s=_READ_S) is None:
                 return Accepted(is_done=False, is_certain=True, is_missing=True)
