Stop ordinary work before others' urgent work; say in the log what a start was decided by

Urgent work counts six times as a victim. The test fails before. Log lines of starts carry rank and expected time; the end of a job has a line; explain shows what was stopped for a job.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -31,6 +31,7 @@
     'request_answered': "a caller's {operation} was answered {status} after {took_s} s (configuration {configuration})",
     'job_rejected': 'the job was refused as malformed: {why}',
     'job_known': 'the owner learnt of the job on queue {queue} (store revision {revision})',
+    'job_ended': 'the end of the job was kept and is shown from now on: {phase}',
     'job_cancelled': 'the owner cancelled the job',
     'run_ordered': 'task {task} was ordered to start on {worker} as run {run}',
     'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
@@ -81,7 +82,7 @@
         return True
     if line.fields.get('job') == job_id:
         return True
-    return any(job_id in str(line.fields.get(name, '')) for name in ('target', 'key'))
+    return any(job_id in str(line.fields.get(name, '')) for name in ('target', 'key', 'why'))
 
 
 def _gaps(lines: list[LogLine]) -> Iterator[str]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -206,11 +206,13 @@
         """Whether the progress of any job must be kept."""
         return bool(self._state.dirty_jobs)
 
-    def mark_kept(self, job_id: str) -> None:
-        """Record that a job's progress is kept, so that its end may be shown."""
+    def mark_kept(self, job_id: str) -> bool:
+        """Record that a job's progress is kept; true when its end may be shown from now on."""
         job = self._state.job_by_id.get(job_id)
-        if job is not None and job.has_ended and job_id not in self._state.dirty_jobs:
-            job.is_end_kept = True
+        if job is None or not job.has_ended or job.is_end_kept or job_id in self._state.dirty_jobs:
+            return False
+        job.is_end_kept = True
+        return True
 
     def mark_dirty(self, job_ids: set[str]) -> None:
         """Ask for the progress of jobs to be kept, after a write that failed."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -18,12 +18,18 @@
         Number of the run.
     checkpoint : str
         Where to go on from; empty for the beginning.
+    rank : int
+        Rank that its step had, for the log.
+    expected_s : float
+        Run time that was expected there, for the log.
     """
 
     worker_id: str
     key: TaskKey
     run: int
     checkpoint: str
+    rank: int = 0
+    expected_s: float = 0.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -8,16 +8,14 @@
 from .job_state import JobState, StepState
 from .placement import place, Placement, Request
 from .preemption import Plan, Preemption
+from .ranks import RANK_GUARANTEED, RANK_ORDINARY, RANK_URGENT
 from .reservation import earliest_claim
 from .room import effective_demand, Room
+from .runs import Run
 from .state import SchedulerState
 from .variables import job_variables
 from .worth import Standing, standing
 
-RANK_GUARANTEED = 0
-RANK_URGENT = 1
-RANK_ORDINARY = 2
-
 # A claim whose room did not come free by then is made anew, in seconds.
 _CLAIM_SLACK_S = 1.0
 # A step that a worker refused waits this long, in seconds.
@@ -143,8 +141,9 @@
             for _ in range(spot.task_count):
                 number = gang_run or self._state.next_run_number()
                 index = indices.pop(0)
-                run = self._state.start(step, index, spot.worker, number, work_s, self._now.steady_s)
+                run = Run(step.key(index), number, spot.worker.worker_id, demand, self._now.steady_s, work_s)
                 run.rank = rank
+                self._state.start(step, index, run)
                 self._room.take(spot.worker, demand)
         self._forget_claim(step)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -7,6 +7,7 @@
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
 from .placement import admissible_workers
+from .ranks import RANK_ORDINARY
 from .room import effective_demand, fitting, is_near, per_worker_limit, rack_of, Room
 from .runs import Run, RunPhase
 from .variables import victim_variables
@@ -14,6 +15,9 @@
 
 # Room that others have claimed is taken, however short the work that asks.
 _FOR_GOOD = float('inf')
+# Urgent work that is stopped ends late: its worth in time is five times that
+# late, and its slack a fraction of other work's.
+_URGENT_WEIGHT = 6.0
 # Cost of any stop, in seconds of the run's work: its restart elsewhere.
 _RESTART_S = 0.5
 # A run with less than this left is cheaper to wait for than to stop.
@@ -96,7 +100,8 @@
     def _own_cost(self, run: Run, step: StepState) -> float:
         worked_s = max(0.0, self._now_s - run.started_s)
         unsaved_s = 0.0 if step.spec.checkpoints else worked_s
-        return weighted_cores(run.demand) * (unsaved_s + _RESTART_S)
+        weight = _URGENT_WEIGHT if run.rank < RANK_ORDINARY else 1.0
+        return weight * weighted_cores(run.demand) * (unsaved_s + _RESTART_S)
 
     def _plan_among(
         self,
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -8,7 +8,6 @@
 from .effects import Effect, StartRun, StopRun
 from .job_state import JobPhase, JobState, StepState
 from .learning import RunTimes
-from .room import effective_demand
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
 from .workers import WorkerState
@@ -80,14 +79,12 @@
         if run.key.task_index not in step.done:
             step.pending.add(run.key.task_index)
 
-    def start(self, step: StepState, index: int, worker: WorkerState, run: int, work_s: float, now_s: float) -> Run:
+    def start(self, step: StepState, task_index: int, run: Run) -> None:
         """Order a start."""
-        checkpoint = step.gang_checkpoint() if step.spec.gang else step.checkpoint_by_index.get(index, '')
-        started = Run(step.key(index), run, worker.worker_id, effective_demand(step), now_s, work_s)
-        started.checkpoint = checkpoint
-        self.add_run(step, started)
-        self.effects.append(StartRun(worker.worker_id, started.key, run, checkpoint))
-        return started
+        kept = step.checkpoint_by_index
+        run.checkpoint = step.gang_checkpoint() if step.spec.gang else kept.get(task_index, '')
+        self.add_run(step, run)
+        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s))
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a stop, once."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -5,6 +5,7 @@
 from .clock import Moment
 from .ends import take_in_end
 from .events import EndKind, RunEnd, RunSeen
+from .ranks import RANK_ORDINARY, RANK_URGENT
 from .room import effective_demand
 from .runs import Run, RunPhase
 from .state import SchedulerState
@@ -75,7 +76,7 @@
     started_s = now.steady_s - work_s * seen.percent / 100.0
     run = Run(seen.key, seen.run, worker.worker_id, effective_demand(step), started_s, work_s)
     run.phase = RunPhase.RUNNING
-    run.rank = min(step.job.queue.priority, 1) + 1  # urgent or ordinary; see passes
+    run.rank = RANK_ORDINARY if step.job.queue.priority else RANK_URGENT
     run.seen_s = now.steady_s
     state.add_run(step, run)
     step.job.mark_begun()
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -262,3 +262,17 @@
     pool.finish_stops()
     started = {effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)}
     assert started == {B, C}
+
+
+def test_guaranteed_work_stops_ordinary_work_before_urgent_work_of_others():
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 8})
+    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
+    pool.step()
+    pool.step(1.5)
+    pool.submit(B, task(1, accelerators=8), queue=URGENT, account='other')
+    pool.step()
+    pool.step(0.2)
+    pool.submit(C, task(1, accelerators=8), queue=URGENT)
+    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
+    assert stopped == [A]
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -278,7 +278,13 @@
             return
         job = self.scheduler.job_by_id[effect.key.job_id]
         log_event(
-            'run_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, from_checkpoint=effect.checkpoint
+            'run_ordered',
+            worker=effect.worker_id,
+            task=effect.key,
+            run=effect.run,
+            from_checkpoint=effect.checkpoint,
+            rank=effect.rank,
+            expected_s=round(effect.expected_s, 2),
         )
         link.start(effect, job.spec.payload)
 
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -111,9 +111,14 @@
             return
         self._kept_roster = roster
         for job_id in job_ids:
-            self._scheduler.mark_kept(job_id)
+            self._show(job_id)
         self._kept(mark)
 
+    def _show(self, job_id: str) -> None:
+        """Let a job's end be shown, now that it is kept."""
+        if self._scheduler.mark_kept(job_id):
+            log_event('job_ended', job=job_id, phase=self._scheduler.job_by_id[job_id].phase)
+
     async def _commit(self, writes: list[Write]) -> bool:
         outcome = await self._store.commit(
             [Condition(OWNER_KEY, self._epoch)],
