--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/dahliaarch demo --seed $(SEED)
 
 test: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
 
 lint: $(READY)
 	$(BIN)/ruff format --check .
