Tell runs that stand still from progress that was missed

A worker now gets nothing new once progress that should have been seen is missing, its runs are moved after 1.2 s, and the estimate alone tells nothing before 3 s.

--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -7,6 +7,8 @@
 
 # A run is judged once it has had this long to begin, in seconds.
 _GRACE_S = 1.5
+# The same where only the estimate tells: a late start weighs less by then.
+_GRACE_ALONE_S = 3.0
 # A run this many times slower than others of its step is on a slow worker.
 _SLOW_FACTOR = 2.5
 # The same against the expectation, where the step has too few other runs:
@@ -40,17 +42,25 @@
     step = state.step_of(run.key)
     if step is None or step.spec.lasting or run.seen_s - run.started_s < _GRACE_S:
         return 1.0
-    if run.seen_s - run.moved_s > state.settings.stall_s and run.percent < _ALMOST_DONE:
+    if _stands_still(run):
         return _judge_still(state, step, run)
     if run.percent < _LEAST_PERCENT:
         return 1.0
     return _judge_pace(state, step, run, now)
 
 
+def _stands_still(run: Run) -> bool:
+    """Tell whether progress that should have been seen was not."""
+    still_s = run.seen_s - run.moved_s
+    missed = still_s * _WHOLE / max(run.work_s, still_s)
+    return still_s > _STILL_S and missed > _MISSED_PERCENT and run.percent < _ALMOST_DONE
+
+
 def _judge_still(state: SchedulerState, step: StepState, run: Run) -> float:
     """Move a run that stands still, unless much work would be lost."""
     still_s = run.seen_s - run.moved_s
-    if _lost_s(step, run) < _MOST_LOST_S or still_s > _HOPELESS_STALL_S:
+    is_cheap = still_s > state.settings.stall_s and _lost_s(step, run) < _MOST_LOST_S
+    if is_cheap or still_s > _HOPELESS_STALL_S:
         state.stop_unit(run, 'stands still')
     return _SLOW_FACTOR
 
@@ -58,6 +68,8 @@
 def _judge_pace(state: SchedulerState, step: StepState, run: Run, now: Moment) -> float:
     """Move a run that crawls if it ends sooner elsewhere."""
     usual = _usual_pace(step, run)
+    if usual is None and run.seen_s - run.started_s < _GRACE_ALONE_S:
+        return 1.0
     limit = _SLOW_FACTOR_ALONE if usual is None else _SLOW_FACTOR
     slowness = (run.seen_s - run.started_s) / _worked_s(run) / (usual or 1.0)
     if slowness < limit:
@@ -96,6 +108,10 @@
 
 # All of a run's work, in percent.
 _WHOLE = 100.0
+# A run stands still when its progress was seen twice and has not moved by this
+# many percent that it should have moved; reports are in whole percent.
+_STILL_S = 0.6
+_MISSED_PERCENT = 4.0
 # Below this share a pace says nothing, in percent.
 _LEAST_PERCENT = 1.0
 # Above this share of its work a run is left alone, in percent.
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -37,7 +37,7 @@
     early_s: float = 0.25
     restore_s: float = 0.25
     quarantine_s: float = 6.0
-    stall_s: float = 1.8
+    stall_s: float = 1.2
     reserve_after_s: float = 0.5
     far_after_share: float = 1.5
     reservations: int = 2
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -276,3 +276,28 @@
     pool.submit(C, task(1, accelerators=8), queue=URGENT)
     stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
     assert stopped == [A]
+
+
+def test_a_gang_is_not_called_slow_for_a_late_start_and_a_guess_that_was_off():
+    pool = Pool(workers=2)
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=1.4), queue=URGENT)
+    pool.step()
+    pool.step(1.6)
+    for worker in ('w0', 'w1'):
+        pool.survey(worker, percent=20.0)
+    pool.step()
+    assert not pool.stops
+
+
+def test_a_worker_whose_runs_stand_still_gets_nothing_new_before_they_are_moved():
+    pool = Pool(workers=2)
+    pool.submit(A, task(work_s=6.0))
+    still = pool.step()[0].worker_id
+    pool.step(1.6)
+    pool.survey(still, percent=50.0)
+    pool.step(0.8)
+    pool.survey(still, percent=50.0)
+    pool.step()
+    assert not pool.stops
+    pool.submit(B, task())
+    assert pool.step()[0].worker_id != still
