--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/codec.py
@@ -0,0 +1,37 @@
+"""Stored and sent forms of records: MessagePack, checked against their types."""
+
+from typing import TypeVar
+
+import msgspec
+
+from .errors import ProtocolError
+
+Record = TypeVar('Record')
+
+
+def encode(record: object) -> bytes:
+    """Return the form of a record that is stored or sent."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(value: bytes, kind: type[Record], what: str) -> Record:
+    """Return a record from its form.
+
+    Parameters
+    ----------
+    value : bytes
+        The form.
+    kind : type
+        Type of the record.
+    what : str
+        What it is called in an error.
+
+    Raises
+    ------
+    ProtocolError
+        When the value is not a record of that type.
+    """
+    try:
+        return msgspec.msgpack.decode(value, type=kind)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(what, str(error)) from error
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -2,10 +2,6 @@
 
 from typing import NamedTuple
 
-import msgspec
-
-from ..errors import ProtocolError
-
 
 class StepProgress(NamedTuple):
     """Progress of one step in one occurrence.
@@ -49,22 +45,3 @@
     phase: str
     steps: tuple[StepProgress, ...] = ()
     ended_s: float = 0.0
-
-
-def encode_progress(progress: JobProgress) -> bytes:
-    """Return the stored form of a progress."""
-    return msgspec.msgpack.encode(progress)
-
-
-def decode_progress(value: bytes) -> JobProgress:
-    """Return a progress from its stored form.
-
-    Raises
-    ------
-    ProtocolError
-        When the value is not one.
-    """
-    try:
-        return msgspec.msgpack.decode(value, type=JobProgress)
-    except msgspec.DecodeError as error:
-        raise ProtocolError('progress', str(error)) from error
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
+from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_kernel.configuration import AccessDeniedError, authorize, find_queue, Queue, RouteNotFoundError
 from dahliaarch_kernel.errors import JobRejectedError
-from dahliaarch_kernel.scheduler.progress import decode_progress
+from dahliaarch_kernel.scheduler import JobProgress
 from dahliaarch_kernel.workload import check_job
 from dahliaarch_platform.documents import decode_job
 from dahliaarch_platform.http import Request, Response
@@ -33,7 +34,7 @@
     PendingReply,
     StateReply,
 )
-from ..records import encode_job_record, job_key, JobRecord, progress_key
+from ..records import job_key, JobRecord, progress_key
 from .acceptance import Fate, HOLD_S, keep_cancellation, keep_job, WriteOutcome
 
 # Longest wait for the owner's answer, in seconds: a lost packet is sent again
@@ -153,7 +154,7 @@
         except JobRejectedError as error:
             log_event('job_rejected', job=call.job_id, why=str(error))
             return _json(HTTPStatus.BAD_REQUEST, {'error': str(error)})
-        record = encode_job_record(JobRecord(spec, call.queue))
+        record = encode(JobRecord(spec, call.queue))
         keep = partial(keep_job, self._store, call.job_id, record)
         outcome = await self._keep(keep, AcceptJob(call.job_id, record))
         if outcome.fate is Fate.KEPT and outcome.revision:
@@ -199,7 +200,7 @@
         if await self._store.get(job_key(job_id), timeout_s=_READ_S) is None:
             return Response(HTTPStatus.GONE)
         item = await self._store.get(progress_key(job_id), timeout_s=_READ_S)
-        phase = 'queued' if item is None else decode_progress(item.value).phase
+        phase = 'queued' if item is None else decode(item.value, JobProgress, 'progress').phase
         return _json(HTTPStatus.OK, {'State': phase})
 
     async def _pending(self, call: _Call) -> Response:
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -5,12 +5,13 @@
 
 import anyio
 
+from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient, Write
 
 from .following import ConfigurationFollower
 from .logs import log_event
 from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
-from .records import decode_member, encode_member, Member, member_key, MEMBERS_PREFIX
+from .records import Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
 
 # How often the owner is heard, in seconds. News of a configuration that an
@@ -63,7 +64,7 @@
 
     async def register(self) -> None:
         """Write this instance's entry, until it is written."""
-        write = Write(member_key(self._member.instance), encode_member(self._member))
+        write = Write(member_key(self._member.instance), encode(self._member))
         while True:
             try:
                 await self._store.commit((), (write,), timeout_s=self._timing.call_s)
@@ -104,7 +105,7 @@
                 await anyio.sleep(self._timing.retry_pause_s())
                 continue
             for item in page.items:
-                self.add(decode_member(item.value))
+                self.add(decode(item.value, Member, 'member'))
             return
 
     async def _beat(self, peer: _Peer, epoch: int) -> None:
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -5,13 +5,14 @@
 
 import anyio
 
+from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_platform.documents import decode_worker, WorkerEntry
 from dahliaarch_platform.store import Item, Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
 
 from ..logs import log_event
-from ..records import CANCEL_SUFFIX, decode_job_record, job_id_of, JOBS_PREFIX
+from ..records import CANCEL_SUFFIX, job_id_of, JobRecord, JOBS_PREFIX
 from ..timing import StoreTiming
 from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted
 
@@ -76,7 +77,7 @@
         post(JobCancelled(job_id_of(item.key)))
         return
     try:
-        record = decode_job_record(item.value)
+        record = decode(item.value, JobRecord, 'job record')
     except ProtocolError as error:
         log_event('job_record_malformed', key=item.key, why=str(error))
         return
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -7,7 +7,6 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun, StopRun
-from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import (
@@ -201,30 +200,25 @@
             await anyio.sleep(_STOP_POLL_S)
 
     def _take_in(self, survey: Survey, begun_s: float) -> None:
-        ended = []
-        for end in survey.ended:
-            if end.number > self.listed:
-                kind = EndKind(end.kind.value)
-                ended.append(RunEnd(self._worker_id, end.key, end.run, kind, end.checkpoint))
-                self._context.metrics.run_ends.labels(kind.value).inc()
-        last_end = max((end.number for end in survey.ended), default=0)
-        running = tuple(RunSeen(run.key, run.run, run.checkpoint, run.percent) for run in survey.running)
+        ended = tuple(listed.end for listed in survey.ended if listed.number > self.listed)
+        for end in ended:
+            self._context.metrics.run_ends.labels(end.kind.value).inc()
+        last_end = max((listed.number for listed in survey.ended), default=0)
         self._resolve_stopped(survey, begun_s)
-        if self._context.post(WorkerSurveyed(self._worker_id, running, tuple(ended), last_end, begun_s)):
+        if self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s)):
             self.listed = max(self.listed, last_end)
 
     def _resolve_stopped(self, survey: Survey, begun_s: float) -> None:
         listed = {(run.key, run.run) for run in survey.running}
-        listed.update((end.key, end.run) for end in survey.ended)
+        over = {(each.end.key, each.end.run) for each in survey.ended}
         for stopped, at_s in tuple(self._stopped_at_by_run.items()):
             if at_s > begun_s:
                 continue
             if stopped in listed:
-                if any((end.key, end.run) == stopped for end in survey.ended):
-                    del self._stopped_at_by_run[stopped]
                 continue
             del self._stopped_at_by_run[stopped]
-            self._context.post(RunNever(self._worker_id, *stopped, EndKind.STOPPED))
+            if stopped not in over:
+                self._context.post(RunNever(self._worker_id, *stopped, EndKind.STOPPED))
 
     async def _survey_failed(self, error: Exception) -> None:
         if isinstance(error, WorkerReplacedError):
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from dahliaarch_kernel.codec import encode
 from dahliaarch_kernel.scheduler import Scheduler
-from dahliaarch_kernel.scheduler.progress import encode_progress
 from dahliaarch_platform.store import (
     CommitStatus,
     Condition,
@@ -16,7 +16,7 @@
 )
 
 from ..logs import log_event
-from ..records import cancel_key, encode_roster, job_key, OWNER_KEY, progress_key, ROSTER_KEY, RosterEntry
+from ..records import cancel_key, job_key, OWNER_KEY, progress_key, ROSTER_KEY, RosterEntry
 from ..timing import StoreTiming
 
 # Ends that come within this time share a transaction, in seconds. Ends are
@@ -98,7 +98,7 @@
         writes = [self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id]
         roster = self.roster
         if roster != self._kept_roster:
-            writes.append(Write(ROSTER_KEY, encode_roster(roster)))
+            writes.append(Write(ROSTER_KEY, encode(roster)))
         try:
             for first in range(0, len(writes), _MOST_WRITES):
                 if not await self._commit(writes[first : first + _MOST_WRITES]):
@@ -133,7 +133,7 @@
 
     def _write_of(self, job_id: str) -> Write:
         progress = self._scheduler.job_by_id[job_id].progress()
-        return Write(progress_key(job_id), encode_progress(progress))
+        return Write(progress_key(job_id), encode(progress))
 
     async def _remove(self, job_id: str) -> None:
         keys = [job_key(job_id), cancel_key(job_id), progress_key(job_id)]
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -4,13 +4,13 @@
 
 import anyio
 
+from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import JobProgress
-from dahliaarch_kernel.scheduler.progress import decode_progress
 from dahliaarch_platform.store import Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
 
 from ..logs import log_event
-from ..records import decode_roster, job_id_of, JOBS_PREFIX, PROGRESS_PREFIX, ROSTER_KEY, RosterEntry
+from ..records import job_id_of, JOBS_PREFIX, PROGRESS_PREFIX, ROSTER_KEY, RosterEntry
 from ..timing import StoreTiming
 
 
@@ -51,7 +51,7 @@
     found = {}
     for item in page.items:
         try:
-            found[job_id_of(item.key)] = decode_progress(item.value)
+            found[job_id_of(item.key)] = decode(item.value, JobProgress, 'progress')
         except ProtocolError as error:
             log_event('progress_malformed', key=item.key, why=str(error))
     return found
@@ -60,7 +60,7 @@
 def _missing(roster: Page, workers: Page) -> tuple[RosterEntry, ...]:
     """Return the known workers whose entries are missing: they may have lapsed."""
     listed = {item.key.removeprefix(WORKERS_PREFIX) for item in workers.items}
-    entries = [entry for item in roster.items for entry in decode_roster(item.value)]
+    entries = [entry for item in roster.items for entry in decode(item.value, list[RosterEntry], 'roster')]
     return tuple(entry for entry in entries if entry.profile.worker_id not in listed)
 
 
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_platform.store import (
     CommitStatus,
     Condition,
@@ -20,7 +21,7 @@
 )
 
 from .logs import log_event
-from .records import decode_member, encode_member, Member, OWNER_KEY
+from .records import Member, OWNER_KEY
 from .timing import StoreTiming
 
 
@@ -140,7 +141,7 @@
         if item is None:
             await self._claim_free()
             return
-        found = decode_member(item.value)
+        found = decode(item.value, Member, 'member')
         if found == self._member:
             # Our own claim, acknowledged late: its lease is not known any more.
             await self._claim(item.revision)
@@ -165,7 +166,7 @@
         item = await self._store.get(OWNER_KEY, timeout_s=self._timing.call_s)
         if item is None:
             await self._claim(0)
-        elif decode_member(item.value) != self._member:
+        elif decode(item.value, Member, 'member') != self._member:
             self.deposed()
 
     async def _claim_free(self) -> None:
@@ -181,7 +182,7 @@
         if self.is_leaving:
             return
         lease = await self._store.grant_lease(self._settings.lease_s, timeout_s=self._timing.call_s)
-        write = Write(OWNER_KEY, encode_member(self._member), lease)
+        write = Write(OWNER_KEY, encode(self._member), lease)
         try:
             outcome = await self._store.commit(
                 [Condition(OWNER_KEY, revision)],
@@ -197,7 +198,7 @@
     async def _read_back(self, lease: int) -> None:
         """Find out whether a claim without an answer has been carried out."""
         item = await self._store.get(OWNER_KEY, timeout_s=self._timing.call_s)
-        if item is not None and decode_member(item.value) == self._member:
+        if item is not None and decode(item.value, Member, 'member') == self._member:
             self._won(lease, item.revision)
 
     def _won(self, lease: int, epoch: int) -> None:
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -7,10 +7,7 @@
 
 from typing import NamedTuple
 
-import msgspec
-
 from dahliaarch_kernel.configuration import Queue
-from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.workload import JobSpec
 from dahliaarch_platform.settings import Address
@@ -85,60 +82,3 @@
 def job_id_of(key: str) -> str:
     """Return the job that a key of the jobs' or the progress prefix is about."""
     return key.rpartition('/')[2].removesuffix(CANCEL_SUFFIX)
-
-
-def encode_job_record(record: JobRecord) -> bytes:
-    """Return the stored form of a job."""
-    return msgspec.msgpack.encode(record)
-
-
-def decode_job_record(value: bytes) -> JobRecord:
-    """Return a job from its stored form.
-
-    Raises
-    ------
-    ProtocolError
-        When the value is not one.
-    """
-    try:
-        return msgspec.msgpack.decode(value, type=JobRecord)
-    except msgspec.DecodeError as error:
-        raise ProtocolError('job record', str(error)) from error
-
-
-def encode_member(member: Member) -> bytes:
-    """Return the stored form of a member."""
-    return msgspec.msgpack.encode(member)
-
-
-def decode_member(value: bytes) -> Member:
-    """Return a member from its stored form.
-
-    Raises
-    ------
-    ProtocolError
-        When the value is not one.
-    """
-    try:
-        return msgspec.msgpack.decode(value, type=Member)
-    except msgspec.DecodeError as error:
-        raise ProtocolError('member', str(error)) from error
-
-
-def encode_roster(roster: list[RosterEntry]) -> bytes:
-    """Return the stored form of the workers that an owner knows."""
-    return msgspec.msgpack.encode(roster)
-
-
-def decode_roster(value: bytes) -> list[RosterEntry]:
-    """Return the workers that an owner knew.
-
-    Raises
-    ------
-    ProtocolError
-        When the value is not a list of them.
-    """
-    try:
-        return msgspec.msgpack.decode(value, type=list[RosterEntry])
-    except msgspec.DecodeError as error:
-        raise ProtocolError('roster', str(error)) from error
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatchmethod
 
+from dahliaarch_kernel.codec import decode
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
 from .following import ConfigurationFollower
@@ -24,7 +25,7 @@
     PendingReply,
     StateReply,
 )
-from .records import decode_job_record, job_key
+from .records import job_key, JobRecord
 
 # Longest try at a write for another instance, in seconds: what is left of the
 # time that it holds its caller.
@@ -120,7 +121,7 @@
         if is_cancel:
             self.owner.post(JobCancelled(job_id))
             return
-        job = decode_job_record(record)
+        job = decode(record, JobRecord, 'job record')
         self.owner.post(JobListed(job.spec, job.queue, revision))
 
 
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -13,7 +13,8 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from dahliaarch_node.records import decode_member, OWNER_KEY
+from dahliaarch_kernel.codec import decode
+from dahliaarch_node.records import Member, OWNER_KEY
 from dahliaarch_platform.http import CallNotSentError, CallUnansweredError, HttpClient, Reply
 from dahliaarch_platform.settings import Address, PATH_VARIABLE
 
@@ -212,7 +213,7 @@
     def owner_now(self) -> str | None:
         """Return the name of the instance that owns the pool now."""
         value = self.store.value(OWNER_KEY)
-        return None if value is None else decode_member(value).instance
+        return None if value is None else decode(value, Member, 'member').instance
 
     def close(self) -> None:
         """End every daemon."""
