Take the ports of test daemons below those that the system gives out

Cause: two scenarios failed once each in full runs: the stand-in of the store was given a port that had been chosen for a daemon and freed (ZMQError: Address already in use, in the daemon's log of the second). Ruled out: the scenario itself (six runs alone and two full runs beside each other passed).

--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -258,12 +258,20 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return free ports: all are held until the last is known, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [int(each.getsockname()[1]) for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return free ports below those that the system gives to other sockets.
+
+    A port that the system gives out may be taken by a stand-in or a client's
+    connection before the daemon that it is meant for binds it.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = _FIRST_PORT + secrets.randbelow(_PORTS)
+        with socket.socket() as probe:
+            if port not in found and probe.connect_ex(('127.0.0.1', port)):
+                found.append(port)
+    return found
+
+
+# Below the ports that Linux gives to sockets by itself (32768 and above).
+_FIRST_PORT = 12_000
+_PORTS = 20_000
