--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -29,10 +29,9 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from ..own_settings import OwnSettings
-from ..records import RosterEntry
 from ..timing import StoreTiming
 from .feeds import Feed, follow_jobs, post_job, WorkersFeed
-from .links import LinkContext, LinkSettings, WorkerLink
+from .links import LinkContext, LinkSettings
 from .messages import (
     JobCancelled,
     JobListed,
@@ -46,6 +45,7 @@
     WorkerUnlisted,
 )
 from .recorder import Recorder
+from .registry import Links
 from .takeover import read_inheritance
 
 # Messages that may wait for the task that decides; senders see no limit in
@@ -115,23 +115,13 @@
         self._store = store
         self._metrics = metrics
         self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](_INBOX)
-        self._link_by_id: dict[str, WorkerLink] = {}
         self._tasks: TaskGroup | None = None
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
         self._progress_by_id: dict[str, JobProgress] = {}
         self._silent_until_s = 0.0
         self._scope = anyio.CancelScope()
-        self._recorder = Recorder(
-            store,
-            settings.timing,
-            self.scheduler,
-            settings.epoch,
-            mark=self._ends_taken_in,
-            kept=self._ends_kept,
-            deposed=self.depose,
-        )
-        self._context = LinkContext(
+        context = LinkContext(
             workers,
             settings.epoch,
             LinkSettings(hold_s=settings.bounds.max_hold_s),
@@ -140,6 +130,16 @@
             self.depose,
             time.monotonic,
         )
+        self._links = Links(context)
+        self._recorder = Recorder(
+            store,
+            settings.timing,
+            self.scheduler,
+            settings.epoch,
+            mark=self._links.ends_taken_in,
+            kept=self._links.acknowledge,
+            deposed=self.depose,
+        )
         self.is_deposed = False
 
     @property
@@ -234,30 +234,20 @@
         effects = self.scheduler.decide(_now())
         for effect in effects:
             self._carry_out(effect)
-        self._close_idle_links()
+        self._links.close_all_but(self.scheduler.worker_by_id)
         self._metrics.active_jobs.set(self.scheduler.active_jobs)
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
-        if self.scheduler.has_dirty_jobs or self._has_unkept_ends():
+        if self.scheduler.has_dirty_jobs or self._links.has_unkept_ends:
             self._recorder.needed.set()
         self._note_roster()
 
     def _note_roster(self) -> None:
         """Have the known workers kept when they have changed."""
-        roster = [
-            RosterEntry(self.scheduler.worker_by_id[worker_id].profile._replace(leaves_in_s=None), link.address)
-            for worker_id, link in sorted(self._link_by_id.items())
-        ]
+        roster = self._links.roster(self.scheduler.worker_by_id)
         if roster != self._recorder.roster:
             self._recorder.roster = roster
             self._recorder.needed.set()
 
-    def _close_idle_links(self) -> None:
-        """Close links to workers that the scheduler has given up."""
-        gone = self._link_by_id.keys() - self.scheduler.worker_by_id.keys()
-        for worker_id in gone:
-            log_event('worker_given_up', worker=worker_id)
-            self._link_by_id.pop(worker_id).close()
-
     def _drain_inbox(self) -> None:
         while True:
             try:
@@ -272,7 +262,7 @@
 
     @_carry_out.register
     def _(self, effect: StartRun) -> None:
-        link = self._link_by_id.get(effect.worker_id)
+        link = self._links.get(effect.worker_id)
         if link is None:
             self.post(RunNever(effect.worker_id, effect.key, effect.run))
             return
@@ -291,7 +281,7 @@
     @_carry_out.register
     def _(self, effect: StopRun) -> None:
         log_event('stop_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, why=effect.reason)
-        link = self._link_by_id.get(effect.worker_id)
+        link = self._links.get(effect.worker_id)
         if link is not None:
             link.stop(effect)
 
@@ -324,13 +314,8 @@
     def _(self, message: WorkerListed) -> None:
         profile = message.profile
         is_new = self.scheduler.update_worker(profile, _now())
-        link = self._link_by_id.get(profile.worker_id)
-        if link is None:
-            lease = self.scheduler.worker_by_id[profile.worker_id].lease
-            link = WorkerLink(profile.worker_id, message.address, lease, self._context)
-            self._link_by_id[profile.worker_id] = link
-            assert self._tasks is not None  # noqa: S101
-            self._tasks.start_soon(link.run)
+        assert self._tasks is not None  # noqa: S101
+        link = self._links.open(self.scheduler.worker_by_id[profile.worker_id], message.address, self._tasks)
         if is_new or link.is_draining != profile.draining:
             log_event(
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
@@ -342,7 +327,7 @@
     def _(self, message: WorkerUnlisted) -> None:
         log_event('worker_unlisted', worker=message.worker_id)
         self.scheduler.unlist_worker(message.worker_id)
-        link = self._link_by_id.get(message.worker_id)
+        link = self._links.get(message.worker_id)
         if link is not None:
             link.is_listed = False
 
@@ -352,7 +337,7 @@
         for end in message.ended:
             self._take_in_end(end, now)
         self.scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now)
-        link = self._link_by_id.get(message.worker_id)
+        link = self._links.get(message.worker_id)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
 
@@ -364,9 +349,7 @@
     def _(self, message: WorkerOver) -> None:
         log_event('worker_over', worker=message.worker_id)
         self.scheduler.worker_over(message.worker_id, _now())
-        link = self._link_by_id.pop(message.worker_id, None)
-        if link is not None:
-            link.close()
+        self._links.close(message.worker_id)
 
     @_handle.register
     def _(self, message: StartAcknowledged) -> None:
@@ -380,18 +363,6 @@
         log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
         self.scheduler.run_ended(end, now)
 
-    def _has_unkept_ends(self) -> bool:
-        return any(link.processed > link.acknowledged for link in self._link_by_id.values())
-
-    def _ends_taken_in(self) -> dict[str, int]:
-        return {worker_id: link.processed for worker_id, link in self._link_by_id.items()}
-
-    def _ends_kept(self, mark: dict[str, int]) -> None:
-        for worker_id, number in mark.items():
-            link = self._link_by_id.get(worker_id)
-            if link is not None:
-                link.acknowledge(number)
-
 
 def _now() -> Moment:
     return Moment(time.monotonic(), time.time())
