--- a/packages/kernel/dahliaarch_kernel/policies/shipped.py
+++ b/packages/kernel/dahliaarch_kernel/policies/shipped.py
@@ -1,5 +1,6 @@
 """Policies that ship with the project, by name."""
 
+from ..registry import Registry
 from .settings import PolicySettings
 
 _SMALLEST_WORK = '(urgent ? 1e9 : 0.0) + (1.0 + waited_s / expected_s) / (expected_s * slots + 1.0)'
@@ -7,13 +8,19 @@
 _FULLEST_FIRST = 'free + memory_free + (suspect ? 1000.0 : 0.0)'
 _LEAST_LOST = 'slots * members * (checkpointable ? 0.5 : 0.5 + ran_s)'
 
-SHIPPED = {
-    'worth': PolicySettings(name='worth'),
-    'completion': PolicySettings(name='completion', priority=_SMALLEST_WORK, reclaim=_LEAST_LOST),
-    'fragmentation': PolicySettings(
+POLICIES: Registry[PolicySettings] = Registry('policy')
+
+POLICIES.register('worth')(PolicySettings(name='worth'))
+POLICIES.register('completion')(
+    PolicySettings(name='completion', priority=_SMALLEST_WORK, reclaim=_LEAST_LOST),
+)
+POLICIES.register('fragmentation')(
+    PolicySettings(
         name='fragmentation',
         priority=_LARGEST_GANG,
         placement_score=_FULLEST_FIRST,
         reclaim=_LEAST_LOST,
     ),
-}
+)
+
+SHIPPED = {name: POLICIES.named(name) for name in POLICIES.names()}
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -49,11 +49,6 @@
         job = self.job_by_id.get(key.job_id)
         return None if job is None else job.step_of(key)
 
-    def run_of(self, key: TaskKey) -> Run | None:
-        """Return the run of a task, if it has one."""
-        step = self.step_of(key)
-        return None if step is None else step.run_by_index.get(key.task_index)
-
     def next_run_number(self) -> int:
         """Return a run number above all that were given before."""
         self._runs_started += 1
