Make each key's own revision a condition of its progress

Ruled out: an acknowledgement before the write (progress_not_kept, then kept, in the log), lapsed entries of workers (the workers were all heard). The test fails before.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -189,6 +189,7 @@
         """Take in the records; return the revisions to follow jobs and workers from."""
         found = await read_inheritance(self._store, self._settings.timing)
         self._progress_by_id = found.progress_by_id
+        self._recorder.revision_by_key = found.revision_by_key
         # A silent worker may run jobs of earlier owners until its lease ends.
         self._silent_until_s = time.monotonic() + self._settings.bounds.max_hold_s * _SLOWEST_CLOCK
         self._workers_feed.take_in(found.workers)
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -5,6 +5,7 @@
 import anyio
 
 from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.errors import DahliaarchError
 from dahliaarch_kernel.scheduler import Scheduler
 from dahliaarch_platform.store import (
     CommitStatus,
@@ -22,8 +23,9 @@
 # Ends that come within this time share a transaction, in seconds. Ends are
 # owed their acknowledgement 0.1 s after they were listed.
 _GATHER_S = 0.03
-# Entries left for writes beside the condition on the owner's key.
-_MOST_WRITES = MAX_TRANSACTION_ENTRIES - 1
+# Writes of one transaction: each brings a condition on its own key, beside the
+# one on the owner's key.
+_MOST_WRITES = (MAX_TRANSACTION_ENTRIES - 1) // 2
 # Keys of one job: its record, its cancellation and its progress.
 _KEYS_OF_A_JOB = 3
 # How often jobs that ended long ago are removed, in seconds.
@@ -32,6 +34,10 @@
 _STATUS_SLACK_S = 30.0
 
 
+class ProgressMovedError(DahliaarchError):
+    """Keys stand at other revisions than was known: a write was carried out late."""
+
+
 class Recorder:
     """Writes progress under the condition that this owner is still the owner.
 
@@ -67,6 +73,9 @@
         """Start with nothing to keep."""
         self.needed = anyio.Event()
         self.roster: list[RosterEntry] = []
+        # Revisions at which the keys stand: a write that is carried out late, after
+        # a newer one of the same owner, fails on them.
+        self.revision_by_key: dict[str, int] = {}
         self._kept_roster: list[RosterEntry] = []
         self._store = store
         self._timing = timing
@@ -103,6 +112,11 @@
             for first in range(0, len(writes), _MOST_WRITES):
                 if not await self._commit(writes[first : first + _MOST_WRITES]):
                     return
+        except ProgressMovedError as error:
+            log_event('progress_moved', why=str(error), jobs=len(job_ids))
+            self._scheduler.mark_dirty(job_ids)
+            self.needed.set()
+            return
         except STORE_FAILURES as error:
             log_event('progress_not_kept', why=str(error), jobs=len(job_ids))
             self._scheduler.mark_dirty(job_ids)
@@ -120,13 +134,20 @@
             log_event('job_ended', job=job_id, phase=self._scheduler.job_by_id[job_id].phase)
 
     async def _commit(self, writes: list[Write]) -> bool:
+        conditions = [Condition(write.key, self.revision_by_key.get(write.key, 0)) for write in writes]
         outcome = await self._store.commit(
-            [Condition(OWNER_KEY, self._epoch)],
+            [Condition(OWNER_KEY, self._epoch), *conditions],
             writes,
             timeout_s=self._timing.call_s,
         )
         if outcome.status is CommitStatus.DONE:
+            self.revision_by_key.update((write.key, outcome.revision) for write in writes)
             return True
+        present = {item.key: item.revision for item in outcome.current}
+        if present.get(OWNER_KEY) == self._epoch:
+            # An earlier write without an answer has been carried out meanwhile.
+            self.revision_by_key.update((write.key, present.get(write.key, 0)) for write in writes)
+            raise ProgressMovedError(f'{len(writes)} keys')
         log_event('progress_refused', status=outcome.status, epoch=self._epoch)
         self._deposed()
         return False
@@ -148,4 +169,5 @@
             log_event('job_not_removed', job=job_id, why=str(error))
             return
         if outcome.status is CommitStatus.DONE:
+            self.revision_by_key.pop(progress_key(job_id), None)
             self._scheduler.forget_job(job_id)
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -27,12 +27,15 @@
         Progress by job.
     roster : tuple of RosterEntry
         Workers that the last owner knew and that have no entry now.
+    revision_by_key : dict
+        Revisions of the keys that the owner writes.
     """
 
     jobs: Page
     workers: Page
     progress_by_id: dict[str, JobProgress]
     roster: tuple[RosterEntry, ...]
+    revision_by_key: dict[str, int]
 
 
 async def read_inheritance(store: StoreClient, timing: StoreTiming) -> Inheritance:
@@ -44,7 +47,8 @@
     jobs = await _list(store, timing, JOBS_PREFIX)
     workers = await _list(store, timing, WORKERS_PREFIX)
     roster = await _list(store, timing, ROSTER_KEY)
-    return Inheritance(jobs, workers, _progress_by_id(progress), _missing(roster, workers))
+    revision_by_key = {item.key: item.revision for item in (*progress.items, *roster.items)}
+    return Inheritance(jobs, workers, _progress_by_id(progress), _missing(roster, workers), revision_by_key)
 
 
 def _progress_by_id(page: Page) -> dict[str, JobProgress]:
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -0,0 +1,108 @@
+"""Writes that the store carries out late must not undo newer ones."""
+
+import anyio
+
+from dahliaarch_kernel.codec import decode
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
+
+from ...records import OWNER_KEY, progress_key
+from ...timing import StoreTiming
+from ..recorder import Recorder
+
+JOB = 'a' * 16
+EPOCH = 5
+
+
+class LateStore:
+    """A store whose first transaction is carried out only when it is told so."""
+
+    def __init__(self):
+        self.items = {OWNER_KEY: Item(OWNER_KEY, b'', EPOCH)}
+        self.revision = EPOCH
+        self.late = None
+        self.commits = 0
+
+    async def commit(self, conditions, writes, removals=(), *, timeout_s):
+        self.commits += 1
+        if self.commits == 1:
+            self.late = (conditions, writes)
+            raise StoreUnansweredError('late')
+        return self.apply(conditions, writes)
+
+    def apply(self, conditions, writes):
+        for row in conditions:
+            item = self.items.get(row.key)
+            if (item.revision if item else 0) != row.revision:
+                present = tuple(self.items[each.key] for each in conditions if each.key in self.items)
+                return CommitResult(CommitStatus.CONDITION_FAILED, current=present)
+        self.revision += 1
+        for row in writes:
+            self.items[row.key] = Item(row.key, row.value, self.revision)
+        return CommitResult(CommitStatus.DONE, self.revision)
+
+    def done_tasks(self):
+        progress = decode(self.items[progress_key(JOB)].value, JobProgress, 'progress')
+        return set(progress.steps[0].done)
+
+
+def end(scheduler, index):
+    scheduler.run_ended(RunEnd('w', TaskKey(JOB, 0, 0, index), index + 1, EndKind.DONE), Moment(1.0, 1.0))
+
+
+def recorder_of(store, scheduler, deposed):
+    timing = StoreTiming(retry_s=0.01)
+    return Recorder(
+        store,
+        timing,
+        scheduler,
+        EPOCH,
+        mark=dict,
+        kept=lambda mark: None,
+        deposed=lambda: deposed.append(True),
+    )
+
+
+async def keep(recorder, until):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(recorder.run)
+        recorder.needed.set()
+        with anyio.fail_after(5):
+            while not until():
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
+def scheduler_with_job():
+    scheduler = Scheduler(SchedulerSettings(), EPOCH)
+    spec = JobSpec(JOB, '', 'q', '', (StepSpec(4, Resources(1, 1, 1)),))
+    scheduler.add_job(spec, Queue('q', 'h', '/', 'svc'), Moment(0.0, 0.0))
+    return scheduler
+
+
+def test_a_late_write_of_the_same_owner_does_not_undo_a_newer_one():
+    store, deposed = LateStore(), []
+    scheduler = scheduler_with_job()
+    recorder = recorder_of(store, scheduler, deposed)
+    end(scheduler, 0)
+    anyio.run(keep, recorder, lambda: progress_key(JOB) in store.items)
+    end(scheduler, 1)
+    anyio.run(keep, recorder, lambda: store.done_tasks() == {0, 1})
+    store.apply(*store.late)
+    assert store.done_tasks() == {0, 1}
+    assert not deposed
+
+
+def test_a_write_that_was_carried_out_unanswered_does_not_depose_its_owner():
+    store, deposed = LateStore(), []
+    scheduler = scheduler_with_job()
+    recorder = recorder_of(store, scheduler, deposed)
+    end(scheduler, 0)
+    anyio.run(keep, recorder, lambda: store.commits >= 1)
+    store.apply(*store.late)
+    end(scheduler, 1)
+    anyio.run(keep, recorder, lambda: store.done_tasks() == {0, 1})
+    assert not deposed
--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -57,6 +57,10 @@
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key as the operator or a worker does."""
         self.revision += 1
+        return self._put(key, value, lease)
+
+    def _put(self, key: str, value: bytes, lease: int) -> int:
+        """Write a key at the present revision."""
         known = self._item_by_key.get(key)
         item = {
             'Key': key,
@@ -162,8 +166,10 @@
         writes = body.get('Writes', ())
         if any(row.get('Lease') and row['Lease'] not in self._lease_ends for row in writes):
             return Response(404)
+        # All of a transaction is one revision.
+        self.revision += 1
         for row in writes:
-            self.put(row['Key'], base64.b64decode(row['Value']), row.get('Lease', 0))
+            self._put(row['Key'], base64.b64decode(row['Value']), row.get('Lease', 0))
         for key in body.get('Remove', ()):
             self.remove(key)
         return _json({'Revision': self.revision})
