Remove all jobs that ended long ago, many in one transaction

Cause, found in reading: five jobs were removed each 30 s, while the users hand in 87 a minute, so that the store would have grown without end. The new test was not run against the code before, which had no such function.

--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -26,8 +26,8 @@
 # Writes of one transaction: each brings a condition on its own key, beside the
 # one on the owner's key.
 _MOST_WRITES = (MAX_TRANSACTION_ENTRIES - 1) // 2
-# Keys of one job: its record, its cancellation and its progress.
-_KEYS_OF_A_JOB = 3
+# Jobs removed in one transaction: each has a record, a cancellation and progress.
+_MOST_REMOVED = (MAX_TRANSACTION_ENTRIES - 1) // 3
 # How often jobs that ended long ago are removed, in seconds.
 _CLEAN_EVERY_S = 30.0
 # Kept longer than promised, since clocks differ.
@@ -97,9 +97,13 @@
         """Remove jobs that ended long ago, again and again, until cancelled."""
         while True:
             await anyio.sleep(_CLEAN_EVERY_S)
-            old = self._scheduler.ended_before(wall_s() - status_s - _STATUS_SLACK_S)
-            for job_id in old[: _MOST_WRITES // _KEYS_OF_A_JOB]:
-                await self._remove(job_id)
+            await self.remove_ended(wall_s() - status_s - _STATUS_SLACK_S)
+
+    async def remove_ended(self, before_wall_s: float) -> None:
+        """Remove the jobs that ended before a time, many in one transaction."""
+        old = self._scheduler.ended_before(before_wall_s)
+        for first in range(0, len(old), _MOST_REMOVED):
+            await self._remove(old[first : first + _MOST_REMOVED])
 
     async def _keep_once(self) -> None:
         mark = self._mark()
@@ -156,8 +160,8 @@
         progress = self._scheduler.job_by_id[job_id].progress()
         return Write(progress_key(job_id), encode(progress))
 
-    async def _remove(self, job_id: str) -> None:
-        keys = [job_key(job_id), cancel_key(job_id), progress_key(job_id)]
+    async def _remove(self, job_ids: list[str]) -> None:
+        keys = [key(job_id) for job_id in job_ids for key in (job_key, cancel_key, progress_key)]
         try:
             outcome = await self._store.commit(
                 [Condition(OWNER_KEY, self._epoch)],
@@ -166,8 +170,10 @@
                 timeout_s=self._timing.call_s,
             )
         except STORE_FAILURES as error:
-            log_event('job_not_removed', job=job_id, why=str(error))
+            log_event('jobs_not_removed', jobs=len(job_ids), why=str(error))
             return
-        if outcome.status is CommitStatus.DONE:
+        if outcome.status is not CommitStatus.DONE:
+            return
+        for job_id in job_ids:
             self.revision_by_key.pop(progress_key(job_id), None)
             self._scheduler.forget_job(job_id)
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -7,7 +7,7 @@
 from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
-from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
+from dahliaarch_platform.store import CommitResult, CommitStatus, Item, MAX_TRANSACTION_ENTRIES, StoreUnansweredError
 
 from ...records import OWNER_KEY, progress_key
 from ...timing import StoreTiming
@@ -25,10 +25,12 @@
         self.revision = EPOCH
         self.late = None
         self.commits = 0
+        self.most_entries = 0
 
     async def commit(self, conditions, writes, removals=(), *, timeout_s):
         self.commits += 1
-        if self.commits == 1:
+        self.most_entries = max(self.most_entries, len(conditions) + len(writes) + len(removals))
+        if self.commits == 1 and writes:
             self.late = (conditions, writes)
             raise StoreUnansweredError('late')
         return self.apply(conditions, writes)
@@ -106,3 +108,16 @@
     end(scheduler, 1)
     anyio.run(keep, recorder, lambda: store.done_tasks() == {0, 1})
     assert not deposed
+
+
+def test_all_jobs_that_ended_long_ago_are_removed_however_many():
+    store = LateStore()
+    scheduler = Scheduler(SchedulerSettings(), EPOCH)
+    queue = Queue('q', 'h', '/', 'svc')
+    for number in range(95):
+        spec = JobSpec(f'{number:016x}', '', 'q', '', (StepSpec(1, Resources(1, 1, 1)),))
+        scheduler.add_job(spec, queue, Moment(0.0, 1.0))
+        scheduler.cancel(spec.job_id, Moment(0.0, 1.0))
+    anyio.run(recorder_of(store, scheduler, []).remove_ended, 100.0)
+    assert not scheduler.job_by_id
+    assert store.most_entries <= MAX_TRANSACTION_ENTRIES
