One way to wait for news of the store; remove state that nothing reads

Found in reading the whole change: four watches with the same arguments and two of them with the same recovery from a history that is gone; a worker's entry that repeated the profile it is turned into; fields that were written and never read (since when a worker is silent, drains or failed, two limits of the scheduler, the next due time, when a request was complete). No behaviour changes but the name of one log event.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -121,11 +121,8 @@
         worker.profile = profile
         worker.is_listed = True
         if not profile.draining:
-            worker.draining_since_s = None
             worker.leaves_at_s = None
             return is_new
-        if worker.draining_since_s is None:
-            worker.draining_since_s = now.steady_s
         if profile.leaves_in_s is not None:
             worker.leaves_at_s = now.steady_s + profile.leaves_in_s
         return is_new
@@ -136,12 +133,11 @@
         if worker is not None:
             worker.is_listed = False
 
-    def worker_silent(self, worker_id: str, now: Moment) -> None:
+    def worker_silent(self, worker_id: str) -> None:
         """Record that a worker does not answer."""
         worker = self._state.worker_by_id.get(worker_id)
-        if worker is not None and not worker.is_silent:
+        if worker is not None:
             worker.is_silent = True
-            worker.silent_since_s = now.steady_s
 
     def worker_over(self, worker_id: str, now: Moment) -> None:
         """Record that this life of a worker has ended for certain."""
@@ -190,11 +186,6 @@
         state.effects = []
         return effects
 
-    def next_due_s(self) -> float | None:
-        """Return when the next occurrence is due, seconds since 1970."""
-        due = (job.next_due_s() for job in self._state.active_jobs())
-        return min((each for each in due if each is not None), default=None)
-
     def take_dirty_jobs(self) -> set[str]:
         """Return the jobs whose progress must be kept, and forget that it must."""
         dirty = self._state.dirty_jobs
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -81,7 +81,6 @@
         worker.failed_jobs.discard(job.spec.job_id)
         return
     worker.failed_jobs.add(job.spec.job_id)
-    worker.failed_at_s = now.steady_s
     if len(worker.failed_jobs) >= _JOBS_THAT_CONVICT_A_WORKER:
         worker.quarantined_until_s = now.steady_s + state.settings.quarantine_s
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -45,7 +45,6 @@
         self.failed_runs_by_index: dict[int, set[int]] = {}
         self.failed_on: set[str] = set()
         self.checkpoint_by_index: dict[int, str] = {}
-        self.ready_s = 0.0
         self.refused_until_s = 0.0
 
     @property
@@ -147,12 +146,6 @@
             opened = True
         return opened
 
-    def next_due_s(self) -> float | None:
-        """Return when the next occurrence is due, seconds since 1970."""
-        if self.opened >= self.spec.occurrences:
-            return None
-        return self.spec.due_s(self.opened)
-
     def ready_steps(self) -> Iterator[StepState]:
         """Yield the steps that have tasks to start and wait for no other."""
         for (occurrence, _), step in self.step_by_key.items():
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -35,7 +35,6 @@
     __slots__ = (
         'checkpoint',
         'demand',
-        'is_saving',
         'key',
         'moved_s',
         'number',
@@ -66,7 +65,6 @@
         self.work_s = work_s
         self.phase = RunPhase.STARTING
         self.checkpoint = ''
-        self.is_saving = False
         self.percent = 0.0
         self.moved_s = started_s
         self.seen_s = started_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -12,12 +12,8 @@
         How many times as long a task takes away from its data or its gang.
     stop_timeout_s : float
         Longest time that stopping a run takes.
-    drain_s : float
-        A leaving worker gets no new task later than this.
     early_s : float
         How much before its due time an occurrence may start.
-    restore_s : float
-        Time to continue from a checkpoint.
     quarantine_s : float
         How long a worker that fails what it runs gets nothing.
     stall_s : float
@@ -33,9 +29,7 @@
 
     far_factor: float = 3.0
     stop_timeout_s: float = 0.9
-    drain_s: float = 2.0
     early_s: float = 0.25
-    restore_s: float = 0.25
     quarantine_s: float = 6.0
     stall_s: float = 1.2
     reserve_after_s: float = 0.5
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -100,12 +100,9 @@
         self.is_listed = True
         self.is_surveyed = False
         self.is_silent = False
-        self.silent_since_s = 0.0
-        self.draining_since_s: float | None = None
         self.leaves_at_s: float | None = None
         self.quarantined_until_s = 0.0
         self.failed_jobs: set[str] = set()
-        self.failed_at_s = -1000.0
         self.slowness = 1.0
 
     @property
--- a/packages/node/dahliaarch_node/following.py
+++ b/packages/node/dahliaarch_node/following.py
@@ -10,6 +10,7 @@
 from .logs import log_event
 from .metrics import Metrics
 from .timing import StoreTiming
+from .watching import watch_once
 
 
 class ConfigurationFollower:
@@ -73,12 +74,7 @@
             self.offer(item.value, 'store')
             revision = item.read_at
         while True:
-            page = await self._store.watch(
-                CONFIGURATION_KEY,
-                revision,
-                wait_s=self._timing.watch_wait_s,
-                timeout_s=self._timing.watch_s,
-            )
+            page = await watch_once(self._store, self._timing, CONFIGURATION_KEY, revision)
             if page is None:
                 log_event('configuration_history_gone', version=self.version)
                 return
--- a/packages/node/dahliaarch_node/own_settings.py
+++ b/packages/node/dahliaarch_node/own_settings.py
@@ -19,7 +19,7 @@
 PATH_VARIABLE = 'DAHLIAARCH_SETTINGS'
 
 # Limits of the scheduler that the platform's file decides.
-_PLATFORMS = frozenset(('far_factor', 'stop_timeout_s', 'drain_s', 'early_s', 'restore_s'))
+_PLATFORMS = frozenset(('far_factor', 'stop_timeout_s', 'early_s'))
 _LARGEST_FILE_BYTES = 65_536
 
 
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -344,7 +344,7 @@
 
     @_handle.register
     def _(self, message: WorkerSilent) -> None:
-        self.scheduler.worker_silent(message.worker_id, _now())
+        self.scheduler.worker_silent(message.worker_id)
 
     @_handle.register
     def _(self, message: WorkerOver) -> None:
@@ -378,7 +378,5 @@
     return settings.own.scheduler._replace(
         far_factor=bounds.far_factor,
         stop_timeout_s=bounds.stop_timeout_s,
-        drain_s=bounds.drain_s,
         early_s=bounds.early_s,
-        restore_s=bounds.restore_s,
     )
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -7,13 +7,13 @@
 
 from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.errors import ProtocolError
-from dahliaarch_kernel.scheduler import WorkerProfile
-from dahliaarch_platform.documents import decode_worker, WorkerEntry
+from dahliaarch_platform.documents import decode_worker
 from dahliaarch_platform.store import Item, Page, STORE_FAILURES, StoreClient, WORKERS_PREFIX
 
 from ..logs import log_event
 from ..records import CANCEL_SUFFIX, job_id_of, JobRecord, JOBS_PREFIX
 from ..timing import StoreTiming
+from ..watching import next_news
 from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted
 
 Post = Callable[[OwnerMessage], bool]
@@ -52,16 +52,7 @@
 
 
 async def _watch_jobs(feed: Feed, revision: int) -> int:
-    page = await feed.store.watch(
-        JOBS_PREFIX,
-        revision,
-        wait_s=feed.timing.watch_wait_s,
-        timeout_s=feed.timing.watch_s,
-    )
-    if page is None:
-        log_event('jobs_history_gone', revision=revision)
-        await anyio.sleep(feed.timing.retry_pause_s())
-        page = await feed.store.list(JOBS_PREFIX, timeout_s=feed.timing.call_s)
+    page = (await next_news(feed.store, feed.timing, JOBS_PREFIX, revision)).page
     for item in page.items:
         post_job(item, feed.post)
     if page.items:
@@ -116,17 +107,9 @@
                 await anyio.sleep(self._feed.timing.retry_pause_s())
 
     async def _watch(self, revision: int) -> int:
-        feed = self._feed
-        page = await feed.store.watch(
-            WORKERS_PREFIX,
-            revision,
-            wait_s=feed.timing.watch_wait_s,
-            timeout_s=feed.timing.watch_s,
-        )
-        if page is None:
-            log_event('workers_history_gone', revision=revision)
-            await anyio.sleep(feed.timing.retry_pause_s())
-            page = await feed.store.list(WORKERS_PREFIX, timeout_s=feed.timing.call_s)
+        news = await next_news(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
+        page = news.page
+        if news.is_whole:
             self.take_in(page)
             return page.revision
         for item in page.items:
@@ -144,21 +127,8 @@
             log_event('worker_entry_malformed', worker=worker_id, why=str(error))
             return
         self._known.add(item.key)
-        self._feed.post(WorkerListed(profile_of(entry), entry.address))
+        self._feed.post(WorkerListed(entry.profile, entry.address))
 
     def _unlist(self, key: str) -> None:
         self._known.discard(key)
         self._feed.post(WorkerUnlisted(key.removeprefix(WORKERS_PREFIX)))
-
-
-def profile_of(entry: WorkerEntry) -> WorkerProfile:
-    """Return the scheduler's view of a worker's entry."""
-    return WorkerProfile(
-        entry.worker_id,
-        entry.service,
-        entry.domain,
-        entry.capacity,
-        entry.labels,
-        entry.draining,
-        entry.leaves_in_s,
-    )
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -23,6 +23,7 @@
 from .logs import log_event
 from .records import Member, OWNER_KEY
 from .timing import StoreTiming
+from .watching import watch_once
 
 
 class OwnershipSettings(NamedTuple):
@@ -209,12 +210,7 @@
         """Wait until the owner's key changes or goes."""
         revision = item.read_at
         while not self.is_own:
-            page = await self._store.watch(
-                OWNER_KEY,
-                revision,
-                wait_s=self._timing.watch_wait_s,
-                timeout_s=self._timing.watch_s,
-            )
+            page = await watch_once(self._store, self._timing, OWNER_KEY, revision)
             if page is None:
                 await anyio.sleep(self._timing.retry_pause_s())
                 return
