--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -43,6 +43,9 @@
     answer_s : float
         Longest wait for an answer beside that: a lost packet is sent again
         within it.
+    order_s : float
+        Longest wait for the answer to the first try of a start: a worker
+        answers in milliseconds, and the same start may be ordered again.
     order_tries : int
         Tries of a start before it is taken back.
     retry_s : float
@@ -56,6 +59,7 @@
     start_hold_s: float = 2.0
     wait_s: float = 1.0
     answer_s: float = 0.6
+    order_s: float = 0.3
     order_tries: int = 3
     retry_s: float = 0.25
     unacknowledged_s: float = 0.4
@@ -247,9 +251,10 @@
 
     async def _start(self, effect: StartRun, payload: str) -> None:
         """Order a start until it is answered; take it back when it stays in doubt."""
+        settings = self._context.settings
         is_doubtful = False
-        for _ in range(self._context.settings.order_tries):
-            status = await self._try_start(effect, payload)
+        for number in range(settings.order_tries):
+            status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
             if status is not None:
                 self._start_answered(effect, status, is_doubtful=is_doubtful)
                 is_doubtful = is_doubtful and status is not OrderStatus.DONE
@@ -260,10 +265,10 @@
             self._context.metrics.orders.labels('start', 'in_doubt').inc()
             await self._stop(effect.key, effect.run)
 
-    async def _try_start(self, effect: StartRun, payload: str) -> OrderStatus | None:
+    async def _try_start(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus | None:
         """Order a start once; return nothing when it is not known what became of it."""
         try:
-            return await self._start_once(effect, payload)
+            return await self._start_once(effect, payload, timeout_s)
         except WorkerReplacedError:
             self._over()
             return OrderStatus.UNHEALTHY
@@ -284,7 +289,7 @@
         if not is_doubtful:
             context.post(RunNever(self._worker_id, effect.key, effect.run))
 
-    async def _start_once(self, effect: StartRun, payload: str) -> OrderStatus:
+    async def _start_once(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus:
         context = self._context
         until_s = self._lease_until(context.settings.start_hold_s) or 0.0
         self._lease.sent(until_s)
@@ -293,7 +298,7 @@
             self.address,
             self._worker_id,
             order,
-            timeout_s=context.settings.answer_s,
+            timeout_s=timeout_s,
         )
         self._read_clock(reply.clock_s)
         return reply.status
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -142,7 +142,7 @@
         outcome = await self._store.commit(
             [Condition(OWNER_KEY, self._epoch), *conditions],
             writes,
-            timeout_s=self._timing.call_s,
+            timeout_s=self._timing.write_s,
         )
         if outcome.status is CommitStatus.DONE:
             self.revision_by_key.update((write.key, outcome.revision) for write in writes)
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -158,7 +158,7 @@
         await anyio.sleep(self._settings.keep_every_s)
         if self.is_leaving or not self.is_own:
             return
-        if await self._store.keep_lease(self._lease, timeout_s=self._timing.call_s):
+        if await self._renew():
             return
         log_event('owner_lease_over', lease=self._lease)
         self._lease = 0
@@ -170,6 +170,14 @@
         elif decode(item.value, Member, 'member') != self._member:
             self.deposed()
 
+    async def _renew(self) -> bool:
+        """Renew the lease, at once again when the first call gets no answer."""
+        try:
+            return await self._store.keep_lease(self._lease, timeout_s=self._timing.keep_s)
+        except StoreUnansweredError as error:
+            log_event('owner_lease_unanswered', why=str(error), lease=self._lease)
+        return await self._store.keep_lease(self._lease, timeout_s=self._timing.keep_s)
+
     async def _claim_free(self) -> None:
         if self.is_leaving:
             await anyio.sleep(self._timing.retry_s)
--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -75,10 +75,14 @@
             When there is none in time.
         """
         link = self._link(address)
+        heard_before = link.frames_heard
         try:
             with anyio.fail_after(timeout_s):
                 return await link.ask(message)
         except TimeoutError:
+            if link.frames_heard == heard_before:
+                # The connection may have fallen silent for good; a new one tells.
+                link.reconnect()
             raise PeerSilentError(f'{address}: no answer to {type(message).__name__}') from None
 
     def tell(self, address: Address, message: Message) -> None:
@@ -104,9 +108,7 @@
     def _link(self, address: Address) -> '_Link':
         link = self._link_by_address.get(address)
         if link is None:
-            socket = self._socket(zmq.DEALER)
-            socket.connect(f'tcp://{address[0]}:{address[1]}')
-            link = _Link(socket)
+            link = _Link(self._socket(zmq.DEALER), f'tcp://{address[0]}:{address[1]}')
             self._link_by_address[address] = link
             assert self._tasks is not None  # noqa: S101
             self._tasks.start_soon(link.run)
@@ -130,8 +132,11 @@
 class _Link:
     """The socket to one peer and the calls that wait for its answers."""
 
-    def __init__(self, socket: Socket) -> None:
+    def __init__(self, socket: Socket, endpoint: str) -> None:
         self._socket = socket
+        self._endpoint = endpoint
+        socket.connect(endpoint)
+        self.frames_heard = 0
         self._calls = 0
         self._waiter_by_call: dict[int, asyncio.Future[Message]] = {}
 
@@ -140,6 +145,7 @@
         try:
             while True:
                 frame = await self._socket.recv()
+                self.frames_heard += 1
                 self._resolve(frame)
         except (zmq.ZMQError, asyncio.CancelledError) as error:
             if isinstance(error, asyncio.CancelledError):
@@ -163,6 +169,11 @@
         sent = asyncio.ensure_future(self._socket.send(encode(call, message), flags=zmq.NOBLOCK))
         sent.add_done_callback(_note_unsent)
 
+    def reconnect(self) -> None:
+        """Leave the present connection, and what waits on it, for a new one."""
+        self._socket.disconnect(self._endpoint)
+        self._socket.connect(self._endpoint)
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close(linger=0)
--- a/packages/node/dahliaarch_node/timing.py
+++ b/packages/node/dahliaarch_node/timing.py
@@ -12,6 +12,12 @@
     call_s : float
         Longest wait for an answer. The store answers in milliseconds; a slow
         one was seen to take 60 times as long, 0.25 s, so this is well above.
+    keep_s : float
+        Longest wait for the renewal of a lease: two tries, and the pause before
+        them, fit into its life.
+    write_s : float
+        Longest wait for the owner's writes: ends wait for them, and a write
+        that went unanswered is told from a lost one by its condition.
     watch_wait_s : float
         How long the store holds a watch without news. Each costs a call, and
         news of the configuration also comes from the owner.
@@ -22,6 +28,8 @@
     """
 
     call_s: float = 1.0
+    keep_s: float = 0.5
+    write_s: float = 0.6
     watch_wait_s: float = 6.0
     watch_s: float = 7.0
     retry_s: float = 0.3
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -116,7 +116,7 @@
         self.version = 0
         self._folder = folder
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
-        self._ports_by_name = {f'i{number}': _free_ports(3) for number in range(instances)}
+        self._ports_by_name = {f'i{number}': free_ports(3) for number in range(instances)}
         self._store_address = Address('127.0.0.1', 0)
 
     @property
@@ -257,7 +257,7 @@
     }
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Return free ports below those that the system gives to other sockets.
 
     A port that the system gives out may be taken by a stand-in or a client's
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/__init__.py
@@ -0,0 +1,5 @@
+"""A TCP proxy on the loopback address that injects faults into connections."""
+
+from .core import FaultProxy
+
+__all__ = ('FaultProxy',)
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -0,0 +1,115 @@
+"""Forwards connections and delays, resets, cuts or silences them."""
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from dahliaarch_platform.settings import Address
+
+_CHUNK_BYTES = 65_536
+# What ends a connection on either side.
+_ENDS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class _Pair:
+    """One caller's connection and the one that it is forwarded to."""
+
+    def __init__(self, caller: SocketStream, target: SocketStream) -> None:
+        self.caller = caller
+        self.target = target
+        self.drops_requests = False
+        self.drops_answers = False
+
+
+class FaultProxy:
+    """Stands between callers and one address.
+
+    Parameters
+    ----------
+    target : Address
+        Where connections are forwarded to.
+
+    Attributes
+    ----------
+    address : Address
+        Where callers connect; set once it listens.
+    delay_s : float
+        How long each chunk of bytes is held, both ways.
+    """
+
+    def __init__(self, target: Address) -> None:
+        """Prepare; nothing listens yet."""
+        self.target = target
+        self.address = Address('127.0.0.1', 0)
+        self.delay_s = 0.0
+        self._pairs: set[_Pair] = set()
+
+    async def listen(self, tasks: TaskGroup) -> Address:
+        """Listen on a free port, until the group is cancelled."""
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        self.address = Address('127.0.0.1', port)
+        tasks.start_soon(listener.serve, self._serve)
+        return self.address
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._pairs)
+
+    def silence(self) -> None:
+        """Let the open connections fall silent for good; new ones work."""
+        for pair in self._pairs:
+            pair.drops_requests = True
+            pair.drops_answers = True
+
+    def lose_answers(self) -> None:
+        """Cut the open connections one way: what is sent arrives, no answer does."""
+        for pair in self._pairs:
+            pair.drops_answers = True
+
+    async def reset(self) -> None:
+        """Close the open connections."""
+        for pair in tuple(self._pairs):
+            await _close(pair)
+
+    async def _serve(self, caller: SocketStream) -> None:
+        try:
+            target = await anyio.connect_tcp(self.target.host, self.target.port)
+        except OSError:
+            await anyio.aclose_forcefully(caller)
+            return
+        pair = _Pair(caller, target)
+        self._pairs.add(pair)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._forward_requests, pair)
+                tasks.start_soon(self._forward_answers, pair)
+        finally:
+            self._pairs.discard(pair)
+            with anyio.CancelScope(shield=True):
+                await _close(pair)
+
+    async def _forward_requests(self, pair: _Pair) -> None:
+        try:
+            while True:
+                chunk = await pair.caller.receive(_CHUNK_BYTES)
+                await anyio.sleep(self.delay_s)
+                if not pair.drops_requests:
+                    await pair.target.send(chunk)
+        except _ENDS:
+            await _close(pair)
+
+    async def _forward_answers(self, pair: _Pair) -> None:
+        try:
+            while True:
+                chunk = await pair.target.receive(_CHUNK_BYTES)
+                await anyio.sleep(self.delay_s)
+                if not pair.drops_answers:
+                    await pair.caller.send(chunk)
+        except _ENDS:
+            await _close(pair)
+
+
+async def _close(pair: _Pair) -> None:
+    await anyio.aclose_forcefully(pair.caller)
+    await anyio.aclose_forcefully(pair.target)
