--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 READY := $(VENV)/.ready
 SEED ?= 1
 
-.PHONY: demo test lint bench clean
+.PHONY: demo test lint bench compare clean
 
 $(READY): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,10 @@
 bench: $(READY)
 	$(BIN)/dahliaarch bench --seed $(SEED)
 
+compare: $(READY)
+	$(BIN)/dahliaarch compare --deployment meters --seed $(SEED)
+	$(BIN)/dahliaarch compare --deployment cars --seed $(SEED)
+
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -10,6 +10,7 @@
 from rich.table import Table
 
 from dahliaarch_standins.bench import run_bench
+from dahliaarch_standins.comparison import compare as compare_schedulers
 from dahliaarch_standins.demo import run_demo
 
 from .client import CallFailure, Client
@@ -86,6 +87,17 @@
     typer.echo(json.dumps(run_bench(workers, waiting, passes, seed)._asdict()))
 
 
+@app.command()
+def compare(deployment: str = 'meters', days: int = 4, load: float = 1.2, seed: int = 1) -> None:
+    """Compare the decisions with those of best fit and backfill, under a fake clock."""
+    rows = compare_schedulers(deployment, range(seed, seed + days), load)
+    _print(f'{deployment}, {days} days, load {load}', [_rounded(row._asdict()) for row in rows])
+
+
+def _rounded(row: dict[str, object]) -> dict[str, object]:
+    return {name: round(each, 3) if isinstance(each, float) else each for name, each in row.items()}
+
+
 def _print(name: str, rows: object) -> None:
     if not isinstance(rows, list):
         _console.print(f'{name}: {rows}')
--- a/packages/kernel/dahliaarch_kernel/scheduler/claims.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/claims.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .job_state import StepState
+from .ranks import RANK_ORDINARY
 
 
 class Claim(NamedTuple):
@@ -19,13 +20,26 @@
         When the room is expected to be free, steady clock.
     is_firm : bool
         Whether runs are being stopped for it; other claims are made anew
-        whenever their step is considered.
+        from time to time.
+    made_s : float
+        When it was made, steady clock.
+    rank : int
+        Rank of the step: more urgent work may use the room of a claim that
+        stops nothing, as it may stop what runs.
     """
 
     step: StepState
     count_by_worker: dict[str, int]
     ready_s: float
     is_firm: bool = False
+    made_s: float = 0.0
+    rank: int = RANK_ORDINARY
+
+    def keeps_from(self, step: StepState, rank: int) -> bool:
+        """Tell whether a step of a rank must leave the room alone."""
+        if self.step is step:
+            return False
+        return self.is_firm or rank >= self.rank
 
 
 class Claims:
@@ -40,6 +54,7 @@
     def __init__(self) -> None:
         """Start without any."""
         self._claims: list[Claim] = []
+        self._freed: set[str] = set()
         self.version = 0
 
     def __iter__(self) -> Iterator[Claim]:
@@ -55,9 +70,17 @@
         """Give room back."""
         kept = [claim for claim in self._claims if not is_dropped(claim)]
         if len(kept) < len(self._claims):
+            for claim in self._claims:
+                if is_dropped(claim):
+                    self._freed.update(claim.count_by_worker)
             self._claims = kept
             self.version += 1
 
+    def take_freed(self) -> set[str]:
+        """Return the workers on which claims were dropped since the last call."""
+        freed, self._freed = self._freed, set()
+        return freed
+
     def has(self, step: StepState) -> bool:
         """Tell whether room is kept for a step."""
         return any(claim.step is step for claim in self._claims)
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -11,6 +11,7 @@
 from .events import EndKind, RunEnd, RunSeen
 from .health import watch_progress
 from .job_state import ENDED_PHASES, JobPhase, JobState
+from .learning import update_slowdowns
 from .leaving import empty_leaving, expire_leases
 from .passes import Pass, REFUSED_PAUSE_S
 from .progress import JobProgress
@@ -118,6 +119,8 @@
         if worker is None:
             worker = WorkerState(profile)
             self._state.worker_by_id[profile.worker_id] = worker
+        if worker.profile.capacity != profile.capacity:
+            self._state.memory.grown_workers.add(profile.worker_id)
         worker.profile = profile
         worker.is_listed = True
         if not profile.draining:
@@ -181,6 +184,7 @@
             job.open_due(now.wall_s)
         empty_leaving(state, now)
         watch_progress(state, now)
+        update_slowdowns(state.worker_by_id.values())
         Pass(state, now).run()
         effects = state.effects
         state.effects = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -9,6 +9,7 @@
 from .clock import Moment
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
+from .learning import observe_pace
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
@@ -34,11 +35,13 @@
     job = step.job
     if step.spec.lasting:
         return
-    if run is not None and not run.checkpoint:
-        state.times.observe(job.queue.name, step.spec, now.steady_s - run.started_s)
     worker = state.worker_by_id.get(end.worker_id)
     if worker is not None:
         worker.failed_jobs.clear()
+    if run is not None and worker is not None and not run.began_from_checkpoint:
+        ran_s = now.steady_s - run.started_s
+        state.times.observe(job.queue.name, step.spec, ran_s / run.slowdown)
+        observe_pace(step, run, worker, ran_s, 1.0)
     job.has_success = True
     was_done = end.key.task_index in step.done
     step.mark_done(end.key.task_index)
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -27,9 +27,14 @@
 
 
 def watch_progress(state: SchedulerState, now: Moment) -> None:
-    """Move runs that stand still or crawl, and avoid their workers."""
-    for worker in state.worker_by_id.values():
-        if worker.is_silent:
+    """Move runs that stand still or crawl, and avoid their workers.
+
+    A worker is judged once after each of its surveys: nothing else tells.
+    """
+    surveyed, state.surveyed_workers = state.surveyed_workers, set()
+    for worker_id in surveyed:
+        worker = state.worker_by_id.get(worker_id)
+        if worker is None or worker.is_silent:
             continue
         runs = [run for run in worker.run_by_key.values() if run.phase is RunPhase.RUNNING]
         worker.slowness = max((_judge(state, run, now) for run in runs), default=1.0)
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from enum import StrEnum
+from typing import NamedTuple
 
 from ..configuration import Queue
 from ..workload import JobSpec, StepSpec, TaskKey
@@ -22,6 +23,14 @@
 ENDED_PHASES = frozenset((JobPhase.SUCCEEDED, JobPhase.FAILED, JobPhase.CANCELLED))
 
 
+class StepKey(NamedTuple):
+    """Identity of one step of one occurrence."""
+
+    job_id: str
+    occurrence: int
+    number: int
+
+
 class StepState:
     """State of one step in one occurrence.
 
@@ -46,6 +55,15 @@
         self.failed_on: set[str] = set()
         self.checkpoint_by_index: dict[int, str] = {}
         self.refused_until_s = 0.0
+        # Whether a pass has tried to place it, and looked for victims.
+        self.was_considered = False
+        # Logarithms of the times that its tasks take on a worker like the others.
+        self.log_times: list[float] = []
+
+    @property
+    def identity(self) -> StepKey:
+        """Which step of which job it is."""
+        return StepKey(self.job.spec.job_id, self.occurrence, self.number)
 
     @property
     def is_done(self) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/learning.py
@@ -1,6 +1,17 @@
-"""Run times and sizes learned from what has ended."""
+"""Run times, sizes of jobs and paces of workers, learned from what was seen.
+
+Owners' estimates are off by far more than workers differ, so a worker's pace is
+told from tasks that are alike: tasks of one step do much the same work, and
+what one takes longer than the others is its worker's doing.
+"""
+
+import math
+from collections.abc import Collection
 
 from ..workload import StepSpec
+from .job_state import StepState
+from .runs import Run
+from .workers import WorkerState
 
 # Weight of the newest observation; recent work tells more than old.
 _NEWEST_WEIGHT = 0.15
@@ -9,6 +20,13 @@
 _LARGEST_RATIO = 4.0
 # Expected run time where the owner gave no estimate, in seconds.
 _UNKNOWN_WORK_S = 5.0
+# Share of its work from which a run's pace tells how long it will take, in
+# percent: reports are in whole percent and a second apart.
+_TELLING_PERCENT = 20.0
+# Other runs of a step that tell what is usual.
+_FEWEST_PEERS = 2
+# Place, in the order of their paces, of the worker that counts as sound.
+_SOUND_QUANTILE = 0.25
 
 
 class RunTimes:
@@ -40,3 +58,38 @@
     def mean_work(self, queue: str) -> float:
         """Return the mean size of a queue's jobs."""
         return self._work_by_queue.get(queue, 1.0)
+
+
+def observe_pace(step: StepState, run: Run, worker: WorkerState, worked_s: float, share: float) -> None:
+    """Take in that a run has done a share of its work in a time.
+
+    A run tells once, when enough of it is done, and only if it began at the
+    beginning of its work and alone: members of a gang are as fast as the
+    slowest of them.
+    """
+    if run.has_told_pace or run.began_from_checkpoint or step.spec.gang or step.spec.lasting:
+        return
+    if share * 100.0 < _TELLING_PERCENT or worked_s <= 0:
+        return
+    run.has_told_pace = True
+    log_time = math.log(worked_s / share)
+    usual = _usual(step)
+    if usual is not None:
+        worker.pace.observe(log_time - usual)
+    step.log_times.append(log_time - worker.pace.log_ratio)
+
+
+def update_slowdowns(workers: Collection[WorkerState]) -> None:
+    """Hold each worker's pace against that of a sound one."""
+    ratios = sorted(worker.pace.log_ratio for worker in workers)
+    sound = ratios[int(len(ratios) * _SOUND_QUANTILE)] if ratios else 0.0
+    for worker in workers:
+        worker.slowdown = max(1.0, math.exp(worker.pace.log_ratio - sound))
+
+
+def _usual(step: StepState) -> float | None:
+    """Return the logarithm of the time that a task of a step usually takes."""
+    known = sorted(step.log_times)
+    if len(known) < _FEWEST_PEERS:
+        return None
+    return known[len(known) // 2]
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/memory.py
@@ -0,0 +1,96 @@
+"""What one pass of decisions leaves for the next, so that it need not look again.
+
+A step that found no room finds none until some worker has more of it: room
+shrinks by starts and claims and grows only by what is noted here.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..workload import Resources
+from .job_state import StepKey
+from .room import fits
+
+
+class Signature(NamedTuple):
+    """What steps that need the same places have in common.
+
+    Parameters
+    ----------
+    demand : Resources
+        What one task counts against a worker's room.
+    rank : int
+        Rank of the step.
+    service, label, data_rack : str
+        Where it may run and where it is fast.
+    is_gang, in_one_rack, may_go_far : bool
+        How its tasks may be spread.
+    owner : StepKey or None
+        The step, where its places are its own.
+    """
+
+    demand: Resources
+    rank: int
+    service: str
+    label: str
+    data_rack: str
+    is_gang: bool
+    in_one_rack: bool
+    may_go_far: bool
+    owner: StepKey | None
+
+
+class PassMemory:
+    """Searches that failed, and where room has grown since.
+
+    Attributes
+    ----------
+    grown_workers : set of str
+        Workers whose free resources have grown.
+    full_at_s : float
+        When all steps were last considered, steady clock.
+    """
+
+    def __init__(self) -> None:
+        """Start without any search."""
+        self.grown_workers: set[str] = set()
+        self.full_at_s = float('-inf')
+        self._takers: set[str] = set()
+        self._blocked: dict[Signature, int] = {}
+        self._without_victims: dict[tuple[Signature, int], tuple[int, float]] = {}
+
+    def is_blocked(self, signature: Signature, wanted: int) -> bool:
+        """Tell whether so many tasks, or fewer, found no room."""
+        return self._blocked.get(signature, wanted + 1) <= wanted
+
+    def block(self, signature: Signature, wanted: int) -> None:
+        """Note that so many tasks found no room."""
+        self._blocked[signature] = min(wanted, self._blocked.get(signature, wanted))
+
+    def lacks_victims(self, signature: Signature, rank: int, wanted: int, since_s: float) -> bool:
+        """Tell whether a search for victims failed since a time."""
+        known = self._without_victims.get((signature, rank))
+        return known is not None and known[0] <= wanted and known[1] > since_s
+
+    def note_no_victims(self, signature: Signature, rank: int, wanted: int, now_s: float) -> None:
+        """Note a search for victims that failed."""
+        self._without_victims[signature, rank] = (wanted, now_s)
+
+    def renew(self, free_by_id: Mapping[str, Resources], freed: Iterable[str]) -> None:
+        """Forget failed searches where room has grown since.
+
+        Parameters
+        ----------
+        free_by_id : mapping
+            Free resources of the workers that may take starts now.
+        freed : iterable of str
+            Workers on which claims were dropped.
+        """
+        takers = set(free_by_id)
+        grown = (self.grown_workers | set(freed)) & takers | takers - self._takers
+        self.grown_workers = set()
+        self._takers = takers
+        rooms = [free_by_id[worker_id] for worker_id in grown]
+        for signature in tuple(self._blocked):
+            if any(fits(free, signature.demand) for free in rooms):
+                del self._blocked[signature]
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,11 +1,14 @@
 """One pass over all steps that have tasks to start."""
 
 from collections import defaultdict
+from collections.abc import Iterator
+from operator import itemgetter
 
 from ..workload import Resources
 from .claims import Claim
 from .clock import Moment
 from .job_state import JobState, StepState
+from .memory import Signature
 from .placement import place, Placement, Request
 from .preemption import Plan, Preemption
 from .ranks import RANK_GUARANTEED, RANK_ORDINARY, RANK_URGENT
@@ -25,7 +28,11 @@
 # seconds: under half of the shortest bound on its beginning that was seen.
 _GUARANTEED_NEAR_S = 1.2
 
-_Signature = tuple[Resources, str, str, bool, bool]
+# How often steps that found no room are considered again though nothing has
+# changed for them, in seconds: claims are made anew and victims looked for.
+_FULL_EVERY_S = 0.25
+# A search for victims that failed is not repeated within this time, in seconds.
+_VICTIMS_AGAIN_S = 0.1
 
 
 class Pass:
@@ -47,29 +54,45 @@
         self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy)
-        self._blocked: dict[_Signature, int] = {}
-        self._without_victims: dict[tuple[_Signature, int], int] = {}
+        self._memory = state.memory
+        self._is_full = now.steady_s - self._memory.full_at_s >= _FULL_EVERY_S
 
     def run(self) -> None:
         """Place every step that fits, in order of standing."""
         self._drop_stale_claims()
-        for order, step in self._ordered_steps():
-            self._consider(step, order.rank)
+        self._memory.renew(self._room.free_by_id, self._claims.take_freed())
+        if self._is_full:
+            self._memory.full_at_s = self._now.steady_s
+        for _, request in self._ordered_requests():
+            self._consider(request, request.rank)
+
+    def _ordered_requests(self) -> list[tuple[Standing, Request]]:
+        """Return what asks for room and may find it now, in order of standing."""
+        unit = self._state.worker_unit()
+        asking = [request for request in self._requests() if self._may_find_room(request)]
+        found = [(self._standing(request.step, request.rank, unit), request) for request in asking]
+        found.sort(key=itemgetter(0))
+        return found
 
-    def _ordered_steps(self) -> list[tuple[Standing, StepState]]:
+    def _requests(self) -> Iterator[Request]:
+        """Yield what asks for room."""
         ranks = _rank_by_job(self._state)
-        unit = self._state.worker_unit()
-        found = []
         for job in self._state.active_jobs():
             if not self._may_start(job):
                 continue
             rank = ranks.get(job.spec.job_id, RANK_ORDINARY)
             for step in job.ready_steps():
-                if step.refused_until_s > self._now.steady_s:
-                    continue
-                found.append((self._standing(step, rank, unit), step))
-        found.sort(key=lambda pair: pair[0])
-        return found
+                if step.refused_until_s <= self._now.steady_s:
+                    yield self._request(step, rank)
+
+    def _may_find_room(self, request: Request) -> bool:
+        """Tell whether a step is worth considering in this pass."""
+        step = request.step
+        if step.spec.gang and step.run_by_index:
+            return False
+        if self._is_full or not step.was_considered or self._claims.has(step):
+            return True
+        return not self._memory.is_blocked(self._signature(request), _wanted(request))
 
     def _standing(self, step: StepState, rank: int, unit: Resources) -> Standing:
         order = standing(step, rank, self._state.times, unit, self._now.wall_s)
@@ -83,13 +106,12 @@
         """Tell whether no task of a job can be running on a worker not heard yet."""
         return job.known_since_s <= self._now.steady_s
 
-    def _consider(self, step: StepState, rank: int) -> None:
-        if step.spec.gang and step.run_by_index:
-            return
-        request = self._request(step, rank)
-        had_claim = self._claims.has(step)
+    def _consider(self, request: Request, rank: int) -> None:
+        step = request.step
+        step.was_considered = True
+        signature = self._signature(request)
         self._reopen_claim(step)
-        placement = self._place(request, had_claim=had_claim)
+        placement = self._place(request, signature)
         if placement.task_count:
             self._start(step, placement, request, rank)
         missing = len(step.pending)
@@ -99,7 +121,7 @@
         if rank < RANK_ORDINARY:
             self._preempt(request, missing, rank)
         elif step.spec.gang:
-            self._reserve(step, missing)
+            self._reserve(step, missing, rank)
 
     def _request(self, step: StepState, rank: int) -> Request:
         work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
@@ -113,37 +135,56 @@
             waited_s > (_GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s),
             settings.far_factor,
             self._state.policy,
+            rank,
         )
 
-    def _place(self, request: Request, *, had_claim: bool) -> Placement:
-        """Try a placement unless a like request failed in this pass.
+    def _place(self, request: Request, signature: Signature) -> Placement:
+        """Try a placement unless a like request found no room since some has grown."""
+        wanted = _wanted(request)
+        if self._memory.is_blocked(signature, wanted):
+            return Placement(())
+        placement = place(request, self._room)
+        if not placement.task_count:
+            self._memory.block(signature, wanted)
+        return placement
+
+    def _signature(self, request: Request) -> Signature:
+        """Return what steps that need the same places have in common.
 
-        What a step with a claim may use others may not, so that their failure
-        tells nothing about it.
+        The places of some steps are their own: those that failed somewhere, are
+        limited on each worker, or may use what is claimed for them.
         """
         step = request.step
         spec = step.spec
-        signature = _signature(request)
-        wanted = request.task_count if spec.gang else 1
-        is_plain = not spec.max_per_worker and not step.failed_on and not had_claim
-        if is_plain and self._blocked.get(signature, wanted + 1) <= wanted:
-            return Placement(())
-        placement = place(request, self._room)
-        if is_plain and not placement.task_count:
-            self._blocked[signature] = min(wanted, self._blocked.get(signature, wanted))
-        return placement
+        is_special = spec.max_per_worker or step.failed_on or self._claims.has(step)
+        return Signature(
+            effective_demand(step),
+            request.rank,
+            step.job.queue.service,
+            spec.label,
+            spec.data_rack,
+            is_gang=spec.gang,
+            in_one_rack=spec.same_rack,
+            may_go_far=request.may_go_far,
+            owner=step.identity if is_special else None,
+        )
 
     def _start(self, step: StepState, placement: Placement, request: Request, rank: int) -> None:
         indices = sorted(step.pending)
         gang_run = self._state.next_run_number() if step.spec.gang else 0
         demand = effective_demand(step)
-        work_s = request.work_s * placement.slowdown
+        slowdown = placement.slowdown
+        if step.spec.gang:
+            slowdown *= max(spot.worker.slowdown for spot in placement.spots)
         for spot in placement.spots:
             for _ in range(spot.task_count):
                 number = gang_run or self._state.next_run_number()
                 index = indices.pop(0)
+                run_slowdown = slowdown if step.spec.gang else slowdown * spot.worker.slowdown
+                work_s = request.work_s * run_slowdown
                 run = Run(step.key(index), number, spot.worker.worker_id, demand, self._now.steady_s, work_s)
                 run.rank = rank
+                run.slowdown = run_slowdown
                 self._state.start(step, index, run)
                 self._room.take(spot.worker, demand)
         self._forget_claim(step)
@@ -152,37 +193,36 @@
         step = request.step
         if self._claims.has(step):
             return
-        wanted = count if step.spec.gang else 1
-        plan = self._plan(request, wanted, rank)
+        plan = self._plan(request, count if step.spec.gang else 1, rank)
         if plan is None:
-            self._reserve(step, count)
+            self._reserve(step, count, rank)
             return
         for victim in plan.victims:
             self._state.stop_unit(victim, f'makes room for {step.job.spec.job_id}')
-        self._claim(step, plan)
+        self._claim(step, plan, rank)
 
     def _plan(self, request: Request, wanted: int, rank: int) -> Plan | None:
-        """Look for victims unless a like search found none in this pass."""
+        """Look for victims unless a like search has just found none."""
         step = request.step
-        signature = (_signature(request), rank)
-        is_plain = not step.spec.max_per_worker and not step.failed_on
-        if is_plain and self._without_victims.get(signature, wanted + 1) <= wanted:
+        signature = self._signature(request)
+        since_s = self._now.steady_s - _VICTIMS_AGAIN_S
+        if self._memory.lacks_victims(signature, rank, wanted, since_s):
             return None
         plan = self._preemption.plan(step, wanted, self._room, rank, may_go_far=request.may_go_far)
-        if is_plain and plan is None:
-            self._without_victims[signature] = min(wanted, self._without_victims.get(signature, wanted))
+        if plan is None:
+            self._memory.note_no_victims(signature, rank, wanted, self._now.steady_s)
         return plan
 
-    def _claim(self, step: StepState, plan: Plan) -> None:
+    def _claim(self, step: StepState, plan: Plan, rank: int) -> None:
         ready_s = self._now.steady_s + self._state.settings.stop_timeout_s
-        self._claims.add(Claim(step, plan.count_by_worker, ready_s, is_firm=True))
+        self._claims.add(Claim(step, plan.count_by_worker, ready_s, is_firm=True, made_s=self._now.steady_s, rank=rank))
 
-    def _reserve(self, step: StepState, count: int) -> None:
+    def _reserve(self, step: StepState, count: int, rank: int) -> None:
         if self._claims.has(step) or self._claims.open_ones() >= self._state.settings.reservations:
             return
         if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
             return
-        claim = earliest_claim(step, count, self._workers, self._claims, self._now.steady_s)
+        claim = earliest_claim(step, count, rank, self._room, self._claims, self._now.steady_s)
         if claim is not None:
             self._claims.add(claim)
 
@@ -190,8 +230,9 @@
         self._claims.drop(lambda claim: claim.step is step)
 
     def _reopen_claim(self, step: StepState) -> None:
-        """Drop a step's claim that stops nothing: it is made anew on what is known now."""
-        self._claims.drop(lambda claim: claim.step is step and not claim.is_firm)
+        """Drop a step's claim that stops nothing and is no longer fresh, to make it anew."""
+        oldest_s = self._now.steady_s - _FULL_EVERY_S
+        self._claims.drop(lambda claim: claim.step is step and not claim.is_firm and claim.made_s <= oldest_s)
 
     def _drop_stale_claims(self) -> None:
         """Drop claims that came to nothing."""
@@ -207,10 +248,9 @@
         return late_s < _CLAIM_SLACK_S and known.issuperset(claim.count_by_worker)
 
 
-def _signature(request: Request) -> _Signature:
-    """Return what steps that need the same places have in common."""
-    spec = request.step.spec
-    return (spec.demand, spec.label, spec.data_rack, spec.same_rack, request.may_go_far)
+def _wanted(request: Request) -> int:
+    """Return how many tasks must find room for a step to start any."""
+    return request.task_count if request.step.spec.gang else 1
 
 
 def _since_s(step: StepState) -> float:
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -6,8 +6,8 @@
 from ..policies import Policy
 from ..workload import Resources
 from .job_state import StepState
-from .room import effective_demand, fitting, is_admissible, is_near, per_worker_limit, Room
-from .variables import candidate_variables, is_suspect
+from .room import effective_demand, fits, fitting, is_near, per_worker_limit, Room
+from .variables import candidate_variables, is_slow, is_suspect
 from .workers import WorkerState
 
 
@@ -57,6 +57,8 @@
         How many times as long tasks take there.
     policy : Policy
         The operators' programs.
+    rank : int
+        Rank of the step.
     """
 
     step: StepState
@@ -66,10 +68,14 @@
     may_go_far: bool
     far_factor: float
     policy: Policy
+    rank: int
 
 
 NOWHERE = Placement(())
 
+# More tasks than any rack holds.
+_UNLIMITED = 1_000_000
+
 
 def place(request: Request, room: Room) -> Placement:
     """Return room for a step: all of a gang, or as many tasks as fit."""
@@ -84,9 +90,8 @@
     return placement
 
 
-def admissible_workers(step: StepState, workers: list[WorkerState]) -> list[WorkerState]:
-    """Return the workers that may run a step, those it failed on left out."""
-    able = [worker for worker in workers if is_admissible(worker, step)]
+def without_failed(step: StepState, able: list[WorkerState]) -> list[WorkerState]:
+    """Leave out workers on which a step failed, unless that leaves too few."""
     if not step.failed_on:
         return able
     others = [worker for worker in able if worker.worker_id not in step.failed_on]
@@ -116,38 +121,57 @@
 
 
 def _one_rack(request: Request, spots: list[Spot]) -> tuple[Spot, ...]:
-    """Return the fullest rack that still holds a whole gang."""
-    best: list[Spot] = []
-    best_count = 0
+    """Return the fullest rack that still holds a whole gang.
+
+    Urgent gangs take a rack where none of their members is slow first.
+    """
+    step = request.step
+    is_urgent = step.job.queue.priority == 0
+    best: tuple[Spot, ...] = ()
+    best_order = (True, _UNLIMITED)
     for rack_spots in by_rack(spots).values():
         count = sum(spot.task_count for spot in rack_spots)
-        if count >= request.task_count and (not best or count < best_count):
-            best = rack_spots
-            best_count = count
-    return _fill(best, request.task_count, request.step) if best else ()
+        if count < request.task_count:
+            continue
+        chosen = _fill(rack_spots, request.task_count, step)
+        order = (is_urgent and any(is_slow(spot.worker) for spot in chosen), count)
+        if order < best_order:
+            best, best_order = chosen, order
+    return best
 
 
 def _spots(request: Request, room: Room, work_s: float, *, near: bool) -> list[Spot]:
     step = request.step
     demand = effective_demand(step)
     end_s = request.now_s + work_s
+    free_by_id = room.free_by_id
     found = []
-    for worker in admissible_workers(step, room.workers):
-        if near and not is_near(worker, step):
+    for worker in _candidates(step, room, near=near):
+        if not fits(free_by_id[worker.worker_id], demand):
             continue
-        free = room.free_for(worker, step, end_s)
+        free = room.free_for(worker, step, request.rank, end_s)
         count = min(fitting(free, demand), per_worker_limit(worker, step))
         if count:
             found.append(Spot(worker, count))
     return _by_preference(found, request, room)
 
 
+def _candidates(step: StepState, room: Room, *, near: bool) -> list[WorkerState]:
+    able = room.admissible(step)
+    if near and step.spec.data_rack:
+        able = [worker for worker in able if is_near(worker, step)]
+    return without_failed(step, able)
+
+
 def _by_preference(spots: list[Spot], request: Request, room: Room) -> list[Spot]:
     """Return the spots that the policy admits, the best first."""
     free_by_id = room.free_by_id
     policy = request.policy
     if not policy.has_placement:
-        return sorted(spots, key=lambda spot: _preference(spot.worker, free_by_id[spot.worker.worker_id]))
+        is_urgent = request.step.job.queue.priority == 0
+        return sorted(
+            spots, key=lambda spot: _preference(spot.worker, free_by_id[spot.worker.worker_id], is_urgent=is_urgent)
+        )
     scored = []
     for spot in spots:
         candidate = candidate_variables(spot.worker, request.step, free_by_id[spot.worker.worker_id])
@@ -156,9 +180,12 @@
     return [spot for _, spot in sorted(scored, key=lambda pair: pair[0])]
 
 
-def _preference(worker: WorkerState, free: Resources) -> tuple[bool, int, int]:
-    """Prefer sound workers, then full ones, so that whole workers stay free."""
-    return (is_suspect(worker), free.accelerators, free.memory_mb)
+def _preference(worker: WorkerState, free: Resources, *, is_urgent: bool) -> tuple[bool, bool, int, int]:
+    """Prefer sound workers, then full ones, so that whole workers stay free.
+
+    Urgent work has little time to spare: it takes fast workers first.
+    """
+    return (is_suspect(worker), is_urgent and is_slow(worker), free.accelerators, free.memory_mb)
 
 
 def _fill(spots: list[Spot], count: int, step: StepState) -> tuple[Spot, ...]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -6,11 +6,11 @@
 from ..policies import Policy
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
-from .placement import admissible_workers
+from .placement import without_failed
 from .ranks import RANK_ORDINARY
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .runs import Run, RunPhase
-from .variables import victim_variables
+from .variables import is_slow, victim_variables
 from .workers import by_rack, WorkerState
 
 # Room that others have claimed is taken, however short the work that asks.
@@ -20,6 +20,11 @@
 _URGENT_WEIGHT = 6.0
 # Cost of any stop, in seconds of the run's work: its restart elsewhere.
 _RESTART_S = 0.5
+# A plan with slow workers counts as this many times as dear, and so many
+# weighted core-seconds more: in the comparison under a fake clock urgent work
+# that waits for stops and then runs 1.3 times as long is nearly all that is late.
+_SLOW_FACTOR = 3.0
+_SLOW_COST = 100.0
 # A run with less than this left is cheaper to wait for than to stop.
 _NEARLY_DONE_S = 0.4
 
@@ -37,11 +42,14 @@
         Runs to stop.
     cost : float
         Work lost, in weighted core-seconds.
+    has_slow : bool
+        Whether a worker on which tasks take longer is among them.
     """
 
     count_by_worker: dict[str, int]
     victims: tuple[Run, ...]
     cost: float
+    has_slow: bool
 
 
 class _Offer(NamedTuple):
@@ -71,22 +79,30 @@
         self._policy = policy
         self._step_of = step_of
         self._now_s = now_s
+        self._cost_by_run: dict[Run, float] = {}
 
     def plan(self, step: StepState, count: int, room: Room, rank: int, *, may_go_far: bool) -> Plan | None:
         """Return the cheapest way to make room, if there is one."""
-        able = [worker for worker in admissible_workers(step, room.workers) if is_near(worker, step)]
+        everywhere = without_failed(step, room.admissible(step))
+        able = [worker for worker in everywhere if is_near(worker, step)]
         groups = [able]
         if step.spec.gang and step.spec.same_rack:
             groups = list(by_rack(able).values())
-        plans = [self._plan_among(step, count, room, rank, group) for group in groups]
+        plans = [self._plan_with_fast(step, count, room, rank, group) for group in groups]
         found = [plan for plan in plans if plan is not None]
         if not found and may_go_far:
-            everywhere = admissible_workers(step, room.workers)
             return self._plan_among(step, count, room, rank, everywhere)
-        return min(found, key=lambda plan: plan.cost, default=None)
+        return min(found, key=_weighted_cost, default=None)
 
     def cost(self, run: Run) -> float:
         """Return the work lost by stopping a run, its whole gang included."""
+        known = self._cost_by_run.get(run)
+        if known is None:
+            known = self._unit_cost(run)
+            self._cost_by_run[run] = known
+        return known
+
+    def _unit_cost(self, run: Run) -> float:
         step = self._step_of(run)
         if step is None:
             return 0.0
@@ -101,6 +117,22 @@
         weight = _URGENT_WEIGHT if run.rank < RANK_ORDINARY else 1.0
         return weight * weighted_cores(run.demand) * (unsaved_s + _RESTART_S)
 
+    def _plan_with_fast(
+        self,
+        step: StepState,
+        count: int,
+        room: Room,
+        rank: int,
+        workers: list[WorkerState],
+    ) -> Plan | None:
+        """Return the better of the plans with fast workers alone and with all."""
+        plan = self._plan_among(step, count, room, rank, workers)
+        fast = [worker for worker in workers if not is_slow(worker)]
+        if plan is None or not plan.has_slow or not fast:
+            return plan
+        other = self._plan_among(step, count, room, rank, fast)
+        return plan if other is None else min((other, plan), key=_weighted_cost)
+
     def _plan_among(
         self,
         step: StepState,
@@ -125,7 +157,7 @@
     def _offers(self, step: StepState, room: Room, rank: int, worker: WorkerState) -> list[_Offer]:
         demand = effective_demand(step)
         limit = per_worker_limit(worker, step)
-        free = room.free_for(worker, step, _FOR_GOOD)
+        free = room.free_for(worker, step, rank, _FOR_GOOD)
         stopping = [run for run in worker.run_by_key.values() if run.phase is RunPhase.STOPPING]
         for run in stopping:
             free = free.plus(run.demand)
@@ -170,6 +202,7 @@
     count_by_worker: dict[str, int] = {}
     victims: list[Run] = []
     cost = 0.0
+    has_slow = False
     for offer in sorted(chosen.values(), key=lambda each: each.cost / each.task_count):
         if not left:
             break
@@ -178,4 +211,10 @@
         count_by_worker[offer.worker.worker_id] = taken
         victims.extend(offer.victims)
         cost += offer.cost
-    return Plan(count_by_worker, tuple(victims), cost)
+        has_slow = has_slow or is_slow(offer.worker)
+    return Plan(count_by_worker, tuple(victims), cost, has_slow)
+
+
+def _weighted_cost(plan: Plan) -> float:
+    """Return a plan's cost, slow workers dearer: work that waited for stops ends late there."""
+    return plan.cost * _SLOW_FACTOR + _SLOW_COST if plan.has_slow else plan.cost
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -1,95 +1,77 @@
 """Room kept for gangs that wait, with smaller work let in before."""
 
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from ..workload import Resources
+from ..workload import NO_RESOURCES, Resources
 from .claims import Claim, Claims
 from .job_state import StepState
-from .placement import admissible_workers
-from .room import effective_demand, fitting, is_near, per_worker_limit
+from .placement import without_failed
+from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .workers import WorkerState
 
-# Points in time that are tried; later ends say little anyway.
-_MOST_ENDS = 64
 
+class _Opening(NamedTuple):
+    """One more task of a gang fits on a worker from a time on."""
 
-class _Outlook(NamedTuple):
-    """What is free on a worker, and what its runs free when they end."""
-
-    worker: WorkerState
-    free: Resources
-    ends: tuple[tuple[float, Resources], ...]
-
-    def free_after(self, after_s: float) -> Resources:
-        """Return what is free once the runs that end by then have ended."""
-        free = self.free
-        for left_s, demand in self.ends:
-            if left_s <= after_s:
-                free = free.plus(demand)
-        return free
+    after_s: float
+    worker_id: str
+    rack: str
 
 
 def earliest_claim(
     step: StepState,
     count: int,
-    workers: list[WorkerState],
+    rank: int,
+    room: Room,
     claims: Claims,
     now_s: float,
 ) -> Claim | None:
     """Return a claim on the room that is expected to be free first."""
-    able = [worker for worker in admissible_workers(step, workers) if is_near(worker, step)]
-    outlooks = [_outlook(worker, claims, now_s) for worker in able]
-    ends = sorted({round(left_s, 2) for outlook in outlooks for left_s, _ in outlook.ends})
-    ends = [0.0, *ends][:_MOST_ENDS]
-    low, high = 0, len(ends) - 1
-    best: dict[str, int] = {}
-    ready_s = 0.0
-    while low <= high:
-        middle = (low + high) // 2
-        found = _fit_at(step, count, outlooks, ends[middle])
-        if found:
-            best, ready_s = found, now_s + ends[middle]
-            high = middle - 1
-        else:
-            low = middle + 1
-    return Claim(step, best, ready_s) if best else None
+    kept_by_id = _kept_by_worker(claim for claim in claims if claim.keeps_from(step, rank))
+    openings: list[_Opening] = []
+    for worker in without_failed(step, room.admissible(step)):
+        if is_near(worker, step):
+            free = worker.free.minus(kept_by_id.get(worker.worker_id, NO_RESOURCES))
+            openings.extend(_openings(worker, free, step, count, now_s))
+    openings.sort()
+    counts_by_rack: dict[str, Counter[str]] = defaultdict(Counter)
+    for opening in openings:
+        counts = counts_by_rack[opening.rack]
+        counts[opening.worker_id] += 1
+        if counts.total() >= count:
+            return Claim(step, dict(counts), now_s + opening.after_s, made_s=now_s, rank=rank)
+    return None
 
 
-def _outlook(worker: WorkerState, claims: Claims, now_s: float) -> _Outlook:
-    free = worker.free
+def _kept_by_worker(claims: Iterable[Claim]) -> dict[str, Resources]:
+    kept_by_id: dict[str, Resources] = {}
     for claim in claims:
-        kept = claim.count_by_worker.get(worker.worker_id)
-        if kept:
-            free = free.minus(effective_demand(claim.step).times(kept))
-    ends = tuple((run.left_s(now_s), run.demand) for run in worker.run_by_key.values())
-    return _Outlook(worker, free, ends)
+        demand = effective_demand(claim.step)
+        for worker_id, count in claim.count_by_worker.items():
+            kept_by_id[worker_id] = kept_by_id.get(worker_id, NO_RESOURCES).plus(demand.times(count))
+    return kept_by_id
 
 
-def _fit_at(step: StepState, count: int, outlooks: list[_Outlook], after_s: float) -> dict[str, int]:
-    """Return tasks by worker if the step fits once runs ended up to then."""
+def _openings(
+    worker: WorkerState,
+    free: Resources,
+    step: StepState,
+    count: int,
+    now_s: float,
+) -> Iterator[_Opening]:
+    """Yield, as its runs end, when one more task fits on a worker."""
     demand = effective_demand(step)
-    slots_by_rack: dict[str, dict[str, int]] = {}
-    for outlook in outlooks:
-        worker = outlook.worker
-        found = min(fitting(outlook.free_after(after_s), demand), per_worker_limit(worker, step))
-        if found:
-            rack = worker.rack if step.spec.same_rack else ''
-            slots_by_rack.setdefault(rack, {})[worker.worker_id] = found
-    for slots in slots_by_rack.values():
-        chosen = _choose(slots, count)
-        if chosen:
-            return chosen
-    return {}
-
-
-def _choose(slots: dict[str, int], count: int) -> dict[str, int]:
-    if sum(slots.values()) < count:
-        return {}
-    chosen = {}
-    left = count
-    for worker_id, most in sorted(slots.items(), key=lambda pair: -pair[1]):
-        taken = min(left, most)
-        if taken:
-            chosen[worker_id] = taken
-            left -= taken
-    return chosen
+    most = min(count, per_worker_limit(worker, step), fitting(worker.profile.capacity, demand))
+    rack = worker.rack if step.spec.same_rack else ''
+    found = 0
+    ends = sorted((run.left_s(now_s), run.demand) for run in worker.run_by_key.values())
+    for after_s, freed in ((0.0, NO_RESOURCES), *ends):
+        free = free.plus(freed)
+        fits = min(most, fitting(free, demand))
+        for _ in range(fits - found):
+            yield _Opening(after_s, worker.worker_id, rack)
+        found = max(found, fits)
+        if found >= most:
+            return
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -26,19 +26,29 @@
         self.workers = workers
         self.free_by_id = {worker.worker_id: worker.free for worker in workers}
         self._claims = claims
+        self._admissible_by_need: dict[tuple[str, str], list[WorkerState]] = {}
         self._index_claims()
 
     def take(self, worker: WorkerState, demand: Resources) -> None:
         """Use up room."""
         self.free_by_id[worker.worker_id] = self.free_by_id[worker.worker_id].minus(demand)
 
-    def free_for(self, worker: WorkerState, step: StepState, end_s: float) -> Resources:
-        """Return the room that a step may use until ``end_s``."""
+    def admissible(self, step: StepState) -> list[WorkerState]:
+        """Return the workers that may ever run a step's tasks."""
+        need = (step.job.queue.service, step.spec.label)
+        known = self._admissible_by_need.get(need)
+        if known is None:
+            known = [worker for worker in self.workers if is_admissible(worker, step)]
+            self._admissible_by_need[need] = known
+        return known
+
+    def free_for(self, worker: WorkerState, step: StepState, rank: int, end_s: float) -> Resources:
+        """Return the room that a step of a rank may use until ``end_s``."""
         free = self.free_by_id.get(worker.worker_id, NO_RESOURCES)
         if self._indexed_version != self._claims.version:
             self._index_claims()
         for claim, kept in self._kept_by_worker.get(worker.worker_id, ()):
-            if claim.step is not step and end_s > claim.ready_s:
+            if end_s > claim.ready_s and claim.keeps_from(step, rank):
                 free = free.minus(kept)
         return free
 
@@ -58,6 +68,13 @@
     return demand._replace(cpu_millis=0) if step.spec.fills else demand
 
 
+def fits(free: Resources, demand: Resources) -> bool:
+    """Tell whether one task of a demand fits into free room."""
+    free_cpu, free_memory, free_accelerators = free
+    cpu, memory, accelerators = demand
+    return cpu <= free_cpu and memory <= free_memory and accelerators <= free_accelerators
+
+
 def fitting(free: Resources, demand: Resources) -> int:
     """Return how many tasks of a demand fit into free room."""
     count = _UNLIMITED
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -30,11 +30,22 @@
         When the start was ordered, steady clock.
     work_s : float
         Expected run time from start to end.
+
+    Attributes
+    ----------
+    slowdown : float
+        Times as long as its work is expected to take where it runs.
+    began_from_checkpoint : bool
+        Whether it went on from saved work.
+    has_told_pace : bool
+        Whether its worker's pace was learned from it.
     """
 
     __slots__ = (
+        'began_from_checkpoint',
         'checkpoint',
         'demand',
+        'has_told_pace',
         'key',
         'moved_s',
         'number',
@@ -42,6 +53,7 @@
         'phase',
         'rank',
         'seen_s',
+        'slowdown',
         'started_s',
         'work_s',
         'worker_id',
@@ -65,6 +77,9 @@
         self.work_s = work_s
         self.phase = RunPhase.STARTING
         self.checkpoint = ''
+        self.began_from_checkpoint = False
+        self.has_told_pace = False
+        self.slowdown = 1.0
         self.percent = 0.0
         self.moved_s = started_s
         self.seen_s = started_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -8,6 +8,7 @@
 from .effects import Effect, StartRun, StopRun
 from .job_state import JobPhase, JobState, StepState
 from .learning import RunTimes
+from .memory import PassMemory
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
 from .workers import WorkerState
@@ -42,6 +43,8 @@
         self.dirty_jobs: set[str] = set()
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
+        self.surveyed_workers: set[str] = set()
+        self.memory = PassMemory()
         self._runs_started = 0
 
     def step_of(self, key: TaskKey) -> StepState | None:
@@ -67,6 +70,7 @@
         worker = self.worker_by_id.get(run.worker_id)
         if worker is not None:
             worker.remove_run(run)
+            self.memory.grown_workers.add(run.worker_id)
         step = self.step_of(run.key)
         if step is None or step.run_by_index.get(run.key.task_index) is not run:
             return
@@ -78,6 +82,7 @@
         """Order a start."""
         kept = step.checkpoint_by_index
         run.checkpoint = step.gang_checkpoint() if step.spec.gang else kept.get(task_index, '')
+        run.began_from_checkpoint = bool(run.checkpoint)
         self.add_run(step, run)
         self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s))
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -5,12 +5,16 @@
 from .clock import Moment
 from .ends import take_in_end
 from .events import EndKind, RunEnd, RunSeen
+from .learning import observe_pace
 from .ranks import RANK_ORDINARY, RANK_URGENT
 from .room import effective_demand
 from .runs import Run, RunPhase
 from .state import SchedulerState
 from .workers import WorkerState
 
+# All of a run's work, in percent.
+_WHOLE = 100.0
+
 
 def take_in_survey(
     state: SchedulerState,
@@ -36,6 +40,7 @@
     """
     worker.is_surveyed = True
     worker.is_silent = False
+    state.surveyed_workers.add(worker.worker_id)
     seen_keys = set()
     for seen in running:
         seen_keys.add((seen.key, seen.run))
@@ -57,6 +62,9 @@
         run.phase = RunPhase.RUNNING
         state.job_by_id[run.key.job_id].mark_begun()
     run.saw_progress(seen.percent, now.steady_s)
+    step = state.step_of(run.key)
+    if step is not None:
+        observe_pace(step, run, worker, now.steady_s - run.started_s, seen.percent / _WHOLE)
     if seen.checkpoint:
         run.checkpoint = seen.checkpoint
 
@@ -73,9 +81,11 @@
         state.stop(stray, 'task runs elsewhere')
         return None
     work_s = state.times.expect_s(step.job.queue.name, step.spec)
-    started_s = now.steady_s - work_s * seen.percent / 100.0
+    started_s = now.steady_s - work_s * seen.percent / _WHOLE
     run = Run(seen.key, seen.run, worker.worker_id, effective_demand(step), started_s, work_s)
     run.phase = RunPhase.RUNNING
+    # When it began is not known: it tells nothing of its worker.
+    run.has_told_pace = True
     run.rank = RANK_ORDINARY if step.job.queue.priority else RANK_URGENT
     run.seen_s = now.steady_s
     state.add_run(step, run)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -301,3 +301,67 @@
     assert not pool.stops
     pool.submit(B, task())
     assert pool.step()[0].worker_id != still
+
+
+def learn_slow_workers(pool, slow):
+    """Let tasks of one step end on every worker, later on the slow ones."""
+    for number in range(6):
+        job_id = f'{number + 500:016x}'
+        pool.submit(job_id, task(len(pool.profiles), accelerators=8, work_s=4.0), queue=PATIENT)
+        pool.step(0.3)
+        for is_slow in (False, True):
+            pool.now_s += 1.2 if is_slow else 4.0
+            for worker, key in sorted(pool.running):
+                if (worker in slow) is is_slow:
+                    pool.end_unit(key, EndKind.DONE)
+        pool.step(0.3)
+    assert not pool.running
+
+
+def test_workers_that_take_longer_for_like_tasks_are_known_as_slow():
+    pool = Pool(workers=6)
+    learn_slow_workers(pool, {'w1', 'w4'})
+    known = {worker_id for worker_id, worker in pool.scheduler.worker_by_id.items() if worker.slowdown > 1.15}
+    assert known == {'w1', 'w4'}
+
+
+def test_urgent_work_goes_to_fast_workers_first():
+    pool = Pool(workers=6)
+    learn_slow_workers(pool, {'w0', 'w1'})
+    pool.submit(A, task(4, accelerators=8, gang=True), queue=URGENT)
+    assert {effect.worker_id for effect in pool.step(0.1)} == {'w2', 'w3', 'w4', 'w5'}
+
+
+def test_urgent_work_stops_others_on_fast_workers_first():
+    """It waited for stops and then ran where it took longer: both together made it late."""
+    pool = Pool(workers=6)
+    learn_slow_workers(pool, {'w0', 'w1'})
+    pool.submit(A, task(6, accelerators=8), queue=PATIENT)
+    pool.step(0.3)
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
+    stopped = {effect.worker_id for effect in pool.step(0.3) if isinstance(effect, StopRun)}
+    assert len(stopped) == 2
+    assert not stopped & {'w0', 'w1'}
+
+
+def test_urgent_work_uses_room_that_is_kept_for_a_waiting_gang():
+    """It stopped other work instead, beside accelerators that stood idle for the gang."""
+    pool = Pool(workers=2)
+    pool.submit(A, task(1, accelerators=8, work_s=9.0), queue=ORDINARY)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=ORDINARY)
+    pool.step(1.0)
+    assert list(pool.scheduler._state.claims)
+    pool.submit(C, task(1, accelerators=8, work_s=30.0), queue=URGENT)
+    effects = pool.step(0.1)
+    assert [(type(effect), effect.key.job_id) for effect in effects] == [(StartRun, C)]
+
+
+def test_a_step_that_found_no_room_starts_once_a_run_of_another_ends():
+    pool = Pool(workers=1)
+    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
+    pool.submit(B, task(1, accelerators=8), queue=PATIENT)
+    pool.step()
+    pool.step(0.01)
+    run_all(pool, A)
+    assert [effect.key.job_id for effect in pool.step(0.01)] == [B]
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -94,6 +94,22 @@
         self.pool.survey(f'w{number}')
         self.pool.step()
 
+    @rule()
+    def no_task_waits_beside_room_for_it(self):
+        """Searches that failed are remembered: where room has grown they must be made again."""
+        self.pool.finish_stops()
+        for _ in range(3):
+            self.pool.step(0.3)
+        state = self.pool.scheduler._state
+        if self.pool.stopping or list(state.claims):
+            return
+        takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(self.pool.now_s)]
+        for job in state.active_jobs():
+            for step in job.ready_steps():
+                if step.spec.gang or step.spec.max_per_worker or step.spec.data_rack or step.failed_on:
+                    continue
+                assert not any(worker.free.covers(step.spec.demand) for worker in takers)
+
     @invariant()
     def nothing_of_an_ended_job_goes_unstopped(self):
         for (worker, key), run in self.pool.running.items():
--- a/packages/kernel/dahliaarch_kernel/scheduler/variables.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/variables.py
@@ -10,6 +10,9 @@
 
 # A worker this many times as slow as expected is used last.
 _SLOW_ENOUGH = 2.0
+# A worker on which tasks take this many times as long counts as slow: half way
+# between the sound workers of the users' sites and the 1.3 times slower ones.
+_SLOW = 1.12
 
 
 def is_suspect(worker: WorkerState) -> bool:
@@ -17,6 +20,11 @@
     return bool(worker.failed_jobs) or worker.slowness > _SLOW_ENOUGH
 
 
+def is_slow(worker: WorkerState) -> bool:
+    """Tell whether tasks take longer on a worker than on sound ones."""
+    return worker.slowdown > _SLOW
+
+
 def job_variables(step: StepState, order: Standing, times: RunTimes, wall_s: float) -> JobVariables:
     """Return what a priority program sees of a step."""
     count = len(step.pending)
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ..workload import NO_RESOURCES, Resources, TaskKey
+from .pace import Pace
 from .runs import Run
 
 # A worker's steady clock may be 2% slow; the rest covers rounding.
@@ -89,11 +90,17 @@
     ----------
     profile : WorkerProfile
         What it publishes.
+
+    Attributes
+    ----------
+    worker_id : str
+        Identifier of this life.
     """
 
     def __init__(self, profile: WorkerProfile) -> None:
         """Start empty and not yet heard of."""
         self.profile = profile
+        self.worker_id = profile.worker_id
         self.lease = Lease()
         self.run_by_key: dict[TaskKey, Run] = {}
         self.used = NO_RESOURCES
@@ -104,6 +111,9 @@
         self.quarantined_until_s = 0.0
         self.failed_jobs: set[str] = set()
         self.slowness = 1.0
+        self.pace = Pace()
+        # Times as long as tasks take here as on a sound worker, as far as known.
+        self.slowdown = 1.0
 
     @property
     def rack(self) -> str:
@@ -111,11 +121,6 @@
         labels = self.profile.labels
         return labels[1] if len(labels) > 1 else ''
 
-    @property
-    def worker_id(self) -> str:
-        """Identifier of this life."""
-        return self.profile.worker_id
-
     @property
     def free(self) -> Resources:
         """What no run holds."""
--- a/packages/kernel/dahliaarch_kernel/workload/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/workload/__init__.py
@@ -1,7 +1,7 @@
 """What callers ask for: jobs, their steps and the keys of their tasks."""
 
 from .core import JobSpec, Resources, StepSpec, TaskKey
-from .demand import dominant_share, NO_RESOURCES, weighted_cores
+from .demand import dominant_share, NO_RESOURCES, step_summary, weighted_cores
 from .validation import check_job, MAX_TASKS
 
 __all__ = (
@@ -13,5 +13,6 @@
     'TaskKey',
     'check_job',
     'dominant_share',
+    'step_summary',
     'weighted_cores',
 )
--- a/packages/kernel/dahliaarch_kernel/workload/demand.py
+++ b/packages/kernel/dahliaarch_kernel/workload/demand.py
@@ -1,6 +1,6 @@
 """Measures of how much of a worker a task takes."""
 
-from .core import Resources
+from .core import Resources, StepSpec
 
 NO_RESOURCES = Resources()
 
@@ -18,3 +18,23 @@
     """Return the largest share of a capacity's parts that a demand takes."""
     pairs = zip(demand, capacity, strict=True)
     return max(part / whole if whole else float(bool(part)) for part, whole in pairs)
+
+
+def step_summary(step: StepSpec) -> str:
+    """Return what decides where a step may run, in one short text for the logs."""
+    parts = [f'{step.task_count} x {step.demand.cpu_millis}m {step.demand.memory_mb}MB {step.demand.accelerators}acc']
+    parts.append(f'{step.estimate_s:g}s')
+    marks = {
+        'gang': step.gang,
+        'one rack': step.same_rack,
+        'checkpoints': step.checkpoints,
+        'lasting': step.lasting,
+        'fills': step.fills,
+        'copies': step.speculative,
+        f'label {step.label}': step.label,
+        f'data on {step.data_rack}': step.data_rack,
+        f'at most {step.max_per_worker} a worker': step.max_per_worker,
+        f'after {step.after}': step.after,
+    }
+    parts.extend(text for text, holds in marks.items() if holds)
+    return ', '.join(parts)
--- a/packages/node/dahliaarch_node/logs/core.py
+++ b/packages/node/dahliaarch_node/logs/core.py
@@ -15,8 +15,9 @@
 _MAX_WAITING_LINES = 2_000
 # How often waiting lines are written, in seconds.
 _FLUSH_EVERY_S = 0.25
-# Bytes written in one go: what a pipe takes without blocking.
-_CHUNK_BYTES = 32_768
+# Bytes written in one go: a pipe takes this much whole or not at all, so that a
+# reader never sees half a line (PIPE_BUF of the system).
+_CHUNK_BYTES = 4_096
 
 
 class LogWriter(standard_logging.Handler):
@@ -80,9 +81,9 @@
             self._rest = self._rest[written:]
 
     def _next_chunk(self) -> bytes:
-        parts = []
+        parts: list[bytes] = []
         size = 0
-        while self._lines and size < _CHUNK_BYTES:
+        while self._lines and (not parts or size + len(self._lines[0]) <= _CHUNK_BYTES):
             part = self._lines.popleft()
             parts.append(part)
             size += len(part)
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -22,6 +22,7 @@
     StopRun,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import step_summary
 from dahliaarch_platform.settings import Bounds
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
@@ -304,7 +305,16 @@
             not_before_s=self._silent_until_s if is_old else 0.0,
         )
         if added:
-            log_event('job_known', job=job_id, queue=message.queue.name, revision=message.revision)
+            log_event(
+                'job_known',
+                job=job_id,
+                queue=message.queue.name,
+                revision=message.revision,
+                account=message.spec.account,
+                accepted_s=message.spec.accepted_s,
+                occurrences=message.spec.occurrences,
+                steps=[step_summary(step) for step in message.spec.steps],
+            )
 
     @_handle.register
     def _(self, message: JobCancelled) -> None:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -0,0 +1,82 @@
+"""A plain scheduler to compare with: first come, first served, best fit, backfill.
+
+Jobs start in the order of their arrival on the fullest workers that hold them;
+the first gang that does not fit keeps the room that is expected to be free
+first, and only what ends before then is let in ahead of it. Nothing is stopped
+for other work, and nothing is learned.
+"""
+
+from dahliaarch_kernel.policies import compile_policy, SHIPPED
+from dahliaarch_kernel.scheduler import Effect, Moment, Scheduler, SchedulerSettings
+from dahliaarch_kernel.scheduler.claims import Claims
+from dahliaarch_kernel.scheduler.job_state import StepState
+from dahliaarch_kernel.scheduler.placement import place, Request
+from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
+from dahliaarch_kernel.scheduler.reservation import earliest_claim
+from dahliaarch_kernel.scheduler.room import effective_demand, Room
+from dahliaarch_kernel.scheduler.runs import Run
+
+from .deployments import Deployment
+
+
+class BestFit(Scheduler):
+    """Keeps the books of the scheduler and decides in its own, plain way.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The pool.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        """Start empty."""
+        pool = deployment.pool
+        settings = SchedulerSettings(far_factor=pool.far_factor, stop_timeout_s=pool.largest_stop_s)
+        super().__init__(settings, epoch=1)
+        self._policy = compile_policy(SHIPPED['worth'])
+
+    def decide(self, now: Moment) -> list[Effect]:
+        """Start what fits, in the order of arrival."""
+        state = self._state
+        claims = Claims()
+        workers = list(state.worker_by_id.values())
+        room = Room(workers, claims)
+        for job in state.active_jobs():
+            job.open_due(now.wall_s)
+            for step in job.ready_steps():
+                if not (step.spec.gang and step.run_by_index):
+                    self._consider(step, room, claims, now)
+        effects, state.effects = state.effects, []
+        return effects
+
+    def _consider(self, step: StepState, room: Room, claims: Claims, now: Moment) -> None:
+        settings = self._state.settings
+        request = Request(
+            step,
+            len(step.pending),
+            step.spec.estimate_s,
+            now.steady_s,
+            False,
+            settings.far_factor,
+            self._policy,
+            RANK_ORDINARY,
+        )
+        placement = place(request, room)
+        if placement.task_count:
+            self._start(step, request, now, room)
+        elif not claims.open_ones():
+            claim = earliest_claim(step, len(step.pending), RANK_ORDINARY, room, claims, now.steady_s)
+            if claim is not None:
+                claims.add(claim)
+
+    def _start(self, step: StepState, request: Request, now: Moment, room: Room) -> None:
+        indices = sorted(step.pending)
+        number = self._state.next_run_number()
+        demand = effective_demand(step)
+        for spot in place(request, room).spots:
+            for _ in range(spot.task_count):
+                index = indices.pop(0)
+                run = Run(step.key(index), number, spot.worker.worker_id, demand, now.steady_s, request.work_s)
+                self._state.start(step, index, run)
+                room.take(spot.worker, demand)
+                number = number if step.spec.gang else self._state.next_run_number()
