Keep a task on a worker whose answer to its start is missing until its stop is certain

The start was carried out late.

Ruled out: the stop's own acknowledgement (the worker was late with it too) and the fences (one owner).

Mend: a run is given up on a survey's word only once its worker has acknowledged or listed it; else the link tells when the stop is certain.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -157,6 +157,7 @@
         found = None if worker is None else worker.run_by_key.get(key)
         if found is None or found.number != run:
             return
+        found.is_confirmed = True
         found.seen_s = max(found.seen_s, now.steady_s)
         if found.phase is RunPhase.STARTING:
             found.phase = RunPhase.RUNNING
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -39,6 +39,9 @@
         Whether it went on from saved work.
     has_told_pace : bool
         Whether its worker's pace was learned from it.
+    is_confirmed : bool
+        Whether its worker acknowledged its start or listed it: before that the
+        start may still be carried out, whatever a list of runs says.
     """
 
     __slots__ = (
@@ -46,6 +49,7 @@
         'checkpoint',
         'demand',
         'has_told_pace',
+        'is_confirmed',
         'key',
         'moved_s',
         'number',
@@ -79,6 +83,7 @@
         self.checkpoint = ''
         self.began_from_checkpoint = False
         self.has_told_pace = False
+        self.is_confirmed = False
         self.slowdown = 1.0
         self.percent = 0.0
         self.moved_s = started_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -34,4 +34,4 @@
     stall_s: float = 1.2
     reserve_after_s: float = 0.5
     far_after_share: float = 1.5
-    reservations: int = 2
+    reservations: int = 4
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -47,7 +47,7 @@
         _take_in_run(state, worker, seen, now)
     for run in tuple(worker.run_by_key.values()):
         is_listed = (run.key, run.number) in seen_keys
-        if is_listed or run.phase is RunPhase.STARTING or run.seen_s >= begun_s:
+        if is_listed or not run.is_confirmed or run.seen_s >= begun_s:
             continue
         take_in_end(state, RunEnd(worker.worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint), now)
 
@@ -61,6 +61,7 @@
     if run.phase is RunPhase.STARTING:
         run.phase = RunPhase.RUNNING
         state.job_by_id[run.key.job_id].mark_begun()
+    run.is_confirmed = True
     run.saw_progress(seen.percent, now.steady_s)
     step = state.step_of(run.key)
     if step is not None:
