--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -165,12 +165,16 @@
             self._waiter_by_call.pop(call, None)
 
     def send(self, call: int, message: Message) -> None:
-        """Queue a message; drop it when the peer does not read."""
+        """Queue a message; drop it when the peer does not read or is forgotten."""
+        if self._socket.closed:
+            return
         sent = asyncio.ensure_future(self._socket.send(encode(call, message), flags=zmq.NOBLOCK))
         sent.add_done_callback(_note_unsent)
 
     def reconnect(self) -> None:
         """Leave the present connection, and what waits on it, for a new one."""
+        if self._socket.closed:
+            return
         self._socket.disconnect(self._endpoint)
         self._socket.connect(self._endpoint)
 
--- /dev/null
+++ b/packages/node/dahliaarch_node/peers/tests/test_mesh.py
@@ -0,0 +1,38 @@
+"""Messages to peers that are not there any more."""
+
+import anyio
+
+from ..core import Mesh, PeerSilentError
+from ..messages import AskPending
+
+# A port of the loopback address on which nothing listens.
+NOBODY = ('127.0.0.1', 9)
+
+
+async def answer(message):
+    return None
+
+
+async def forget_soon(mesh):
+    await anyio.sleep(0.05)
+    mesh.forget(NOBODY)
+
+
+async def ask_and_forget():
+    mesh = Mesh(answer)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mesh.run, '127.0.0.1', 0)
+        await anyio.sleep(0)
+        tasks.start_soon(forget_soon, mesh)
+        try:
+            await mesh.ask(NOBODY, AskPending('q'), timeout_s=0.2)
+        except PeerSilentError:
+            return
+        finally:
+            tasks.cancel_scope.cancel()
+    raise AssertionError('an answer from nobody')
+
+
+def test_a_peer_that_is_forgotten_while_it_is_asked_is_silent_and_breaks_nothing():
+    """The daemon ended when the unanswered call connected a closed socket anew."""
+    anyio.run(ask_and_forget)
