--- a/packages/node/dahliaarch_node/main.py
+++ b/packages/node/dahliaarch_node/main.py
@@ -1,9 +1,14 @@
 """Entry point of the daemon."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+# A signal that says that the settings changed must not end a process that has
+# not read them yet; the imports below take most of the time until it does.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import anyio
 
 from dahliaarch_kernel.errors import DahliaarchError
