A randomized soak of the real daemons

Daemons as processes of their own behind loopback proxies to the store and to each worker; faults in series and overlapping: kills at random times and right before or after a step is carried out, pauses, planned stops, signals, silent, one-way and reset connections, a store that is silent, refuses, is slow, loses answers or its history, workers that are cut off, late or crash, changing keys.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 SEED ?= 1
+SEEDS ?= 8
 
-.PHONY: demo test lint bench compare clean
+.PHONY: demo test lint bench compare soak clean
 
 $(READY): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +25,9 @@
 	$(BIN)/dahliaarch compare --deployment meters --seed $(SEED)
 	$(BIN)/dahliaarch compare --deployment cars --seed $(SEED)
 
+soak: $(READY)
+	$(BIN)/dahliaarch soak --first $(SEED) --seeds $(SEEDS)
+
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess  # noqa: S404 - the daemons are real processes
 import sys
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any
 
@@ -118,6 +119,8 @@
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._ports_by_name = {f'i{number}': free_ports(3) for number in range(instances)}
         self._store_address = Address('127.0.0.1', 0)
+        # Where an instance finds the store: a proxy, where one stands before it.
+        self.store_address_by_name: dict[str, Address] = {}
 
     @property
     def names(self) -> list[str]:
@@ -131,11 +134,20 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start everything and wait until every instance is ready."""
+        await self.start_platform(tasks)
+        await self.start_instances()
+
+    async def start_platform(self, tasks: TaskGroup) -> Address:
+        """Start the store and the workers; return the store's address."""
         self._store_address = await self.store.listen()
         tasks.start_soon(self.store.run)
         for worker in self.workers:
             tasks.start_soon(worker.run)
         self.configure()
+        return self._store_address
+
+    async def start_instances(self) -> None:
+        """Start the daemons and wait until every one is ready."""
         for name in self.names:
             self.launch(name)
         with anyio.fail_after(_START_S):
@@ -167,23 +179,41 @@
             stderr=log,
         )
 
+    @property
+    def running_names(self) -> list[str]:
+        """Names of the instances whose daemons were launched and not killed."""
+        return sorted(self._process_by_name)
+
+    def ended_by_themselves(self, but: Collection[str] = ()) -> list[str]:
+        """Return the instances whose daemons have ended, those left out that are being stopped."""
+        ended = [name for name, process in self._process_by_name.items() if process.poll() is not None]
+        ended = [name for name in ended if name not in but]
+        for name in ended:
+            del self._process_by_name[name]
+        return ended
+
     def kill(self, name: str) -> None:
         """Kill a daemon."""
         process = self._process_by_name.pop(name)
+        process.send_signal(signal.SIGCONT)
         process.kill()
         process.wait()
 
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a daemon."""
+        self._process_by_name[name].send_signal(number)
+
     def terminate(self, name: str) -> None:
         """Ask a daemon to stop."""
-        self._process_by_name[name].send_signal(signal.SIGTERM)
+        self.signal(name, signal.SIGTERM)
 
     def pause(self, name: str) -> None:
         """Let a daemon stand still."""
-        self._process_by_name[name].send_signal(signal.SIGSTOP)
+        self.signal(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
         """Let it go on."""
-        self._process_by_name[name].send_signal(signal.SIGCONT)
+        self.signal(name, signal.SIGCONT)
 
     async def wait_stopped(self, name: str) -> int:
         """Wait for a daemon's end; return its status."""
@@ -225,6 +255,7 @@
 
     def _settings(self, name: str) -> str:
         front, ready, peers = self._ports_by_name[name]
+        store = self.store_address_by_name.get(name, self._store_address)
         lines = {
             'Node': name,
             'Zone': 'z',
@@ -239,7 +270,7 @@
             'Bootstrap': 'true',
             'Bounds.MaxHoldMs': '3000',
             'Bounds.GraceS': '6',
-            'platform.Addr': f'{self._store_address.host}:{self._store_address.port}',
+            'platform.Addr': f'{store.host}:{store.port}',
         }
         return ''.join(f'{key}={text}\n' for key, text in lines.items())
 
--- a/packages/standins/dahliaarch_standins/platform/faults.py
+++ b/packages/standins/dahliaarch_standins/platform/faults.py
@@ -1,6 +1,7 @@
 """Faults that a stand-in can be told to have."""
 
 import random
+from collections.abc import Callable
 
 import anyio
 
@@ -21,6 +22,9 @@
 
     def __init__(self, seed: int = 0) -> None:
         """Start without any."""
+        # Told of each step of the system that reaches this server: its name, and
+        # whether it has been carried out already.
+        self.observer: Callable[[str, bool], None] | None = None
         self.is_silent = False
         self.is_refusing = False
         self.delay_s = 0.0
@@ -38,6 +42,11 @@
             return Response(503)
         return None
 
+    def observe(self, step: str, *, is_done: bool) -> None:
+        """Tell of a step before or after it is carried out."""
+        if self.observer is not None:
+            self.observer(step, is_done)
+
     def loses(self) -> bool:
         """Tell whether the answer to a write is lost."""
         return self._random.random() < self.lost_share
--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -31,6 +31,8 @@
         """Start empty."""
         self.faults = faults or Faults()
         self.calls = 0
+        # A protection that control arms switch off.
+        self.checks_conditions = True
         self.revision = 0
         self._item_by_key: dict[str, dict[str, Any]] = {}
         self._history: deque[dict[str, Any]] = deque(maxlen=50_000)
@@ -101,7 +103,14 @@
             return refusal
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        match (request.method, parts.path):
+        step = _step(request, parts.path, query)
+        self.faults.observe(step, is_done=False)
+        response = await self._carry_out(request, parts.path, query)
+        self.faults.observe(step, is_done=True)
+        return response
+
+    async def _carry_out(self, request: Request, path: str, query: dict[str, str]) -> Response:
+        match (request.method, path):
             case ('GET', '/kv-key'):
                 return self._get(query['Key'])
             case ('GET', '/kv-range'):
@@ -112,7 +121,7 @@
                 return await self._write(request)
             case ('POST', '/kv-lease'):
                 return self._grant(request)
-        name, _, number = parts.path.strip('/').partition('/')
+        name, _, number = path.strip('/').partition('/')
         if name == 'kv-keep':
             return self._keep(int(number))
         if name == 'kv-lease-end':
@@ -160,7 +169,7 @@
         conditions = body.get('ExpectedRev', ())
         for row in conditions:
             item = self._item_by_key.get(row['Key'])
-            if (item['Revision'] if item else 0) != row['Revision']:
+            if self.checks_conditions and (item['Revision'] if item else 0) != row['Revision']:
                 present = [self._item_by_key[each['Key']] for each in conditions if each['Key'] in self._item_by_key]
                 return _json({'items': present}, 412)
         writes = body.get('Writes', ())
@@ -202,5 +211,21 @@
         changed.set()
 
 
+def _step(request: Request, path: str, query: dict[str, str]) -> str:
+    """Return a name for a call: what it does, and to which kind of key."""
+    if path != '/kv-txn':
+        key = query.get('Key') or query.get('PathPrefix', '')
+        return f'{path.strip("/").split("/")[0]} {_kind(key)}'.strip()
+    body = msgspec.json.decode(request.body)
+    keys = [row['Key'] for row in body.get('Writes', ())] + list(body.get('Remove', ()))
+    return f'kv-txn {_kind(keys[0]) if keys else ""}'.strip()
+
+
+def _kind(key: str) -> str:
+    """Return the part of a key that tells what it is about."""
+    kind = key.removeprefix('dahliaarch/').split('/')[0]
+    return 'cancel' if key.endswith('.cancel') else kind
+
+
 def _json(fields: dict[str, Any], status: int = 200) -> Response:
     return Response(status, msgspec.json.encode(fields))
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -18,6 +18,13 @@
 _TICK_S = 0.02
 
 
+class Noted(NamedTuple):
+    """An end that was acknowledged to a worker."""
+
+    task: str
+    run: int
+
+
 class _Run:
     """One run: its number, work done and whether it stops."""
 
@@ -91,6 +98,11 @@
         """Start empty."""
         self.worker_id = worker_id
         self.faults = faults or Faults()
+        # A protection that control arms switch off.
+        self.checks_fences = True
+        # Where it says that it takes orders: a proxy, where one stands before it.
+        self.published_address: Address | None = None
+        self.noted: set[Noted] = set()
         self.starts: list[Started] = []
         self.ends: list[Ended] = []
         self.is_draining = False
@@ -105,7 +117,7 @@
         self._fence = 0
         self._until_s = 0.0
         self._news = anyio.Event()
-        self._address = Address('127.0.0.1', 0)
+        self.address = Address('127.0.0.1', 0)
         self._seq = 0
         self.server = HttpServer(self._answer)
 
@@ -117,7 +129,7 @@
     async def run(self) -> None:
         """Serve, work and publish, until cancelled."""
         await self.server.listen(Address('127.0.0.1', 0))
-        self._address = Address('127.0.0.1', self.server.port)
+        self.address = Address('127.0.0.1', self.server.port)
         next_beat_s = 0.0
         while True:
             if time.monotonic() >= next_beat_s:
@@ -140,9 +152,10 @@
 
     def publish(self) -> None:
         """Write the entry."""
+        address = self.published_address or self.address
         entry = {
             'Service': self._service,
-            'Addr': f'{self._address.host}:{self._address.port}',
+            'Addr': f'{address.host}:{address.port}',
             'Zone': 'z',
             'Slots': 8,
             'State': 'draining' if self.is_draining else 'ready',
@@ -176,13 +189,15 @@
         if request.header('expected-instance') not in {'', self.worker_id}:
             return Response(421)
         body = msgspec.json.decode(request.body)
-        if body.get('Fence', 0) < self._fence:
+        if self.checks_fences and body.get('Fence', 0) < self._fence:
             return self._reply({'Reason': 'fence'}, 409)
         self._fence = body.get('Fence', 0)
         is_lost = self.faults.loses()
         if is_lost and self.faults.late_s:
             await anyio.sleep(self.faults.late_s)
+        self.faults.observe(request.path, is_done=False)
         response = await self._carry_out(request.path, body)
+        self.faults.observe(request.path, is_done=True)
         return await self.faults.lose() if is_lost else response
 
     async def _carry_out(self, path: str, body: dict[str, Any]) -> Response:
@@ -196,7 +211,7 @@
 
     async def _hold(self, body: dict[str, Any]) -> Response:
         self._extend(body)
-        self._finished = [row for row in self._finished if row[0] > body['AckedUpto']]
+        self._forget(body['AckedUpto'])
         if not self._finished and body.get('WaitMs'):
             news = self._news
             with anyio.move_on_after(body['WaitMs'] / _MS):
@@ -205,6 +220,26 @@
         running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._run_by_task.values()]
         return self._reply({'Running': running, 'Finished': self._finished[:500]})
 
+    def _forget(self, acknowledged: int) -> None:
+        """Forget the ends that are acknowledged."""
+        self.noted.update(Noted(row[1], row[2]) for row in self._finished if row[0] <= acknowledged)
+        self._finished = [row for row in self._finished if row[0] > acknowledged]
+
+    def crash(self, worker_id: str) -> None:
+        """Lose everything and come back as another life at the same address."""
+        self._store.remove(f'servers/{self.worker_id}')
+        now_s = time.monotonic()
+        for run in self._run_by_task.values():
+            self.ends.append(Ended(self.worker_id, run.task, run.number, 'crashed', now_s))
+        self._run_by_task.clear()
+        self._highest_by_task.clear()
+        self._finished.clear()
+        self._ends = 0
+        self._fence = 0
+        self._until_s = 0.0
+        self.worker_id = worker_id
+        self.publish()
+
     def _start(self, body: dict[str, Any]) -> Response:
         now_s = time.monotonic()
         task, number = body['Task'], body['Run']
--- a/packages/standins/dahliaarch_standins/proxy/core.py
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -34,6 +34,8 @@
         Where callers connect; set once it listens.
     delay_s : float
         How long each chunk of bytes is held, both ways.
+    refuses : bool
+        Whether new connections are closed at once.
     """
 
     def __init__(self, target: Address) -> None:
@@ -41,6 +43,7 @@
         self.target = target
         self.address = Address('127.0.0.1', 0)
         self.delay_s = 0.0
+        self.refuses = False
         self._pairs: set[_Pair] = set()
 
     async def listen(self, tasks: TaskGroup) -> Address:
@@ -73,6 +76,9 @@
             await _close(pair)
 
     async def _serve(self, caller: SocketStream) -> None:
+        if self.refuses:
+            await anyio.aclose_forcefully(caller)
+            return
         try:
             target = await anyio.connect_tcp(self.target.host, self.target.port)
         except OSError:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -0,0 +1,179 @@
+"""Runs one soak: callers hand jobs in while faults come and go."""
+
+import random
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+
+from ..deployment import Caller
+from ..deployment.core import KEY, PREFIX_BY_QUEUE
+from .faults import draw_plan, Fault, inject
+from .settings import SoakSettings
+from .system import OTHER_KEY, System
+from .violations import doubled_runs, false_ends, refused_that_ran, Submission, Violation
+
+# Times between a caller's jobs, and between its tries of one, in seconds.
+_GAP_S = 0.4
+_TRIES_S = (0.0, 0.2, 0.4, 0.8, 1.2)
+_CANCELLED_SHARE = 0.15
+_TWO_STEP_SHARE = 0.3
+_WORK_S = (0.2, 1.5)
+# Traffic goes on for so long after the last fault has begun, in seconds.
+_TRAFFIC_AFTER_S = 3.0
+_ENDED = frozenset(('succeeded', 'failed', 'cancelled', '410'))
+
+
+class SoakResult(NamedTuple):
+    """What one soak found.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    faults : tuple of Fault
+        What was injected.
+    submitted, accepted, refused : int
+        Jobs.
+    violations : tuple of Violation
+        Promises that were not kept.
+    """
+
+    seed: int
+    faults: tuple[Fault, ...]
+    submitted: int
+    accepted: int
+    refused: int
+    violations: tuple[Violation, ...]
+
+
+def run_soak(settings: SoakSettings, folder: Path | None = None) -> SoakResult:
+    """Run one soak; logs of the daemons stay in ``folder`` when one is given."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return anyio.run(_run, settings, folder)
+    with tempfile.TemporaryDirectory() as temporary:
+        return anyio.run(_run, settings, Path(temporary))
+
+
+async def _run(settings: SoakSettings, folder: Path) -> SoakResult:
+    system = System(settings, folder)
+    async with anyio.create_task_group() as tasks:
+        try:
+            await system.start(tasks)
+            tasks.start_soon(system.watch_processes)
+            result = await _play(system, settings)
+        finally:
+            system.close()
+            tasks.cancel_scope.cancel()
+    return result
+
+
+async def _play(system: System, settings: SoakSettings) -> SoakResult:
+    plan = draw_plan(settings.seed, settings.faults, settings.faults_s)
+    submissions: list[Submission] = []
+    async with anyio.create_task_group() as tasks:
+        for fault in plan:
+            tasks.start_soon(inject, system, fault)
+        for number in range(settings.callers):
+            choice = random.Random(f'{settings.seed} {number}')
+            tasks.start_soon(_call, system, submissions, choice, settings.faults_s + _TRAFFIC_AFTER_S)
+    for name in system.deployment.names:
+        await system.deployment.wait_ready(name)
+    states = await _settle(system, submissions, settings.settle_s)
+    violations = [
+        *(Violation('no process ends by itself', name) for name in system.exits),
+        *doubled_runs(system.deployment.workers),
+        *refused_that_ran(submissions, system.deployment.workers),
+        *false_ends(states, submissions, _done_tasks(system)),
+        *await _wrong_keys(system),
+    ]
+    return SoakResult(
+        settings.seed,
+        tuple(plan),
+        len(submissions),
+        sum(each.is_accepted for each in submissions),
+        sum(each.is_refused for each in submissions),
+        tuple(violations),
+    )
+
+
+async def _call(system: System, submissions: list[Submission], choice: random.Random, until_s: float) -> None:
+    """Hand jobs in over kept connections until a time."""
+    caller = system.deployment.caller()
+    with anyio.move_on_after(until_s):
+        while True:
+            await anyio.sleep(choice.expovariate(1 / _GAP_S))
+            with anyio.CancelScope(shield=True):
+                submissions.append(await _hand_in(caller, choice))
+
+
+async def _hand_in(caller: Caller, choice: random.Random) -> Submission:
+    queue = choice.choice(sorted(PREFIX_BY_QUEUE))
+    job_id = f'{choice.getrandbits(64):016x}'
+    steps = _steps(choice)
+    body = {'Spec': f'{choice.uniform(*_WORK_S):.2f}', 'Steps': steps}
+    path = PREFIX_BY_QUEUE[queue] + job_id
+    statuses: list[int] = []
+    for pause_s in _TRIES_S:
+        await anyio.sleep(pause_s)
+        reply = await caller.call('POST', path, body)
+        statuses.append(0 if reply is None else reply.status)
+        if statuses[-1] == 200:
+            break
+    tasks = sum(step['Count'] for step in steps)
+    is_cancelled = False
+    if statuses[-1] == 200 and choice.random() < _CANCELLED_SHARE:
+        await anyio.sleep(choice.uniform(0.0, 1.0))
+        reply = await caller.call('DELETE', path)
+        is_cancelled = reply is None or reply.status != 410
+    return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled)
+
+
+def _steps(choice: random.Random) -> list[dict[str, Any]]:
+    first = {
+        'Count': choice.randint(1, 4),
+        'Cpu': 4000,
+        'MemMb': 16_000,
+        'Gpu': choice.choice((1, 2, 4, 8)),
+        'EstimateMs': 800,
+    }
+    if choice.random() < _TWO_STEP_SHARE:
+        return [first, {**first, 'Count': choice.randint(1, 3), 'After': [0]}]
+    return [first]
+
+
+async def _settle(system: System, submissions: list[Submission], settle_s: float) -> dict[str, str]:
+    """Ask for the state of every accepted job until all have ended, or for so long."""
+    caller = system.deployment.caller()
+    states: dict[str, str] = {}
+    waiting = {each.job_id: each.queue for each in submissions if each.is_accepted}
+    with anyio.move_on_after(settle_s):
+        while waiting:
+            for job_id, queue in tuple(waiting.items()):
+                states[job_id] = await caller.state(queue, job_id)
+                if states[job_id] in _ENDED:
+                    del waiting[job_id]
+            await anyio.sleep(0.1)
+    return states
+
+
+def _done_tasks(system: System) -> dict[str, int]:
+    """Return how many tasks of each job ended well."""
+    done = {end.task for worker in system.deployment.workers for end in worker.ends if end.how == 'done'}
+    return Counter(task.split('.')[0] for task in done)
+
+
+async def _wrong_keys(system: System) -> list[Violation]:
+    """Ask every instance with both keys, long after the last change of them."""
+    found = []
+    for name in system.deployment.names:
+        caller = system.deployment.caller(name)
+        for key, is_valid in ((KEY, True), (OTHER_KEY, system.has_other_key)):
+            reply = await caller.call('GET', f'{PREFIX_BY_QUEUE["urgent"]}{"0" * 16}', key=key)
+            status = 0 if reply is None else reply.status
+            if (status == 401) is is_valid:
+                found.append(Violation('a configuration is in force everywhere', f'{name}: {key} gets {status}'))
+    return found
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -0,0 +1,240 @@
+"""Faults that are injected from outside the daemons; each registers itself."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+
+from ..proxy import FaultProxy
+from .system import System
+
+# How long a fault lasts, in seconds: around the owner's lease of 2 and a
+# worker's of 3.
+_LENGTHS_S = (0.3, 4.0)
+# Names of the steps at which every instance loses power.
+_STEPS = (
+    'kv-txn jobs',
+    'kv-txn cancel',
+    'kv-txn owner',
+    'kv-txn progress',
+    'kv-lease',
+    'kv-range jobs',
+    'kv-range progress',
+    '/run-start',
+    '/run-stop',
+    '/hold',
+)
+# Longest wait for such a step to come, in seconds.
+_STEP_WAIT_S = 4.0
+
+
+class Fault(NamedTuple):
+    """One fault of a plan.
+
+    Parameters
+    ----------
+    name : str
+        Its kind.
+    at_s : float
+        When it begins, seconds from the start.
+    for_s : float
+        How long it lasts.
+    seed : int
+        Seed of what else it chooses.
+    """
+
+    name: str
+    at_s: float
+    for_s: float
+    seed: int
+
+
+Injection = Callable[[System, Fault, random.Random], Awaitable[None]]
+_INJECTION_BY_NAME: dict[str, Injection] = {}
+
+
+def register(injection: Injection) -> Injection:
+    """Add a kind of fault under the name of its function."""
+    _INJECTION_BY_NAME[injection.__name__] = injection
+    return injection
+
+
+def draw_plan(seed: int, faults: int, within_s: float) -> list[Fault]:
+    """Return faults that come in series and overlap."""
+    choice = random.Random(seed)
+    names = sorted(_INJECTION_BY_NAME)
+    return sorted(
+        (
+            Fault(
+                choice.choice(names), choice.uniform(0.5, within_s), choice.uniform(*_LENGTHS_S), choice.getrandbits(32)
+            )
+            for _ in range(faults)
+        ),
+        key=lambda fault: fault.at_s,
+    )
+
+
+async def inject(system: System, fault: Fault) -> None:
+    """Wait for a fault's time, and let it happen."""
+    await anyio.sleep(fault.at_s)
+    await _INJECTION_BY_NAME[fault.name](system, fault, random.Random(fault.seed))
+
+
+@register
+async def kill_instance(system: System, fault: Fault, choice: random.Random) -> None:
+    """Kill an instance, the owner in half of all cases; start it again later."""
+    name = _owner_or_any(system, choice)
+    await system.restart([name], fault.for_s)
+
+
+@register
+async def kill_all(system: System, fault: Fault, choice: random.Random) -> None:
+    """Kill every instance and start them again."""
+    await system.restart(system.deployment.names, choice.uniform(0.0, 1.0))
+
+
+@register
+async def kill_all_at_step(system: System, fault: Fault, choice: random.Random) -> None:
+    """Kill every instance right before or after a step is carried out."""
+    step = choice.choice(_STEPS)
+    if await system.wait_for_step(step, is_done=choice.choice((False, True)), wait_s=_STEP_WAIT_S):
+        await system.restart(system.deployment.names, choice.uniform(0.0, 1.0))
+
+
+@register
+async def pause_instance(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let an instance stand still, the owner in half of all cases."""
+    name = _owner_or_any(system, choice)
+    if name not in system.deployment.running_names:
+        return
+    system.deployment.pause(name)
+    await anyio.sleep(fault.for_s)
+    if name in system.deployment.running_names:
+        system.deployment.resume(name)
+
+
+@register
+async def stop_instance(system: System, fault: Fault, choice: random.Random) -> None:
+    """Ask an instance to stop, and start it again once it has."""
+    await system.stop_and_start(choice.choice(system.deployment.names))
+
+
+@register
+async def signal_settings(system: System, fault: Fault, choice: random.Random) -> None:
+    """Tell every instance that its settings changed."""
+    system.signal_settings()
+
+
+@register
+async def change_keys(system: System, fault: Fault, choice: random.Random) -> None:
+    """Give the account another key beside its own, or take it away."""
+    system.change_keys()
+
+
+@register
+async def silence_store(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let the store answer nobody."""
+    system.store.faults.is_silent = True
+    await anyio.sleep(fault.for_s)
+    system.store.faults.is_silent = False
+
+
+@register
+async def refuse_at_store(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let the store refuse every call."""
+    system.store.faults.is_refusing = True
+    await anyio.sleep(fault.for_s)
+    system.store.faults.is_refusing = False
+
+
+@register
+async def slow_store(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let the store take its time."""
+    system.store.faults.delay_s = choice.uniform(0.05, 0.3)
+    await anyio.sleep(fault.for_s)
+    system.store.faults.delay_s = 0.0
+
+
+@register
+async def lose_store_answers(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let answers to writes be lost, some of them carried out late."""
+    faults = system.store.faults
+    faults.lost_share, faults.late_s = choice.uniform(0.2, 0.8), choice.choice((0.0, 1.5))
+    await anyio.sleep(fault.for_s)
+    faults.lost_share, faults.late_s = 0.0, 0.0
+
+
+@register
+async def forget_history(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let the store forget what has changed."""
+    system.store.forget_history()
+
+
+@register
+async def cut_instance_from_store(system: System, fault: Fault, choice: random.Random) -> None:
+    """Cut an instance's connections to the store: silent, one way or reset."""
+    proxy = system.store_proxy_by_name[choice.choice(system.deployment.names)]
+    proxy.refuses = True
+    await _harm(proxy, choice)
+    await anyio.sleep(fault.for_s)
+    proxy.refuses = False
+
+
+@register
+async def harm_connections(system: System, fault: Fault, choice: random.Random) -> None:
+    """Silence or reset every open connection to the store and to workers; new ones work."""
+    for proxy in system.proxies:
+        await _harm(proxy, choice)
+
+
+@register
+async def delay_worker(system: System, fault: Fault, choice: random.Random) -> None:
+    """Delay all that passes between the instances and a worker."""
+    proxy = choice.choice(system.worker_proxies)
+    proxy.delay_s = choice.uniform(0.05, 0.4)
+    await anyio.sleep(fault.for_s)
+    proxy.delay_s = 0.0
+
+
+@register
+async def cut_worker(system: System, fault: Fault, choice: random.Random) -> None:
+    """Cut a worker off, in one of the ways."""
+    proxy = choice.choice(system.worker_proxies)
+    proxy.refuses = True
+    await _harm(proxy, choice)
+    await anyio.sleep(fault.for_s)
+    proxy.refuses = False
+
+
+@register
+async def late_orders(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let a worker leave orders unanswered and carry them out late."""
+    faults = choice.choice(system.deployment.workers).faults
+    faults.lost_share, faults.late_s = 0.4, choice.uniform(0.5, 2.5)
+    await anyio.sleep(fault.for_s)
+    faults.lost_share, faults.late_s = 0.0, 0.0
+
+
+@register
+async def crash_worker(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let a worker lose all that it runs and come back as another life."""
+    system.crash_worker(choice.choice(system.deployment.workers))
+
+
+def _owner_or_any(system: System, choice: random.Random) -> str:
+    """Return the owner in half of all cases, else any instance."""
+    owner = system.deployment.owner_now()
+    is_owner_meant = choice.choice((False, True))
+    return owner if owner and is_owner_meant else choice.choice(system.deployment.names)
+
+
+async def _harm(proxy: FaultProxy, choice: random.Random) -> None:
+    """Silence, cut one way or reset the open connections of a proxy."""
+    match choice.randrange(3):
+        case 0:
+            proxy.silence()
+        case 1:
+            proxy.lose_answers()
+        case _:
+            await proxy.reset()
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -0,0 +1,117 @@
+"""What callers and workers saw, held against what is promised to them."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import pairwise
+from typing import NamedTuple
+
+from ..platform import WorkerStandIn
+from ..platform.workers import Noted
+
+
+class Violation(NamedTuple):
+    """A promise that was not kept."""
+
+    promise: str
+    detail: str
+
+
+class Submission(NamedTuple):
+    """What a caller knows of one job.
+
+    Parameters
+    ----------
+    job_id, queue : str
+        The job.
+    tasks : int
+        Number of its tasks.
+    statuses : tuple of int
+        Answers to its tries; 0 where there was none.
+    is_cancelled : bool
+        Whether its cancellation was acknowledged.
+    """
+
+    job_id: str
+    queue: str
+    tasks: int
+    statuses: tuple[int, ...]
+    is_cancelled: bool = False
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether it was acknowledged."""
+        return 200 in self.statuses
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether every try was refused with the word that it will not run."""
+        return bool(self.statuses) and all(status in {429, 503} for status in self.statuses)
+
+
+class _Span(NamedTuple):
+    """One run of a task, from its start to its end."""
+
+    begin_s: float
+    end_s: float
+    run: int
+    how: str
+
+
+def doubled_runs(workers: Sequence[WorkerStandIn]) -> Iterator[Violation]:
+    """Yield tasks that ran twice at a time, or again after a success that was noted."""
+    noted = {each for worker in workers for each in worker.noted}
+    for task, spans in _spans_by_task(workers).items():
+        for earlier, later in pairwise(sorted(spans)):
+            runs = f'{task}: {earlier.run}, then {later.run}'
+            if later.begin_s < earlier.end_s:
+                yield Violation('never two runs of a task at a time', runs)
+            elif earlier.how == 'done' and Noted(task, earlier.run) in noted:
+                yield Violation('no run after a success that was noted', runs)
+
+
+def _spans_by_task(workers: Sequence[WorkerStandIn]) -> dict[str, list[_Span]]:
+    spans: dict[str, list[_Span]] = defaultdict(list)
+    for worker in workers:
+        end_by_run = {(end.worker, end.task, end.run): end for end in worker.ends}
+        for start in worker.starts:
+            end = end_by_run.get((start.worker, start.task, start.run))
+            ended_s, how = (end.at_s, end.how) if end else (float('inf'), 'running')
+            spans[start.task].append(_Span(start.at_s, ended_s, start.run, how))
+    return spans
+
+
+def refused_that_ran(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
+    """Yield jobs that ran though every try to hand them in was refused."""
+    refused = {submission.job_id for submission in submissions if submission.is_refused}
+    started = {start.task.partition('.')[0] for worker in workers for start in worker.starts}
+    for job_id in refused & started:
+        yield Violation('a refusal that says "not run" is true', job_id)
+
+
+def false_ends(states: dict[str, str], submissions: Iterable[Submission], done: dict[str, int]) -> Iterator[Violation]:
+    """Yield jobs whose state is not the fate that they had.
+
+    Parameters
+    ----------
+    states : dict
+        Last state by job.
+    submissions : iterable of Submission
+        What was handed in.
+    done : dict
+        Number of tasks that ended well, by job.
+    """
+    for submission in submissions:
+        state = states.get(submission.job_id, '')
+        violation = _false_end(submission, state, done.get(submission.job_id, 0))
+        if submission.is_accepted and violation is not None:
+            yield violation
+
+
+def _false_end(submission: Submission, state: str, done: int) -> Violation | None:
+    if state == 'succeeded':
+        if done < submission.tasks:
+            return Violation('a job is shown as succeeded once its tasks are', submission.job_id)
+        return None
+    if submission.is_cancelled and state == 'cancelled':
+        return None
+    return Violation('an accepted job is done', f'{submission.job_id}: {state or "no answer"}')
