--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -21,6 +21,11 @@
 # Pause between two watches of jobs, in seconds: news come from the instances
 # themselves first, and each watch costs a call.
 _JOBS_WATCH_PAUSE_S = 0.25
+# Pause between two watches of workers' entries, in seconds. Each worker writes
+# its entry every 1.5 s, and each news ends a watch: without a pause they were
+# two thirds of all calls of the store. A worker that leaves must get nothing new
+# after 2 s.
+_WORKERS_WATCH_PAUSE_S = 0.4
 
 
 class Feed(NamedTuple):
@@ -117,6 +122,8 @@
                 self._unlist(item.key)
             else:
                 self._post(item)
+        if page.items:
+            await anyio.sleep(_WORKERS_WATCH_PAUSE_S)
         return max(revision, page.revision)
 
     def _post(self, item: Item) -> None:
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -40,6 +40,8 @@
         this is refused by the worker as late.
     wait_s : float
         How long a survey waits for an end; also how old progress may be.
+    idle_wait_s : float
+        The same where nothing runs: the longest that workers allow.
     answer_s : float
         Longest wait for an answer beside that: a lost packet is sent again
         within it.
@@ -58,6 +60,7 @@
     draining_hold_s: float = 2.0
     start_hold_s: float = 2.0
     wait_s: float = 1.0
+    idle_wait_s: float = 2.0
     answer_s: float = 0.6
     order_s: float = 0.3
     order_tries: int = 3
@@ -125,6 +128,7 @@
         self._tasks: TaskGroup | None = None
         self._scope = anyio.CancelScope()
         self._failures = 0
+        self._is_idle = False
         # Runs whose stop was acknowledged, by the time of that: once a later
         # survey does not list them they are certainly not there.
         self._stopped_at_by_run: dict[tuple[TaskKey, int], float] = {}
@@ -152,6 +156,7 @@
     def start(self, effect: StartRun, payload: str) -> None:
         """Order a start."""
         assert self._tasks is not None  # noqa: S101
+        self._is_idle = False
         self._tasks.start_soon(self._start, effect, payload)
 
     def stop(self, effect: StopRun) -> None:
@@ -163,8 +168,7 @@
         context = self._context
         settings = context.settings
         begun_s = context.clock()
-        has_news = self.listed > self.acknowledged or not self._lease.has_reading
-        wait_s = 0.0 if has_news or self._failures or self._stopped_at_by_run else settings.wait_s
+        wait_s = self._wait_s()
         # A worker that does not answer is not given more time: its lease must end
         # at some point for its runs to start elsewhere.
         hold_s = settings.draining_hold_s if self.is_draining else settings.hold_s
@@ -195,6 +199,14 @@
         self._take_in(survey, begun_s)
         await self._pause(survey)
 
+    def _wait_s(self) -> float:
+        """Return how long the next survey waits at the worker for an end."""
+        has_news = self.listed > self.acknowledged or not self._lease.has_reading
+        if has_news or self._failures or self._stopped_at_by_run:
+            return 0.0
+        settings = self._context.settings
+        return settings.idle_wait_s if self._is_idle else settings.wait_s
+
     async def _pause(self, survey: Survey) -> None:
         """Wait until ends are kept: a survey before that lists them again at once."""
         if self.listed > self.acknowledged:
@@ -208,6 +220,7 @@
         for end in ended:
             self._context.metrics.run_ends.labels(end.kind.value).inc()
         last_end = max((listed.number for listed in survey.ended), default=0)
+        self._is_idle = not survey.running
         self._resolve_stopped(survey, begun_s)
         if self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s)):
             self.listed = max(self.listed, last_end)
@@ -293,7 +306,7 @@
         context = self._context
         until_s = self._lease_until(context.settings.start_hold_s) or 0.0
         self._lease.sent(until_s)
-        order = StartOrder(effect.key, effect.run, payload, until_s, context.fence, effect.checkpoint)
+        order = StartOrder(effect.key, effect.run, payload, until_s, context.fence, effect.checkpoint, effect.ticket)
         reply = await context.client.start(
             self.address,
             self._worker_id,
