Ask the outside policy for workers on queues that need its consent

Cause: a job on such a queue was accepted and its starts were refused for want of a ticket for ever.

The policy is asked about all workers when a step may start, and again, for those it consented to, once one of them has room and no ticket is valid.

--- a/packages/kernel/dahliaarch_kernel/configuration/core.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/core.py
@@ -3,6 +3,24 @@
 from typing import NamedTuple
 
 
+class AdviceTerms(NamedTuple):
+    """What asking the outside policy for workers costs, times in seconds.
+
+    Parameters
+    ----------
+    decision_s : float
+        Time that each call takes.
+    per_worker_s : float
+        Time beside that for each worker that is named.
+    valid_s : float
+        How long the tickets of an answer hold.
+    """
+
+    decision_s: float
+    per_worker_s: float
+    valid_s: float
+
+
 class Queue(NamedTuple):
     """A route of callers to the service whose workers run its jobs.
 
@@ -28,8 +46,8 @@
         Longest time for one request.
     public : bool
         Whether calls need no key.
-    needs_tickets : bool
-        Whether an outside policy must approve each worker first.
+    advice : AdviceTerms or None
+        Set when an outside policy decides which workers may run a step.
     """
 
     name: str
@@ -42,7 +60,7 @@
     target_latency_s: float = 0.0
     timeout_s: float = 3.0
     public: bool = False
-    needs_tickets: bool = False
+    advice: AdviceTerms | None = None
 
 
 class ServiceSettings(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
@@ -2,7 +2,7 @@
 
 from .clock import Moment
 from .core import Scheduler
-from .effects import Effect, StartRun, StopRun
+from .effects import AskAdvice, Effect, StartRun, StopRun
 from .events import EndKind
 from .job_state import JobPhase, JobState
 from .progress import JobProgress, StepProgress
@@ -10,6 +10,7 @@
 from .workers import Lease, WorkerProfile, WorkerState
 
 __all__ = (
+    'AskAdvice',
     'Effect',
     'EndKind',
     'JobPhase',
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -4,7 +4,7 @@
 
 from ..configuration import Queue
 from ..policies import compile_policy, Policy, SHIPPED
-from ..workload import JobSpec, TaskKey
+from ..workload import JobSpec, StepKey, TaskKey
 from .clock import Moment
 from .effects import Effect
 from .ends import take_in_end
@@ -169,8 +169,22 @@
             step = self._state.step_of(end.key)
             if step is not None:
                 step.refused_until_s = now.steady_s + REFUSED_PAUSE_S
+                if step.advice is not None:
+                    step.advice.ticket_rejected(end.worker_id)
         take_in_end(self._state, end, now)
 
+    def advice_given(self, key: StepKey, asked: Sequence[str], tickets: Mapping[str, str], until_s: float) -> None:
+        """Take in which workers the outside policy consents to, until when."""
+        step = self._state.step_of(TaskKey(*key, 0))
+        if step is not None and step.advice is not None:
+            step.advice.take_in(asked, tickets, until_s)
+
+    def advice_failed(self, key: StepKey, now: Moment) -> None:
+        """Record that the outside policy did not answer."""
+        step = self._state.step_of(TaskKey(*key, 0))
+        if step is not None and step.advice is not None:
+            step.advice.failed(now.steady_s)
+
     def worker_surveyed(self, worker_id: str, running: Sequence[RunSeen], begun_s: float, now: Moment) -> None:
         """Take in a worker's list of what runs."""
         worker = self._state.worker_by_id.get(worker_id)
--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from ..workload import TaskKey
+from ..configuration import AdviceTerms
+from ..workload import StepKey, TaskKey
 
 
 class StartRun(NamedTuple):
@@ -22,6 +23,8 @@
         Rank that its step had, for the log.
     expected_s : float
         Run time that was expected there, for the log.
+    ticket : str
+        The outside policy's consent, where one is needed.
     """
 
     worker_id: str
@@ -30,6 +33,7 @@
     checkpoint: str
     rank: int = 0
     expected_s: float = 0.0
+    ticket: str = ''
 
 
 class StopRun(NamedTuple):
@@ -53,4 +57,22 @@
     reason: str
 
 
-Effect = StartRun | StopRun
+class AskAdvice(NamedTuple):
+    """Ask the outside policy which workers may run a step.
+
+    Parameters
+    ----------
+    step : StepKey
+        The step.
+    worker_ids : tuple of str
+        Workers to ask about.
+    terms : AdviceTerms
+        What the call costs.
+    """
+
+    step: StepKey
+    worker_ids: tuple[str, ...]
+    terms: AdviceTerms
+
+
+Effect = StartRun | StopRun | AskAdvice
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 from enum import StrEnum
-from typing import NamedTuple
 
 from ..configuration import Queue
-from ..workload import JobSpec, StepSpec, TaskKey
+from ..workload import JobSpec, StepKey, StepSpec, TaskKey
+from .advice import Advice
 from .progress import JobProgress, StepProgress
 from .runs import Run
 
@@ -23,14 +23,6 @@
 ENDED_PHASES = frozenset((JobPhase.SUCCEEDED, JobPhase.FAILED, JobPhase.CANCELLED))
 
 
-class StepKey(NamedTuple):
-    """Identity of one step of one occurrence."""
-
-    job_id: str
-    occurrence: int
-    number: int
-
-
 class StepState:
     """State of one step in one occurrence.
 
@@ -59,6 +51,7 @@
         self.was_considered = False
         # Logarithms of the times that its tasks take on a worker like the others.
         self.log_times: list[float] = []
+        self.advice = Advice() if job.queue.advice else None
 
     @property
     def identity(self) -> StepKey:
--- a/packages/kernel/dahliaarch_kernel/scheduler/memory.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/memory.py
@@ -7,8 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from ..workload import Resources
-from .job_state import StepKey
+from ..workload import Resources, StepKey
 from .room import fits
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -5,15 +5,17 @@
 from operator import itemgetter
 
 from ..workload import Resources
+from .advice import Advice
 from .claims import Claim
 from .clock import Moment
+from .effects import AskAdvice
 from .job_state import JobState, StepState
 from .memory import Signature
-from .placement import place, Placement, Request
+from .placement import place, Placement, Request, without_failed
 from .preemption import Plan, Preemption
 from .ranks import RANK_GUARANTEED, RANK_ORDINARY, RANK_URGENT
 from .reservation import earliest_claim
-from .room import effective_demand, Room
+from .room import effective_demand, fits, Room
 from .runs import Run
 from .state import SchedulerState
 from .variables import job_variables
@@ -112,6 +114,8 @@
         signature = self._signature(request)
         self._reopen_claim(step)
         placement = self._place(request, signature)
+        if not placement.task_count and step.advice is not None:
+            self._ask_advice(request, step.advice)
         if placement.task_count:
             self._start(step, placement, request, rank)
         missing = len(step.pending)
@@ -138,13 +142,28 @@
             rank,
         )
 
+    def _ask_advice(self, request: Request, advice: Advice) -> None:
+        """Ask the outside policy: at first about all workers, then again once one it consents to has room."""
+        step = request.step
+        free_by_id = self._room.free_by_id
+        demand = effective_demand(step)
+        able = without_failed(step, self._room.admissible(step))
+        known = [worker for worker in able if advice.consents(worker.worker_id)]
+        if known and not any(fits(free_by_id[worker.worker_id], demand) for worker in known):
+            return
+        likeliest = sorted(known or able, key=lambda worker: -free_by_id[worker.worker_id].accelerators)
+        asked = advice.to_ask(likeliest, self._now.steady_s)
+        if asked and step.job.queue.advice is not None:
+            self._state.effects.append(AskAdvice(step.identity, asked, step.job.queue.advice))
+
     def _place(self, request: Request, signature: Signature) -> Placement:
         """Try a placement unless a like request found no room since some has grown."""
         wanted = _wanted(request)
         if self._memory.is_blocked(signature, wanted):
             return Placement(())
         placement = place(request, self._room)
-        if not placement.task_count:
+        # Tickets come and go, so that a step that needs them is always tried.
+        if not placement.task_count and request.step.advice is None:
             self._memory.block(signature, wanted)
         return placement
 
@@ -156,7 +175,7 @@
         """
         step = request.step
         spec = step.spec
-        is_special = spec.max_per_worker or step.failed_on or self._claims.has(step)
+        is_special = spec.max_per_worker or step.failed_on or step.advice or self._claims.has(step)
         return Signature(
             effective_demand(step),
             request.rank,
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -90,6 +90,14 @@
     return placement
 
 
+def allowed_workers(step: StepState, room: Room) -> list[WorkerState]:
+    """Return the workers that may run a step once they have room."""
+    able = room.admissible(step)
+    if step.advice is not None:
+        able = [worker for worker in able if step.advice.consents(worker.worker_id)]
+    return without_failed(step, able)
+
+
 def without_failed(step: StepState, able: list[WorkerState]) -> list[WorkerState]:
     """Leave out workers on which a step failed, unless that leaves too few."""
     if not step.failed_on:
@@ -146,7 +154,7 @@
     end_s = request.now_s + work_s
     free_by_id = room.free_by_id
     found = []
-    for worker in _candidates(step, room, near=near):
+    for worker in _candidates(step, room, request.now_s, near=near):
         if not fits(free_by_id[worker.worker_id], demand):
             continue
         free = room.free_for(worker, step, request.rank, end_s)
@@ -156,10 +164,12 @@
     return _by_preference(found, request, room)
 
 
-def _candidates(step: StepState, room: Room, *, near: bool) -> list[WorkerState]:
+def _candidates(step: StepState, room: Room, now_s: float, *, near: bool) -> list[WorkerState]:
     able = room.admissible(step)
     if near and step.spec.data_rack:
         able = [worker for worker in able if is_near(worker, step)]
+    if step.advice is not None:
+        able = [worker for worker in able if step.advice.ticket(worker.worker_id, now_s)]
     return without_failed(step, able)
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -6,7 +6,7 @@
 from ..policies import Policy
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
-from .placement import without_failed
+from .placement import allowed_workers
 from .ranks import RANK_ORDINARY
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .runs import Run, RunPhase
@@ -83,7 +83,7 @@
 
     def plan(self, step: StepState, count: int, room: Room, rank: int, *, may_go_far: bool) -> Plan | None:
         """Return the cheapest way to make room, if there is one."""
-        everywhere = without_failed(step, room.admissible(step))
+        everywhere = allowed_workers(step, room)
         able = [worker for worker in everywhere if is_near(worker, step)]
         groups = [able]
         if step.spec.gang and step.spec.same_rack:
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -7,7 +7,7 @@
 from ..workload import NO_RESOURCES, Resources
 from .claims import Claim, Claims
 from .job_state import StepState
-from .placement import without_failed
+from .placement import allowed_workers
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .workers import WorkerState
 
@@ -31,7 +31,7 @@
     """Return a claim on the room that is expected to be free first."""
     kept_by_id = _kept_by_worker(claim for claim in claims if claim.keeps_from(step, rank))
     openings: list[_Opening] = []
-    for worker in without_failed(step, room.admissible(step)):
+    for worker in allowed_workers(step, room):
         if is_near(worker, step):
             free = worker.free.minus(kept_by_id.get(worker.worker_id, NO_RESOURCES))
             openings.extend(_openings(worker, free, step, count, now_s))
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -84,7 +84,8 @@
         run.checkpoint = step.gang_checkpoint() if step.spec.gang else kept.get(task_index, '')
         run.began_from_checkpoint = bool(run.checkpoint)
         self.add_run(step, run)
-        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s))
+        ticket = step.advice.ticket(run.worker_id, run.started_s) if step.advice else ''
+        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket))
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a stop, once."""
--- a/packages/kernel/dahliaarch_kernel/workload/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/workload/__init__.py
@@ -1,6 +1,6 @@
 """What callers ask for: jobs, their steps and the keys of their tasks."""
 
-from .core import JobSpec, Resources, StepSpec, TaskKey
+from .core import JobSpec, Resources, StepKey, StepSpec, TaskKey
 from .demand import dominant_share, NO_RESOURCES, step_summary, weighted_cores
 from .validation import check_job, MAX_TASKS
 
@@ -9,6 +9,7 @@
     'MAX_TASKS',
     'NO_RESOURCES',
     'Resources',
+    'StepKey',
     'StepSpec',
     'TaskKey',
     'check_job',
--- a/packages/kernel/dahliaarch_kernel/workload/core.py
+++ b/packages/kernel/dahliaarch_kernel/workload/core.py
@@ -70,6 +70,14 @@
     task_index: int
 
 
+class StepKey(NamedTuple):
+    """Identity of one step of one occurrence."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
 class StepSpec(NamedTuple):
     """One step of a job: equal tasks and the conditions they run under.
 
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -86,6 +86,10 @@
         if known is None or known.member != member:
             self._peer_by_instance[member.instance] = _Peer(member, -1, time.monotonic())
 
+    def peers(self) -> list[Member]:
+        """Return the instances that answered of late, this one left out."""
+        return [peer.member for peer in self._peer_by_instance.values() if peer.version >= 0]
+
     async def beat_forever(self, epoch: int) -> None:
         """Tell every instance who owns the pool, again and again."""
         await self._load()
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/advising.py
@@ -0,0 +1,92 @@
+"""Asks the outside policy for workers, on several instances at a time.
+
+The policy works on one call of an instance at a time, each for half a second or
+so. The others have nothing to ask it, so that the owner asks through them too.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+import anyio
+
+from dahliaarch_kernel.scheduler import AskAdvice
+from dahliaarch_platform.advice import ADVICE_FAILURES
+
+from ..logs import log_event
+from .messages import AdviceFailed, AdviceGiven, OwnerMessage
+
+# Longest wait beside the time that the policy says it takes, in seconds.
+_ANSWER_S = 1.0
+# Calls that may wait here: more are failed at once, and asked again later.
+_MOST_WAITING = 32
+# Calls under way at one time.
+_MOST_CALLS = 8
+
+Ask = Callable[[str, Sequence[str], float], Awaitable[Mapping[str, str]]]
+
+
+class Adviser:
+    """Hands questions to the instances that can ask the policy, each in turn.
+
+    Parameters
+    ----------
+    askers : callable
+        Returns the ways to ask now, this instance's own first: each takes the
+        step's name, the workers and the longest wait in seconds, returns tickets
+        by worker and raises one of ADVICE_FAILURES.
+    post : callable
+        Hands a message to the task that decides.
+    clock : callable
+        Steady clock.
+    """
+
+    def __init__(
+        self,
+        askers: Callable[[], Sequence[Ask]],
+        post: Callable[[OwnerMessage], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without questions."""
+        self._askers = askers
+        self._post = post
+        self._clock = clock
+        self._send, self._receive = anyio.create_memory_object_stream[AskAdvice](_MOST_WAITING)
+
+    def ask(self, question: AskAdvice) -> None:
+        """Queue a question."""
+        try:
+            self._send.send_nowait(question)
+        except anyio.WouldBlock:
+            self._failed(question, 'too many questions wait')
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(_MOST_CALLS):
+                tasks.start_soon(self._ask_in_turn, number)
+
+    async def _ask_in_turn(self, number: int) -> None:
+        """Ask through one of the instances, one question at a time."""
+        while True:
+            question = await self._receive.receive()
+            askers = self._askers()
+            if askers:
+                await self._ask(question, askers[number % len(askers)])
+            else:
+                self._failed(question, 'the settings name no policy')
+
+    async def _ask(self, question: AskAdvice, ask: Ask) -> None:
+        terms = question.terms
+        takes_s = terms.decision_s + terms.per_worker_s * len(question.worker_ids)
+        name = '.'.join(str(part) for part in question.step)
+        try:
+            tickets = await ask(name, question.worker_ids, takes_s + _ANSWER_S)
+        except ADVICE_FAILURES as error:
+            self._failed(question, str(error))
+            return
+        log_event('advice_given', step=question.step, asked=len(question.worker_ids), consents=len(tickets))
+        until_s = self._clock() + terms.valid_s
+        self._post(AdviceGiven(question.step, question.worker_ids, tickets, until_s))
+
+    def _failed(self, question: AskAdvice, why: str) -> None:
+        log_event('advice_failed', step=question.step, asked=len(question.worker_ids), why=why)
+        self._post(AdviceFailed(question.step))
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import (
+    AskAdvice,
     JobProgress,
     Moment,
     Scheduler,
@@ -31,9 +33,12 @@
 from ..metrics import Metrics
 from ..own_settings import OwnSettings
 from ..timing import StoreTiming
+from .advising import Adviser, Ask
 from .feeds import Feed, follow_jobs, post_job, WorkersFeed
 from .links import LinkContext, LinkSettings
 from .messages import (
+    AdviceFailed,
+    AdviceGiven,
     JobCancelled,
     JobListed,
     OwnerMessage,
@@ -94,6 +99,8 @@
         The store.
     workers : WorkerClient
         Calls of workers.
+    askers : callable
+        Returns the ways to ask the outside policy now.
     metrics : Metrics
         Counters.
     """
@@ -103,6 +110,7 @@
         settings: OwnerSettings,
         store: StoreClient,
         workers: WorkerClient,
+        askers: Callable[[], Sequence[Ask]],
         metrics: Metrics,
     ) -> None:
         """Prepare; `run` takes the pool over."""
@@ -132,6 +140,7 @@
             time.monotonic,
         )
         self._links = Links(context)
+        self._adviser = Adviser(askers, self.post, time.monotonic)
         self._recorder = Recorder(
             store,
             settings.timing,
@@ -183,6 +192,7 @@
                 tasks.start_soon(follow_jobs, self._feed, jobs_revision)
                 tasks.start_soon(self._workers_feed.run, workers_revision)
                 tasks.start_soon(self._recorder.run)
+                tasks.start_soon(self._adviser.run)
                 tasks.start_soon(self._recorder.clean, self._settings.bounds.status_s, time.time)
                 await self._decide_forever()
 
@@ -287,6 +297,10 @@
         if link is not None:
             link.stop(effect)
 
+    @_carry_out.register
+    def _(self, effect: AskAdvice) -> None:
+        self._adviser.ask(effect)
+
     @singledispatchmethod
     def _handle(self, message: object) -> None:
         raise NotImplementedError(type(message).__name__)
@@ -370,6 +384,14 @@
     def _(self, message: RunNever) -> None:
         self._take_in_end(RunEnd(message.worker_id, message.key, message.run, message.kind), _now())
 
+    @_handle.register
+    def _(self, message: AdviceGiven) -> None:
+        self.scheduler.advice_given(message.step, message.asked, message.ticket_by_worker, message.until_s)
+
+    @_handle.register
+    def _(self, message: AdviceFailed) -> None:
+        self.scheduler.advice_failed(message.step, _now())
+
     def _take_in_end(self, end: RunEnd, now: Moment) -> None:
         log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
         self.scheduler.run_ended(end, now)
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -1,11 +1,12 @@
 """Messages from the owner's tasks to the one that decides."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from dahliaarch_kernel.configuration import Queue
 from dahliaarch_kernel.scheduler import EndKind, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
-from dahliaarch_kernel.workload import JobSpec, TaskKey
+from dahliaarch_kernel.workload import JobSpec, StepKey, TaskKey
 from dahliaarch_platform.settings import Address
 
 
@@ -89,6 +90,33 @@
     kind: EndKind = EndKind.REFUSED
 
 
+class AdviceGiven(NamedTuple):
+    """The outside policy said which workers may run a step.
+
+    Parameters
+    ----------
+    step : StepKey
+        The step.
+    asked : tuple of str
+        Workers that were named.
+    ticket_by_worker : mapping
+        Tickets of those that may.
+    until_s : float
+        When the tickets expire, steady clock.
+    """
+
+    step: StepKey
+    asked: tuple[str, ...]
+    ticket_by_worker: Mapping[str, str]
+    until_s: float
+
+
+class AdviceFailed(NamedTuple):
+    """The outside policy did not answer."""
+
+    step: StepKey
+
+
 OwnerMessage = (
     JobListed
     | JobCancelled
@@ -99,4 +127,6 @@
     | WorkerOver
     | StartAcknowledged
     | RunNever
+    | AdviceGiven
+    | AdviceFailed
 )
--- a/packages/node/dahliaarch_node/peers/__init__.py
+++ b/packages/node/dahliaarch_node/peers/__init__.py
@@ -6,6 +6,7 @@
     Accepted,
     AcceptJob,
     AskPending,
+    AskPolicy,
     AskState,
     Beat,
     BeatReply,
@@ -13,6 +14,7 @@
     JobNews,
     Message,
     PendingReply,
+    PolicyReply,
     StateReply,
 )
 
@@ -21,6 +23,7 @@
     'AcceptJob',
     'Accepted',
     'AskPending',
+    'AskPolicy',
     'AskState',
     'Beat',
     'BeatReply',
@@ -30,5 +33,6 @@
     'Message',
     'PeerSilentError',
     'PendingReply',
+    'PolicyReply',
     'StateReply',
 )
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -110,6 +110,31 @@
     is_missing: bool = False
 
 
+class AskPolicy(NamedTuple):
+    """Asks an instance to ask the outside policy, which works for each in turn.
+
+    Parameters
+    ----------
+    step : str
+        The step, as the policy names it.
+    worker_ids : tuple of str
+        Workers to ask about.
+    timeout_s : float
+        Longest wait for the policy's answer.
+    """
+
+    step: str
+    worker_ids: tuple[str, ...]
+    timeout_s: float
+
+
+class PolicyReply(NamedTuple):
+    """Tickets by worker; not answered when the policy did not."""
+
+    is_answered: bool
+    ticket_by_worker: dict[str, str] = {}
+
+
 Message = (
     Hello
     | Beat
@@ -122,6 +147,8 @@
     | AcceptJob
     | AcceptCancel
     | Accepted
+    | AskPolicy
+    | PolicyReply
 )
 
 _TYPES: tuple[type[Message], ...] = (
@@ -136,6 +163,8 @@
     AcceptJob,
     AcceptCancel,
     Accepted,
+    AskPolicy,
+    PolicyReply,
 )
 _NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -3,10 +3,12 @@
 from functools import singledispatchmethod
 
 from dahliaarch_kernel.codec import decode
+from dahliaarch_platform.advice import ADVICE_FAILURES, AdviceClient
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
 from .following import ConfigurationFollower
 from .front.acceptance import Fate, keep_cancellation, keep_job, WriteOutcome
+from .logs import log_event
 from .membership import Membership
 from .owner import PoolOwner
 from .owner.messages import JobCancelled, JobListed
@@ -16,6 +18,7 @@
     Accepted,
     AcceptJob,
     AskPending,
+    AskPolicy,
     AskState,
     Beat,
     BeatReply,
@@ -23,6 +26,7 @@
     JobNews,
     Message,
     PendingReply,
+    PolicyReply,
     StateReply,
 )
 from .records import job_key, JobRecord
@@ -45,10 +49,19 @@
         The configuration in force.
     ownership : Ownership
         Who owns the pool.
+    advice : AdviceClient or None
+        Calls of the outside policy, if there is one.
     """
 
-    def __init__(self, store: StoreClient, follower: ConfigurationFollower, ownership: Ownership) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        follower: ConfigurationFollower,
+        ownership: Ownership,
+        advice: AdviceClient | None,
+    ) -> None:
         """Start without the pool."""
+        self._advice = advice
         self.owner: PoolOwner | None = None
         self.membership: Membership | None = None
         self._store = store
@@ -114,6 +127,17 @@
             self._pass_on(message.job_id, b'', outcome.revision, is_cancel=True)
         return _accepted(outcome)
 
+    @_reply.register
+    async def _(self, message: AskPolicy) -> Message | None:
+        if self._advice is None:
+            return PolicyReply(is_answered=False)
+        try:
+            tickets = await self._advice.ask(message.step, message.worker_ids, timeout_s=message.timeout_s)
+        except ADVICE_FAILURES as error:
+            log_event('advice_failed', step=message.step, asked=len(message.worker_ids), why=str(error))
+            return PolicyReply(is_answered=False)
+        return PolicyReply(True, dict(tickets))
+
     def _pass_on(self, job_id: str, record: bytes, revision: int, *, is_cancel: bool) -> None:
         """Hand news to the pool's owner, if it is here; else the watch brings them."""
         if self.owner is None:
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -172,7 +172,7 @@
         for effect in self._scheduler.decide(self._moment):
             if isinstance(effect, StartRun):
                 self._at(self._now_s + _ORDER_S, partial(self._start, effect))
-            else:
+            elif isinstance(effect, StopRun):
                 self._at(self._now_s + self._stop_s(), partial(self._stop, effect))
         self._note_idle()
         self._ask_pass(_PASS_EVERY_S)
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -19,11 +19,13 @@
 from dahliaarch_platform.http import CallNotSentError, CallUnansweredError, HttpClient, Reply
 from dahliaarch_platform.settings import Address, PATH_VARIABLE
 
-from ..platform import StoreStandIn, WorkerStandIn
+from ..platform import PolicyStandIn, StoreStandIn, WorkerStandIn
+from ..platform.policy import DECISION_S, VALID_S
 
 KEY = 'operator-made-key'
 HOST = '127.0.0.1'
 PREFIX_BY_QUEUE = {'urgent': '/urgent/', 'ordinary': '/ordinary/'}
+ADVISED_QUEUE = 'ordinary'
 _START_S = 20.0
 _STOP_S = 8.0
 
@@ -119,6 +121,9 @@
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._ports_by_name = {f'i{number}': free_ports(3) for number in range(instances)}
         self._store_address = Address('127.0.0.1', 0)
+        # Decides on the workers of one queue, where a test asks for it.
+        self.policy: PolicyStandIn | None = None
+        self._policy_address: Address | None = None
         # Where an instance finds the store: a proxy, where one stands before it.
         self.store_address_by_name: dict[str, Address] = {}
 
@@ -140,6 +145,8 @@
     async def start_platform(self, tasks: TaskGroup) -> Address:
         """Start the store and the workers; return the store's address."""
         self._store_address = await self.store.listen()
+        if self.policy is not None:
+            self._policy_address = await self.policy.listen()
         tasks.start_soon(self.store.run)
         for worker in self.workers:
             tasks.start_soon(worker.run)
@@ -159,6 +166,9 @@
         """Write a new version of the configuration."""
         self.version += 1
         queues = [_queue(name, prefix, priority) for priority, (name, prefix) in enumerate(PREFIX_BY_QUEUE.items())]
+        if self.policy is not None:
+            advice = {'DecisionMs': DECISION_S * 1000, 'PerItemMs': 0, 'ValidMs': VALID_S * 1000}
+            queues = [queue | {'Advice': advice} if queue['Name'] == ADVISED_QUEUE else queue for queue in queues]
         configuration = {
             'Version': self.version,
             'Routes': queues,
@@ -272,6 +282,8 @@
             'Bounds.GraceS': '6',
             'platform.Addr': f'{store.host}:{store.port}',
         }
+        if self._policy_address is not None:
+            lines['Advice'] = f'{self._policy_address.host}:{self._policy_address.port}'
         return ''.join(f'{key}={text}\n' for key, text in lines.items())
 
 
--- a/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
@@ -1,6 +1,7 @@
 import pytest
 from anyio.from_thread import start_blocking_portal
 
+from ...platform import PolicyStandIn
 from ..core import Deployment
 from .running import Running
 
@@ -12,3 +13,15 @@
         deployment = portal.call(Deployment, tmp_path)
         with portal.wrap_async_context_manager(Running(deployment, portal)) as started:
             yield started
+
+
+@pytest.fixture
+def advised(tmp_path):
+    """The same, with a policy that consents to two of the four workers."""
+    with start_blocking_portal() as portal:
+        deployment = portal.call(Deployment, tmp_path)
+        deployment.policy = PolicyStandIn({'w0', 'w1'})
+        for worker in deployment.workers:
+            worker.policy = deployment.policy
+        with portal.wrap_async_context_manager(Running(deployment, portal)) as started:
+            yield started
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -109,3 +109,10 @@
     When the key is replaced by another
     Then the old key is refused at every instance within two seconds
     And the new key is taken
+
+  Scenario: An outside policy consents to some workers only
+    Given a deployment whose policy consents to half of the workers
+    When a job of three tasks is accepted
+    Then it is shown as succeeded
+    And it ran on those workers with valid tickets only
+    And no task ran twice
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -18,6 +18,17 @@
     assert len(running.deployment.names) == 3
 
 
+@given('a deployment whose policy consents to half of the workers', target_fixture='running')
+def _(advised):
+    return advised
+
+
+@then('it ran on those workers with valid tickets only')
+def _(running):
+    assert {start.worker for start in running.starts()} <= {'w0', 'w1'}
+    assert running.deployment.policy.calls
+
+
 @given('every accelerator runs patient work')
 def _(running):
     steps = [{**PARALLEL[0], 'Count': 32, 'EstimateMs': 20_000}]
--- a/packages/standins/dahliaarch_standins/platform/__init__.py
+++ b/packages/standins/dahliaarch_standins/platform/__init__.py
@@ -1,7 +1,8 @@
 """The platform's store and workers, in memory, over the published protocol."""
 
 from .faults import Faults
+from .policy import PolicyStandIn
 from .store import StoreStandIn
 from .workers import WorkerStandIn
 
-__all__ = ('Faults', 'StoreStandIn', 'WorkerStandIn')
+__all__ = ('Faults', 'PolicyStandIn', 'StoreStandIn', 'WorkerStandIn')
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/platform/policy.py
@@ -0,0 +1,50 @@
+"""The outside policy that consents to workers, in memory."""
+
+import secrets
+import time
+from collections.abc import Collection
+
+import anyio
+import msgspec
+
+from dahliaarch_platform.http import HttpServer, Request, Response
+from dahliaarch_platform.settings import Address
+
+# How long its tickets hold, and what a call takes, in seconds.
+VALID_S = 1.5
+DECISION_S = 0.1
+
+
+class PolicyStandIn:
+    """Consents to some workers and knows the tickets that it gave.
+
+    Parameters
+    ----------
+    consents : collection of str
+        Workers that it consents to.
+    """
+
+    def __init__(self, consents: Collection[str]) -> None:
+        """Start without tickets."""
+        self.calls = 0
+        self._consents = consents
+        self._until_by_ticket: dict[tuple[str, str, str], float] = {}
+        self.server = HttpServer(self._answer)
+
+    async def listen(self) -> Address:
+        """Listen on a free port of the loopback address."""
+        await self.server.listen(Address('127.0.0.1', 0))
+        return Address('127.0.0.1', self.server.port)
+
+    def is_valid(self, step: str, worker_id: str, ticket: str) -> bool:
+        """Tell whether a ticket for a step on a worker holds now."""
+        return self._until_by_ticket.get((step, worker_id, ticket), 0.0) > time.monotonic()
+
+    async def _answer(self, request: Request) -> Response:
+        self.calls += 1
+        body = msgspec.json.decode(request.body)
+        await anyio.sleep(DECISION_S)
+        rows = [(worker_id, secrets.token_hex(4)) for worker_id in body['Workers'] if worker_id in self._consents]
+        for worker_id, ticket in rows:
+            self._until_by_ticket[body['Step'], worker_id, ticket] = time.monotonic() + VALID_S
+        return Response(200, msgspec.json.encode({'Healthy': rows, 'ValidMs': VALID_S * 1000}))
--- a/packages/standins/dahliaarch_standins/proxy/core.py
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -36,6 +36,8 @@
         How long each chunk of bytes is held, both ways.
     refuses : bool
         Whether new connections are closed at once.
+    drops_all : bool
+        Whether nothing passes, on new connections either.
     """
 
     def __init__(self, target: Address) -> None:
@@ -44,6 +46,7 @@
         self.address = Address('127.0.0.1', 0)
         self.delay_s = 0.0
         self.refuses = False
+        self.drops_all = False
         self._pairs: set[_Pair] = set()
 
     async def listen(self, tasks: TaskGroup) -> Address:
@@ -100,7 +103,7 @@
             while True:
                 chunk = await pair.caller.receive(_CHUNK_BYTES)
                 await anyio.sleep(self.delay_s)
-                if not pair.drops_requests:
+                if not (pair.drops_requests or self.drops_all):
                     await pair.target.send(chunk)
         except _ENDS:
             await _close(pair)
@@ -110,7 +113,7 @@
             while True:
                 chunk = await pair.target.receive(_CHUNK_BYTES)
                 await anyio.sleep(self.delay_s)
-                if not pair.drops_answers:
+                if not (pair.drops_answers or self.drops_all):
                     await pair.caller.send(chunk)
         except _ENDS:
             await _close(pair)
--- a/packages/standins/dahliaarch_standins/soak/__init__.py
+++ b/packages/standins/dahliaarch_standins/soak/__init__.py
@@ -1,6 +1,6 @@
 """A randomized soak: real daemons, faults from outside, promises checked."""
 
 from .core import run_soak, SoakResult
-from .settings import SoakSettings
+from .settings import control_arm, SoakSettings
 
-__all__ = ('SoakResult', 'SoakSettings', 'run_soak')
+__all__ = ('SoakResult', 'SoakSettings', 'control_arm', 'run_soak')
