--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -12,7 +12,7 @@
 from dahliaarch_standins.bench import run_bench
 from dahliaarch_standins.comparison import compare as compare_schedulers
 from dahliaarch_standins.demo import run_demo
-from dahliaarch_standins.soak import control_arm, run_soak, SoakSettings
+from dahliaarch_standins.soak import control_arm, PROTECTIONS, run_soak, SoakSettings
 
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
@@ -99,7 +99,7 @@
 def soak(
     first: int = 1,
     seeds: int = 8,
-    without: Annotated[str, typer.Option(help='Control arm: fences, or conditions beside them.')] = '',
+    without: Annotated[str, typer.Option(help=f'Control arm, one of: {", ".join(PROTECTIONS)}.')] = '',
     logs: Annotated[Path | None, typer.Option(help='Folder for the logs of the daemons.')] = None,
 ) -> None:
     """Run real daemons under random faults and check what callers and workers were promised."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -8,6 +8,7 @@
 from .advice import Advice
 from .progress import JobProgress, StepProgress
 from .runs import Run
+from .standing import DatedStanding
 
 
 class JobPhase(StrEnum):
@@ -51,6 +52,7 @@
         self.was_considered = False
         # Logarithms of the times that its tasks take on a worker like the others.
         self.log_times: list[float] = []
+        self.standing: DatedStanding | None = None
         self.advice = Advice() if job.queue.advice else None
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -17,9 +17,10 @@
 from .reservation import earliest_claim
 from .room import effective_demand, fits, Room
 from .runs import Run
+from .standing import DatedStanding, Standing
 from .state import SchedulerState
 from .variables import job_variables
-from .worth import Standing, standing
+from .worth import standing
 
 # A claim whose room did not come free by then is made anew, in seconds.
 _CLAIM_SLACK_S = 1.0
@@ -97,6 +98,15 @@
         return not self._memory.is_blocked(self._signature(request), _wanted(request))
 
     def _standing(self, step: StepState, rank: int, unit: Resources) -> Standing:
+        """Return a step's place in the order, worked out anew from time to time."""
+        known = step.standing
+        if known is not None and known.standing.rank == rank and self._now.steady_s - known.at_s < _FULL_EVERY_S:
+            return known.standing
+        found = self._work_out_standing(step, rank, unit)
+        step.standing = DatedStanding(found, self._now.steady_s)
+        return found
+
+    def _work_out_standing(self, step: StepState, rank: int, unit: Resources) -> Standing:
         order = standing(step, rank, self._state.times, unit, self._now.wall_s)
         policy = self._state.policy
         if not policy.has_priority:
--- a/packages/kernel/dahliaarch_kernel/scheduler/variables.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/variables.py
@@ -5,8 +5,9 @@
 from .job_state import StepState
 from .learning import RunTimes
 from .runs import Run
+from .standing import Standing
 from .workers import WorkerState
-from .worth import slack_s, Standing
+from .worth import slack_s
 
 # A worker this many times as slow as expected is used last.
 _SLOW_ENOUGH = 2.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/worth.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/worth.py
@@ -1,10 +1,9 @@
 """What a job is worth to its owner, and in which order jobs go."""
 
-from typing import NamedTuple
-
 from ..workload import dominant_share, JobSpec, Resources, weighted_cores
 from .job_state import JobState, StepState
 from .learning import RunTimes
+from .standing import Standing
 
 # Worth of a job in time and late, by priority of its queue. The platform
 # names no worth; these are the users' sheets, the last for all the rest.
@@ -19,24 +18,6 @@
 _SMALLEST_AREA = 0.01
 
 
-class Standing(NamedTuple):
-    """Where a step stands in the order; smaller goes first.
-
-    Parameters
-    ----------
-    rank : int
-        0 for guaranteed work, 1 for other work of priority 0, 2 for the rest.
-    density : float
-        Negative worth for the room and time that it takes.
-    accepted_s : float
-        When the job was accepted.
-    """
-
-    rank: int
-    density: float
-    accepted_s: float
-
-
 def job_work(job: JobState, times: RunTimes) -> float:
     """Return the expected work of one occurrence in weighted core-seconds."""
     return sum(
