--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,6 +1,5 @@
 """One pass over all steps that have tasks to start."""
 
-from collections import defaultdict
 from collections.abc import Iterator
 from operator import itemgetter
 
@@ -13,7 +12,7 @@
 from .memory import Signature
 from .placement import place, Placement, Request, without_failed
 from .preemption import Plan, Preemption
-from .ranks import RANK_GUARANTEED, RANK_ORDINARY, RANK_URGENT
+from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
 from .reservation import earliest_claim
 from .room import effective_demand, fits, Room
 from .runs import Run
@@ -79,7 +78,7 @@
 
     def _requests(self) -> Iterator[Request]:
         """Yield what asks for room."""
-        ranks = _rank_by_job(self._state)
+        ranks = rank_by_job(self._state.active_jobs(), self._state.guaranteed_by_account)
         for job in self._state.active_jobs():
             if not self._may_start(job):
                 continue
@@ -286,22 +285,3 @@
     """Return when a step's occurrence came up, seconds since 1970."""
     spec = step.job.spec
     return spec.due_s(step.occurrence) or spec.accepted_s
-
-
-def _rank_by_job(state: SchedulerState) -> dict[str, int]:
-    """Return the ranks of the jobs of priority 0, guaranteed ones first."""
-    jobs_by_account: dict[str, list[JobState]] = defaultdict(list)
-    for job in state.active_jobs():
-        if job.queue.priority == 0:
-            jobs_by_account[job.spec.account].append(job)
-    ranks = {}
-    for account, jobs in jobs_by_account.items():
-        left = state.guaranteed_by_account.get(account, 0)
-        for job in sorted(jobs, key=lambda each: each.spec.accepted_s):
-            left -= _accelerators(job)
-            ranks[job.spec.job_id] = RANK_GUARANTEED if left >= 0 else RANK_URGENT
-    return ranks
-
-
-def _accelerators(job: JobState) -> int:
-    return sum(step.task_count * step.demand.accelerators for step in job.spec.steps[:1])
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -52,6 +52,27 @@
     has_slow: bool
 
 
+class _Search(NamedTuple):
+    """What room is looked for.
+
+    Parameters
+    ----------
+    step : StepState
+        The step.
+    wanted : int
+        Tasks that must find room.
+    room : Room
+        What is free now.
+    rank : int
+        Its rank: only runs of higher ranks may be stopped.
+    """
+
+    step: StepState
+    wanted: int
+    room: Room
+    rank: int
+
+
 class _Offer(NamedTuple):
     """One more task on a worker, after more runs there are stopped."""
 
@@ -88,10 +109,11 @@
         groups = [able]
         if step.spec.gang and step.spec.same_rack:
             groups = list(by_rack(able).values())
-        plans = [self._plan_with_fast(step, count, room, rank, group) for group in groups]
+        search = _Search(step, count, room, rank)
+        plans = [self._plan_with_fast(search, group) for group in groups]
         found = [plan for plan in plans if plan is not None]
         if not found and may_go_far:
-            return self._plan_among(step, count, room, rank, everywhere)
+            return self._plan_among(search, everywhere)
         return min(found, key=_weighted_cost, default=None)
 
     def cost(self, run: Run) -> float:
@@ -117,57 +139,45 @@
         weight = _URGENT_WEIGHT if run.rank < RANK_ORDINARY else 1.0
         return weight * weighted_cores(run.demand) * (unsaved_s + _RESTART_S)
 
-    def _plan_with_fast(
-        self,
-        step: StepState,
-        count: int,
-        room: Room,
-        rank: int,
-        workers: list[WorkerState],
-    ) -> Plan | None:
+    def _plan_with_fast(self, search: _Search, workers: list[WorkerState]) -> Plan | None:
         """Return the better of the plans with fast workers alone and with all."""
-        plan = self._plan_among(step, count, room, rank, workers)
+        plan = self._plan_among(search, workers)
         fast = [worker for worker in workers if not is_slow(worker)]
         if plan is None or not plan.has_slow or not fast:
             return plan
-        other = self._plan_among(step, count, room, rank, fast)
+        other = self._plan_among(search, fast)
         return plan if other is None else min((other, plan), key=_weighted_cost)
 
-    def _plan_among(
-        self,
-        step: StepState,
-        count: int,
-        room: Room,
-        rank: int,
-        workers: list[WorkerState],
-    ) -> Plan | None:
-        offers = [offer for worker in workers for offer in self._offers(step, room, rank, worker)]
+    def _plan_among(self, search: _Search, workers: list[WorkerState]) -> Plan | None:
+        offers = [offer for worker in workers for offer in self._offers(search, worker)]
         offers.sort(key=lambda offer: offer.cost / offer.task_count)
         chosen: dict[str, _Offer] = {}
         for offer in offers:
-            if sum(each.task_count for each in chosen.values()) >= count:
+            if sum(each.task_count for each in chosen.values()) >= search.wanted:
                 break
             known = chosen.get(offer.worker.worker_id)
             if known is None or offer.task_count > known.task_count:
                 chosen[offer.worker.worker_id] = offer
-        if sum(each.task_count for each in chosen.values()) < count:
+        if sum(each.task_count for each in chosen.values()) < search.wanted:
             return None
-        return _as_plan(chosen, count)
+        return _as_plan(chosen, search.wanted)
 
-    def _offers(self, step: StepState, room: Room, rank: int, worker: WorkerState) -> list[_Offer]:
+    def _offers(self, search: _Search, worker: WorkerState) -> list[_Offer]:
+        """Return what a worker offers, with more and more of its runs stopped."""
+        step = search.step
         demand = effective_demand(step)
         limit = per_worker_limit(worker, step)
-        free = room.free_for(worker, step, rank, _FOR_GOOD)
-        stopping = [run for run in worker.run_by_key.values() if run.phase is RunPhase.STOPPING]
-        for run in stopping:
-            free = free.plus(run.demand)
+        free = search.room.free_for(worker, step, search.rank, _FOR_GOOD)
+        for run in worker.run_by_key.values():
+            if run.phase is RunPhase.STOPPING:
+                free = free.plus(run.demand)
         offers = []
         best = min(fitting(free, demand), limit)
         if best:
             offers.append(_Offer(worker, (), best, 0.0))
         victims: list[Run] = []
         cost = 0.0
-        for run in self._victims(worker, rank):
+        for run in self._victims(worker, search.rank):
             free = free.plus(run.demand)
             victims.append(run)
             cost += self.cost(run)
--- a/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
@@ -1,8 +1,34 @@
 """Ranks of work: lower ones go first and may stop higher ones."""
 
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from operator import attrgetter
+
+from .job_state import JobState
+
 # Work of priority 0 within its account's guarantee.
 RANK_GUARANTEED = 0
 # Other work of priority 0.
 RANK_URGENT = 1
 # The rest.
 RANK_ORDINARY = 2
+
+
+def rank_by_job(jobs: Iterable[JobState], guaranteed_by_account: Mapping[str, int]) -> dict[str, int]:
+    """Return the ranks of the jobs of priority 0; those accepted first are guaranteed first."""
+    jobs_by_account: dict[str, list[JobState]] = defaultdict(list)
+    for job in jobs:
+        if job.queue.priority == 0:
+            jobs_by_account[job.spec.account].append(job)
+    ranks = {}
+    for account, urgent in jobs_by_account.items():
+        left = guaranteed_by_account.get(account, 0)
+        for job in sorted(urgent, key=attrgetter('spec.accepted_s')):
+            left -= _first_accelerators(job)
+            ranks[job.spec.job_id] = RANK_GUARANTEED if left >= 0 else RANK_URGENT
+    return ranks
+
+
+def _first_accelerators(job: JobState) -> int:
+    """Return what a job's first step needs."""
+    return sum(step.task_count * step.demand.accelerators for step in job.spec.steps[:1])
--- /dev/null
+++ b/packages/node/dahliaarch_node/asking.py
@@ -0,0 +1,35 @@
+"""Ways to ask the outside policy: through this instance and through its peers."""
+
+from collections.abc import Mapping, Sequence
+from functools import partial
+
+from dahliaarch_platform.advice import AdviceClient, AdviceUnavailableError
+
+from .membership import Membership
+from .owner.advising import Ask
+from .peers import AskPolicy, Mesh, PeerSilentError, PolicyReply
+from .records import Member
+
+
+def askers(client: AdviceClient | None, mesh: Mesh, membership: Membership) -> Sequence[Ask]:
+    """Return the ways to ask now, this instance's own first; none where there is no policy."""
+    if client is None:
+        return ()
+    return [partial(_ask_here, client), *(partial(_ask_through, mesh, peer) for peer in membership.peers())]
+
+
+async def _ask_here(client: AdviceClient, step: str, worker_ids: Sequence[str], timeout_s: float) -> Mapping[str, str]:
+    return await client.ask(step, worker_ids, timeout_s=timeout_s)
+
+
+async def _ask_through(
+    mesh: Mesh, peer: Member, step: str, worker_ids: Sequence[str], timeout_s: float
+) -> Mapping[str, str]:
+    question = AskPolicy(step, tuple(worker_ids), timeout_s)
+    try:
+        reply = await mesh.ask((peer.host, peer.port), question, timeout_s=timeout_s)
+    except PeerSilentError as error:
+        raise AdviceUnavailableError(str(error)) from error
+    if not isinstance(reply, PolicyReply) or not reply.is_answered:
+        raise AdviceUnavailableError(f'{peer.instance} got no answer')
+    return reply.ticket_by_worker
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -3,7 +3,6 @@
 import secrets
 import signal
 import time
-from collections.abc import Mapping, Sequence
 from functools import partial
 from pathlib import Path
 
@@ -12,12 +11,13 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.errors import SettingsError
-from dahliaarch_platform.advice import AdviceClient, AdviceUnavailableError
+from dahliaarch_platform.advice import AdviceClient
 from dahliaarch_platform.http import HttpClient, HttpServer, Request, Response
 from dahliaarch_platform.settings import InstanceSettings, read_settings
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
+from .asking import askers
 from .following import ConfigurationFollower
 from .front import Front
 from .logs import log_event, LogWriter
@@ -25,10 +25,9 @@
 from .metrics import Metrics
 from .own_settings import OwnSettings
 from .owner import PoolOwner
-from .owner.advising import Ask
-from .owner.core import OwnerSettings
+from .owner.settings import OwnerSettings
 from .ownership import Ownership
-from .peers import AskPolicy, Mesh, PeerSilentError, PolicyReply
+from .peers import Mesh
 from .probing import probe_store
 from .records import Member
 from .replies import PeerReplies
@@ -140,7 +139,7 @@
             OwnerSettings(epoch, self._settings.bounds, self._timing, self._own_settings),
             self._store,
             WorkerClient(self._http),
-            self._askers,
+            partial(askers, self._advice, self._mesh, self._membership),
             self._metrics,
         )
         self._replies.owner = owner
@@ -158,14 +157,6 @@
         if owner.is_deposed:
             self._ownership.deposed()
 
-    def _askers(self) -> Sequence[Ask]:
-        """Return the ways to ask the outside policy: through this instance and through its peers."""
-        if self._advice is None:
-            return []
-        return [partial(_ask_policy, self._advice)] + [
-            partial(_ask_through, self._mesh, peer) for peer in self._membership.peers()
-        ]
-
     async def _stop_when_replaced(self, owner: PoolOwner, epoch: int) -> None:
         """Stop an owner whose epoch is over."""
         while True:
@@ -241,23 +232,3 @@
         log_event('stopped', took_s=round(time.monotonic() - begun_s, 3))
         self._front_server.close()
         self._side_server.close()
-
-
-async def _ask_policy(
-    client: AdviceClient, step: str, worker_ids: Sequence[str], timeout_s: float
-) -> Mapping[str, str]:
-    return await client.ask(step, worker_ids, timeout_s=timeout_s)
-
-
-async def _ask_through(
-    mesh: Mesh, peer: Member, step: str, worker_ids: Sequence[str], timeout_s: float
-) -> Mapping[str, str]:
-    """Have a peer ask the outside policy."""
-    question = AskPolicy(step, tuple(worker_ids), timeout_s)
-    try:
-        reply = await mesh.ask((peer.host, peer.port), question, timeout_s=timeout_s)
-    except PeerSilentError as error:
-        raise AdviceUnavailableError(str(error)) from error
-    if not isinstance(reply, PolicyReply) or not reply.is_answered:
-        raise AdviceUnavailableError(f'{peer.instance} got no answer')
-    return reply.ticket_by_worker
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
-from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,20 +18,16 @@
     JobProgress,
     Moment,
     Scheduler,
-    SchedulerSettings,
     StartRun,
     StopRun,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import step_summary
-from dahliaarch_platform.settings import Bounds
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
 from ..logs import log_event
 from ..metrics import Metrics
-from ..own_settings import OwnSettings
-from ..timing import StoreTiming
 from .advising import Adviser, Ask
 from .feeds import Feed, follow_jobs, post_job, WorkersFeed
 from .links import LinkContext, LinkSettings
@@ -52,6 +47,7 @@
 )
 from .recorder import Recorder
 from .registry import Links
+from .settings import OwnerSettings, scheduler_settings
 from .takeover import read_inheritance
 
 # Messages that may wait for the task that decides; senders see no limit in
@@ -67,27 +63,6 @@
 _SLOWEST_CLOCK = 1.03
 
 
-class OwnerSettings(NamedTuple):
-    """Everything that an owner is built with.
-
-    Parameters
-    ----------
-    epoch : int
-        Its epoch.
-    bounds : Bounds
-        Time bounds of the platform.
-    timing : StoreTiming
-        Timeouts and pauses of the store.
-    own : OwnSettings
-        What the project's operators decide.
-    """
-
-    epoch: int
-    bounds: Bounds
-    timing: StoreTiming
-    own: OwnSettings = OwnSettings()
-
-
 class PoolOwner:
     """Decides over the pool while this instance owns it.
 
@@ -116,7 +91,7 @@
         """Prepare; `run` takes the pool over."""
         self.is_ready = False
         self.scheduler = Scheduler(
-            _scheduler_settings(settings),
+            scheduler_settings(settings),
             settings.epoch,
             Policy(settings.own.policy, _note_policy_failure),
         )
@@ -403,12 +378,3 @@
 
 def _note_policy_failure(program: str, error: Exception) -> None:
     log_event('policy_failed', program=program, why=str(error))
-
-
-def _scheduler_settings(settings: OwnerSettings) -> SchedulerSettings:
-    bounds = settings.bounds
-    return settings.own.scheduler._replace(
-        far_factor=bounds.far_factor,
-        stop_timeout_s=bounds.stop_timeout_s,
-        early_s=bounds.early_s,
-    )
--- a/packages/standins/dahliaarch_standins/demo/core.py
+++ b/packages/standins/dahliaarch_standins/demo/core.py
@@ -9,6 +9,7 @@
 import anyio
 
 from ..deployment import Caller, Deployment
+from ..deployment.jobs import draw_steps
 
 _QUEUES = ('urgent', 'ordinary')
 # Longest time for all jobs to end, in seconds.
@@ -17,9 +18,9 @@
 _KILL_AT_S = 2.0
 _SILENCE_AT_S = 5.0
 _SILENCE_S = 1.5
-# Shares of jobs that are gangs, and that have a second step.
+# Share of jobs that are gangs.
 _GANG_SHARE = 0.5
-_TWO_STEP_SHARE = 0.3
+_ESTIMATE_MS = 400
 # Mean time between two jobs, in seconds.
 _GAP_S = 0.15
 
@@ -78,7 +79,13 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_trouble, deployment)
         for _ in range(jobs):
-            tasks.start_soon(_hand_in, caller, accepted, choice.choice(_QUEUES), _steps(choice))
+            tasks.start_soon(
+                _hand_in,
+                caller,
+                accepted,
+                choice.choice(_QUEUES),
+                draw_steps(choice, estimate_ms=400, gang_share=_GANG_SHARE),
+            )
             await anyio.sleep(choice.expovariate(1 / _GAP_S))
     succeeded = 0
     with anyio.move_on_after(_ALL_ENDED_S):
@@ -104,20 +111,6 @@
     accepted[job_id] = queue
 
 
-def _steps(choice: random.Random) -> list[dict[str, Any]]:
-    first = {
-        'Count': choice.randint(1, 4),
-        'Cpu': 4000,
-        'MemMb': 16_000,
-        'Gpu': choice.choice((1, 2, 4, 8)),
-        'EstimateMs': 400,
-        'Gang': choice.random() < _GANG_SHARE,
-    }
-    if choice.random() < _TWO_STEP_SHARE:
-        return [first, {**first, 'After': [0]}]
-    return [first]
-
-
 def _count(deployment: Deployment, accepted: int, succeeded: int) -> DemoCounts:
     done: dict[str, set[int]] = {}
     for worker in deployment.workers:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/jobs.py
@@ -0,0 +1,22 @@
+"""Steps of small random jobs, in the form in which callers submit them."""
+
+import random
+from typing import Any
+
+_TWO_STEP_SHARE = 0.3
+_MOST_TASKS = 4
+
+
+def draw_steps(choice: random.Random, *, estimate_ms: int, gang_share: float = 0.0) -> list[dict[str, Any]]:
+    """Return one step, or two that follow each other."""
+    first = {
+        'Count': choice.randint(1, _MOST_TASKS),
+        'Cpu': 4000,
+        'MemMb': 16_000,
+        'Gpu': choice.choice((1, 2, 4, 8)),
+        'EstimateMs': estimate_ms,
+        'Gang': choice.random() < gang_share,
+    }
+    if choice.random() < _TWO_STEP_SHARE:
+        return [first, {**first, 'After': [0]}]
+    return [first]
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -10,6 +10,7 @@
 
 from ..deployment import Caller
 from ..deployment.core import KEY, PREFIX_BY_QUEUE
+from ..deployment.jobs import draw_steps
 from .faults import draw_plan, Fault, inject
 from .settings import SoakSettings
 from .system import OTHER_KEY, System
@@ -19,8 +20,8 @@
 _GAP_S = 0.4
 _TRIES_S = (0.0, 0.2, 0.4, 0.8, 1.2)
 _CANCELLED_SHARE = 0.15
-_TWO_STEP_SHARE = 0.3
 _WORK_S = (0.2, 1.5)
+_ESTIMATE_MS = 800
 # Traffic goes on for so long after the last fault has begun, in seconds.
 _TRAFFIC_AFTER_S = 3.0
 _ENDED = frozenset(('succeeded', 'failed', 'cancelled', '410'))
@@ -111,7 +112,7 @@
     with anyio.move_on_after(settings.faults_s + _TRAFFIC_AFTER_S):
         while True:
             await anyio.sleep(choice.expovariate(1 / _GAP_S))
-            steps = _crowd(choice) if settings.is_crowded else _steps(choice)
+            steps = _crowd(choice) if settings.is_crowded else draw_steps(choice, estimate_ms=_ESTIMATE_MS)
             with anyio.CancelScope(shield=True):
                 submissions.append(await _hand_in(caller, choice, steps))
 
@@ -137,22 +138,9 @@
     return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled)
 
 
-def _steps(choice: random.Random) -> list[dict[str, Any]]:
-    first = {
-        'Count': choice.randint(1, 4),
-        'Cpu': 4000,
-        'MemMb': 16_000,
-        'Gpu': choice.choice((1, 2, 4, 8)),
-        'EstimateMs': 800,
-    }
-    if choice.random() < _TWO_STEP_SHARE:
-        return [first, {**first, 'Count': choice.randint(1, 3), 'After': [0]}]
-    return [first]
-
-
 def _crowd(choice: random.Random) -> list[dict[str, Any]]:
     """Return a step of more tasks than run at a time."""
-    return [{'Count': choice.randint(4, 10), 'Cpu': 4000, 'MemMb': 16_000, 'Gpu': 4, 'EstimateMs': 800}]
+    return [{'Count': choice.randint(4, 10), 'Cpu': 4000, 'MemMb': 16_000, 'Gpu': 4, 'EstimateMs': _ESTIMATE_MS}]
 
 
 async def _settle(system: System, submissions: list[Submission], settle_s: float) -> dict[str, str]:
