Move a step at most once for crawling against its estimate alone

Ruled out: slow workers (the same ones ran other gangs in the usual time).

A second run that crawls as well says that the estimate was off. The test failed before.

--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -73,7 +73,8 @@
 def _judge_pace(state: SchedulerState, step: StepState, run: Run, now: Moment) -> float:
     """Move a run that crawls if it ends sooner elsewhere."""
     usual = _usual_pace(step, run)
-    if usual is None and run.seen_s - run.started_s < _GRACE_ALONE_S:
+    if usual is None and (step.was_moved_as_slow or run.seen_s - run.started_s < _GRACE_ALONE_S):
+        # That it crawled on other workers too tells that the estimate was off.
         return 1.0
     limit = _SLOW_FACTOR_ALONE if usual is None else _SLOW_FACTOR
     slowness = (run.seen_s - run.started_s) / _worked_s(run) / (usual or 1.0)
@@ -82,6 +83,7 @@
     left_share = 1.0 if _lost_s(step, run) else 1.0 - run.percent / _WHOLE
     again_s = run.work_s * (usual or 1.0) * left_share
     if run.left_s(now.steady_s) > _GAIN_FACTOR * again_s + state.settings.stop_timeout_s:
+        step.was_moved_as_slow = True
         state.stop_unit(run, 'worker is slow')
     return slowness
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -53,6 +53,8 @@
         # Logarithms of the times that its tasks take on a worker like the others.
         self.log_times: list[float] = []
         self.standing: DatedStanding | None = None
+        # Whether a run was moved since it crawled against its estimate.
+        self.was_moved_as_slow = False
         self.advice = Advice() if job.queue.advice else None
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -379,3 +379,18 @@
     assert not pool.step(0.5)
     pool.end(doubtful.worker_id, doubtful.key, doubtful.run, EndKind.STOPPED)
     assert len(pool.step(0.5)) == 2
+
+
+def test_a_gang_whose_estimate_is_far_off_is_moved_once_at_most():
+    """It was stopped on one set of workers after another, though its owner's guess was at fault."""
+    pool = Pool(workers=8)
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=0.4), queue=URGENT)
+    for _ in range(3):
+        pool.step(0.1)
+        for _ in range(6):
+            pool.now_s += 1.0
+            for worker, _ in tuple(pool.running):
+                pool.survey(worker, percent=min(99.0, 100 * (pool.now_s - 1000.0) / 40))
+            pool.step()
+        pool.finish_stops()
+    assert len({stop.run for stop in pool.stops}) == 1
