Forget searches of steps that are gone

Found in reading: what a pass remembers under a step's own name was never forgotten, so that an owner's memory grew with each limited or failed step. The test failed before. Calls in a pass take the request and no longer its parts.

--- a/packages/kernel/dahliaarch_kernel/scheduler/memory.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/memory.py
@@ -58,6 +58,15 @@
         self._blocked: dict[Signature, int] = {}
         self._without_victims: dict[tuple[Signature, int], tuple[int, float]] = {}
 
+    def begin_full(self, now_s: float) -> None:
+        """Note that all steps are considered now, and forget what is too old or one step's own.
+
+        Steps come and go, so that what is kept under their names would grow.
+        """
+        self.full_at_s = now_s
+        self._without_victims.clear()
+        self._blocked = {signature: wanted for signature, wanted in self._blocked.items() if signature.owner is None}
+
     def is_blocked(self, signature: Signature, wanted: int) -> bool:
         """Tell whether so many tasks, or fewer, found no room."""
         return self._blocked.get(signature, wanted + 1) <= wanted
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -64,9 +64,9 @@
         self._drop_stale_claims()
         self._memory.renew(self._room.free_by_id, self._claims.take_freed())
         if self._is_full:
-            self._memory.full_at_s = self._now.steady_s
+            self._memory.begin_full(self._now.steady_s)
         for _, request in self._ordered_requests():
-            self._consider(request, request.rank)
+            self._consider(request)
 
     def _ordered_requests(self) -> list[tuple[Standing, Request]]:
         """Return what asks for room and may find it now, in order of standing."""
@@ -117,7 +117,8 @@
         """Tell whether no task of a job can be running on a worker not heard yet."""
         return job.known_since_s <= self._now.steady_s
 
-    def _consider(self, request: Request, rank: int) -> None:
+    def _consider(self, request: Request) -> None:
+        """Start what finds room; else stop others for it, or keep room."""
         step = request.step
         step.was_considered = True
         signature = self._signature(request)
@@ -126,15 +127,15 @@
         if not placement.task_count and step.advice is not None:
             self._ask_advice(request, step.advice)
         if placement.task_count:
-            self._start(step, placement, request, rank)
+            self._start(request, placement)
         missing = len(step.pending)
         if not missing:
             self._forget_claim(step)
             return
-        if rank < RANK_ORDINARY:
-            self._preempt(request, missing, rank)
+        if request.rank < RANK_ORDINARY:
+            self._preempt(request, missing)
         elif step.spec.gang:
-            self._reserve(step, missing, rank)
+            self._reserve(request, missing)
 
     def _request(self, step: StepState, rank: int) -> Request:
         work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
@@ -197,7 +198,8 @@
             owner=step.identity if is_special else None,
         )
 
-    def _start(self, step: StepState, placement: Placement, request: Request, rank: int) -> None:
+    def _start(self, request: Request, placement: Placement) -> None:
+        step = request.step
         indices = sorted(step.pending)
         gang_run = self._state.next_run_number() if step.spec.gang else 0
         demand = effective_demand(step)
@@ -211,27 +213,28 @@
                 run_slowdown = slowdown if step.spec.gang else slowdown * spot.worker.slowdown
                 work_s = request.work_s * run_slowdown
                 run = Run(step.key(index), number, spot.worker.worker_id, demand, self._now.steady_s, work_s)
-                run.rank = rank
+                run.rank = request.rank
                 run.slowdown = run_slowdown
                 self._state.start(step, index, run)
                 self._room.take(spot.worker, demand)
         self._forget_claim(step)
 
-    def _preempt(self, request: Request, count: int, rank: int) -> None:
+    def _preempt(self, request: Request, count: int) -> None:
         step = request.step
         if self._claims.has(step):
             return
-        plan = self._plan(request, count if step.spec.gang else 1, rank)
+        plan = self._plan(request, count if step.spec.gang else 1)
         if plan is None:
-            self._reserve(step, count, rank)
+            self._reserve(request, count)
             return
         for victim in plan.victims:
             self._state.stop_unit(victim, f'makes room for {step.job.spec.job_id}')
-        self._claim(step, plan, rank)
+        self._claim(request, plan)
 
-    def _plan(self, request: Request, wanted: int, rank: int) -> Plan | None:
+    def _plan(self, request: Request, wanted: int) -> Plan | None:
         """Look for victims unless a like search has just found none."""
         step = request.step
+        rank = request.rank
         signature = self._signature(request)
         since_s = self._now.steady_s - _VICTIMS_AGAIN_S
         if self._memory.lacks_victims(signature, rank, wanted, since_s):
@@ -241,16 +244,21 @@
             self._memory.note_no_victims(signature, rank, wanted, self._now.steady_s)
         return plan
 
-    def _claim(self, step: StepState, plan: Plan, rank: int) -> None:
-        ready_s = self._now.steady_s + self._state.settings.stop_timeout_s
-        self._claims.add(Claim(step, plan.count_by_worker, ready_s, is_firm=True, made_s=self._now.steady_s, rank=rank))
+    def _claim(self, request: Request, plan: Plan) -> None:
+        """Keep the room that comes free once what was stopped is gone."""
+        now_s = self._now.steady_s
+        ready_s = now_s + self._state.settings.stop_timeout_s
+        claim = Claim(request.step, plan.count_by_worker, ready_s, is_firm=True, made_s=now_s, rank=request.rank)
+        self._claims.add(claim)
 
-    def _reserve(self, step: StepState, count: int, rank: int) -> None:
+    def _reserve(self, request: Request, count: int) -> None:
+        """Keep the room that is expected to be free first, for a few gangs that wait."""
+        step = request.step
         if self._claims.has(step) or self._claims.open_ones() >= self._state.settings.reservations:
             return
         if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
             return
-        claim = earliest_claim(step, count, rank, self._room, self._claims, self._now.steady_s)
+        claim = earliest_claim(step, count, request.rank, self._room, self._claims, self._now.steady_s)
         if claim is not None:
             self._claims.add(claim)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -394,3 +394,17 @@
             pool.step()
         pool.finish_stops()
     assert len({stop.run for stop in pool.stops}) == 1
+
+
+def test_what_is_remembered_of_steps_that_are_gone_does_not_grow():
+    pool = Pool(workers=1)
+    pool.submit(A, task(1, accelerators=8, work_s=500.0), queue=URGENT)
+    pool.step()
+    for number in range(40):
+        job_id = f'{number + 700:016x}'
+        pool.submit(job_id, task(1, max_per_worker=1), queue=URGENT)
+        pool.step(0.3)
+        pool.scheduler.cancel(job_id, pool.now)
+    pool.step(0.3)
+    memory = pool.scheduler._state.memory
+    assert len(memory._blocked) + len(memory._without_victims) < 5
