--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -167,6 +167,7 @@
     def send(self, call: int, message: Message) -> None:
         """Queue a message; drop it when the peer does not read or is forgotten."""
         if self._socket.closed:
+            log_event('peer_message_dropped', why=f'{self._endpoint} is forgotten', message=type(message).__name__)
             return
         sent = asyncio.ensure_future(self._socket.send(encode(call, message), flags=zmq.NOBLOCK))
         sent.add_done_callback(_note_unsent)
