Sight: bytes by message and by call, beats without an answer, metrics at a port of our own

Cause of the change: the record could not tell what fills the slow links and how much of an answer had come when a call was given up; metrics were served at an address that differs by deployment, so nobody had collected them.

No logic of the configuration is changed.

--- a/packages/node/dahliaarch_node/following.py
+++ b/packages/node/dahliaarch_node/following.py
@@ -49,7 +49,13 @@
             return
         if configuration.version <= self.version:
             return
-        log_event('configuration_in_force', version=configuration.version, before=self.version, source=source)
+        log_event(
+            'configuration_in_force',
+            version=configuration.version,
+            before=self.version,
+            source=source,
+            size_bytes=len(text),
+        )
         self.current = configuration
         self.text = text
         self._metrics.configuration.set(configuration.version)
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -13,7 +13,7 @@
 from dahliaarch_kernel.errors import SettingsError
 from dahliaarch_platform.advice import AdviceClient
 from dahliaarch_platform.http import HttpClient, HttpServer, Request, Response
-from dahliaarch_platform.settings import InstanceSettings, read_settings
+from dahliaarch_platform.settings import Address, InstanceSettings, read_settings
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
@@ -83,7 +83,7 @@
         )
         self._advice = AdviceClient(self._http, settings.advice) if settings.advice else None
         self._replies = PeerReplies(self._store, self._follower, self._ownership, self._advice)
-        self._mesh = Mesh(self._replies.answer)
+        self._mesh = Mesh(self._replies.answer, self._metrics.observe_peer_message)
         self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
         self._membership = Membership(self._member, self._store, self._timing, self._follower, self._mesh)
         self._replies.membership = self._membership
@@ -92,6 +92,7 @@
             max_connections=max(64, settings.max_fds - _RESERVED_FDS),
         )
         self._side_server = HttpServer(self._answer_side)
+        self._metrics_server = HttpServer(self._answer_side)
         self._is_stopping = False
 
     async def run(self) -> None:
@@ -101,8 +102,7 @@
             tasks.start_soon(self._mesh.run, self._settings.ip, self._settings.peer_ports[0])
             tasks.start_soon(self._follower.run)
             tasks.start_soon(probe_store, self._store)
-            await self._front_server.listen(self._settings.front)
-            await self._side_server.listen(self._settings.ready)
+            await self._listen()
             log_event('started', domain=self._settings.domain, incarnation=self._member.incarnation)
             tasks.start_soon(self._ownership.run)
             tasks.start_soon(self._membership.register)
@@ -113,6 +113,18 @@
             await self._wait_for_signals(tasks)
         self._log_writer.flush()
 
+    async def _listen(self) -> None:
+        """Serve callers, readiness checks and, if there is a port for them alone, metrics."""
+        await self._front_server.listen(self._settings.front)
+        await self._side_server.listen(self._settings.ready)
+        port = self._own_settings.metrics.port
+        if not port:
+            return
+        try:
+            await self._metrics_server.listen(Address(self._settings.ip, port))
+        except OSError as error:
+            log_event('metrics_port_taken', port=port, why=str(error))
+
     async def _answer_side(self, request: Request) -> Response:
         """Answer readiness checks, show the metrics and the state."""
         if request.path == '/metrics':
@@ -232,3 +244,4 @@
         log_event('stopped', took_s=round(time.monotonic() - begun_s, 3))
         self._front_server.close()
         self._side_server.close()
+        self._metrics_server.close()
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -27,6 +27,8 @@
     member: Member
     version: int
     heard_s: float
+    # Beats in a row that got no answer.
+    missed: int = 0
 
 
 class Membership:
@@ -119,14 +121,32 @@
         beat = Beat(self._member, epoch, self._follower.version, text)
         try:
             reply = await self._mesh.ask((member.host, member.port), beat, timeout_s=_BEAT_ANSWER_S)
-        except PeerSilentError:
+        except PeerSilentError as error:
+            self._note_missed(peer, len(text), error)
             return
         if not isinstance(reply, BeatReply):
             return
         if reply.configuration:
             self._follower.offer(reply.configuration, member.instance)
-        if self._peer_by_instance.get(member.instance) is peer:
-            self._peer_by_instance[member.instance] = _Peer(member, reply.version, time.monotonic())
+        if peer.missed:
+            log_event('beats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
+        self._update(peer, _Peer(member, reply.version, time.monotonic()))
+
+    def _note_missed(self, peer: _Peer, carried_bytes: int, error: PeerSilentError) -> None:
+        if not peer.missed:
+            log_event(
+                'beat_unanswered',
+                member=peer.member.instance,
+                version=peer.version,
+                carried_bytes=carried_bytes,
+                why=str(error),
+            )
+        self._update(peer, peer._replace(missed=peer.missed + 1))
+
+    def _update(self, before: _Peer, after: _Peer) -> None:
+        """Keep what is known of a peer, unless it has been forgotten or replaced meanwhile."""
+        if self._peer_by_instance.get(before.member.instance) is before:
+            self._peer_by_instance[before.member.instance] = after
 
     async def _forget_silent(self) -> None:
         limit_s = time.monotonic() - _FORGET_AFTER_S
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -38,6 +38,18 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.store_bytes = Counter(
+            'dahliaarch_store_answer_bytes',
+            'Bytes of answers of the store, whole or not',
+            ['call'],
+            registry=self.registry,
+        )
+        self.peer_bytes = Counter(
+            'dahliaarch_peer_bytes',
+            'Bytes of messages between instances',
+            ['direction', 'message'],
+            registry=self.registry,
+        )
         self.orders = Counter(
             'dahliaarch_orders',
             'Orders to workers',
@@ -59,11 +71,16 @@
         )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
-    def observe_store_call(self, call: str, outcome: str, took_s: float) -> None:
+    def observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
         """Count a call of the store."""
         self.store_calls.labels(call, outcome).inc()
+        self.store_bytes.labels(call).inc(answer_bytes)
         self.store_call_s.labels(call).observe(took_s)
 
+    def observe_peer_message(self, direction: str, message: str, size_bytes: int) -> None:
+        """Count a message to or from another instance."""
+        self.peer_bytes.labels(direction, message).inc(size_bytes)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/packages/node/dahliaarch_node/own_settings.py
+++ b/packages/node/dahliaarch_node/own_settings.py
@@ -23,6 +23,19 @@
 _LARGEST_FILE_BYTES = 65_536
 
 
+class MetricsSettings(NamedTuple):
+    """Where metrics are served.
+
+    Parameters
+    ----------
+    port : int
+        A port that is the same on every instance, so that whoever collects
+        metrics needs no other address; 0 for the readiness address alone.
+    """
+
+    port: int = 0
+
+
 class OwnSettings(NamedTuple):
     """Settings of the project itself.
 
@@ -34,11 +47,14 @@
         Limits and weights.
     ownership : OwnershipSettings
         Times of the owner's lease.
+    metrics : MetricsSettings
+        Where metrics are served.
     """
 
     policy: PolicySettings = SHIPPED['worth']
     scheduler: SchedulerSettings = SchedulerSettings()
     ownership: OwnershipSettings = OwnershipSettings()
+    metrics: MetricsSettings = MetricsSettings()
 
 
 def read_own_settings() -> OwnSettings:
@@ -74,10 +90,12 @@
     _refuse_unknown('', found, OwnSettings._fields)
     scheduler = _numbers('scheduler', found, SchedulerSettings(), _PLATFORMS)
     ownership = _numbers('ownership', found, OwnershipSettings(), frozenset())
+    metrics = _numbers('metrics', found, MetricsSettings(), frozenset())
     return OwnSettings(
         _policy(_table('policy', found)),
         SchedulerSettings()._replace(**scheduler),
         OwnershipSettings()._replace(**ownership),
+        MetricsSettings()._replace(**metrics),
     )
 
 
--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -19,7 +19,11 @@
 
 Address = tuple[str, int]
 Handler = Callable[[Message], Awaitable[Message | None]]
+Observe = Callable[[str, str, int], None]
 
+# Directions that are counted.
+SENT = 'sent'
+RECEIVED = 'received'
 # Messages that may wait for a peer that does not read; more are dropped.
 _HIGH_WATER_MARK = 256
 # Bounds of the pause before a lost connection is tried again, in milliseconds.
@@ -37,6 +41,10 @@
     """A peer did not answer in time; what was asked may have been done."""
 
 
+def _ignore(direction: str, message: str, size_bytes: int) -> None:
+    """Count nothing."""
+
+
 class Mesh:
     """Sockets to and from the other instances.
 
@@ -44,12 +52,16 @@
     ----------
     handler : callable
         Answers a message; returns nothing when there is no answer.
+    observe : callable
+        Called with the direction (`sent` or `received`), the type and the bytes
+        of each message.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, observe: Observe = _ignore) -> None:
         """Create the context; nothing is bound yet."""
         self._context = Context()
         self._handler = handler
+        self._observe = observe
         self._router = self._socket(zmq.ROUTER)
         self._link_by_address: dict[Address, _Link] = {}
         self._tasks: TaskGroup | None = None
@@ -101,14 +113,17 @@
         except ProtocolError as error:
             log_event('peer_message_malformed', why=str(error))
             return
+        self._observe(RECEIVED, type(message).__name__, len(frame))
         reply = await self._handler(message)
         if reply is not None and call:
-            await self._router.send_multipart([identity, encode(call, reply)])
+            answer = encode(call, reply)
+            self._observe(SENT, type(reply).__name__, len(answer))
+            await self._router.send_multipart([identity, answer])
 
     def _link(self, address: Address) -> '_Link':
         link = self._link_by_address.get(address)
         if link is None:
-            link = _Link(self._socket(zmq.DEALER), f'tcp://{address[0]}:{address[1]}')
+            link = _Link(self._socket(zmq.DEALER), f'tcp://{address[0]}:{address[1]}', self._observe)
             self._link_by_address[address] = link
             assert self._tasks is not None  # noqa: S101
             self._tasks.start_soon(link.run)
@@ -132,9 +147,10 @@
 class _Link:
     """The socket to one peer and the calls that wait for its answers."""
 
-    def __init__(self, socket: Socket, endpoint: str) -> None:
+    def __init__(self, socket: Socket, endpoint: str, observe: Observe) -> None:
         self._socket = socket
         self._endpoint = endpoint
+        self._observe = observe
         socket.connect(endpoint)
         self.frames_heard = 0
         self._calls = 0
@@ -169,7 +185,9 @@
         if self._socket.closed:
             log_event('peer_message_dropped', why=f'{self._endpoint} is forgotten', message=type(message).__name__)
             return
-        sent = asyncio.ensure_future(self._socket.send(encode(call, message), flags=zmq.NOBLOCK))
+        frame = encode(call, message)
+        self._observe(SENT, type(message).__name__, len(frame))
+        sent = asyncio.ensure_future(self._socket.send(frame, flags=zmq.NOBLOCK))
         sent.add_done_callback(_note_unsent)
 
     def reconnect(self) -> None:
@@ -189,6 +207,7 @@
         except ProtocolError as error:
             log_event('peer_message_malformed', why=str(error))
             return
+        self._observe(RECEIVED, type(message).__name__, len(frame))
         waiter = self._waiter_by_call.get(call)
         if waiter is not None and not waiter.done():
             waiter.set_result(message)
--- a/packages/node/dahliaarch_node/peers/tests/test_mesh.py
+++ b/packages/node/dahliaarch_node/peers/tests/test_mesh.py
@@ -1,4 +1,4 @@
-"""Messages to peers that are not there any more."""
+"""Messages to peers that are not there any more, and what is counted of them."""
 
 import anyio
 
@@ -36,3 +36,20 @@
 def test_a_peer_that_is_forgotten_while_it_is_asked_is_silent_and_breaks_nothing():
     """The daemon ended when the unanswered call connected a closed socket anew."""
     anyio.run(ask_and_forget)
+
+
+async def count_messages():
+    counted = []
+    mesh = Mesh(answer, lambda *each: counted.append(each))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mesh.run, '127.0.0.1', 0)
+        await anyio.sleep(0)
+        mesh.tell(NOBODY, AskPending('q' * 1000))
+        tasks.cancel_scope.cancel()
+    return counted
+
+
+def test_the_bytes_of_each_message_are_counted():
+    ((direction, message, size_bytes),) = anyio.run(count_messages)
+    assert (direction, message) == ('sent', 'AskPending')
+    assert size_bytes > 1000
--- a/packages/node/dahliaarch_node/tests/test_own_settings.py
+++ b/packages/node/dahliaarch_node/tests/test_own_settings.py
@@ -29,6 +29,7 @@
         ('[scheduler]\ndrain_s = 9', 'scheduler.drain_s'),
         ('[ownership]\nlease_s = true', 'ownership.lease_s'),
         ('ownership = 3', 'ownership'),
+        ('[metrics]\nport = "ninety"', 'metrics.port'),
         ('[', 'file'),
     ],
 )
