--- a/packages/standins/dahliaarch_standins/proxy/core.py
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -1,15 +1,43 @@
-"""Forwards connections and delays, resets, cuts or silences them."""
+"""Forwards connections and delays, slows, resets, cuts or silences them."""
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from dahliaarch_platform.settings import Address
 
-_CHUNK_BYTES = 65_536
+# Bytes that are forwarded at a time; connections take turns on a slow link.
+_CHUNK_BYTES = 16_384
 # What ends a connection on either side.
 _ENDS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+class SlowLink:
+    """A link of a bounded rate, one way, which several proxies may share.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Its rate.
+
+    Attributes
+    ----------
+    carried_bytes : int
+        Bytes that it has carried.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Start idle."""
+        self.carried_bytes = 0
+        self._bytes_per_s = bytes_per_s
+        self._free = anyio.Lock()
+
+    async def carry(self, size_bytes: int) -> None:
+        """Take as long as some bytes need, after those that came first."""
+        async with self._free:
+            await anyio.sleep(size_bytes / self._bytes_per_s)
+            self.carried_bytes += size_bytes
+
+
 class _Pair:
     """One caller's connection and the one that it is forwarded to."""
 
@@ -27,6 +55,8 @@
     ----------
     target : Address
         Where connections are forwarded to.
+    requests_over, answers_over : SlowLink or None
+        What carries the bytes to the target and back; nothing for a fast link.
 
     Attributes
     ----------
@@ -40,9 +70,17 @@
         Whether nothing passes, on new connections either.
     """
 
-    def __init__(self, target: Address) -> None:
+    def __init__(
+        self,
+        target: Address,
+        *,
+        requests_over: SlowLink | None = None,
+        answers_over: SlowLink | None = None,
+    ) -> None:
         """Prepare; nothing listens yet."""
         self.target = target
+        self._requests_over = requests_over
+        self._answers_over = answers_over
         self.address = Address('127.0.0.1', 0)
         self.delay_s = 0.0
         self.refuses = False
@@ -102,7 +140,7 @@
         try:
             while True:
                 chunk = await pair.caller.receive(_CHUNK_BYTES)
-                await anyio.sleep(self.delay_s)
+                await self._pass(chunk, self._requests_over)
                 if not (pair.drops_requests or self.drops_all):
                     await pair.target.send(chunk)
         except _ENDS:
@@ -112,12 +150,17 @@
         try:
             while True:
                 chunk = await pair.target.receive(_CHUNK_BYTES)
-                await anyio.sleep(self.delay_s)
+                await self._pass(chunk, self._answers_over)
                 if not (pair.drops_answers or self.drops_all):
                     await pair.caller.send(chunk)
         except _ENDS:
             await _close(pair)
 
+    async def _pass(self, chunk: bytes, link: SlowLink | None) -> None:
+        await anyio.sleep(self.delay_s)
+        if link is not None:
+            await link.carry(len(chunk))
+
 
 async def _close(pair: _Pair) -> None:
     await anyio.aclose_forcefully(pair.caller)
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -0,0 +1,193 @@
+"""An instance on a slow link follows a configuration that has grown large.
+
+What happened: instances on links of 5 Mbit/s answered 404 for routes of a version that had been acknowledged
+seconds before, and never got that version at all. The configuration had grown to 839 KB in three steps.
+
+The sequence: the owner's beat carried the whole configuration to each instance that seemed to be behind. On a slow
+link that took longer than the 0.6 s for which the owner waited, so the owner went on to believe that the instance was
+behind and sent the document again with each beat, also after it had arrived. From then on the beats filled the link:
+every slow instance received 400 to 640 KB/s without a pause, while no version changed. When the next version came, the
+watch got no answer in its 7 s, and each read after it was given up after 1.00 s, with a part of the answer received,
+and began at the first byte again.
+
+The cause: bounded waits that know nothing of the size of what is awaited, and retries that begin anew. What settled
+it: `configuration_unreachable ... no answer in 1.00 s` each 1.2 s without an end on instances whose processors were
+idle, and `beat_unanswered` with `carried_bytes` of 293,311 to 859,137 for all slow instances at once.
+"""
+
+import time
+
+import anyio
+import msgspec
+import pytest
+
+from dahliaarch_node.following import ConfigurationFollower
+from dahliaarch_node.membership import Membership
+from dahliaarch_node.metrics import Metrics
+from dahliaarch_node.ownership import Ownership, OwnershipSettings
+from dahliaarch_node.peers import Mesh
+from dahliaarch_node.records import Member
+from dahliaarch_node.replies import PeerReplies
+from dahliaarch_node.timing import StoreTiming
+from dahliaarch_platform.http import HttpClient
+from dahliaarch_platform.settings import Address, StoreSettings
+from dahliaarch_platform.store import CONFIGURATION_KEY, StoreClient
+from dahliaarch_standins.deployment.core import free_ports
+from dahliaarch_standins.platform import StoreStandIn
+from dahliaarch_standins.proxy import FaultProxy, SlowLink
+
+LOOPBACK = '127.0.0.1'
+# A link of 5 Mbit/s.
+SLOW_BYTES_PER_S = 600_000
+# Routes that make a document of 290 KB; it may grow to a megabyte.
+ROUTES = 1_400
+# Until a configuration has to be in force on such instances, in seconds.
+IN_FORCE_S = 3.0
+EPOCH = 1
+TIMING = StoreTiming()
+
+
+def document(version, routes):
+    """Return a configuration of about 205 bytes a route."""
+    rows = [
+        {
+            'Name': f'r-{number:07d}',
+            'Host': f'host{number:07d}.example',
+            'PathPrefix': f'/{number:010x}/',
+            'Service': 'svc',
+            'Priority': 1,
+            'MaxAttempts': 3,
+            'Stretch': 3.0,
+            'TargetLatencyMs': 1000,
+            'TimeoutMs': 3000,
+            'Note': 'x' * 24,
+        }
+        for number in range(routes)
+    ]
+    return msgspec.json.encode({'Version': version, 'Routes': rows, 'Services': [{'Name': 'svc'}], 'Tenants': []})
+
+
+class Node:
+    """What follows the configuration on one instance."""
+
+    def __init__(self, name, store_address, timing=TIMING):
+        port = free_ports(1)[0]
+        self.member = Member(name, name, LOOPBACK, port)
+        store = StoreClient(StoreSettings(store_address), HttpClient(), lambda *_: None)
+        self.follower = ConfigurationFollower(store, timing, Metrics())
+        ownership = Ownership(self.member, store, timing, OwnershipSettings(), is_able=True)
+        replies = PeerReplies(store, self.follower, ownership, None)
+        self.mesh = Mesh(replies.answer)
+        self.membership = Membership(self.member, store, timing, self.follower, self.mesh)
+        replies.membership = self.membership
+
+    def run(self, tasks):
+        tasks.start_soon(self.mesh.run, self.member.host, self.member.port)
+        tasks.start_soon(self.follower.run)
+
+    async def wait_for(self, version, within_s):
+        """Return how long it takes until a version is in force."""
+        begun_s = time.monotonic()
+        with anyio.fail_after(within_s):
+            while self.follower.version < version:
+                await anyio.sleep(0.01)
+        return time.monotonic() - begun_s
+
+
+class Pair:
+    """An owner on a fast link, and an instance on a slow one that all its bytes come over."""
+
+    def __init__(self):
+        self.store = StoreStandIn()
+        self.link = SlowLink(SLOW_BYTES_PER_S)
+
+    async def start(self, tasks, timing=TIMING):
+        store_address = await self.store.listen()
+        tasks.start_soon(self.store.run)
+        near_store = FaultProxy(store_address, answers_over=self.link)
+        self.fast = Node('fast', store_address)
+        self.slow = Node('slow', await near_store.listen(tasks), timing)
+        await self._connect(tasks)
+        self.fast.run(tasks)
+        self.slow.run(tasks)
+
+    async def _connect(self, tasks):
+        """Let each reach the other through the slow link only."""
+        to_slow = FaultProxy(self.address(self.slow), requests_over=self.link)
+        to_fast = FaultProxy(self.address(self.fast), answers_over=self.link)
+        self.slow_seen = self._seen(self.slow, await to_slow.listen(tasks))
+        self.fast_seen = self._seen(self.fast, await to_fast.listen(tasks))
+        self.fast.membership.add(self.slow_seen)
+        # The owner tells where it is reached.
+        self.fast.membership._member = self.fast_seen
+
+    def address(self, node):
+        return Address(node.member.host, node.member.port)
+
+    def _seen(self, node, address):
+        return node.member._replace(host=address.host, port=address.port)
+
+    def own(self, tasks):
+        tasks.start_soon(self.fast.membership.beat_forever, EPOCH)
+
+    def configure(self, version, routes):
+        self.store.put(CONFIGURATION_KEY, document(version, routes))
+
+
+def play(scenario):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            pair = Pair()
+            await scenario(pair, tasks)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_each_version_of_a_growing_configuration_is_in_force_in_time():
+    async def scenario(pair, tasks):
+        pair.configure(1, 40)
+        await pair.start(tasks)
+        pair.own(tasks)
+        await pair.slow.wait_for(1, within_s=5)
+        for step in (1, 2, 3):
+            await anyio.sleep(2)
+            pair.configure(step + 1, ROUTES * step)
+            took_s = await pair.slow.wait_for(step + 1, within_s=20)
+            assert took_s < IN_FORCE_S, f'{ROUTES * step} routes took {took_s:.2f} s'
+
+    play(scenario)
+
+
+def test_a_link_is_quiet_once_a_configuration_is_in_force():
+    async def scenario(pair, tasks):
+        pair.configure(1, 40)
+        await pair.start(tasks)
+        pair.own(tasks)
+        await pair.slow.wait_for(1, within_s=5)
+        pair.configure(2, ROUTES * 2)
+        await pair.slow.wait_for(2, within_s=20)
+        await anyio.sleep(2)
+        before = pair.link.carried_bytes
+        await anyio.sleep(2)
+        # Beats, and the watches that end.
+        assert pair.link.carried_bytes - before < 20_000
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('after_s', [0.0, 0.9])
+def test_a_large_configuration_is_read_over_a_slow_link_from_the_store_alone(after_s):
+    """Read at the start, or brought by a watch that is about to end: its bytes take 1.9 s."""
+
+    async def scenario(pair, tasks):
+        pair.configure(1, 40 if after_s else ROUTES * 3)
+        await pair.start(tasks, StoreTiming(watch_wait_s=1.0, watch_s=1.4))
+        if after_s:
+            await pair.slow.wait_for(1, within_s=5)
+            await anyio.sleep(after_s)
+            pair.configure(2, ROUTES * 3)
+        took_s = await pair.slow.wait_for(2 if after_s else 1, within_s=8)
+        assert took_s < IN_FORCE_S
+
+    play(scenario)
