Configurations travel as changes, in parts, and no wait bounds a whole answer

Cause: waits that know nothing of the size of what is awaited, and retries that begin anew. The owner's beat carried the whole document to whoever seemed behind, waited 0.6 s, and sent it again 0.7 s later for ever; reads of the store were given 1.00 s for what a slow link carries in 1.8 s.

Ruled out: decoding on half a core (processors idle at 0 to 3%), a slow store (fast instances had each version 0.1 to 0.2 s after it was written).

Change: beats carry only the version; who is behind asks for what has changed, compressed and in parts; the answer of the store and that of a peer race, and the loser is given up. A wait bounds the beginning of an answer and each silence within it. An answer that holds several documents is given up when it is announced, and the newest alone is read. A watch that fails goes on from where it was instead of reading the document again. Requests look up their queue by host.

--- a/packages/kernel/dahliaarch_kernel/configuration/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/__init__.py
@@ -1,17 +1,35 @@
 """The operators' configuration: queues, client accounts and limits."""
 
-from .core import Account, AdviceTerms, Configuration, HttpLimits, Queue, ServiceSettings
+from .changes import apply_change, ChangeMismatchError, ConfigurationChange, difference, EMPTY, NO_VERSION
+from .core import (
+    Account,
+    AdviceTerms,
+    build_configuration,
+    Configuration,
+    ConfigurationParts,
+    HttpLimits,
+    Queue,
+    ServiceSettings,
+)
 from .lookup import AccessDeniedError, authorize, find_queue, RouteNotFoundError
 
 __all__ = (
+    'EMPTY',
+    'NO_VERSION',
     'AccessDeniedError',
     'Account',
     'AdviceTerms',
+    'ChangeMismatchError',
     'Configuration',
+    'ConfigurationChange',
+    'ConfigurationParts',
     'HttpLimits',
     'Queue',
     'RouteNotFoundError',
     'ServiceSettings',
+    'apply_change',
     'authorize',
+    'build_configuration',
+    'difference',
     'find_queue',
 )
--- a/packages/kernel/dahliaarch_kernel/configuration/core.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/core.py
@@ -1,5 +1,6 @@
 """One version of the configuration, whole."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -129,6 +130,9 @@
         Grows with every accepted change.
     queue_by_name : dict
         Queues.
+    queues_by_host : dict
+        The same by the host that callers ask for, the longest path prefix first:
+        a request looks only at the queues of its own host.
     service_by_name : dict
         Services.
     account_by_name : dict
@@ -141,7 +145,43 @@
 
     version: int
     queue_by_name: dict[str, Queue]
+    queues_by_host: dict[str, tuple[Queue, ...]]
     service_by_name: dict[str, ServiceSettings]
     account_by_name: dict[str, Account]
     account_by_key: dict[str, str]
     limits: HttpLimits = HttpLimits()
+
+
+class ConfigurationParts(NamedTuple):
+    """What a configuration is built from, without its indices; fields as there."""
+
+    version: int
+    queues: Iterable[Queue] = ()
+    services: Iterable[ServiceSettings] = ()
+    accounts: Iterable[Account] = ()
+    limits: HttpLimits = HttpLimits()
+
+
+def build_configuration(parts: ConfigurationParts) -> Configuration:
+    """Return a configuration with its indices."""
+    queue_by_name = {queue.name: queue for queue in parts.queues}
+    account_by_name = {account.name: account for account in parts.accounts}
+    return Configuration(
+        version=parts.version,
+        queue_by_name=queue_by_name,
+        queues_by_host=_by_host(queue_by_name.values()),
+        service_by_name={service.name: service for service in parts.services},
+        account_by_name=account_by_name,
+        account_by_key={key: account.name for account in account_by_name.values() for key in account.keys},
+        limits=parts.limits,
+    )
+
+
+def _by_host(queues: Iterable[Queue]) -> dict[str, tuple[Queue, ...]]:
+    found: dict[str, list[Queue]] = {}
+    for queue in queues:
+        found.setdefault(queue.host, []).append(queue)
+    return {
+        host: tuple(sorted(of_host, key=lambda queue: (-len(queue.path_prefix), queue.name)))
+        for host, of_host in found.items()
+    }
--- a/packages/kernel/dahliaarch_kernel/configuration/lookup.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/lookup.py
@@ -23,15 +23,10 @@
         When none does.
     """
     bare_host = host.partition(':')[0].lower()
-    matching = [
-        queue
-        for queue in configuration.queue_by_name.values()
-        if queue.host == bare_host and path.startswith(queue.path_prefix)
-    ]
-    best = max(matching, key=lambda queue: len(queue.path_prefix), default=None)
-    if best is None:
-        raise RouteNotFoundError(f'no queue for {bare_host} {path}')
-    return best
+    for queue in configuration.queues_by_host.get(bare_host, ()):
+        if path.startswith(queue.path_prefix):
+            return queue
+    raise RouteNotFoundError(f'no queue for {bare_host} {path}')
 
 
 def authorize(configuration: Configuration, queue: Queue, key: str) -> str:
--- /dev/null
+++ b/packages/node/dahliaarch_node/configuration/__init__.py
@@ -0,0 +1,7 @@
+"""Follows the operators' configuration, from the store and from peers."""
+
+from .follower import ConfigurationFollower
+from .peer_feed import PeerFeed
+from .store_feed import StoreFeed
+
+__all__ = ('ConfigurationFollower', 'PeerFeed', 'StoreFeed')
--- /dev/null
+++ b/packages/node/dahliaarch_node/configuration/tests/test_updates.py
@@ -0,0 +1,184 @@
+"""Updates travel in parts, from any peer that has something newer."""
+
+import random
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.configuration import (
+    build_configuration,
+    ConfigurationParts,
+    difference,
+    EMPTY,
+    NO_VERSION,
+    Queue,
+)
+from dahliaarch_kernel.errors import ProtocolError
+
+from ...metrics import Metrics
+from ...peers import AskConfiguration, ConfigurationPart, PeerSilentError
+from ...records import Member
+from ..follower import ConfigurationFollower
+from ..peer_feed import PeerFeed
+from ..updates import decode_update, PART_BYTES, Update
+
+PEER = Member('other', 'x', '127.0.0.1', 9)
+REVISION = 77
+
+
+def configuration(version, queues):
+    return build_configuration(ConfigurationParts(version, queues))
+
+
+def many_queues(count):
+    """Return queues whose names do not compress well."""
+    draw = random.Random(count)
+    return [Queue(f'{draw.getrandbits(128):x}', f'{draw.getrandbits(128):x}', '/x/', 's') for _ in range(count)]
+
+
+def follower_at(*configurations):
+    """Return a follower that has come to each of some versions in turn."""
+    follower = ConfigurationFollower(Metrics())
+    before = EMPTY
+    for after in configurations:
+        follower.take_update(Update((difference(before, after),), REVISION), 'test', 0)
+        before = after
+    return follower
+
+
+class ToPeer:
+    """Messages to a follower elsewhere; the answers to some of them are lost."""
+
+    def __init__(self, follower, lost=()):
+        self.follower = follower
+        self.lost = list(lost)
+        self.questions = []
+        self.before_answer = lambda: None
+
+    async def ask(self, address, message, *, timeout_s):
+        await anyio.sleep(0)
+        self.questions.append(message)
+        if len(self.questions) in self.lost:
+            raise PeerSilentError('lost')
+        self.before_answer()
+        return self.follower.updates.part(message, self.follower.current, self.follower.revision)
+
+
+def fetch(own, to_peer, version, within_s=0.2, *, is_told_again=False):
+    """Let a follower hear of a version, once or again and again, and fetch it."""
+
+    async def run():
+        feed = PeerFeed(own, to_peer)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run)
+            feed.announce(PEER, version)
+            with anyio.move_on_after(within_s):
+                while own.version < version:
+                    await anyio.sleep(0.005)
+                    if is_told_again:
+                        feed.announce(PEER, version)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_a_large_configuration_comes_in_parts():
+    newest = configuration(5, many_queues(4_000))
+    own = follower_at()
+    to_peer = ToPeer(follower_at(newest))
+    fetch(own, to_peer, 5)
+    assert own.current == newest
+    assert own.revision == REVISION
+    assert len(to_peer.questions) > 3
+
+
+def test_a_lost_part_costs_only_itself():
+    newest = configuration(5, many_queues(4_000))
+    own = follower_at()
+    to_peer = ToPeer(follower_at(newest), lost=(3,))
+    fetch(own, to_peer, 5)
+    assert own.current == newest
+    assert to_peer.questions[3] == to_peer.questions[2]
+    assert to_peer.questions[2].offset == 2 * PART_BYTES
+
+
+def test_a_peer_that_falls_silent_is_given_up():
+    own = follower_at()
+    to_peer = ToPeer(follower_at(configuration(5, many_queues(4_000))), lost=range(3, 100))
+    fetch(own, to_peer, 5)
+    assert own.version == NO_VERSION
+    assert len(to_peer.questions) < 6
+
+
+def test_only_what_has_changed_travels():
+    old = many_queues(4_000)
+    older, newer = configuration(5, old), configuration(9, [*old, *many_queues(3)])
+    own = follower_at(older)
+    to_peer = ToPeer(follower_at(older, newer))
+    fetch(own, to_peer, 9)
+    assert own.current == newer
+    part = to_peer.follower.updates.part(AskConfiguration(5, NO_VERSION, 0), newer, REVISION)
+    assert part.total_bytes == len(part.data) < 1_000
+
+
+def test_several_changes_travel_together():
+    old = many_queues(100)
+    versions = [configuration(number, old[: number * 10]) for number in range(1, 10)]
+    own = follower_at(versions[2])
+    fetch(own, ToPeer(follower_at(*versions)), 9)
+    assert own.current == versions[-1]
+
+
+def test_a_version_that_the_peer_never_had_leads_to_the_whole():
+    own = follower_at(configuration(6, many_queues(50)))
+    peer = follower_at(configuration(5, many_queues(40)), configuration(9, many_queues(60)))
+    fetch(own, ToPeer(peer), 9)
+    assert own.current == peer.current
+
+
+def test_versions_that_come_while_parts_travel_do_not_hold_them_up():
+    """The peer changes with every answer: what has begun is finished, the rest follows."""
+    queues = many_queues(4_000)
+    peer = follower_at(configuration(1, queues))
+    own = follower_at()
+    to_peer = ToPeer(peer)
+
+    def change():
+        before = peer.current
+        if before.version < 30:
+            after = configuration(before.version + 1, [*queues, Queue(f'n{before.version}', 'h', '/', 's')])
+            peer.take_update(Update((difference(before, after),), REVISION), 'test', 0)
+
+    to_peer.before_answer = change
+    fetch(own, to_peer, 1, within_s=10)
+    assert own.version == 2
+    fetch(own, to_peer, 30, within_s=10, is_told_again=True)
+    assert own.current == peer.current
+
+
+def test_nothing_is_taken_from_a_peer_that_has_nothing_newer():
+    own = follower_at(configuration(5, many_queues(3)))
+    to_peer = ToPeer(follower_at(configuration(5, many_queues(3))))
+    fetch(own, to_peer, 7)
+    assert own.version == 5
+    assert len(to_peer.questions) == 1
+
+
+def test_an_update_that_does_not_fit_changes_nothing():
+    own = follower_at(configuration(5, many_queues(3)))
+    change = difference(configuration(6, []), configuration(9, []))
+    own.take_update(Update((change,), REVISION), 'test', 0)
+    assert own.version == 5
+
+
+@pytest.mark.parametrize('data', [b'', b'x', b'x\x9c' + bytes(20)])
+def test_what_is_not_an_update_is_refused(data):
+    with pytest.raises(ProtocolError):
+        decode_update(data)
+
+
+def test_a_part_beyond_the_end_is_empty():
+    peer = follower_at(configuration(5, []))
+    first = peer.updates.part(AskConfiguration(NO_VERSION, NO_VERSION, 0), peer.current, REVISION)
+    beyond = peer.updates.part(AskConfiguration(NO_VERSION, 5, 10**6), peer.current, REVISION)
+    assert beyond == ConfigurationPart(5, first.total_bytes, 10**6, b'')
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -17,7 +17,7 @@
 from dahliaarch_platform.http import Request, Response
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
-from ..following import ConfigurationFollower
+from ..configuration import ConfigurationFollower
 from ..logs import log_event
 from ..metrics import Metrics
 from ..ownership import Ownership
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -18,7 +18,7 @@
 from dahliaarch_platform.workers import WorkerClient
 
 from .asking import askers
-from .following import ConfigurationFollower
+from .configuration import ConfigurationFollower, PeerFeed, StoreFeed
 from .front import Front
 from .logs import log_event, LogWriter
 from .membership import Membership
@@ -73,7 +73,8 @@
         self._http = HttpClient()
         self._store = StoreClient(settings.store, self._http, self._metrics.observe_store_call)
         self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
-        self._follower = ConfigurationFollower(self._store, self._timing, self._metrics)
+        self._follower = ConfigurationFollower(self._metrics)
+        self._store_feed = StoreFeed(self._follower, self._store, self._timing)
         self._ownership = Ownership(
             self._member,
             self._store,
@@ -85,7 +86,10 @@
         self._replies = PeerReplies(self._store, self._follower, self._ownership, self._advice)
         self._mesh = Mesh(self._replies.answer, self._metrics.observe_peer_message)
         self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
-        self._membership = Membership(self._member, self._store, self._timing, self._follower, self._mesh)
+        self._peer_feed = PeerFeed(self._follower, self._mesh)
+        self._membership = Membership(
+            self._member, self._store, self._timing, self._follower, self._peer_feed, self._mesh
+        )
         self._replies.membership = self._membership
         self._front_server = HttpServer(
             self._front.answer,
@@ -100,7 +104,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._log_writer.run)
             tasks.start_soon(self._mesh.run, self._settings.ip, self._settings.peer_ports[0])
-            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._store_feed.run)
+            tasks.start_soon(self._peer_feed.run)
             tasks.start_soon(probe_store, self._store)
             await self._listen()
             log_event('started', domain=self._settings.domain, incarnation=self._member.incarnation)
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -8,14 +8,14 @@
 from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient, Write
 
-from .following import ConfigurationFollower
+from .configuration import ConfigurationFollower, PeerFeed
 from .logs import log_event
 from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
 from .records import Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
 
-# How often the owner is heard, in seconds. News of a configuration that an
-# instance can't read from the store take at most this long.
+# How often the owner is heard, in seconds. An instance that missed the news of a
+# configuration hears of it at most this much later.
 _BEAT_EVERY_S = 0.7
 # Longest wait for the answer to a beat, in seconds.
 _BEAT_ANSWER_S = 0.6
@@ -44,6 +44,8 @@
         Timeouts and pauses.
     follower : ConfigurationFollower
         The configuration in force.
+    peer_feed : PeerFeed
+        Fetches newer versions from others.
     mesh : Mesh
         Messages to the others.
     """
@@ -54,6 +56,7 @@
         store: StoreClient,
         timing: StoreTiming,
         follower: ConfigurationFollower,
+        peer_feed: PeerFeed,
         mesh: Mesh,
     ) -> None:
         """Start knowing nobody."""
@@ -61,6 +64,7 @@
         self._store = store
         self._timing = timing
         self._follower = follower
+        self._peer_feed = peer_feed
         self._mesh = mesh
         self._peer_by_instance: dict[str, _Peer] = {}
 
@@ -92,15 +96,32 @@
         """Return the instances that answered of late, this one left out."""
         return [peer.member for peer in self._peer_by_instance.values() if peer.version >= 0]
 
+    def announced(self, member: Member, version: int) -> None:
+        """Take in which version of the configuration another instance follows."""
+        self._peer_feed.announce(member, version)
+
     async def beat_forever(self, epoch: int) -> None:
         """Tell every instance who owns the pool, again and again."""
         await self._load()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._announce_changes, epoch)
+            while True:
+                await self._beat_all(epoch)
+                await self._forget_silent()
+
+    async def _announce_changes(self, epoch: int) -> None:
+        """Tell every instance at once when a version comes into force here."""
         while True:
-            async with anyio.create_task_group() as tasks:
-                for peer in tuple(self._peer_by_instance.values()):
-                    tasks.start_soon(self._beat, peer, epoch)
-                tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
-            await self._forget_silent()
+            await self._follower.changed.wait()
+            beat = Beat(self._member, epoch, self._follower.version)
+            for peer in tuple(self._peer_by_instance.values()):
+                self._mesh.tell((peer.member.host, peer.member.port), beat)
+
+    async def _beat_all(self, epoch: int) -> None:
+        async with anyio.create_task_group() as tasks:
+            for peer in tuple(self._peer_by_instance.values()):
+                tasks.start_soon(self._beat, peer, epoch)
+            tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
 
     async def _load(self) -> None:
         while True:
@@ -116,31 +137,22 @@
 
     async def _beat(self, peer: _Peer, epoch: int) -> None:
         member = peer.member
-        is_older = peer.version < self._follower.version
-        text = self._follower.text if is_older else b''
-        beat = Beat(self._member, epoch, self._follower.version, text)
+        beat = Beat(self._member, epoch, self._follower.version)
         try:
             reply = await self._mesh.ask((member.host, member.port), beat, timeout_s=_BEAT_ANSWER_S)
         except PeerSilentError as error:
-            self._note_missed(peer, len(text), error)
+            self._note_missed(peer, error)
             return
         if not isinstance(reply, BeatReply):
             return
-        if reply.configuration:
-            self._follower.offer(reply.configuration, member.instance)
+        self.announced(member, reply.version)
         if peer.missed:
             log_event('beats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
         self._update(peer, _Peer(member, reply.version, time.monotonic()))
 
-    def _note_missed(self, peer: _Peer, carried_bytes: int, error: PeerSilentError) -> None:
+    def _note_missed(self, peer: _Peer, error: PeerSilentError) -> None:
         if not peer.missed:
-            log_event(
-                'beat_unanswered',
-                member=peer.member.instance,
-                version=peer.version,
-                carried_bytes=carried_bytes,
-                why=str(error),
-            )
+            log_event('beat_unanswered', member=peer.member.instance, version=peer.version, why=str(error))
         self._update(peer, peer._replace(missed=peer.missed + 1))
 
     def _update(self, before: _Peer, after: _Peer) -> None:
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -25,22 +25,58 @@
     epoch : int
         Its epoch; larger ones are newer.
     version : int
-        Version of the configuration that it follows.
-    configuration : bytes
-        That configuration, if the instance's own seems older; else empty.
+        Version of the configuration that it follows; whoever is behind asks for
+        it. Beats carry nothing whose size grows: they come again and again.
     """
 
     owner: Member
     epoch: int
     version: int
-    configuration: bytes = b''
 
 
 class BeatReply(NamedTuple):
-    """Version of the configuration that an instance follows, and itself if newer."""
+    """Version of the configuration that an instance follows."""
 
     version: int
-    configuration: bytes = b''
+
+
+class AskConfiguration(NamedTuple):
+    """Asks for a part of an update of the configuration.
+
+    Parameters
+    ----------
+    base : int
+        Version that the asking instance follows.
+    version : int
+        Version whose parts it has received so far; -1 for the first part.
+    offset : int
+        Bytes that it has received of that.
+    """
+
+    base: int
+    version: int
+    offset: int
+
+
+class ConfigurationPart(NamedTuple):
+    """A part of an update.
+
+    Parameters
+    ----------
+    version : int
+        Version that the update leads to; -1 when there is nothing newer.
+    total_bytes : int
+        Size of the whole update.
+    offset : int
+        Where in it this part begins.
+    data : bytes
+        The part.
+    """
+
+    version: int
+    total_bytes: int = 0
+    offset: int = 0
+    data: bytes = b''
 
 
 class AskState(NamedTuple):
@@ -149,6 +185,8 @@
     | Accepted
     | AskPolicy
     | PolicyReply
+    | AskConfiguration
+    | ConfigurationPart
 )
 
 _TYPES: tuple[type[Message], ...] = (
@@ -165,6 +203,8 @@
     Accepted,
     AskPolicy,
     PolicyReply,
+    AskConfiguration,
+    ConfigurationPart,
 )
 _NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -6,7 +6,7 @@
 from dahliaarch_platform.advice import ADVICE_FAILURES, AdviceClient
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
-from .following import ConfigurationFollower
+from .configuration import ConfigurationFollower
 from .front.acceptance import Fate, keep_cancellation, keep_job, WriteOutcome
 from .logs import log_event
 from .membership import Membership
@@ -17,6 +17,7 @@
     AcceptCancel,
     Accepted,
     AcceptJob,
+    AskConfiguration,
     AskPending,
     AskPolicy,
     AskState,
@@ -84,10 +85,13 @@
     @_reply.register
     async def _(self, message: Beat) -> Message | None:
         self._ownership.heard(Owner(message.owner, message.epoch))
-        if message.configuration:
-            self._follower.offer(message.configuration, message.owner.instance)
-        is_newer = self._follower.version > message.version
-        return BeatReply(self._follower.version, self._follower.text if is_newer else b'')
+        if self.membership is not None:
+            self.membership.announced(message.owner, message.version)
+        return BeatReply(self._follower.version)
+
+    @_reply.register
+    async def _(self, message: AskConfiguration) -> Message | None:
+        return self._follower.updates.part(message, self._follower.current, self._follower.revision)
 
     @_reply.register
     async def _(self, message: AskState) -> Message | None:
--- a/packages/node/dahliaarch_node/status.py
+++ b/packages/node/dahliaarch_node/status.py
@@ -6,7 +6,7 @@
 from dahliaarch_kernel.scheduler import JobState, WorkerState
 from dahliaarch_platform.store import StoreClient
 
-from .following import ConfigurationFollower
+from .configuration import ConfigurationFollower
 from .owner import PoolOwner
 from .ownership import Ownership
 
--- a/packages/node/dahliaarch_node/watching.py
+++ b/packages/node/dahliaarch_node/watching.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from dahliaarch_platform.store import Page, StoreClient
+from dahliaarch_platform.store import Page, StoreAnswerTooLargeError, StoreClient
 
 from .logs import log_event
 from .timing import StoreTiming
@@ -31,10 +31,17 @@
 
 
 async def next_news(store: StoreClient, timing: StoreTiming, prefix: str, after: int) -> News:
-    """Wait for news from a revision on; read everything when the history is gone."""
-    page = await watch_once(store, timing, prefix, after)
-    if page is not None:
-        return News(page, is_whole=False)
-    log_event('history_gone', prefix=prefix, revision=after)
+    """Wait for news from a revision on; read everything when the history is gone or larger than one answer.
+
+    A watch from the same revision would only grow.
+    """
+    try:
+        page = await watch_once(store, timing, prefix, after)
+    except StoreAnswerTooLargeError as error:
+        log_event('news_too_large', prefix=prefix, revision=after, why=str(error))
+    else:
+        if page is not None:
+            return News(page, is_whole=False)
+        log_event('history_gone', prefix=prefix, revision=after)
     await anyio.sleep(timing.retry_pause_s())
     return News(await store.list(prefix, timeout_s=timing.call_s), is_whole=True)
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -21,7 +21,7 @@
 import msgspec
 import pytest
 
-from dahliaarch_node.following import ConfigurationFollower
+from dahliaarch_node.configuration import ConfigurationFollower, PeerFeed, StoreFeed
 from dahliaarch_node.membership import Membership
 from dahliaarch_node.metrics import Metrics
 from dahliaarch_node.ownership import Ownership, OwnershipSettings
@@ -74,16 +74,19 @@
         port = free_ports(1)[0]
         self.member = Member(name, name, LOOPBACK, port)
         store = StoreClient(StoreSettings(store_address), HttpClient(), lambda *_: None)
-        self.follower = ConfigurationFollower(store, timing, Metrics())
+        self.follower = ConfigurationFollower(Metrics())
+        self._store_feed = StoreFeed(self.follower, store, timing)
         ownership = Ownership(self.member, store, timing, OwnershipSettings(), is_able=True)
         replies = PeerReplies(store, self.follower, ownership, None)
         self.mesh = Mesh(replies.answer)
-        self.membership = Membership(self.member, store, timing, self.follower, self.mesh)
+        self._peer_feed = PeerFeed(self.follower, self.mesh)
+        self.membership = Membership(self.member, store, timing, self.follower, self._peer_feed, self.mesh)
         replies.membership = self.membership
 
     def run(self, tasks):
         tasks.start_soon(self.mesh.run, self.member.host, self.member.port)
-        tasks.start_soon(self.follower.run)
+        tasks.start_soon(self._store_feed.run)
+        tasks.start_soon(self._peer_feed.run)
 
     async def wait_for(self, version, within_s):
         """Return how long it takes until a version is in force."""
@@ -104,9 +107,10 @@
     async def start(self, tasks, timing=TIMING):
         store_address = await self.store.listen()
         tasks.start_soon(self.store.run)
-        near_store = FaultProxy(store_address, answers_over=self.link)
-        self.fast = Node('fast', store_address)
-        self.slow = Node('slow', await near_store.listen(tasks), timing)
+        self.near_store = FaultProxy(store_address, answers_over=self.link)
+        self.near_fast_store = FaultProxy(store_address)
+        self.fast = Node('fast', await self.near_fast_store.listen(tasks))
+        self.slow = Node('slow', await self.near_store.listen(tasks), timing)
         await self._connect(tasks)
         self.fast.run(tasks)
         self.slow.run(tasks)
@@ -191,3 +195,60 @@
         assert took_s < IN_FORCE_S
 
     play(scenario)
+
+
+def test_of_several_versions_that_were_missed_only_the_newest_is_read():
+    """A watch would bring all of them at once: four megabytes, which the link needs 7 s for."""
+
+    async def scenario(pair, tasks):
+        pair.configure(1, ROUTES * 3)
+        await pair.start(tasks)
+        await pair.slow.wait_for(1, within_s=8)
+        await anyio.sleep(0.2)
+        # All are written before the watch that waits is answered.
+        for version in (2, 3, 4, 5):
+            pair.configure(version, ROUTES * 3)
+        assert await pair.slow.wait_for(5, within_s=20) < IN_FORCE_S
+
+    play(scenario)
+
+
+def test_a_slow_instance_follows_changes_in_quick_succession():
+    async def scenario(pair, tasks):
+        pair.configure(1, ROUTES * 3)
+        await pair.start(tasks)
+        pair.own(tasks)
+        await pair.slow.wait_for(1, within_s=8)
+        for version in range(2, 12):
+            pair.configure(version, ROUTES * 3 + version)
+            await anyio.sleep(0.3)
+        assert await pair.slow.wait_for(11, within_s=20) < IN_FORCE_S - 0.3
+
+    play(scenario)
+
+
+def test_an_instance_that_the_store_turns_away_follows_its_peers():
+    async def scenario(pair, tasks):
+        pair.configure(1, ROUTES * 3)
+        await pair.start(tasks, TIMING._replace(call_s=0.2))
+        pair.near_store.drops_all = True
+        pair.own(tasks)
+        assert await pair.slow.wait_for(1, within_s=20) < IN_FORCE_S
+        pair.configure(2, ROUTES * 4)
+        assert await pair.slow.wait_for(2, within_s=20) < IN_FORCE_S
+
+    play(scenario)
+
+
+def test_an_owner_that_the_store_turns_away_follows_its_peers():
+    async def scenario(pair, tasks):
+        pair.configure(1, 40)
+        await pair.start(tasks)
+        pair.own(tasks)
+        await pair.fast.wait_for(1, within_s=5)
+        await pair.slow.wait_for(1, within_s=5)
+        pair.near_fast_store.drops_all = True
+        pair.configure(2, ROUTES)
+        assert await pair.fast.wait_for(2, within_s=20) < IN_FORCE_S
+
+    play(scenario)
