Show by tests what an owner concludes of workers that it can't reach

Cause: two ways in which an owner starts a worker's tasks elsewhere while they run there. A worker that says that it leaves is taken for over once its entry is gone and connections to it fail, as they also do behind a cut; and a new owner knows nothing of the lease that an earlier one gave.

Ruled out as one of these: the record of two runs by one owner that were both stopped; their workers could be reached.

Measured: the scenario on, in the owner's log: worker_unlisted at .509 s, worker_over at .661, the worker's three tasks ordered elsewhere at .662; the lease of the worker lasts 3 s.

--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -0,0 +1,99 @@
+"""What an owner may conclude from answers of a worker, and from their absence."""
+
+import time
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.scheduler import Lease
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.workers import Survey, WorkerUnansweredError, WorkerUnreachableError
+
+from ...metrics import Metrics
+from ..links import LinkContext, LinkSettings, WorkerLink
+from ..messages import WorkerOver, WorkerSilent, WorkerSurveyed
+
+SETTINGS = LinkSettings(retry_s=0.01)
+
+
+class CutWorker:
+    """A worker that answers one survey and can't be reached after that."""
+
+    def __init__(self, failure):
+        self.failure = failure
+        self.surveys = 0
+
+    async def survey(self, address, life, **order):
+        self.surveys += 1
+        if self.surveys == 1:
+            return Survey(100.0, (), ())
+        await anyio.sleep(0)
+        raise self.failure
+
+
+class Owner:
+    """What a link tells its owner."""
+
+    def __init__(self):
+        self.told = []
+
+    def post(self, message):
+        self.told.append(message)
+        return True
+
+    def has_been_told(self, kind):
+        return any(isinstance(message, kind) for message in self.told)
+
+
+def told_of(failure, lease, *, is_draining=False, is_listed=True):
+    """Return what a link tells of a worker that fails so, until it is known as silent."""
+
+    async def survey():
+        owner = Owner()
+        context = LinkContext(CutWorker(failure), 7, SETTINGS, Metrics(), owner.post, lambda: None, time.monotonic)
+        link = WorkerLink('w', Address('h', 1), lease, context)
+        link.is_draining = is_draining
+        link.is_listed = is_listed
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with anyio.fail_after(5):
+                while not owner.has_been_told(WorkerSilent):
+                    await anyio.sleep(0.005)
+            tasks.cancel_scope.cancel()
+        return owner
+
+    return anyio.run(survey)
+
+
+def test_a_worker_that_leaves_is_not_over_while_its_connections_fail():
+    """A task ran twice: on a worker behind a cut and on another.
+
+    A worker says that it leaves; then a cut parts it from the instances and from
+    the store. Its entry lapses, and connections to it fail or are refused, just as
+    if it had left. It was taken for over at once and its tasks were ordered
+    elsewhere: in the owner's log `worker_listed` with `draining`, `worker_silent`
+    after 0.30 s, `worker_unlisted`, `worker_over` 0.15 s later and `run_ordered` for
+    the same tasks 1 ms after that. But it runs on until its lease ends, up to the
+    longest lease after the last survey before it said that it leaves. Only that
+    end, or another life at its address, tells that nothing runs there.
+    """
+    owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True, is_listed=False)
+    assert not owner.has_been_told(WorkerOver)
+
+
+@pytest.mark.parametrize('failure', [WorkerUnreachableError('refused'), WorkerUnansweredError('silence')])
+@pytest.mark.parametrize('is_draining', [True, False])
+def test_a_new_owner_waits_for_the_lease_that_an_earlier_one_may_have_given(failure, is_draining):
+    """A task could run twice after a takeover: on a worker that was cut off and on another.
+
+    An earlier owner gave a worker the longest lease. The new one hears from the
+    worker once, and then no more. It knew of no lease but its own: none where its
+    second survey finds no connection, and 2 s on a worker that leaves. It ordered
+    the worker's tasks elsewhere after that, while the worker runs them until the
+    earlier lease ends, up to the longest lease after its first answer.
+    """
+    lease = Lease()
+    begun_s = time.monotonic()
+    owner = told_of(failure, lease, is_draining=is_draining)
+    assert owner.has_been_told(WorkerSurveyed)
+    assert lease.bound_s() >= begun_s + SETTINGS.hold_s
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -92,6 +92,13 @@
     And a worker that runs some of it vanishes
     Then it is shown as succeeded
 
+  Scenario: A worker that leaves is cut off and runs on until its lease ends
+    Given a deployment of three instances
+    When a long job is accepted
+    And a worker that runs some of it says that it leaves and is cut off
+    Then its tasks run on other workers
+    And no task ran twice
+
   Scenario: The same job is handed in at every instance
     Given a deployment of three instances
     When the same job is handed in at every instance
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -2,6 +2,7 @@
 
 import time
 
+import anyio
 from pytest_bdd import given, scenarios, then, when
 
 from ..core import KEY
@@ -189,6 +190,27 @@
     worker.leave()
 
 
+@when('a worker that runs some of it says that it leaves and is cut off', target_fixture='cut_off')
+def _(running):
+    worker = next(worker for worker in running.workers if worker.running)
+    running.portal.call(_leave_and_cut_off, worker)
+    return worker, set(worker.running)
+
+
+async def _leave_and_cut_off(worker):
+    worker.is_draining = True
+    worker.publish()
+    await anyio.sleep(0.3)
+    worker.cut_off()
+
+
+@then('its tasks run on other workers')
+def _(running, cut_off):
+    worker, tasks = cut_off
+    others = [other for other in running.workers if other is not worker]
+    running.wait_until(lambda: tasks <= {task for other in others for task in other.running})
+
+
 @when('the same job is handed in at every instance')
 def _(running):
     job_id = 'cd' * 8
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -111,6 +111,7 @@
         self.starts: list[Started] = []
         self.ends: list[Ended] = []
         self.is_draining = False
+        self.is_cut_off = False
         self.capacity = Resources(64_000, 262_144, 8)
         self._service = service
         self._rack = rack
@@ -150,9 +151,15 @@
         self.server.close()
         self._run_by_task.clear()
 
+    def cut_off(self) -> None:
+        """Part it from the store and from all instances; its entry lapses and it runs on."""
+        self.is_cut_off = True
+        self._store.remove(f'servers/{self.worker_id}')
+        self.server.close()
+
     def _heartbeat(self) -> None:
         """Write the entry when it has changed."""
-        if self._seq == 0 or self.is_draining:
+        if (self._seq == 0 or self.is_draining) and not self.is_cut_off:
             self.publish()
         self._seq += 1
 
