Wait for the lease of a worker that leaves and can't be reached

Cause: a worker that had said that it leaves was taken for over once its entry was gone and a connection to it failed. A cut shows the same, and behind it the worker runs on until its lease ends; its tasks were started elsewhere meanwhile.

Ruled out: telling a refused connection from one that timed out, since cuts refuse connections too.

Change: only another life at its address or the end of its lease ends a worker. The link needs no longer know whether the worker is listed; the scenario covers the missing entry.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -321,15 +321,11 @@
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
             )
         link.is_draining = profile.draining
-        link.is_listed = True
 
     @_handle.register
     def _(self, message: WorkerUnlisted) -> None:
         log_event('worker_unlisted', worker=message.worker_id)
         self.scheduler.unlist_worker(message.worker_id)
-        link = self._links.get(message.worker_id)
-        if link is not None:
-            link.is_listed = False
 
     @_handle.register
     def _(self, message: WorkerSurveyed) -> None:
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -117,7 +117,6 @@
         """Start without having asked anything."""
         self.address = address
         self.is_draining = False
-        self.is_listed = True
         self.acknowledged = 0
         self.listed = 0
         self.processed = 0
@@ -246,11 +245,9 @@
             return
         if self._failures == _FAILURES_THAT_TELL:
             log_event('worker_silent', worker=self._worker_id, why=str(error))
+        # A missing entry and a closed port do not tell that a worker is gone: both
+        # are seen of one behind a cut, which runs on until its lease ends.
         self._context.post(WorkerSilent(self._worker_id))
-        if self.is_draining and not self.is_listed and isinstance(error, WorkerUnreachableError):
-            # It said that it leaves, its entry is gone and its port is closed.
-            self._over()
-            return
         await anyio.sleep(self._context.settings.retry_s)
 
     async def _survey_refused(self, status: OrderStatus) -> None:
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -45,7 +45,7 @@
         return any(isinstance(message, kind) for message in self.told)
 
 
-def told_of(failure, lease, *, is_draining=False, is_listed=True):
+def told_of(failure, lease, *, is_draining=False):
     """Return what a link tells of a worker that fails so, until it is known as silent."""
 
     async def survey():
@@ -53,7 +53,6 @@
         context = LinkContext(CutWorker(failure), 7, SETTINGS, Metrics(), owner.post, lambda: None, time.monotonic)
         link = WorkerLink('w', Address('h', 1), lease, context)
         link.is_draining = is_draining
-        link.is_listed = is_listed
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             with anyio.fail_after(5):
@@ -77,7 +76,7 @@
     longest lease after the last survey before it said that it leaves. Only that
     end, or another life at its address, tells that nothing runs there.
     """
-    owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True, is_listed=False)
+    owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True)
     assert not owner.has_been_told(WorkerOver)
 
 
