Let a new owner wait for the lease that an earlier one may have given

Cause: a new owner knew of no lease but its own. A worker that answered it once and then no more was given up at once if the second survey found no connection, and after 2 s if it was leaving, though an earlier owner's lease may last up to the longest one.

Ruled out: a shorter bound read from the worker, since it does not tell its lease.

Change: with the first answer, after which older owners are refused, the longest lease is assumed. Workers that don't leave are given as much by the next survey.

--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -75,6 +75,10 @@
         """Assume a lease given by an earlier owner up to ``bound_s``."""
         self._floor_s = max(self._floor_s, bound_s)
 
+    def assume_held(self, hold_s: float, now_s: float) -> None:
+        """Assume that an earlier owner gave a lease of ``hold_s`` until now."""
+        self.assume(now_s + hold_s * _SLOWEST_CLOCK)
+
     def bound_s(self) -> float:
         """Return the steady time after which nothing runs there any more."""
         if self._clock_s is None:
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -194,6 +194,9 @@
             await self._survey_refused(survey)
             return
         self._failures = 0
+        if not self._lease.has_reading:
+            # Until this answer an earlier owner may have given the longest lease.
+            self._lease.assume_held(settings.hold_s, context.clock())
         self._lease.read(survey.clock_s, context.clock())
         self._take_in(survey, begun_s)
         await self._pause(survey)
