--- a/packages/standins/dahliaarch_standins/platform/faults.py
+++ b/packages/standins/dahliaarch_standins/platform/faults.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     seed : int
-        Seed of the choice of calls whose answers are lost.
+        Seed of the choice of calls that are refused or whose answers are lost.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -29,6 +29,7 @@
         self.is_refusing = False
         self.delay_s = 0.0
         self.lost_share = 0.0
+        self.refused_share = 0.0
         self.late_s = 0.0
         self._random = random.Random(seed)
 
@@ -38,10 +39,14 @@
             await anyio.sleep(self.delay_s)
         if self.is_silent:
             await anyio.sleep(_SILENCE_S)
-        if self.is_refusing or self.is_silent:
+        if self.is_refusing or self.is_silent or self._refuses():
             return Response(503)
         return None
 
+    def _refuses(self) -> bool:
+        """Tell whether this call is one of those refused."""
+        return self.refused_share > 0 and self._random.random() < self.refused_share
+
     def observe(self, step: str, *, is_done: bool) -> None:
         """Tell of a step before or after it is carried out."""
         if self.observer is not None:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
@@ -0,0 +1,119 @@
+"""An owner takes over a pool with thousands of jobs, over a slow link and from a store that refuses calls.
+
+What happens: a takeover that never ends, jobs that no owner ever learns of, and work that is lost although its
+workers were well.
+
+The sequence: the new owner lists the records, page by page. When the store refused one page, or lost its answer, all
+pages were read again: with a third of the calls refused, twenty pages in a row come once in 5,000 tries. Once all were
+there they went through a queue of 10,000 messages that nobody read meanwhile, and what was over was dropped; no watch
+brings a job again that was listed. And while the pages came (3.4 MB take 5.7 s on a link of 5 Mbit/s) nobody renewed
+the leases of the workers, which had 3 s left, and all that ran there lapsed.
+
+The cause: a retry that begins anew, and waits (a queue's length, a lease) that know nothing of the size of what is
+read.
+"""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_node.metrics import Metrics
+from dahliaarch_node.owner import PoolOwner
+from dahliaarch_node.owner.settings import OwnerSettings
+from dahliaarch_node.records import cancel_key, job_key, JobRecord, Member, OWNER_KEY
+from dahliaarch_node.timing import StoreTiming
+from dahliaarch_platform.http import HttpClient
+from dahliaarch_platform.settings import Bounds, StoreSettings
+from dahliaarch_platform.store import StoreClient
+from dahliaarch_platform.workers import StartOrder, WorkerClient
+from dahliaarch_standins.platform import StoreStandIn, WorkerStandIn
+from dahliaarch_standins.proxy import FaultProxy, SlowLink
+
+# A link of 5 Mbit/s.
+SLOW_BYTES_PER_S = 600_000
+# Ten thousand jobs are twenty pages.
+MANY_JOBS = 10_000
+QUEUE = Queue('q', 'h.example', '/q/', 'svc')
+STEP = StepSpec(1, Resources(1_000, 1_000, 1), 1.0)
+
+
+def put_jobs(store, count, payload='30'):
+    for number in range(count):
+        job_id = f'{number:016x}'
+        spec = JobSpec(job_id, 'account', QUEUE.name, payload, (STEP,), accepted_s=1.0)
+        store.put(job_key(job_id), encode(JobRecord(spec, QUEUE)))
+
+
+@asynccontextmanager
+async def taking_over(store, *, hold_s=6.0, answers_over=None):
+    """Run an owner that takes over what is in a store."""
+    address = await store.listen()
+    async with anyio.create_task_group() as tasks:
+        proxy = FaultProxy(address, answers_over=answers_over)
+        client = StoreClient(StoreSettings(await proxy.listen(tasks)), HttpClient(), lambda *_: None)
+        epoch = store.put(OWNER_KEY, encode(Member('i', 'n', 'h', 1)))
+        settings = OwnerSettings(epoch, Bounds(max_hold_s=hold_s), StoreTiming())
+        owner = PoolOwner(settings, client, WorkerClient(HttpClient()), list, Metrics())
+        tasks.start_soon(owner.run)
+        yield owner
+        tasks.cancel_scope.cancel()
+    store.server.close()
+
+
+async def until_ready(owner, within_s):
+    with anyio.fail_after(within_s):
+        while not owner.is_ready:
+            await anyio.sleep(0.02)
+
+
+def test_a_takeover_ends_though_the_store_refuses_a_third_of_the_calls():
+    async def scenario():
+        store = StoreStandIn()
+        put_jobs(store, MANY_JOBS)
+        store.faults.refused_share = 0.35
+        async with taking_over(store) as owner:
+            await until_ready(owner, within_s=20)
+            assert len(owner.scheduler.job_by_id) == MANY_JOBS
+
+    anyio.run(scenario)
+
+
+def test_every_job_is_known_after_a_takeover_however_many_there_are():
+    async def scenario():
+        store = StoreStandIn()
+        put_jobs(store, MANY_JOBS + 50)
+        # Cancellations come last.
+        store.put(cancel_key(f'{7:016x}'), b'')
+        async with taking_over(store) as owner:
+            await until_ready(owner, within_s=20)
+            assert len(owner.scheduler.job_by_id) == MANY_JOBS + 50
+            assert owner.scheduler.job_by_id[f'{7:016x}'].has_ended
+
+    anyio.run(scenario)
+
+
+def test_work_outlasts_a_takeover_that_reads_for_longer_than_the_leases():
+    async def scenario():
+        store = StoreStandIn()
+        put_jobs(store, 2_000, payload='30' + ' ' * 1_000)
+        worker = WorkerStandIn('w0', 'svc', 'r0', store)
+        key = TaskKey(f'{1:016x}', 0, 0, 0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(worker.run)
+            while not worker.address.port:
+                await anyio.sleep(0.01)
+            async with taking_over(store, hold_s=3.0, answers_over=SlowLink(SLOW_BYTES_PER_S)) as owner:
+                # What the owner before had started, and when it last renewed the lease.
+                lease_until_s = anyio.current_time() + 3.0
+                order = StartOrder(key, 1, '30', lease_until_s, fence=0)
+                await WorkerClient(HttpClient()).start(worker.address, 'w0', order, timeout_s=1.0)
+                await until_ready(owner, within_s=20)
+                assert not worker.ends
+                assert set(worker.running.values()) == {1}
+            tasks.cancel_scope.cancel()
+        worker.server.close()
+
+    anyio.run(scenario)
