Takeovers end, lose no job and keep leases, however much there is to read

Cause: a list was read anew from its first page whenever one page failed; what was read went through an inbox of 10,000 messages that nobody emptied meanwhile, and what was over was dropped, though no watch brings a listed job again (nor a cancellation, a refused start or the end of a worker); leases of workers were renewed only after everything had been read.

Ruled out: a larger inbox or time limit (moves the size at which it fails); reading jobs and workers at once (a slow link carries them one after the other anyway).

Change: pages are read one by one, each until it comes (takeover, members, lists after an outage). Workers are read and asked first; what they say waits in the inbox, which drops nothing, until the jobs are known.

--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -13,6 +13,7 @@
 from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
 from .records import Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
+from .watching import read_all
 
 # How often the owner is heard, in seconds. An instance that missed the news of a
 # configuration hears of it at most this much later.
@@ -124,16 +125,9 @@
             tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
 
     async def _load(self) -> None:
-        while True:
-            try:
-                page = await self._store.list(MEMBERS_PREFIX, timeout_s=self._timing.call_s)
-            except STORE_FAILURES as error:
-                log_event('members_unreachable', why=str(error))
-                await anyio.sleep(self._timing.retry_pause_s())
-                continue
-            for item in page.items:
-                self.add(decode(item.value, Member, 'member'))
-            return
+        page = await read_all(self._store, self._timing, MEMBERS_PREFIX)
+        for item in page.items:
+            self.add(decode(item.value, Member, 'member'))
 
     async def _beat(self, peer: _Peer, epoch: int) -> None:
         member = peer.member
--- a/packages/node/dahliaarch_node/owner/advising.py
+++ b/packages/node/dahliaarch_node/owner/advising.py
@@ -42,7 +42,7 @@
     def __init__(
         self,
         askers: Callable[[], Sequence[Ask]],
-        post: Callable[[OwnerMessage], bool],
+        post: Callable[[OwnerMessage], None],
         clock: Callable[[], float],
     ) -> None:
         """Start without questions."""
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -1,11 +1,12 @@
 """The owner of the pool: the one task that decides, and what it is fed by.
 
-Takeover: the records are read, every worker is asked what runs there, and only
-what cannot be running anywhere is started.
+Takeover: every worker is asked what runs there, the records are read meanwhile,
+and only what cannot be running anywhere is started.
 """
 
+import math
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from functools import singledispatchmethod
 
 import anyio
@@ -29,7 +30,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
-from .feeds import Feed, follow_jobs, post_job, WorkersFeed
+from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .links import LinkContext, LinkSettings
 from .messages import (
     AdviceFailed,
@@ -48,11 +49,8 @@
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
-from .takeover import read_inheritance
+from .takeover import KnownWorkers, read_jobs, read_workers
 
-# Messages that may wait for the task that decides; senders see no limit in
-# practice, since one pass takes them all.
-_INBOX = 10_000
 # Longest time between two passes, in seconds: leases end and jobs fall due.
 _PASS_EVERY_S = 0.25
 # Shortest time between two passes, in seconds: news that come together share one.
@@ -98,7 +96,7 @@
         self._settings = settings
         self._store = store
         self._metrics = metrics
-        self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](_INBOX)
+        self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](math.inf)
         self._tasks: TaskGroup | None = None
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
@@ -132,16 +130,13 @@
         """Its epoch."""
         return self._settings.epoch
 
-    def post(self, message: OwnerMessage) -> bool:
-        """Hand a message to the task that decides; false when it was lost."""
-        try:
-            self._send.send_nowait(message)
-        except anyio.WouldBlock:
-            # Every message is a fact that is found again by the next survey,
-            # watch or list, so that losing one delays and breaks nothing.
-            log_event('owner_inbox_full', message=type(message).__name__)
-            return False
-        return True
+    def post(self, message: OwnerMessage) -> None:
+        """Hand a message to the task that decides.
+
+        However many wait, none is dropped: a cancellation, a refused start or
+        the end of a worker is told once. One pass takes them all.
+        """
+        self._send.send_nowait(message)
 
     def depose(self) -> None:
         """Stop at once: another instance owns the pool."""
@@ -160,33 +155,43 @@
         with self._scope:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
-                jobs_revision, workers_revision = await self._load()
+                jobs_revision = await self._load(tasks)
                 await self._survey_all()
                 self.is_ready = True
                 log_event('owner_ready', epoch=self.epoch, jobs=len(self.scheduler.job_by_id))
                 tasks.start_soon(follow_jobs, self._feed, jobs_revision)
-                tasks.start_soon(self._workers_feed.run, workers_revision)
                 tasks.start_soon(self._recorder.run)
                 tasks.start_soon(self._adviser.run)
                 tasks.start_soon(self._recorder.clean, self._settings.bounds.status_s, time.time)
                 await self._decide_forever()
 
-    async def _load(self) -> tuple[int, int]:
-        """Take in the records; return the revisions to follow jobs and workers from."""
-        found = await read_inheritance(self._store, self._settings.timing)
-        self._progress_by_id = found.progress_by_id
-        self._recorder.revision_by_key = found.revision_by_key
+    async def _load(self, tasks: TaskGroup) -> int:
+        """Take in workers and jobs; return the revision to follow jobs from.
+
+        Workers come first: from then on their leases are renewed, while thousands
+        of jobs may take longer than these over a slow link. What workers say waits
+        in the inbox, for it means nothing before the jobs are known.
+        """
+        workers = await read_workers(self._store, self._settings.timing)
+        self._handle_all(self._workers_known(workers))
+        tasks.start_soon(self._workers_feed.run, workers.entries.revision)
+        kept = await read_jobs(self._store, self._settings.timing)
+        self._progress_by_id = kept.progress_by_id
+        self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
         # A silent worker may run jobs of earlier owners until its lease ends.
         self._silent_until_s = time.monotonic() + self._settings.bounds.max_hold_s * _SLOWEST_CLOCK
-        self._workers_feed.take_in(found.workers)
-        for entry in found.roster:
-            self.post(WorkerListed(entry.profile, entry.address))
-            self.post(WorkerUnlisted(entry.profile.worker_id))
-        for item in sorted(found.jobs.items, key=lambda each: len(each.key)):
-            post_job(item, self.post)
+        for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
+            self._handle_all(job_messages(item))
         self._drain_inbox()
         self._progress_by_id = {}
-        return found.jobs.revision, found.workers.revision
+        return kept.jobs.revision
+
+    def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
+        """Yield the workers that have an entry, and those that had one."""
+        yield from self._workers_feed.messages(workers.entries, is_whole=True)
+        for entry in workers.missing:
+            yield WorkerListed(entry.profile, entry.address)
+            yield WorkerUnlisted(entry.profile.worker_id)
 
     async def _survey_all(self) -> None:
         """Hear from every worker, or give up on those that are silent."""
@@ -235,6 +240,10 @@
             self._recorder.roster = roster
             self._recorder.needed.set()
 
+    def _handle_all(self, messages: Iterable[OwnerMessage]) -> None:
+        for message in messages:
+            self._handle(message)
+
     def _drain_inbox(self) -> None:
         while True:
             try:
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -1,6 +1,6 @@
 """Follows jobs, cancellations and workers in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 import anyio
@@ -16,7 +16,7 @@
 from ..watching import next_news
 from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted
 
-Post = Callable[[OwnerMessage], bool]
+Post = Callable[[OwnerMessage], None]
 
 # Pause between two watches of jobs, in seconds: news come from the instances
 # themselves first, and each watch costs a call.
@@ -59,25 +59,26 @@
 async def _watch_jobs(feed: Feed, revision: int) -> int:
     page = (await next_news(feed.store, feed.timing, JOBS_PREFIX, revision)).page
     for item in page.items:
-        post_job(item, feed.post)
+        for message in job_messages(item):
+            feed.post(message)
     if page.items:
         await anyio.sleep(_JOBS_WATCH_PAUSE_S)
     return max(revision, page.revision)
 
 
-def post_job(item: Item, post: Post) -> None:
-    """Post a job or a cancellation; removals are the owner's own."""
+def job_messages(item: Item) -> Iterator[OwnerMessage]:
+    """Yield a job or a cancellation; removals are the owner's own."""
     if item.removed:
         return
     if item.key.endswith(CANCEL_SUFFIX):
-        post(JobCancelled(job_id_of(item.key)))
+        yield JobCancelled(job_id_of(item.key))
         return
     try:
         record = decode(item.value, JobRecord, 'job record')
     except ProtocolError as error:
         log_event('job_record_malformed', key=item.key, why=str(error))
         return
-    post(JobListed(record.spec, record.queue, item.revision))
+    yield JobListed(record.spec, record.queue, item.revision)
 
 
 class WorkersFeed:
@@ -94,13 +95,17 @@
         self._feed = feed
         self._known: set[str] = set()
 
-    def take_in(self, page: Page) -> None:
-        """Post a whole list of entries, and what is missing from it."""
-        listed = {item.key for item in page.items}
-        for key in self._known - listed:
-            self._unlist(key)
+    def messages(self, page: Page, *, is_whole: bool) -> Iterator[OwnerMessage]:
+        """Yield what entries tell; a whole list of them also tells which are gone."""
+        if is_whole:
+            listed = {item.key for item in page.items}
+            for key in self._known - listed:
+                yield self._unlisted(key)
         for item in page.items:
-            self._post(item)
+            if item.removed:
+                yield self._unlisted(item.key)
+            else:
+                yield from self._listed(item)
 
     async def run(self, revision: int) -> None:
         """Post news from a revision on, until cancelled."""
@@ -113,20 +118,15 @@
 
     async def _watch(self, revision: int) -> int:
         news = await next_news(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
-        page = news.page
+        for message in self.messages(news.page, is_whole=news.is_whole):
+            self._feed.post(message)
         if news.is_whole:
-            self.take_in(page)
-            return page.revision
-        for item in page.items:
-            if item.removed:
-                self._unlist(item.key)
-            else:
-                self._post(item)
-        if page.items:
+            return news.page.revision
+        if news.page.items:
             await anyio.sleep(_WORKERS_WATCH_PAUSE_S)
-        return max(revision, page.revision)
+        return max(revision, news.page.revision)
 
-    def _post(self, item: Item) -> None:
+    def _listed(self, item: Item) -> Iterator[OwnerMessage]:
         worker_id = item.key.removeprefix(WORKERS_PREFIX)
         try:
             entry = decode_worker(worker_id, item.value)
@@ -134,8 +134,8 @@
             log_event('worker_entry_malformed', worker=worker_id, why=str(error))
             return
         self._known.add(item.key)
-        self._feed.post(WorkerListed(entry.profile, entry.address))
+        yield WorkerListed(entry.profile, entry.address)
 
-    def _unlist(self, key: str) -> None:
+    def _unlisted(self, key: str) -> WorkerUnlisted:
         self._known.discard(key)
-        self._feed.post(WorkerUnlisted(key.removeprefix(WORKERS_PREFIX)))
+        return WorkerUnlisted(key.removeprefix(WORKERS_PREFIX))
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -82,7 +82,7 @@
     metrics : Metrics
         Counters.
     post : callable
-        Hands a message to the task that decides; false when it was lost.
+        Hands a message to the task that decides.
     fenced : callable
         Called when a worker has seen a newer owner.
     clock : callable
@@ -93,7 +93,7 @@
     fence: int
     settings: LinkSettings
     metrics: Metrics
-    post: Callable[[OwnerMessage], bool]
+    post: Callable[[OwnerMessage], None]
     fenced: Callable[[], None]
     clock: Callable[[], float]
 
@@ -224,8 +224,8 @@
         last_end = max((listed.number for listed in survey.ended), default=0)
         self._is_idle = not survey.running
         self._resolve_stopped(survey, begun_s)
-        if self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s)):
-            self.listed = max(self.listed, last_end)
+        self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s))
+        self.listed = max(self.listed, last_end)
 
     def _resolve_stopped(self, survey: Survey, begun_s: float) -> None:
         listed = {(run.key, run.run) for run in survey.running}
--- a/packages/node/dahliaarch_node/watching.py
+++ b/packages/node/dahliaarch_node/watching.py
@@ -1,10 +1,10 @@
-"""Waits for news of a prefix, or reads it whole when its history is gone."""
+"""Reads a prefix, waits for news of it, and reads it again when its history is gone."""
 
 from typing import NamedTuple
 
 import anyio
 
-from dahliaarch_platform.store import Page, StoreAnswerTooLargeError, StoreClient
+from dahliaarch_platform.store import Item, Page, STORE_FAILURES, StoreAnswerTooLargeError, StoreClient
 
 from .logs import log_event
 from .timing import StoreTiming
@@ -44,4 +44,29 @@
             return News(page, is_whole=False)
         log_event('history_gone', prefix=prefix, revision=after)
     await anyio.sleep(timing.retry_pause_s())
-    return News(await store.list(prefix, timeout_s=timing.call_s), is_whole=True)
+    return News(await read_all(store, timing, prefix), is_whole=True)
+
+
+async def read_all(store: StoreClient, timing: StoreTiming, prefix: str) -> Page:
+    """Return all items of a prefix, however long the store needs.
+
+    The revision is that of the first page, so that a watch from there misses
+    nothing. A page that fails is read again, and not those before it: with a
+    third of the calls refused, twenty pages in a row come once in 5,000 tries.
+    """
+    page = await _read_page(store, timing, prefix, '')
+    revision = page.revision
+    found: list[Item] = list(page.items)
+    while not page.is_last:
+        page = await _read_page(store, timing, prefix, found[-1].key)
+        found.extend(page.items)
+    return Page(tuple(found), revision)
+
+
+async def _read_page(store: StoreClient, timing: StoreTiming, prefix: str, after: str) -> Page:
+    while True:
+        try:
+            return await store.read_page(prefix, after, timeout_s=timing.call_s)
+        except STORE_FAILURES as error:
+            log_event('page_unreachable', prefix=prefix, after=after, why=str(error))
+            await anyio.sleep(timing.retry_pause_s())
