--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -7,7 +7,14 @@
 from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
-from dahliaarch_platform.store import CommitResult, CommitStatus, Item, MAX_TRANSACTION_ENTRIES, StoreUnansweredError
+from dahliaarch_platform.store import (
+    CommitResult,
+    CommitStatus,
+    Item,
+    MAX_TRANSACTION_ENTRIES,
+    StoreRefusedError,
+    StoreUnansweredError,
+)
 
 from ...records import OWNER_KEY, progress_key
 from ...timing import StoreTiming
@@ -55,7 +62,7 @@
     scheduler.run_ended(RunEnd('w', TaskKey(JOB, 0, 0, index), index + 1, EndKind.DONE), Moment(1.0, 1.0))
 
 
-def recorder_of(store, scheduler, deposed):
+def recorder_of(store, scheduler, deposed, kept=lambda mark: None):
     timing = StoreTiming(retry_s=0.01)
     return Recorder(
         store,
@@ -63,7 +70,7 @@
         scheduler,
         EPOCH,
         mark=dict,
-        kept=lambda mark: None,
+        kept=kept,
         deposed=lambda: deposed.append(True),
     )
 
@@ -121,3 +128,33 @@
     anyio.run(recorder_of(store, scheduler, []).remove_ended, 100.0)
     assert not scheduler.job_by_id
     assert store.most_entries <= MAX_TRANSACTION_ENTRIES
+
+
+class RefusingStore(LateStore):
+    """A store that refuses every fifth transaction."""
+
+    async def commit(self, conditions, writes, removals=(), *, timeout_s):
+        self.commits += 1
+        if not self.commits % 5:
+            raise StoreRefusedError('full')
+        return self.apply(conditions, writes)
+
+
+def test_what_is_kept_is_not_written_again_when_a_later_write_fails():
+    """After an outage the ends of hundreds of jobs were written and none was ever acknowledged.
+
+    They need many transactions. When one failed, all jobs were written again, from the first: with one of five
+    transactions refused, twenty in a row never came, and ends are acknowledged only once everything is kept.
+    """
+    store, kept = RefusingStore(), []
+    scheduler = Scheduler(SchedulerSettings(), EPOCH)
+    for number in range(300):
+        job_id = f'{number:016x}'
+        spec = JobSpec(job_id, '', 'q', '', (StepSpec(1, Resources(1, 1, 1)),))
+        scheduler.add_job(spec, Queue('q', 'h', '/', 'svc'), Moment(0.0, 0.0))
+        scheduler.run_ended(RunEnd('w', TaskKey(job_id, 0, 0, 0), 1, EndKind.DONE), Moment(1.0, 1.0))
+    recorder = recorder_of(store, scheduler, [], kept.append)
+    anyio.run(keep, recorder, lambda: kept)
+    assert all(job.is_end_kept for job in scheduler.job_by_id.values())
+    # Twenty transactions, and those refused among them.
+    assert store.commits <= 25
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -0,0 +1,114 @@
+"""An owner on a slow link keeps what has grown: a job of many tasks, and the list of its workers.
+
+What happens: nothing is kept any more, so that no end is acknowledged or shown, and the link to the store is full.
+
+The sequence: the wait for the answer to a write began with its first byte. A link of 5 Mbit/s carries the progress of
+20,000 tasks (533 KB as it is sent) in 0.9 s, and 0.6 s were waited; one of 1 Mbit/s carries the list of 1,400 workers
+(196 KB) in 1.6 s. So the write was given up before all of it was sent, and sent again from its first byte, for ever.
+
+The cause: a wait that knows nothing of the size of what is sent.
+"""
+
+import anyio
+
+from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import EndKind, Moment, Scheduler, SchedulerSettings, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_node.owner.recorder import Recorder
+from dahliaarch_node.owner.takeover import read_workers
+from dahliaarch_node.records import Member, OWNER_KEY, RosterEntry
+from dahliaarch_node.timing import StoreTiming
+from dahliaarch_platform.http import HttpClient
+from dahliaarch_platform.settings import Address, StoreSettings
+from dahliaarch_platform.store import StoreClient
+from dahliaarch_standins.platform import StoreStandIn
+from dahliaarch_standins.proxy import FaultProxy, SlowLink
+
+TIMING = StoreTiming()
+JOB = 'a' * 16
+TASKS = 20_000
+WORKERS = 1_400
+# Until what is kept is acknowledged, in seconds.
+KEPT_S = 10.0
+
+
+def worker(number, *, draining=False):
+    capacity = Resources(128_000, 262_144, 8)
+    labels = ('large-accelerated', f'northern-hall-r{number // 12}')
+    profile = WorkerProfile(f'{number:016x}', 'pricing', 'northern-hall', capacity, labels, draining)
+    return RosterEntry(profile, Address('10.0.0.1', 8_000))
+
+
+class Writer:
+    """A recorder, and the link that its writes go over."""
+
+    def __init__(self, bytes_per_s):
+        self.link = SlowLink(bytes_per_s)
+        self.scheduler = None
+        self.rounds = 0
+        self._store = StoreStandIn()
+
+    async def start(self, tasks):
+        address = await self._store.listen()
+        self._epoch = self._store.put(OWNER_KEY, encode(Member('i', 'n', 'h', 1)))
+        proxy = FaultProxy(address, requests_over=self.link)
+        self.client = StoreClient(StoreSettings(await proxy.listen(tasks)), HttpClient(), lambda *_: None)
+
+        self.scheduler = Scheduler(SchedulerSettings(), self._epoch)
+        self.recorder = Recorder(
+            self.client,
+            TIMING,
+            self.scheduler,
+            self._epoch,
+            mark=dict,
+            kept=self._note,
+            deposed=lambda: None,
+        )
+        tasks.start_soon(self.recorder.run)
+
+    async def keep(self):
+        before = self.rounds
+        self.recorder.needed.set()
+        with anyio.fail_after(KEPT_S):
+            while self.rounds == before:
+                await anyio.sleep(0.02)
+
+    async def kept_workers(self):
+        return (await read_workers(self.client, TIMING)).missing
+
+    def _note(self, mark):
+        self.rounds += 1
+
+
+def play(bytes_per_s, scenario):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            writer = Writer(bytes_per_s)
+            await writer.start(tasks)
+            await scenario(writer, tasks)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_the_progress_of_a_job_of_many_tasks_is_kept_over_a_link_of_5_mbit_s():
+    async def scenario(writer, tasks):
+        spec = JobSpec(JOB, '', 'q', '', (StepSpec(TASKS, Resources(1, 1, 1)),))
+        writer.scheduler.add_job(spec, Queue('q', 'h', '/', 'svc'), Moment(0.0, 0.0))
+        for index in range(TASKS):
+            stopped = RunEnd('w', TaskKey(JOB, 0, 0, index), index + 1, EndKind.STOPPED, f'{index:016x}')
+            writer.scheduler.run_ended(stopped, Moment(1.0, 1.0))
+        await writer.keep()
+
+    play(600_000, scenario)
+
+
+def test_the_list_of_1400_workers_is_kept_over_a_link_of_1_mbit_s():
+    async def scenario(writer, tasks):
+        writer.recorder.roster = [worker(number) for number in range(WORKERS)]
+        await writer.keep()
+        assert len(await writer.kept_workers()) == WORKERS
+
+    play(125_000, scenario)
