--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -17,7 +17,7 @@
 )
 
 from ..logs import log_event
-from ..records import cancel_key, job_key, OWNER_KEY, progress_key, ROSTER_KEY, RosterEntry
+from ..records import cancel_key, job_id_of, job_key, OWNER_KEY, progress_key, PROGRESS_PREFIX, ROSTER_KEY, RosterEntry
 from ..timing import StoreTiming
 
 # Ends that come within this time share a transaction, in seconds. Ends are
@@ -108,14 +108,16 @@
     async def _keep_once(self) -> None:
         mark = self._mark()
         job_ids = self._scheduler.take_dirty_jobs()
-        writes = [self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id]
         roster = self.roster
-        if roster != self._kept_roster:
-            writes.append(Write(ROSTER_KEY, encode(roster)))
+        writes = [] if roster == self._kept_roster else [Write(ROSTER_KEY, encode(roster))]
+        writes.extend(self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id)
         try:
             for first in range(0, len(writes), _MOST_WRITES):
-                if not await self._commit(writes[first : first + _MOST_WRITES]):
+                batch = writes[first : first + _MOST_WRITES]
+                if not await self._commit(batch):
                     return
+                # What is kept is not written again when a later transaction fails.
+                job_ids.difference_update(self._note_kept(batch, roster))
         except ProgressMovedError as error:
             log_event('progress_moved', why=str(error), jobs=len(job_ids))
             self._scheduler.mark_dirty(job_ids)
@@ -127,15 +129,17 @@
             await anyio.sleep(self._timing.retry_pause_s())
             self.needed.set()
             return
-        self._kept_roster = roster
-        for job_id in job_ids:
-            self._show(job_id)
         self._kept(mark)
 
-    def _show(self, job_id: str) -> None:
-        """Let a job's end be shown, now that it is kept."""
-        if self._scheduler.mark_kept(job_id):
-            log_event('job_ended', job=job_id, phase=self._scheduler.job_by_id[job_id].phase)
+    def _note_kept(self, batch: list[Write], roster: list[RosterEntry]) -> list[str]:
+        """Note what is kept now; return its jobs, whose ends may be shown."""
+        if any(write.key == ROSTER_KEY for write in batch):
+            self._kept_roster = roster
+        job_ids = [job_id_of(write.key) for write in batch if write.key.startswith(PROGRESS_PREFIX)]
+        for job_id in job_ids:
+            if self._scheduler.mark_kept(job_id):
+                log_event('job_ended', job=job_id, phase=self._scheduler.job_by_id[job_id].phase)
+        return job_ids
 
     async def _commit(self, writes: list[Write]) -> bool:
         conditions = [Condition(write.key, self.revision_by_key.get(write.key, 0)) for write in writes]
