Tests: tasks that workers start late, and tasks of an owner that is gone, are found and stopped

Cause: what runs on after its job was cancelled was tested only for a job whose start was answered and whose owner lived.

Ruled out, each by a test that passes on the code as it is: a start carried out after the cancellation, or after its stop was acknowledged; a start of an owner that is gone, whether its successor knows the job or not (record removed), whether it hears of the worker at its takeover or long after, whether the worker's entry has lapsed; a late start that was adopted before the cancellation.

--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -0,0 +1,192 @@
+"""Workers that carry starts out late, under owners that come and go.
+
+They keep what the platform says of them: no run that is not above one stopped
+or ended there, nothing for an older owner. Orders of a dead owner that have
+arrived may still be carried out after its successor's, the hardest reading.
+"""
+
+from typing import NamedTuple
+
+from dahliaarch_kernel.scheduler import EndKind, Moment, Scheduler, SchedulerSettings, StartRun, StopRun, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import JobSpec, TaskKey
+
+from .pool import START_S, WALL_S, WORKER
+
+# Longer than any lease that an earlier owner can have given, in seconds.
+LONGEST_LEASE_S = 10.3
+
+
+class Order(NamedTuple):
+    """An order about one run."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+
+
+class LateWorker:
+    """One life of a worker: what runs, and what it has seen of each task."""
+
+    def __init__(self, worker_id):
+        self.worker_id = worker_id
+        self.run_by_key = {}
+        self.highest_by_key = {}
+        self.ends = []
+        self.is_silent = False
+
+    def start(self, order):
+        """Carry a start out, at once or late."""
+        if order.run <= self.highest_by_key.get(order.key, 0):
+            return
+        self.highest_by_key[order.key] = order.run
+        self.run_by_key[order.key] = order.run
+
+    def stop(self, order):
+        """Stop a run, or refuse it for good if it is not there yet."""
+        self.highest_by_key[order.key] = max(order.run, self.highest_by_key.get(order.key, 0))
+        if self.run_by_key.get(order.key) == order.run:
+            self.end(order.key, EndKind.STOPPED)
+
+    def end(self, key, kind):
+        run = self.run_by_key.pop(key)
+        self.ends.append(RunEnd(self.worker_id, key, run, kind))
+
+
+class Succession:
+    """Owners in turn over the same workers; the store keeps jobs and cancellations."""
+
+    def __init__(self, workers):
+        self.now_s = START_S
+        self.epoch = 7
+        self.worker_by_id = {f'w{number}': LateWorker(f'w{number}') for number in range(workers)}
+        self.job_by_id = {}
+        self.cancelled = set()
+        # Starts that got no answer and are not carried out yet.
+        self.late = []
+        # Stops that the present owner has ordered and that are not acknowledged.
+        self.stops = []
+        self.scheduler = None
+        self.take_over(unheard=(), unlisted=())
+
+    @property
+    def now(self):
+        return Moment(self.now_s, WALL_S + self.now_s - START_S)
+
+    def take_over(self, unheard, unlisted):
+        """Let another owner read the store and ask the workers that it finds."""
+        self.epoch += 3
+        self.stops = []
+        self.scheduler = Scheduler(SchedulerSettings(), self.epoch)
+        for worker_id in self.worker_by_id:
+            if worker_id not in unlisted:
+                self.list_worker(worker_id)
+        for spec, queue in self.job_by_id.values():
+            self.scheduler.add_job(spec, queue, self.now, not_before_s=self.now_s + LONGEST_LEASE_S if unheard else 0.0)
+        for job_id in self.cancelled & self.job_by_id.keys():
+            self.scheduler.cancel(job_id, self.now)
+        for worker_id in set(self.worker_by_id) - set(unlisted) - set(unheard):
+            self.survey(worker_id)
+        for worker_id in set(unheard) - set(unlisted):
+            self.silence(worker_id)
+
+    def list_worker(self, worker_id):
+        profile = WorkerProfile(worker_id, 'svc', 'z', WORKER, ('a', 'r0'))
+        self.scheduler.update_worker(profile, self.now)
+
+    def silence(self, worker_id):
+        self.worker_by_id[worker_id].is_silent = True
+        known = self.scheduler.worker_by_id.get(worker_id)
+        if known is not None:
+            known.lease.assume(self.now_s + LONGEST_LEASE_S)
+            self.scheduler.worker_silent(worker_id)
+
+    def submit(self, job_id, steps, queue):
+        spec = JobSpec(job_id, 'acc', queue.name, 'payload', tuple(steps), accepted_s=self.now.wall_s)
+        self.job_by_id[job_id] = (spec, queue)
+        self.scheduler.add_job(spec, queue, self.now)
+
+    def cancel(self, job_id):
+        self.cancelled.add(job_id)
+        self.scheduler.cancel(job_id, self.now)
+
+    def remove(self, job_id):
+        """Remove a cancelled job's record, as is done long after its end."""
+        del self.job_by_id[job_id]
+        self.scheduler.forget_job(job_id)
+
+    def decide(self, seconds, is_answered, is_late):
+        """Let time pass, decide and give the orders."""
+        self.now_s += seconds
+        for effect in self.scheduler.decide(self.now):
+            order = Order(effect.worker_id, effect.key, effect.run)
+            if isinstance(effect, StopRun):
+                self.stops.append(order)
+                continue
+            assert isinstance(effect, StartRun)
+            self._start(order, is_answered, is_late)
+
+    def _start(self, order, is_answered, is_late):
+        if is_late:
+            self.late.append(order)
+        else:
+            self.worker_by_id[order.worker_id].start(order)
+        if is_answered and not is_late:
+            self.scheduler.run_started(*order, self.now)
+        else:
+            # The owner takes back what stays in doubt.
+            self.stops.append(order)
+
+    def carry_out_late(self, order):
+        self.late.remove(order)
+        self.worker_by_id[order.worker_id].start(order)
+
+    def deliver_stop(self, order, is_answered):
+        """Carry a stop out; one without an answer is ordered again."""
+        worker = self.worker_by_id[order.worker_id]
+        if worker.is_silent:
+            return
+        worker.stop(order)
+        if not is_answered:
+            return
+        self.stops.remove(order)
+        self.survey(order.worker_id)
+        if order.key not in worker.run_by_key:
+            self.scheduler.run_ended(RunEnd(*order, EndKind.STOPPED), self.now)
+
+    def survey(self, worker_id):
+        """Hear a worker's ends and what it runs."""
+        worker = self.worker_by_id[worker_id]
+        worker.is_silent = False
+        ends, worker.ends = worker.ends, []
+        for end in ends:
+            self.scheduler.run_ended(end, self.now)
+        rows = tuple(RunSeen(key, run, '', 50.0) for key, run in worker.run_by_key.items())
+        self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now)
+
+    def end(self, order, kind):
+        """End a run at its worker, and with it the rest of its gang."""
+        self.worker_by_id[order.worker_id].end(order.key, kind)
+        spec, _ = self.job_by_id.get(order.key.job_id, (None, None))
+        if spec is None or not spec.steps[order.key.step].gang:
+            return
+        others = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
+        for each in self.running():
+            if each.run == order.run and each.key[:3] == order.key[:3]:
+                self.worker_by_id[each.worker_id].end(each.key, others)
+
+    def running(self):
+        """Return what runs on any worker."""
+        return [
+            Order(worker.worker_id, key, run)
+            for worker in self.worker_by_id.values()
+            for key, run in worker.run_by_key.items()
+        ]
+
+    def unwanted(self):
+        """Return the runs of jobs that are cancelled, have ended or are not known."""
+        return [order for order in self.running() if self._is_unwanted(order.key.job_id)]
+
+    def _is_unwanted(self, job_id):
+        job = self.scheduler.job_by_id.get(job_id)
+        return job is None or job.has_ended
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_late_starts.py
@@ -0,0 +1,158 @@
+"""However a task of a cancelled job comes to run, the next survey finds it and it is stopped."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule, RuleBasedStateMachine
+
+from dahliaarch_kernel.scheduler import EndKind
+
+from .late_workers import Succession
+from .pool import ORDINARY, task, URGENT
+
+A = 'a' * 16
+WORKERS = 4
+WORKER_IDS = st.sampled_from([f'w{number}' for number in range(WORKERS)])
+STEPS = st.builds(task, count=st.integers(1, 6), accelerators=st.sampled_from((1, 4, 8)), gang=st.booleans())
+ENDS = st.sampled_from((EndKind.DONE, EndKind.FAILED, EndKind.LAPSED))
+
+
+def begin_late(succession):
+    """Order a job's only start; nobody answers it and it is not carried out yet."""
+    succession.submit(A, [task()], ORDINARY)
+    succession.decide(0.0, is_answered=False, is_late=True)
+    return succession.late[0]
+
+
+def find_and_stop(succession):
+    """Make one survey of each worker and carry out once what is decided on it."""
+    for worker_id in succession.worker_by_id:
+        succession.list_worker(worker_id)
+        succession.survey(worker_id)
+    succession.decide(0.0, is_answered=True, is_late=False)
+    for order in tuple(succession.stops):
+        succession.deliver_stop(order, is_answered=True)
+
+
+def test_a_start_that_is_carried_out_after_its_job_was_cancelled_is_stopped():
+    succession = Succession(WORKERS)
+    order = begin_late(succession)
+    succession.cancel(A)
+    succession.carry_out_late(order)
+    find_and_stop(succession)
+    assert not succession.unwanted()
+
+
+def test_a_start_that_is_carried_out_after_its_stop_was_acknowledged_is_refused():
+    succession = Succession(WORKERS)
+    order = begin_late(succession)
+    succession.cancel(A)
+    succession.decide(0.1, is_answered=True, is_late=False)
+    succession.deliver_stop(order, is_answered=True)
+    succession.carry_out_late(order)
+    assert not succession.unwanted()
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+@pytest.mark.parametrize('is_heard', [False, True])
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_a_start_of_an_owner_that_is_gone_is_stopped_by_the_next(is_removed, is_heard, is_listed):
+    """Also if the next knows no such job, or hears of the worker only later."""
+    succession = Succession(WORKERS)
+    order = begin_late(succession)
+    succession.cancel(A)
+    if is_removed:
+        succession.remove(A)
+    worker = order.worker_id
+    succession.take_over(unheard=() if is_heard else (worker,), unlisted=() if is_listed else (worker,))
+    succession.carry_out_late(order)
+    assert succession.unwanted()
+    find_and_stop(succession)
+    assert not succession.unwanted()
+
+
+def test_a_late_start_that_was_adopted_is_stopped_once_its_job_is_cancelled():
+    succession = Succession(WORKERS)
+    order = begin_late(succession)
+    succession.take_over(unheard=(), unlisted=())
+    succession.carry_out_late(order)
+    succession.survey(order.worker_id)
+    succession.cancel(A)
+    find_and_stop(succession)
+    assert not succession.unwanted()
+
+
+class LateStarts(RuleBasedStateMachine):
+    """Random jobs, cancellations, late orders, silences and owners."""
+
+    def __init__(self):
+        super().__init__()
+        self.succession = Succession(WORKERS)
+        self.jobs = 0
+
+    @rule(
+        queue=st.sampled_from((URGENT, ORDINARY)),
+        steps=st.lists(STEPS, min_size=1, max_size=2),
+        is_answered=st.booleans(),
+        is_late=st.booleans(),
+    )
+    def submit(self, queue, steps, is_answered, is_late):
+        self.jobs += 1
+        self.succession.submit(f'{self.jobs:016x}', steps, queue)
+        self.succession.decide(0.0, is_answered, is_late)
+
+    @rule(seconds=st.floats(0.0, 12.0), is_answered=st.booleans(), is_late=st.booleans())
+    def wait(self, seconds, is_answered, is_late):
+        self.succession.decide(seconds, is_answered, is_late)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def carry_out_late(self, choice):
+        if self.succession.late:
+            self.succession.carry_out_late(choice.choice(self.succession.late))
+
+    @rule(choice=st.randoms(use_true_random=False), is_answered=st.booleans())
+    def deliver_stop(self, choice, is_answered):
+        if self.succession.stops:
+            self.succession.deliver_stop(choice.choice(self.succession.stops), is_answered)
+
+    @rule(choice=st.randoms(use_true_random=False), kind=ENDS)
+    def end(self, choice, kind):
+        if self.succession.running():
+            self.succession.end(choice.choice(sorted(self.succession.running())), kind)
+
+    @rule(worker_id=WORKER_IDS)
+    def survey(self, worker_id):
+        self.succession.survey(worker_id)
+
+    @rule(worker_id=WORKER_IDS)
+    def silence(self, worker_id):
+        self.succession.silence(worker_id)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def cancel(self, choice):
+        if self.succession.job_by_id:
+            self.succession.cancel(choice.choice(sorted(self.succession.job_by_id)))
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def remove(self, choice):
+        removable = self.succession.cancelled & self.succession.job_by_id.keys()
+        if removable:
+            self.succession.remove(choice.choice(sorted(removable)))
+
+    @rule(unheard=st.sets(WORKER_IDS), unlisted=st.sets(WORKER_IDS))
+    def take_over(self, unheard, unlisted):
+        self.succession.take_over(unheard, unlisted)
+
+    @rule()
+    def nothing_unwanted_outlasts_a_survey(self):
+        for order in tuple(self.succession.late):
+            self.succession.carry_out_late(order)
+        find_and_stop(self.succession)
+        assert not self.succession.unwanted()
+
+    def teardown(self):
+        self.nothing_unwanted_outlasts_a_survey()
+
+
+LateStarts.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestLateStarts = LateStarts.TestCase
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -124,6 +124,8 @@
         # Decides on the workers of one queue, where a test asks for it.
         self.policy: PolicyStandIn | None = None
         self._policy_address: Address | None = None
+        # Longest lease that workers grant.
+        self.max_hold_s = 3.0
         # Where an instance finds the store: a proxy, where one stands before it.
         self.store_address_by_name: dict[str, Address] = {}
 
@@ -278,7 +280,7 @@
             'Limits.MaxFds': '2048',
             'HeartbeatMs': '500',
             'Bootstrap': 'true',
-            'Bounds.MaxHoldMs': '3000',
+            'Bounds.MaxHoldMs': f'{self.max_hold_s * 1000:.0f}',
             'Bounds.GraceS': '6',
             'platform.Addr': f'{store.host}:{store.port}',
         }
--- a/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
@@ -25,3 +25,13 @@
             worker.policy = deployment.policy
         with portal.wrap_async_context_manager(Running(deployment, portal)) as started:
             yield started
+
+
+@pytest.fixture
+def long_leased(tmp_path):
+    """The same as the first, with leases that outlast a takeover by far."""
+    with start_blocking_portal() as portal:
+        deployment = portal.call(Deployment, tmp_path)
+        deployment.max_hold_s = 10.0
+        with portal.wrap_async_context_manager(Running(deployment, portal)) as started:
+            yield started
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -86,6 +86,44 @@
     Then it is shown as cancelled
     And nothing of it runs
 
+  Scenario: Tasks are started late, after their job was cancelled
+    Given a deployment whose leases outlast a takeover
+    When orders to workers are left unanswered and carried out late
+    And a long job is accepted and its tasks are ordered
+    And it is cancelled
+    And its tasks begin
+    And orders to workers are answered again
+    Then nothing of it runs
+    And all that ran of it was stopped
+
+  Scenario: Tasks are started late by an owner that is gone
+    Given a deployment whose leases outlast a takeover
+    When orders to workers are left unanswered and carried out late
+    And a long job is accepted and its tasks are ordered
+    And the owner is killed
+    And it is cancelled
+    And orders to workers are answered again
+    And its tasks begin
+    Then nothing of it runs
+    And all that ran of it was stopped
+
+  Scenario: The owner of tasks that run is gone and their job's record was removed
+    Given a deployment whose leases outlast a takeover
+    When a long job is accepted
+    And the owner is killed
+    And its record is removed from the store
+    Then nothing of it runs
+    And all that ran of it was stopped
+
+  Scenario: The next owner hears of a cancelled job's workers only long after its takeover
+    Given a deployment whose leases outlast a takeover
+    When a long job is accepted
+    And the owner is killed
+    And it is cancelled
+    And the workers' entries lapse and the workers are silent for five seconds
+    Then nothing of it runs
+    And all that ran of it was stopped
+
   Scenario: A worker vanishes with what it runs
     Given a deployment of three instances
     When a job of three tasks is accepted
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -5,6 +5,8 @@
 import anyio
 from pytest_bdd import given, scenarios, then, when
 
+from dahliaarch_node.records import cancel_key, job_key, progress_key
+
 from ..core import KEY
 from .running import GANG, PARALLEL
 
@@ -24,6 +26,11 @@
     return advised
 
 
+@given('a deployment whose leases outlast a takeover', target_fixture='running')
+def _(long_leased):
+    return long_leased
+
+
 @then('it ran on those workers with valid tickets only')
 def _(running):
     assert {start.worker for start in running.starts()} <= {'w0', 'w1'}
@@ -164,9 +171,68 @@
         worker.faults.late_s = 1.5
 
 
+@when('orders to workers are left unanswered and carried out late')
+def _(running):
+    for worker in running.workers:
+        worker.faults.lost_share = 1.0
+        # Within the lease that a start carries, after which workers refuse it.
+        worker.faults.late_s = 1.8
+
+
+@when('a long job is accepted and its tasks are ordered')
+def _(running):
+    running.submit(PARALLEL, '20')
+    running.sleep(0.3)
+    assert not running.starts()
+
+
+@when('orders to workers are answered again')
+def _(running):
+    for worker in running.workers:
+        worker.faults.lost_share = 0.0
+
+
+@when('its tasks begin')
+def _(running):
+    running.wait_until(lambda: len(running.starts()) == 3)
+
+
+@when('the owner is killed')
+def _(running):
+    running.deployment.kill(running.owner())
+
+
+@when('its record is removed from the store')
+def _(running):
+    running.portal.call(_remove, running, running.job_ids[-1])
+
+
+async def _remove(running, job_id):
+    for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
+        running.store.remove(key)
+
+
+@when("the workers' entries lapse and the workers are silent for five seconds")
+def _(running):
+    for worker in running.workers:
+        worker.faults.is_silent = True
+    running.portal.call(_lapse, running)
+    running.sleep(5.0)
+    assert all(worker.running for worker in running.workers if worker.starts)
+    for worker in running.workers:
+        worker.faults.is_silent = False
+    running.portal.call(_return, running)
+
+
+@then('all that ran of it was stopped')
+def _(running):
+    assert len(running.starts()) == 3
+    assert {end.how for end in running.ends()} == {'stopped'}
+
+
 @when('it is cancelled')
 def _(running):
-    assert running.call('DELETE', '/ordinary/' + running.job_ids[-1]).status == 200
+    running.cancel(running.job_ids[-1])
 
 
 @then('it is shown as cancelled')
