--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -40,7 +40,7 @@
         self.items = items
         self.later = later
 
-    async def list(self, prefix, *, timeout_s):
+    async def read_page(self, prefix, after='', *, timeout_s):
         return Page(tuple(item for item in self.items if item.key.startswith(prefix)), EPOCH)
 
     async def watch(self, prefix, after, *, wait_s, timeout_s, **options):
