--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -0,0 +1,102 @@
+"""What an owner sends to a worker again and again stays small, whatever waits.
+
+What happens: hundreds of stops to workers that do not answer, or hundreds of ends that the store can't keep, fill a
+slow link for good, so that no worker is heard any more and all work is given up.
+
+The sequence: a link of 5 Mbit/s was full of starts for a moment; those that went unanswered were taken back, each by a
+stop that was sent again each 0.85 s whether the worker answered anything or not. 1,400 of them are 400 KB/s, which kept
+the link full, so that none was answered. Likewise, each survey lists all ends that are not acknowledged, and they were
+asked for each 0.4 s: thirty ends on each of 176 workers, after a minute without the store, are 710 KB/s.
+
+The cause: repeats at a fixed pace of something that grows.
+"""
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.scheduler import EndKind, Lease, StopRun
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import TaskKey
+from dahliaarch_node.metrics import Metrics
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.workers import ListedEnd, Survey, WorkerUnansweredError
+
+from ..links import LinkContext, LinkSettings, WorkerLink
+
+PLAYED_S = 4.0
+ENDS = 60
+STOPS = 100
+
+
+class Worker:
+    """A worker that lists ends, or answers nothing."""
+
+    def __init__(self):
+        self.answers = True
+        self.surveys = 0
+        self.stops = 0
+        self.lease_s = []
+
+    async def survey(self, *_, lease_until_s, **options):
+        self.surveys += 1
+        if not self.answers:
+            raise WorkerUnansweredError('silent')
+        now_s = anyio.current_time()
+        if lease_until_s is not None:
+            self.lease_s.append(lease_until_s - now_s)
+        ended = (RunEnd('w', TaskKey('a' * 16, 0, 0, index), index + 1, EndKind.DONE) for index in range(ENDS))
+        return Survey(now_s, (), tuple(ListedEnd(number + 1, end) for number, end in enumerate(ended)))
+
+    async def stop(self, *_, **options):
+        self.stops += 1
+        raise WorkerUnansweredError('silent')
+
+
+def link_to(worker):
+    settings = LinkSettings(hold_s=6.0)
+    context = LinkContext(worker, 1, settings, Metrics(), lambda message: None, lambda: None, anyio.current_time)
+    return WorkerLink('w', Address('h', 1), Lease(), context)
+
+
+def play(worker, scenario):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            link = link_to(worker)
+            tasks.start_soon(link.run)
+            await anyio.sleep(0.05)
+            await scenario(link)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_stops_are_not_repeated_while_their_worker_answers_nothing():
+    worker = Worker()
+
+    async def scenario(link):
+        worker.answers = False
+        for index in range(STOPS):
+            link.stop(StopRun('w', TaskKey('a' * 16, 0, 0, index), 1, 'needless'))
+        await anyio.sleep(PLAYED_S)
+        assert worker.stops <= 3 * STOPS
+        # They are once it is heard again.
+        before, worker.answers = worker.stops, True
+        await anyio.sleep(2.0)
+        assert worker.stops >= before + STOPS
+
+    play(worker, scenario)
+
+
+@pytest.mark.parametrize(('is_draining', 'longest_s'), [(False, 6.0), (True, 2.0)])
+def test_ends_that_can_not_be_kept_are_seldom_listed_again(is_draining, longest_s):
+    worker = Worker()
+
+    async def scenario(link):
+        link.is_draining = is_draining
+        begun_s, before = anyio.current_time(), worker.surveys
+        await anyio.sleep(PLAYED_S)
+        # The lease is renewed three times in its life all the same.
+        assert (worker.surveys - before) * longest_s >= 2 * (anyio.current_time() - begun_s)
+        assert worker.surveys - before <= 4 * PLAYED_S / longest_s
+
+    play(worker, scenario)
