The soak grows configurations, slows links, and checks while it runs which version is served

Ruled out: a proxy on the address that an instance advertises, since it binds the same one (no wildcard, interface name or second socket makes the two differ). So the soak's daemons are started by `dahliaarch_standins.daemon`, which leaves the daemon's code alone and gives its sockets another class: each instance has a loopback host of its own, and what it sends to a peer goes to the proxy's host beside the peer's.

Change: faults `grow_configuration`, `slow_link`, `cut_instance_from_peers`; a plan always changes the configuration three times more, also when all is calm again; some systems have instances with links of 5 Mbit/s from beginning to end. Each version has a route of its own. Every 0.3 s each instance is asked with that route, that of the version before, keys and other routes; an answer must be what a version allows that was due (undisturbed for 3 s, acknowledged 2 s ago, 3 s with slow links) and not older than what this life of the process has shown. What counts as a disturbance stands in `contact.py`. Waits for a ready instance end.

A connection that a proxy silences is deaf now: it went on to acknowledge, so that keep-alive probes never showed it. A link keeps its rate when the event loop is late.

--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -12,7 +12,7 @@
 from dahliaarch_standins.bench import run_bench
 from dahliaarch_standins.comparison import compare as compare_schedulers
 from dahliaarch_standins.demo import run_demo
-from dahliaarch_standins.soak import control_arm, PROTECTIONS, run_soak, SoakSettings
+from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
@@ -99,13 +99,15 @@
 def soak(
     first: int = 1,
     seeds: int = 8,
+    instances: int = 3,
+    workers: int = 5,
     without: Annotated[str, typer.Option(help=f'Control arm, one of: {", ".join(PROTECTIONS)}.')] = '',
     logs: Annotated[Path | None, typer.Option(help='Folder for the logs of the daemons.')] = None,
 ) -> None:
     """Run real daemons under random faults and check what callers and workers were promised."""
     broken = 0
     for seed in range(first, first + seeds):
-        settings = control_arm(seed, without) if without else SoakSettings(seed)
+        settings = control_arm(seed, without) if without else draw_settings(seed, instances, workers)
         found = run_soak(settings, logs / str(seed) if logs else None)
         typer.echo(json.dumps(found._asdict()))
         broken += bool(found.violations)
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -6,7 +6,7 @@
 import socket
 import subprocess  # noqa: S404 - the daemons are real processes
 import sys
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -52,12 +52,13 @@
         body: dict[str, Any] | None = None,
         *,
         key: str = KEY,
+        host: str = HOST,
         timeout_s: float = 3.0,
     ) -> Reply | None:
         """Make one call; nothing when there was no answer."""
         self._next += 1
         address = self._addresses[self._next % len(self._addresses)]
-        headers = {'Authorization': f'Token {key}'}
+        headers = {'Host': host, 'Authorization': f'Token {key}'}
         try:
             return await self._http.call(
                 address,
@@ -128,12 +129,20 @@
         self.max_hold_s = 3.0
         # Where an instance finds the store: a proxy, where one stands before it.
         self.store_address_by_name: dict[str, Address] = {}
+        # Hosts at which instances take their peers' messages; the loopback address by default.
+        self.host_by_name: dict[str, str] = {}
+        # What runs as a daemon.
+        self.program = 'dahliaarch_node.main'
 
     @property
     def names(self) -> list[str]:
         """Names of the instances."""
         return sorted(self._ports_by_name)
 
+    def peer_address(self, name: str) -> Address:
+        """Return where an instance takes its peers' messages."""
+        return Address(self.host_by_name.get(name, HOST), self._ports_by_name[name][2])
+
     def caller(self, *names: str) -> Caller:
         """Return a client of some instances, or of all."""
         chosen = names or tuple(self.names)
@@ -164,16 +173,21 @@
                 await self.wait_ready(name)
             await self.owner()
 
-    def configure(self, keys: tuple[str, ...] = (KEY,), guaranteed: int = 16) -> None:
+    def configure(
+        self,
+        keys: Iterable[str] = (KEY,),
+        guaranteed: int = 16,
+        more_queues: Iterable[dict[str, Any]] = (),
+    ) -> None:
         """Write a new version of the configuration."""
         self.version += 1
-        queues = [_queue(name, prefix, priority) for priority, (name, prefix) in enumerate(PREFIX_BY_QUEUE.items())]
+        queues = [queue_row(name, prefix, priority) for priority, (name, prefix) in enumerate(PREFIX_BY_QUEUE.items())]
         if self.policy is not None:
             advice = {'DecisionMs': DECISION_S * 1000, 'PerItemMs': 0, 'ValidMs': VALID_S * 1000}
             queues = [queue | {'Advice': advice} if queue['Name'] == ADVISED_QUEUE else queue for queue in queues]
         configuration = {
             'Version': self.version,
-            'Routes': queues,
+            'Routes': [*queues, *more_queues],
             'Services': [{'Name': 'svc', 'EnforcesCapacity': True}],
             'Tenants': [{'Name': 'crew', 'ApiKeys': list(keys), 'Guaranteed': {'Gpu': guaranteed}}],
         }
@@ -184,8 +198,8 @@
         path = self._folder / f'{name}.conf'
         path.write_text(self._settings(name), encoding='utf-8')
         log = (self._folder / f'{name}.log').open('ab')
-        self._process_by_name[name] = subprocess.Popen(
-            [sys.executable, '-m', 'dahliaarch_node.main'],
+        self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - a module of this project
+            [sys.executable, '-m', self.program],
             env={**os.environ, PATH_VARIABLE: str(path)},
             stdout=log,
             stderr=log,
@@ -196,6 +210,11 @@
         """Names of the instances whose daemons were launched and not killed."""
         return sorted(self._process_by_name)
 
+    def life(self, name: str) -> int:
+        """Return a number of the present life of an instance's daemon; 0 when it has none."""
+        process = self._process_by_name.get(name)
+        return 0 if process is None else process.pid
+
     def ended_by_themselves(self, but: Collection[str] = ()) -> list[str]:
         """Return the instances whose daemons have ended, those left out that are being stopped."""
         ended = [name for name, process in self._process_by_name.items() if process.poll() is not None]
@@ -271,7 +290,7 @@
         lines = {
             'Node': name,
             'Zone': 'z',
-            'Ip': '127.0.0.1',
+            'Ip': self.peer_address(name).host,
             'Listen.Front': f'127.0.0.1:{front}',
             'Listen.Ready': f'127.0.0.1:{ready}',
             'PortRange': f'{peers},{peers}',
@@ -289,10 +308,11 @@
         return ''.join(f'{key}={text}\n' for key, text in lines.items())
 
 
-def _queue(name: str, prefix: str, priority: int) -> dict[str, Any]:
+def queue_row(name: str, prefix: str, priority: int, host: str = HOST) -> dict[str, Any]:
+    """Return a queue as a document of the configuration has it."""
     return {
         'Name': name,
-        'Host': HOST,
+        'Host': host,
         'PathPrefix': prefix,
         'Service': 'svc',
         'Priority': priority,
--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -31,8 +31,10 @@
         """Start empty."""
         self.faults = faults or Faults()
         self.calls = 0
-        # A protection that control arms switch off.
+        # Protections that control arms switch off.
         self.checks_conditions = True
+        # Key whose news watches leave out.
+        self.muted_key = ''
         self.revision = 0
         self._item_by_key: dict[str, dict[str, Any]] = {}
         self._history: deque[dict[str, Any]] = deque(maxlen=50_000)
@@ -159,7 +161,7 @@
                 changed = self._changed
                 prefix = query['PathPrefix']
                 events = [each for each in self._history if each['Revision'] > after and each['Key'].startswith(prefix)]
-                if events:
+                if events and prefix != self.muted_key:
                     return _json({'events': events, 'StoreRevision': self.revision})
                 await changed.wait()
         return _json({'events': [], 'StoreRevision': self.revision})
--- a/packages/standins/dahliaarch_standins/proxy/__init__.py
+++ b/packages/standins/dahliaarch_standins/proxy/__init__.py
@@ -1,5 +1,7 @@
 """A TCP proxy on the loopback address that injects faults into connections."""
 
-from .core import FaultProxy, SlowLink
+from .core import FaultProxy
+from .links import HostLinks, Route, SlowLink
+from .peers import PeerProxy
 
-__all__ = ('FaultProxy', 'SlowLink')
+__all__ = ('FaultProxy', 'HostLinks', 'PeerProxy', 'Route', 'SlowLink')
--- a/packages/standins/dahliaarch_standins/proxy/core.py
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -5,48 +5,34 @@
 
 from dahliaarch_platform.settings import Address
 
+from .links import Route, SlowLink
+from .silence import deafen
+
+_ANY_PORT = Address('127.0.0.1', 0)
 # Bytes that are forwarded at a time; connections take turns on a slow link.
 _CHUNK_BYTES = 16_384
+# How long a connection that is cut one way still carries requests, in seconds.
+_ONE_WAY_S = 0.3
 # What ends a connection on either side.
 _ENDS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
-class SlowLink:
-    """A link of a bounded rate, one way, which several proxies may share.
-
-    Parameters
-    ----------
-    bytes_per_s : float
-        Its rate.
-
-    Attributes
-    ----------
-    carried_bytes : int
-        Bytes that it has carried.
-    """
-
-    def __init__(self, bytes_per_s: float) -> None:
-        """Start idle."""
-        self.carried_bytes = 0
-        self._bytes_per_s = bytes_per_s
-        self._free = anyio.Lock()
-
-    async def carry(self, size_bytes: int) -> None:
-        """Take as long as some bytes need, after those that came first."""
-        async with self._free:
-            await anyio.sleep(size_bytes / self._bytes_per_s)
-            self.carried_bytes += size_bytes
-
-
 class _Pair:
     """One caller's connection and the one that it is forwarded to."""
 
-    def __init__(self, caller: SocketStream, target: SocketStream) -> None:
+    def __init__(self, caller: SocketStream, target: SocketStream, route: Route) -> None:
         self.caller = caller
         self.target = target
+        self.route = route
         self.drops_requests = False
         self.drops_answers = False
 
+    def silence(self) -> None:
+        """Let nothing pass, nor be acknowledged to the caller."""
+        self.drops_requests = True
+        self.drops_answers = True
+        deafen(self.caller.extra(SocketAttribute.raw_socket))
+
 
 class FaultProxy:
     """Stands between callers and one address.
@@ -79,19 +65,17 @@
     ) -> None:
         """Prepare; nothing listens yet."""
         self.target = target
-        self._requests_over = requests_over
-        self._answers_over = answers_over
+        self._default_route = Route(_links(requests_over), _links(answers_over))
         self.address = Address('127.0.0.1', 0)
         self.delay_s = 0.0
         self.refuses = False
         self.drops_all = False
         self._pairs: set[_Pair] = set()
 
-    async def listen(self, tasks: TaskGroup) -> Address:
-        """Listen on a free port, until the group is cancelled."""
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        port = listener.extra(SocketAttribute.local_port)
-        self.address = Address('127.0.0.1', port)
+    async def listen(self, tasks: TaskGroup, at: Address = _ANY_PORT) -> Address:
+        """Listen on an address, until the group is cancelled; port 0 is any free one."""
+        listener = await anyio.create_tcp_listener(local_host=at.host, local_port=at.port)
+        self.address = at._replace(port=listener.extra(SocketAttribute.local_port))
         tasks.start_soon(listener.serve, self._serve)
         return self.address
 
@@ -103,13 +87,16 @@
     def silence(self) -> None:
         """Let the open connections fall silent for good; new ones work."""
         for pair in self._pairs:
-            pair.drops_requests = True
-            pair.drops_answers = True
+            pair.silence()
 
-    def lose_answers(self) -> None:
-        """Cut the open connections one way: what is sent arrives, no answer does."""
-        for pair in self._pairs:
+    async def lose_answers(self) -> None:
+        """Cut the open connections one way: what is sent soon arrives, no answer does."""
+        cut = tuple(self._pairs)
+        for pair in cut:
             pair.drops_answers = True
+        await anyio.sleep(_ONE_WAY_S)
+        for pair in self._pairs.intersection(cut):
+            pair.silence()
 
     async def reset(self) -> None:
         """Close the open connections."""
@@ -125,7 +112,7 @@
         except OSError:
             await anyio.aclose_forcefully(caller)
             return
-        pair = _Pair(caller, target)
+        pair = _Pair(caller, target, self._route(caller))
         self._pairs.add(pair)
         try:
             async with anyio.create_task_group() as tasks:
@@ -136,11 +123,15 @@
             with anyio.CancelScope(shield=True):
                 await _close(pair)
 
+    def _route(self, caller: SocketStream) -> Route:
+        """Return the links that a caller's connection passes."""
+        return self._default_route
+
     async def _forward_requests(self, pair: _Pair) -> None:
         try:
             while True:
                 chunk = await pair.caller.receive(_CHUNK_BYTES)
-                await self._pass(chunk, self._requests_over)
+                await self._pass(chunk, pair.route.requests)
                 if not (pair.drops_requests or self.drops_all):
                     await pair.target.send(chunk)
         except _ENDS:
@@ -150,18 +141,22 @@
         try:
             while True:
                 chunk = await pair.target.receive(_CHUNK_BYTES)
-                await self._pass(chunk, self._answers_over)
+                await self._pass(chunk, pair.route.answers)
                 if not (pair.drops_answers or self.drops_all):
                     await pair.caller.send(chunk)
         except _ENDS:
             await _close(pair)
 
-    async def _pass(self, chunk: bytes, link: SlowLink | None) -> None:
+    async def _pass(self, chunk: bytes, links: tuple[SlowLink, ...]) -> None:
         await anyio.sleep(self.delay_s)
-        if link is not None:
+        for link in links:
             await link.carry(len(chunk))
 
 
+def _links(link: SlowLink | None) -> tuple[SlowLink, ...]:
+    return () if link is None else (link,)
+
+
 async def _close(pair: _Pair) -> None:
     await anyio.aclose_forcefully(pair.caller)
     await anyio.aclose_forcefully(pair.target)
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
@@ -71,3 +71,62 @@
         return reply
 
     assert anyio.run(scenario) == PendingReply(True, 7)
+
+
+@pytest.mark.parametrize('is_one_way', [False, True])
+def test_keep_alive_probes_show_a_connection_that_falls_silent_while_an_answer_is_awaited(is_one_way):
+    async def wait_long(request):
+        await anyio.sleep(20)
+        return Response(200)
+
+    async def scenario():
+        server = HttpServer(wait_long)
+        await server.listen(LOOPBACK)
+        async with anyio.create_task_group() as tasks:
+            proxy = await forward(Address('127.0.0.1', server.port), tasks)
+            failures = []
+
+            async def watch():
+                try:
+                    await HttpClient().call(proxy.address, 'GET', '/', timeout_s=10)
+                except CallUnansweredError as error:
+                    failures.append(error)
+
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as calls:
+                    calls.start_soon(watch)
+                    await anyio.sleep(0.2)
+                    if is_one_way:
+                        await proxy.lose_answers()
+                    else:
+                        proxy.silence()
+            tasks.cancel_scope.cancel()
+        server.close()
+        return failures
+
+    assert len(anyio.run(scenario)) == 1
+
+
+def test_a_caller_that_is_cut_one_way_still_reaches_its_target():
+    paths = []
+
+    async def note(request):
+        paths.append(request.path)
+        return Response(200)
+
+    async def scenario():
+        server = HttpServer(note)
+        await server.listen(LOOPBACK)
+        async with anyio.create_task_group() as tasks:
+            proxy = await forward(Address('127.0.0.1', server.port), tasks)
+            client = HttpClient()
+            await client.call(proxy.address, 'GET', '/before', timeout_s=1)
+            tasks.start_soon(proxy.lose_answers)
+            await anyio.sleep(0.05)
+            with pytest.raises(CallUnansweredError):
+                await client.call(proxy.address, 'GET', '/cut', timeout_s=0.5)
+            tasks.cancel_scope.cancel()
+        server.close()
+
+    anyio.run(scenario)
+    assert paths == ['/before', '/cut']
--- a/packages/standins/dahliaarch_standins/soak/__init__.py
+++ b/packages/standins/dahliaarch_standins/soak/__init__.py
@@ -1,6 +1,6 @@
 """A randomized soak: real daemons, faults from outside, promises checked."""
 
 from .core import run_soak, SoakResult
-from .settings import control_arm, PROTECTIONS, SoakSettings
+from .settings import control_arm, draw_settings, PROTECTIONS, SoakSettings
 
-__all__ = ('PROTECTIONS', 'SoakResult', 'SoakSettings', 'control_arm', 'run_soak')
+__all__ = ('PROTECTIONS', 'SoakResult', 'SoakSettings', 'control_arm', 'draw_settings', 'run_soak')
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -7,13 +7,17 @@
 from typing import Any, NamedTuple
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..deployment import Caller
 from ..deployment.core import KEY, PREFIX_BY_QUEUE
 from ..deployment.jobs import draw_steps
 from .faults import draw_plan, Fault, inject
+from .following import APPLY_S, FollowingCheck, SLOW_APPLY_S
+from .probing import probe_forever
 from .settings import SoakSettings
-from .system import OTHER_KEY, System
+from .system import System
+from .versions import OTHER_KEY
 from .violations import doubled_runs, false_ends, refused_that_ran, Submission, Violation
 
 # Times between a caller's jobs, and between its tries of one, in seconds.
@@ -22,6 +26,12 @@
 _CANCELLED_SHARE = 0.15
 _WORK_S = (0.2, 1.5)
 _ESTIMATE_MS = 800
+# Longest time from the last fault until an instance is ready, in seconds: a start
+# takes one, a document of a megabyte over a slow link two.
+_READY_S = 8.0
+# How long instances are left alone after the last fault, in seconds: until each
+# is in touch, and has been asked with its last version.
+_CALM_S = 4.0
 # Traffic goes on for so long after the last fault has begun, in seconds.
 _TRAFFIC_AFTER_S = 3.0
 _ENDED = frozenset(('succeeded', 'failed', 'cancelled', '410'))
@@ -38,6 +48,12 @@
         What was injected.
     submitted, accepted, refused : int
         Jobs.
+    versions : int
+        Versions of the configuration.
+    judged : int
+        Answers of instances in touch that were held against them.
+    lags : int
+        How often this process lagged, which hides what instances do.
     violations : tuple of Violation
         Promises that were not kept.
     """
@@ -47,6 +63,9 @@
     submitted: int
     accepted: int
     refused: int
+    versions: int
+    judged: int
+    lags: int
     violations: tuple[Violation, ...]
 
 
@@ -61,18 +80,31 @@
 
 async def _run(settings: SoakSettings, folder: Path) -> SoakResult:
     system = System(settings, folder)
+    check = FollowingCheck(
+        system.operator.versions,
+        system.contact,
+        SLOW_APPLY_S if settings.slow_links else APPLY_S,
+    )
     async with anyio.create_task_group() as tasks:
         try:
             await system.start(tasks)
-            tasks.start_soon(system.watch_processes)
-            result = await _play(system, settings)
+            _watch(system, check, tasks)
+            result = await _play(system, settings, check)
         finally:
             system.close()
             tasks.cancel_scope.cancel()
     return result
 
 
-async def _play(system: System, settings: SoakSettings) -> SoakResult:
+def _watch(system: System, check: FollowingCheck, tasks: TaskGroup) -> None:
+    """Begin to look at the daemons."""
+    tasks.start_soon(system.watch_processes)
+    tasks.start_soon(system.watch_lag)
+    for name in system.deployment.names:
+        tasks.start_soon(probe_forever, system, check, name)
+
+
+async def _play(system: System, settings: SoakSettings, check: FollowingCheck) -> SoakResult:
     plan = draw_plan(settings)
     submissions: list[Submission] = []
     async with anyio.create_task_group() as tasks:
@@ -81,14 +113,16 @@
         for number in range(settings.callers):
             choice = random.Random(f'{settings.seed} {number}')
             tasks.start_soon(_call, system, submissions, choice, settings)
-    for name in system.deployment.names:
-        await system.deployment.wait_ready(name)
+    unready = [name for name in system.deployment.names if not await _becomes_ready(system, name)]
+    await anyio.sleep(_CALM_S)
     states = await _settle(system, submissions, settings.settle_s)
     violations = [
         *(Violation('no process ends by itself', name) for name in system.exits),
+        *(Violation('an instance becomes ready', name) for name in unready),
         *doubled_runs(system.deployment.workers),
         *refused_that_ran(submissions, system.deployment.workers),
         *false_ends(states, submissions, _done_tasks(system)),
+        *check.violations,
         *await _wrong_keys(system),
     ]
     return SoakResult(
@@ -97,10 +131,20 @@
         len(submissions),
         sum(each.is_accepted for each in submissions),
         sum(each.is_refused for each in submissions),
+        len(system.operator.versions),
+        check.judged,
+        system.lags,
         tuple(violations),
     )
 
 
+async def _becomes_ready(system: System, name: str) -> bool:
+    with anyio.move_on_after(_READY_S):
+        await system.deployment.wait_ready(name)
+        return True
+    return False
+
+
 async def _call(
     system: System,
     submissions: list[Submission],
@@ -169,7 +213,7 @@
     found = []
     for name in system.deployment.names:
         caller = system.deployment.caller(name)
-        for key, is_valid in ((KEY, True), (OTHER_KEY, system.has_other_key)):
+        for key, is_valid in ((KEY, True), (OTHER_KEY, system.operator.has_other_key)):
             reply = await caller.call('GET', f'{PREFIX_BY_QUEUE["urgent"]}{"0" * 16}', key=key)
             status = 0 if reply is None else reply.status
             if (status == 401) is is_valid:
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -1,14 +1,15 @@
 """Faults that are injected from outside the daemons; each registers itself."""
 
 import random
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Sequence
 from operator import attrgetter
 from typing import NamedTuple
 
 import anyio
 
 from ..proxy import FaultProxy
-from .settings import SoakSettings
+from .settings import CONFIGURATION_KINDS, SoakSettings
 from .system import System
 
 # How long a fault lasts, in seconds: around the owner's lease of 2 and a
@@ -30,6 +31,15 @@
 # Time in which an owner's lease of 2 s ends, another has taken over, and both
 # have had time to give orders.
 _TAKEOVER_S = 4.5
+# Rates of a link that is slow for a while, in bytes per second.
+_SLOW_RATES = (100_000, 600_000)
+# How many routes a change adds, how many changes come in series, and what lies
+# between two of them, in seconds.
+_GROWTH = (300, 2_500)
+_SERIES = (1, 1, 2, 4)
+_SERIES_GAP_S = (0.05, 0.8)
+# Changes also come in this time after the last of the other faults, in seconds.
+_CHANGES_AFTER_S = 2.0
 # Longest wait for such a step to come, in seconds.
 _STEP_WAIT_S = 4.0
 
@@ -69,18 +79,21 @@
     """Return faults that come in series and overlap, by time."""
     choice = random.Random(settings.seed)
     names = settings.kinds or sorted(_INJECTION_BY_NAME)
-    plan = [
-        Fault(
-            choice.choice(names),
-            choice.uniform(0.5, settings.faults_s),
-            choice.uniform(*_LENGTHS_S),
-            choice.getrandbits(32),
-        )
-        for _ in range(settings.faults)
-    ]
+    plan = [_draw(choice, names, settings.faults_s) for _ in range(settings.faults)]
+    for _ in range(settings.changes):
+        plan.append(_draw(choice, CONFIGURATION_KINDS, settings.faults_s + _CHANGES_AFTER_S))
     return sorted(plan, key=attrgetter('at_s'))
 
 
+def _draw(choice: random.Random, names: Sequence[str], until_s: float) -> Fault:
+    return Fault(
+        choice.choice(names),
+        choice.uniform(0.5, until_s),
+        choice.uniform(*_LENGTHS_S),
+        choice.getrandbits(32),
+    )
+
+
 async def inject(system: System, fault: Fault) -> None:
     """Wait for a fault's time, and let it happen."""
     await anyio.sleep(fault.at_s)
@@ -114,20 +127,23 @@
     name = _owner_or_any(system, choice)
     if name not in system.deployment.running_names:
         return
-    system.deployment.pause(name)
-    await anyio.sleep(fault.for_s)
-    if name in system.deployment.running_names:
-        system.deployment.resume(name)
+    with system.disturbing(name):
+        system.deployment.pause(name)
+        await anyio.sleep(fault.for_s)
+        if name in system.deployment.running_names:
+            system.deployment.resume(name)
 
 
 @register
 async def cut_owner_from_store(system: System, fault: Fault, choice: random.Random) -> None:
     """Silence what passes between the owner and the store until another has taken the pool over."""
-    proxy = system.store_proxy_by_name[await system.deployment.owner()]
-    proxy.drops_all = True
-    await anyio.sleep(_TAKEOVER_S)
-    proxy.drops_all = False
-    await proxy.reset()
+    owner = await system.deployment.owner()
+    proxy = system.store_proxy_by_name[owner]
+    with system.disturbing(owner):
+        proxy.drops_all = True
+        await anyio.sleep(_TAKEOVER_S)
+        proxy.drops_all = False
+        await proxy.reset()
 
 
 @register
@@ -145,63 +161,101 @@
 @register
 async def change_keys(system: System, fault: Fault, choice: random.Random) -> None:
     """Give the account another key beside its own, or take it away."""
-    system.change_keys()
+    system.operator.change_keys()
+
+
+@register
+async def grow_configuration(system: System, fault: Fault, choice: random.Random) -> None:
+    """Add routes to the configuration, at times by several changes in quick succession."""
+    for _ in range(choice.choice(_SERIES)):
+        system.operator.grow(choice.randint(*_GROWTH))
+        await anyio.sleep(choice.uniform(*_SERIES_GAP_S))
+
+
+@register
+async def slow_link(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let an instance's link carry less for a while."""
+    name = choice.choice(system.deployment.names)
+    with system.disturbing(name):
+        system.links(name).set_rate(choice.uniform(*_SLOW_RATES))
+        await anyio.sleep(fault.for_s)
+        system.links(name).set_rate(system.rate_by_name[name])
 
 
 @register
 async def silence_store(system: System, fault: Fault, choice: random.Random) -> None:
     """Let the store answer nobody."""
-    system.store.faults.is_silent = True
-    await anyio.sleep(fault.for_s)
-    system.store.faults.is_silent = False
+    with system.disturbing():
+        system.store.faults.is_silent = True
+        await anyio.sleep(fault.for_s)
+        system.store.faults.is_silent = False
 
 
 @register
 async def refuse_at_store(system: System, fault: Fault, choice: random.Random) -> None:
     """Let the store refuse every call."""
-    system.store.faults.is_refusing = True
-    await anyio.sleep(fault.for_s)
-    system.store.faults.is_refusing = False
+    with system.disturbing():
+        system.store.faults.is_refusing = True
+        await anyio.sleep(fault.for_s)
+        system.store.faults.is_refusing = False
 
 
 @register
 async def slow_store(system: System, fault: Fault, choice: random.Random) -> None:
     """Let the store take its time."""
-    system.store.faults.delay_s = choice.uniform(0.05, 0.3)
-    await anyio.sleep(fault.for_s)
-    system.store.faults.delay_s = 0.0
+    with system.disturbing():
+        system.store.faults.delay_s = choice.uniform(0.05, 0.3)
+        await anyio.sleep(fault.for_s)
+        system.store.faults.delay_s = 0.0
 
 
 @register
 async def lose_store_answers(system: System, fault: Fault, choice: random.Random) -> None:
     """Let answers to writes be lost, some of them carried out late."""
     faults = system.store.faults
-    faults.lost_share, faults.late_s = choice.uniform(0.2, 0.8), choice.choice((0.0, 1.5))
-    await anyio.sleep(fault.for_s)
-    faults.lost_share, faults.late_s = 0.0, 0.0
+    with system.disturbing():
+        faults.lost_share, faults.late_s = choice.uniform(0.2, 0.8), choice.choice((0.0, 1.5))
+        await anyio.sleep(fault.for_s)
+        faults.lost_share, faults.late_s = 0.0, 0.0
 
 
 @register
 async def forget_history(system: System, fault: Fault, choice: random.Random) -> None:
     """Let the store forget what has changed."""
+    system.contact.lose_history(time.monotonic())
     system.store.forget_history()
 
 
 @register
 async def cut_instance_from_store(system: System, fault: Fault, choice: random.Random) -> None:
     """Cut an instance's connections to the store: silent, one way or reset."""
-    proxy = system.store_proxy_by_name[choice.choice(system.deployment.names)]
-    proxy.refuses = True
-    await _harm(proxy, choice)
-    await anyio.sleep(fault.for_s)
-    proxy.refuses = False
+    name = choice.choice(system.deployment.names)
+    await _cut_off(system, name, system.store_proxy_by_name[name], fault, choice)
 
 
 @register
-async def harm_connections(system: System, fault: Fault, choice: random.Random) -> None:
-    """Silence or reset every open connection to the store and to workers; new ones work."""
-    for proxy in system.proxies:
+async def cut_instance_from_peers(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let no message of its peers reach an instance, the owner in half of all cases; it may still ask them."""
+    name = _owner_or_any(system, choice)
+    await _cut_off(system, name, system.peer_proxy_by_name[name], fault, choice)
+
+
+async def _cut_off(system: System, name: str, proxy: FaultProxy, fault: Fault, choice: random.Random) -> None:
+    """Harm the connections of a proxy and refuse new ones for a while."""
+    with system.disturbing(name):
+        proxy.refuses = True
         await _harm(proxy, choice)
+        await anyio.sleep(fault.for_s)
+        proxy.refuses = False
+
+
+@register
+async def harm_connections(system: System, fault: Fault, choice: random.Random) -> None:
+    """Silence or reset every open connection to the store, to workers and of instances; new ones work."""
+    with system.disturbing():
+        async with anyio.create_task_group() as tasks:
+            for proxy in system.proxies:
+                tasks.start_soon(_harm, proxy, choice)
 
 
 @register
@@ -251,6 +305,6 @@
         case 0:
             proxy.silence()
         case 1:
-            proxy.lose_answers()
+            await proxy.lose_answers()
         case _:
             await proxy.reset()
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/following.py
@@ -0,0 +1,124 @@
+"""Whether every instance follows the configuration, held against answers to probes.
+
+An answer is held against what each version says. It must be what a version
+allows that is not older than
+
+- the newest one that had to be in force when the request was sent, if its
+  instance was bound then (see `contact`); and
+- the oldest one that explains an earlier answer of the same life of its process.
+
+Versions that are newer than these are allowed up to the moment of the answer, so
+an instance that is ahead of a bound is never blamed. A request that is sent after
+an answer of the same life is handled after it, so no slack is needed for the
+second. Requests that meet no answer, another life or an instance without any
+configuration (503) tell nothing.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+from .contact import Contact
+from .versions import MALFORMED, NO_ACCESS, NO_ROUTE, Probe, Version
+from .violations import Violation
+
+# Until an acknowledged version is in force, in seconds, as the platform sets it;
+# longer where links are slow.
+APPLY_S = 2.0
+SLOW_APPLY_S = 3.0
+# By how much that bound grows while the store has forgotten its history.
+_STRETCH_S = 5.0
+_TELLING = frozenset((MALFORMED, NO_ACCESS, NO_ROUTE))
+
+
+class Answer(NamedTuple):
+    """An answer to a probe; times in seconds.
+
+    Parameters
+    ----------
+    name : str
+        The instance.
+    life : int
+        The life of its process.
+    probe : Probe
+        What was asked.
+    status : int
+        Status of the answer.
+    sent_s : float
+        When it was sent.
+    wall_s : float
+        The same as the daemons log it.
+    """
+
+    name: str
+    life: int
+    probe: Probe
+    status: int
+    sent_s: float
+    wall_s: float = 0.0
+
+
+class FollowingCheck:
+    """Judges answers.
+
+    Parameters
+    ----------
+    versions : sequence of Version
+        All that were written; it grows.
+    contact : Contact
+        Who is held to the bound.
+    apply_s : float
+        Until an acknowledged version is in force.
+    """
+
+    def __init__(self, versions: Sequence[Version], contact: Contact, apply_s: float) -> None:
+        """Start without answers."""
+        self.violations: list[Violation] = []
+        # Answers that had to be as a version of late says.
+        self.judged = 0
+        self._versions = versions
+        self._contact = contact
+        self._apply_s = apply_s
+        # Number of the oldest version that an instance's life may be at.
+        self._floor_by_life: dict[int, int] = defaultdict(int)
+        self._blamed: set[tuple[str, int]] = set()
+
+    def due(self, now_s: float) -> Version:
+        """Return the newest version that has to be in force."""
+        bound_s = self._apply_s
+        if not self._contact.is_store_stable(now_s):
+            bound_s += _STRETCH_S
+        due = [each for each in self._versions if now_s - each.acknowledged_s > bound_s]
+        return due[-1] if due else self._versions[0]
+
+    def take(self, answer: Answer) -> None:
+        """Judge an answer right after it came."""
+        if answer.status not in _TELLING:
+            return
+        due = 0
+        if self._contact.is_bound(answer.name, answer.sent_s):
+            due = self.due(answer.sent_s).number
+            self.judged += 1
+        shown = tuple(self._explaining(answer))
+        floor = self._floor_by_life[answer.life]
+        for promise, oldest in (('a configuration is in force in time', due), ('no version goes back', floor)):
+            if not any(number >= oldest for number in shown):
+                self._blame(promise, answer, oldest)
+        self._floor_by_life[answer.life] = min((number for number in shown if number >= floor), default=floor)
+
+    def _explaining(self, answer: Answer) -> Iterator[int]:
+        return (each.number for each in self._versions if each.expected(answer.probe) == answer.status)
+
+    def _blame(self, promise: str, answer: Answer, oldest: int) -> None:
+        if (promise, answer.life) in self._blamed:
+            return
+        self._blamed.add((promise, answer.life))
+        written = next((each.acknowledged_s for each in self._versions if each.number == oldest), answer.sent_s)
+        ago_s = answer.sent_s - written
+        self.violations.append(
+            Violation(
+                promise,
+                f'{answer.name}: {answer.probe.route} with {answer.probe.key} got {answer.status} '
+                f'at {answer.wall_s:.3f}, version {oldest} is {ago_s:.2f} s old',
+            )
+        )
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/probing.py
@@ -0,0 +1,28 @@
+"""Asks an instance again and again which version it follows."""
+
+import random
+import time
+
+import anyio
+
+from .following import Answer, FollowingCheck
+from .system import System
+
+# Pause between two rounds of probes, in seconds.
+_EVERY_S = 0.3
+# Longest wait for an answer, in seconds.
+_ANSWER_S = 1.0
+
+
+async def probe_forever(system: System, check: FollowingCheck, name: str) -> None:
+    """Send probes to an instance and hand its answers over, until cancelled."""
+    choice = random.Random(name)
+    caller = system.deployment.caller(name)
+    while True:
+        await anyio.sleep(_EVERY_S)
+        for probe in system.operator.draw_probes(choice, check.due(time.monotonic())):
+            life = system.deployment.life(name)
+            sent_s, wall_s = time.monotonic(), time.time()
+            reply = await caller.call('GET', probe.path, key=probe.key, host=probe.host, timeout_s=_ANSWER_S)
+            if reply is not None and life and system.deployment.life(name) == life:
+                check.take(Answer(name, life, probe, reply.status, sent_s, wall_s))
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -1,22 +1,33 @@
-"""A deployment with a proxy before the store, for each instance, and each worker."""
+"""A deployment with proxies before each instance, each worker and, for each instance, the store."""
 
 import itertools
+import math
 import signal
-from collections.abc import Sequence
+import time
+from collections.abc import Generator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 import anyio
 from anyio.abc import TaskGroup
 
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.store import CONFIGURATION_KEY
+
 from ..deployment import Deployment
-from ..deployment.core import KEY
+from ..hosts import instance_host, proxy_host
 from ..platform import StoreStandIn, WorkerStandIn
-from ..proxy import FaultProxy
-from .settings import SoakSettings
+from ..proxy import FaultProxy, HostLinks, PeerProxy, SlowLink
+from .contact import Contact
+from .settings import SLOW_BYTES_PER_S, SoakSettings
+from .versions import Operator
 
 # How often daemons are looked at, in seconds.
 _WATCH_EVERY_S = 0.1
-OTHER_KEY = 'key-that-comes-and-goes'
+# A lag of this process that counts as a slow store, in seconds.
+_LAG_S = 0.2
+# The daemon, its messages led through the proxies.
+_PROGRAM = 'dahliaarch_standins.daemon'
 
 
 class System:
@@ -33,15 +44,31 @@
     def __init__(self, settings: SoakSettings, folder: Path) -> None:
         """Prepare; nothing runs yet."""
         self.deployment = Deployment(folder, settings.instances, settings.workers)
+        self.deployment.program = _PROGRAM
+        self.deployment.host_by_name = {
+            name: instance_host(number) for number, name in enumerate(self.deployment.names)
+        }
+        slow_names = self.deployment.names[: settings.slow_links]
+        self.contact = Contact(self.deployment.names, slow_names)
+        self.operator = Operator(self.deployment, settings.seed)
         self.deployment.store.checks_conditions = settings.without != 'conditions'
+        self.deployment.store.muted_key = CONFIGURATION_KEY if settings.without == 'news' else ''
         for worker in self.deployment.workers:
             worker.checks_fences = settings.without != 'fences'
             worker.checks_run_numbers = settings.without != 'run numbers'
         self.store_proxy_by_name: dict[str, FaultProxy] = {}
+        self.peer_proxy_by_name: dict[str, PeerProxy] = {}
         self.worker_proxies: list[FaultProxy] = []
-        self.has_other_key = False
+        self.rate_by_name = dict.fromkeys(self.deployment.names, math.inf)
+        self.rate_by_name.update(dict.fromkeys(slow_names, SLOW_BYTES_PER_S))
+        self._links_by_host = {
+            self.deployment.host_by_name[name]: HostLinks(SlowLink(rate), SlowLink(rate))
+            for name, rate in self.rate_by_name.items()
+        }
         # Instances whose daemons ended by themselves.
         self.exits: list[str] = []
+        # How often this process lagged.
+        self.lags = 0
         self._lives = itertools.count()
         self._busy: set[str] = set()
 
@@ -53,15 +80,18 @@
     @property
     def proxies(self) -> list[FaultProxy]:
         """Every proxy."""
-        return [*self.store_proxy_by_name.values(), *self.worker_proxies]
+        return [*self.store_proxy_by_name.values(), *self.peer_proxy_by_name.values(), *self.worker_proxies]
+
+    def links(self, name: str) -> HostLinks:
+        """Return what carries all that an instance exchanges with the store and its peers."""
+        return self._links_by_host[self.deployment.host_by_name[name]]
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start everything and wait until every instance is ready."""
         address = await self.deployment.start_platform(tasks)
+        self.operator.write()
         for name in self.deployment.names:
-            proxy = FaultProxy(address)
-            self.deployment.store_address_by_name[name] = await proxy.listen(tasks)
-            self.store_proxy_by_name[name] = proxy
+            await self._place_proxies(name, address, tasks)
         for worker in self.deployment.workers:
             while not worker.address.port:
                 await anyio.sleep(0.01)
@@ -69,18 +99,43 @@
             worker.published_address = await proxy.listen(tasks)
             worker.publish()
             self.worker_proxies.append(proxy)
-        await self.deployment.start_instances()
+        with self.disturbing():
+            await self.deployment.start_instances()
+
+    async def _place_proxies(self, name: str, store: Address, tasks: TaskGroup) -> None:
+        """Place a proxy before the store for an instance, and one before the instance for its peers."""
+        links = self.links(name)
+        near_store = FaultProxy(store, requests_over=links.outgoing, answers_over=links.incoming)
+        self.deployment.store_address_by_name[name] = await near_store.listen(tasks)
+        self.store_proxy_by_name[name] = near_store
+        target = self.deployment.peer_address(name)
+        before = PeerProxy(target, self._links_by_host)
+        await before.listen(tasks, target._replace(host=proxy_host(target.host)))
+        self.peer_proxy_by_name[name] = before
+
+    @contextmanager
+    def disturbing(self, *names: str) -> Generator[None, None, None]:
+        """Count some instances, or all, as disturbed meanwhile."""
+        disturbed = names or self.deployment.names
+        self.contact.begin(disturbed)
+        try:
+            yield
+        finally:
+            self.contact.end(disturbed, time.monotonic())
 
     async def restart(self, names: Sequence[str], after_s: float) -> None:
         """Kill instances and start them again; those that another fault holds are left out."""
         mine = [name for name in names if name not in self._busy]
+        if not mine:
+            return
         self._busy.update(mine)
-        for name in mine:
-            if name in self.deployment.running_names:
-                self.deployment.kill(name)
-        await anyio.sleep(after_s)
-        for name in mine:
-            self.deployment.launch(name)
+        with self.disturbing(*mine):
+            for name in mine:
+                if name in self.deployment.running_names:
+                    self.deployment.kill(name)
+            await anyio.sleep(after_s)
+            for name in mine:
+                self.deployment.launch(name)
         self._busy.difference_update(mine)
 
     async def stop_and_start(self, name: str) -> None:
@@ -88,10 +143,11 @@
         if name in self._busy or name not in self.deployment.running_names:
             return
         self._busy.add(name)
-        self.deployment.resume(name)
-        self.deployment.terminate(name)
-        status = await self.deployment.wait_stopped(name)
-        self.deployment.launch(name)
+        with self.disturbing(name):
+            self.deployment.resume(name)
+            self.deployment.terminate(name)
+            status = await self.deployment.wait_stopped(name)
+            self.deployment.launch(name)
         self._busy.discard(name)
         if status:
             raise RuntimeError(f'{name} ended with status {status}')
@@ -101,11 +157,6 @@
         for name in self.deployment.running_names:
             self.deployment.signal(name, signal.SIGHUP)
 
-    def change_keys(self) -> None:
-        """Give or take the other key."""
-        self.has_other_key = not self.has_other_key
-        self.deployment.configure((KEY, OTHER_KEY) if self.has_other_key else (KEY,))
-
     def crash_worker(self, worker: WorkerStandIn) -> None:
         """Let a worker come back as another life."""
         worker.crash(f'{worker.worker_id.split("-")[0]}-{next(self._lives)}')
@@ -116,7 +167,18 @@
             await anyio.sleep(_WATCH_EVERY_S)
             for name in self.deployment.ended_by_themselves(self._busy):
                 self.exits.append(name)
-                self.deployment.launch(name)
+                with self.disturbing(name):
+                    self.deployment.launch(name)
+
+    async def watch_lag(self) -> None:
+        """Count a lag of this process as a slow store, until cancelled."""
+        while True:
+            begun_s = time.monotonic()
+            await anyio.sleep(_WATCH_EVERY_S)
+            if time.monotonic() - begun_s > _WATCH_EVERY_S + _LAG_S:
+                self.lags += 1
+                with self.disturbing():
+                    await anyio.sleep(0)
 
     async def wait_for_step(self, step: str, *, is_done: bool, wait_s: float) -> bool:
         """Wait until a step reaches the store or a worker; false when none does."""
