The stand-in of a worker holds late orders against the highest fence too

An owner's start was left unanswered for a second; its successor surveyed the worker, was told that the task does not run there, and started it elsewhere; then the stand-in carried the first start out, since it looked at the fence only when an order arrives. A worker does nothing for a lower fence than the highest it has seen, whenever it gets to it.

Ruled out: the takeover. It asked the worker what it runs before it started anything, and with the newer fence; nothing later could show it an order that the worker still holds.

--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -204,17 +204,24 @@
         if request.header('expected-instance') not in {'', self.worker_id}:
             return Response(421)
         body = msgspec.json.decode(request.body)
-        if self.checks_fences and body.get('Fence', 0) < self._fence:
+        if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
         self._fence = body.get('Fence', 0)
         is_lost = self.faults.loses()
         if is_lost and self.faults.late_s:
             await anyio.sleep(self.faults.late_s)
+            if self._is_fenced_off(body):
+                # A newer owner has given orders meanwhile.
+                return await self.faults.lose()
         self.faults.observe(request.path, is_done=False)
         response = await self._carry_out(request.path, body)
         self.faults.observe(request.path, is_done=True)
         return await self.faults.lose() if is_lost else response
 
+    def _is_fenced_off(self, body: dict[str, Any]) -> bool:
+        """Tell whether an order is of an older owner than another that came."""
+        return self.checks_fences and body.get('Fence', 0) < self._fence
+
     async def _carry_out(self, path: str, body: dict[str, Any]) -> Response:
         if path == '/hold':
             return await self._hold(body)
