Soak: nothing of an ended job may run on, and cancelled jobs are long enough to show it

Cause: the soak cancelled jobs, and asked only for their state. Their tasks took 1.5 s at most, so that what was not stopped ended by itself before anybody looked.

Ruled out: looking without longer tasks.

Change: a job that will be cancelled has tasks of 60 s, its cancellation is asked for again until it is acknowledged, and after all jobs have ended no worker may run a task of one of them for longer than a late start takes to be found (2.0 s until it, 6.9 s after).

--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -2,6 +2,7 @@
 
 import random
 import tempfile
+import time
 from collections import Counter
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -18,13 +19,16 @@
 from .settings import SoakSettings
 from .system import System
 from .versions import OTHER_KEY
-from .violations import doubled_runs, false_ends, refused_that_ran, Submission, Violation
+from .violations import doubled_runs, ENDED_STATES, false_ends, refused_that_ran, still_running, Submission, Violation
 
 # Times between a caller's jobs, and between its tries of one, in seconds.
 _GAP_S = 0.4
 _TRIES_S = (0.0, 0.2, 0.4, 0.8, 1.2)
 _CANCELLED_SHARE = 0.15
+_CANCEL_AGAIN_S = 0.3
 _WORK_S = (0.2, 1.5)
+# Work of tasks whose job is cancelled: so long that what is not stopped is seen.
+_CANCELLED_WORK_S = 60.0
 _ESTIMATE_MS = 800
 # Longest time from the last fault until an instance is ready, in seconds: a start
 # takes one, a document of a megabyte over a slow link two.
@@ -34,7 +38,12 @@
 _CALM_S = 4.0
 # Traffic goes on for so long after the last fault has begun, in seconds.
 _TRAFFIC_AFTER_S = 3.0
-_ENDED = frozenset(('succeeded', 'failed', 'cancelled', '410'))
+_ENDED = ENDED_STATES | {'410'}
+# A start may be carried out this late, in seconds: as long as the lease that it carries.
+_LATEST_START_S = 2.0
+# Longest time from a late start to its end, in seconds: 3 after which it counts, 3
+# as for a cancellation, 0.9 for the stop.
+_LATE_END_S = 6.9
 
 
 class SoakResult(NamedTuple):
@@ -120,6 +129,7 @@
         *(Violation('no process ends by itself', name) for name in system.exits),
         *(Violation('an instance becomes ready', name) for name in unready),
         *doubled_runs(system.deployment.workers),
+        *await _running_on(system, states),
         *refused_that_ran(submissions, system.deployment.workers),
         *false_ends(states, submissions, _done_tasks(system)),
         *check.violations,
@@ -164,7 +174,9 @@
 async def _hand_in(caller: Caller, choice: random.Random, steps: list[dict[str, Any]]) -> Submission:
     queue = choice.choice(sorted(PREFIX_BY_QUEUE))
     job_id = f'{choice.getrandbits(64):016x}'
-    body = {'Spec': f'{choice.uniform(*_WORK_S):.2f}', 'Steps': steps}
+    is_to_be_cancelled = choice.random() < _CANCELLED_SHARE
+    work_s = _CANCELLED_WORK_S if is_to_be_cancelled else choice.uniform(*_WORK_S)
+    body = {'Spec': f'{work_s:.2f}', 'Steps': steps}
     path = PREFIX_BY_QUEUE[queue] + job_id
     statuses: list[int] = []
     for pause_s in _TRIES_S:
@@ -174,14 +186,22 @@
         if statuses[-1] == 200:
             break
     tasks = sum(step['Count'] for step in steps)
-    is_cancelled = False
-    if statuses[-1] == 200 and choice.random() < _CANCELLED_SHARE:
+    is_cancelled = is_to_be_cancelled and statuses[-1] == 200
+    if is_cancelled:
         await anyio.sleep(choice.uniform(0.0, 1.0))
-        reply = await caller.call('DELETE', path)
-        is_cancelled = reply is None or reply.status != 410
+        await _cancel(caller, path)
     return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled)
 
 
+async def _cancel(caller: Caller, path: str) -> None:
+    """Cancel a job, again and again until that is acknowledged."""
+    while True:
+        reply = await caller.call('DELETE', path)
+        if reply is not None and reply.status in {200, 410}:
+            return
+        await anyio.sleep(_CANCEL_AGAIN_S)
+
+
 def _crowd(choice: random.Random) -> list[dict[str, Any]]:
     """Return a step of more tasks than run at a time."""
     return [{'Count': choice.randint(4, 10), 'Cpu': 4000, 'MemMb': 16_000, 'Gpu': 4, 'EstimateMs': _ESTIMATE_MS}]
@@ -202,6 +222,17 @@
     return states
 
 
+async def _running_on(system: System, states: dict[str, str]) -> list[Violation]:
+    """Return what runs of ended jobs, and still does after the time in which it must be found."""
+    await anyio.sleep(_LATEST_START_S)
+    deadline_s = time.monotonic() + _LATE_END_S
+    while found := list(still_running(states, system.deployment.workers)):
+        if time.monotonic() > deadline_s:
+            break
+        await anyio.sleep(0.1)
+    return found
+
+
 def _done_tasks(system: System) -> dict[str, int]:
     """Return how many tasks of each job ended well."""
     done = {end.task for worker in system.deployment.workers for end in worker.ends if end.how == 'done'}
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dahliaarch_standins.soak import control_arm, draw_settings, run_soak, SoakSettings
-from dahliaarch_standins.soak.violations import doubled_runs, Submission
+from dahliaarch_standins.soak.violations import doubled_runs, still_running, Submission
 
 # The kinds of faults to draw from when a seed failed: kinds that came later would
 # make it another plan.
@@ -78,3 +78,16 @@
 
 def test_no_runs_are_no_doubled_runs():
     assert not list(doubled_runs([]))
+
+
+class Busy:
+    """A worker that runs a task of each of two jobs."""
+
+    worker_id = 'w'
+    running = {'a.0.0.0': 1, 'b.0.0.0': 2}
+
+
+def test_a_task_of_a_cancelled_job_that_runs_is_reported():
+    assert [found.detail for found in still_running({'a': 'cancelled', 'b': 'running'}, [Busy()])] == [
+        'w: a.0.0.0, 1, cancelled'
+    ]
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -8,6 +8,9 @@
 from ..platform import WorkerStandIn
 from ..platform.workers import Noted
 
+# States of a job of which nothing may run.
+ENDED_STATES = frozenset(('succeeded', 'failed', 'cancelled'))
+
 
 class Violation(NamedTuple):
     """A promise that was not kept."""
@@ -80,6 +83,15 @@
     return spans
 
 
+def still_running(states: dict[str, str], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
+    """Yield tasks that run though their job has ended, however they came to run."""
+    for worker in workers:
+        for task, run in worker.running.items():
+            state = states.get(task.partition('.')[0], '')
+            if state in ENDED_STATES:
+                yield Violation('nothing of an ended job runs on', f'{worker.worker_id}: {task}, {run}, {state}')
+
+
 def refused_that_ran(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
     """Yield jobs that ran though every try to hand them in was refused."""
     refused = {submission.job_id for submission in submissions if submission.is_refused}
