Split the owner's side of a worker: surveys, orders, what both know of the contact

Behaviour is unchanged; tests of the node, the proxy and the scenarios pass (166 in all), with imports of the moved names alone changed.

--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -0,0 +1,74 @@
+"""What is known of the contact with one life of a worker."""
+
+import anyio
+
+from dahliaarch_kernel.scheduler import Lease
+from dahliaarch_platform.settings import Address
+
+from .link_settings import LinkContext
+from .messages import WorkerOver
+
+# Failed surveys in a row after which a worker counts as silent.
+FAILURES_THAT_TELL = 2
+
+
+class Contact:
+    """Shared by the surveys of a worker and the orders to it.
+
+    Parameters
+    ----------
+    worker_id : str
+        Identifier of this life.
+    address : Address
+        Where it takes orders.
+    lease : Lease
+        Its lease, shared with the scheduler.
+    context : LinkContext
+        What every link uses.
+
+    Attributes
+    ----------
+    failures : int
+        Surveys in a row that failed.
+    heard : Event
+        Set when a survey is answered, and then replaced.
+    scope : CancelScope
+        Ends all that is under way with this life.
+    """
+
+    def __init__(self, worker_id: str, address: Address, lease: Lease, context: LinkContext) -> None:
+        """Start without having heard anything."""
+        self.worker_id = worker_id
+        self.address = address
+        self.lease = lease
+        self.context = context
+        self.failures = 0
+        self.heard = anyio.Event()
+        self.scope = anyio.CancelScope()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether surveys have failed often enough to tell."""
+        return self.failures >= FAILURES_THAT_TELL
+
+    def answered(self) -> None:
+        """Note that a survey was answered."""
+        self.failures = 0
+        heard, self.heard = self.heard, anyio.Event()
+        heard.set()
+
+    def over(self) -> None:
+        """Tell that this life of the worker has ended for certain."""
+        self.context.post(WorkerOver(self.worker_id))
+        self.scope.cancel()
+
+    def lease_until(self, hold_s: float) -> float | None:
+        """Return the end, on the worker's clock, of a lease from now; nothing before its clock was read."""
+        if not self.lease.has_reading:
+            return None
+        return self.lease.until(hold_s, self.context.clock())
+
+    def read_clock(self, clock_s: float | None) -> None:
+        """Take a reading of the worker's clock from an answer."""
+        if clock_s is not None:
+            self.lease.read(clock_s, self.context.clock())
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -31,7 +31,7 @@
 from ..metrics import Metrics
 from .advising import Adviser, Ask
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
-from .links import LinkContext, LinkSettings, StartTurns
+from .link_settings import LinkContext, LinkSettings, StartTurns
 from .messages import (
     AdviceFailed,
     AdviceGiven,
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -9,7 +9,8 @@
 
 from ..logs import log_event
 from ..records import RosterEntry
-from .links import LinkContext, WorkerLink
+from .link_settings import LinkContext
+from .links import WorkerLink
 
 
 class Links:
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -10,7 +10,8 @@
 from dahliaarch_platform.workers import Survey, WorkerUnansweredError, WorkerUnreachableError
 
 from ...metrics import Metrics
-from ..links import LinkContext, LinkSettings, StartTurns, WorkerLink
+from ..link_settings import LinkContext, LinkSettings, StartTurns
+from ..links import WorkerLink
 from ..messages import WorkerOver, WorkerSilent, WorkerSurveyed
 
 SETTINGS = LinkSettings(retry_s=0.01)
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -21,7 +21,8 @@
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import ListedEnd, Survey, WorkerUnansweredError
 
-from ..links import LinkContext, LinkSettings, StartTurns, WorkerLink
+from ..link_settings import LinkContext, LinkSettings, StartTurns
+from ..links import WorkerLink
 
 PLAYED_S = 4.0
 ENDS = 60
