A new owner waits 0.25 s for silent workers, and reads two prefixes at once

Ruled out: that new jobs need the wait. Only jobs accepted before the takeover may run on a worker that is not heard; they wait for it as before, and now begin as soon as the last one answers.

Change: 0.25 s and not 1.2 s; jobs of earlier owners are let go when the last unheard worker answers or is over; entries and the known workers, then progress and jobs, are read two at a time. No progress of an earlier owner can be written after the claim, so its order against the jobs is free.

Tests: three that failed before.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -136,6 +136,11 @@
         if worker is not None:
             worker.is_listed = False
 
+    def all_workers_heard(self) -> None:
+        """Record that no worker can run a job of which this owner does not know."""
+        for job in self._state.job_by_id.values():
+            job.known_since_s = 0.0
+
     def worker_silent(self, worker_id: str) -> None:
         """Record that a worker does not answer."""
         worker = self._state.worker_by_id.get(worker_id)
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -59,8 +59,10 @@
 _PASS_EVERY_S = 0.25
 # Shortest time between two passes, in seconds: news that come together share one.
 _PASS_GAP_S = 0.008
-# Longest wait for workers to answer at a takeover, in seconds.
-_TAKEOVER_SURVEY_S = 1.2
+# How long a new owner decides nothing while workers have yet to answer, in
+# seconds: they answer in milliseconds. While it waited 1.2 s for one that was
+# gone, urgent jobs that had just come ended late.
+_TAKEOVER_SURVEY_S = 0.25
 # Share by which the slowest worker's clock prolongs a lease, and rounding.
 _SLOWEST_CLOCK = 1.03
 
@@ -107,6 +109,8 @@
         self._workers_feed = WorkersFeed(self._feed)
         self._progress_by_id: dict[str, JobProgress] = {}
         self._silent_until_s = 0.0
+        # Workers that may run jobs of earlier owners of which this one does not know.
+        self._unheard: set[str] = set()
         self._scope = anyio.CancelScope()
         context = LinkContext(
             workers,
@@ -201,24 +205,33 @@
             yield WorkerUnlisted(entry.profile.worker_id)
 
     async def _survey_all(self) -> None:
-        """Hear from every worker, or give up on those that are silent."""
+        """Hear from every worker that answers at once.
+
+        Jobs accepted before this owner wait for the others, each until it answers or
+        its lease has ended; later ones can't run there.
+        """
+        workers = self.scheduler.worker_by_id.values()
+        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed}
         deadline_s = time.monotonic() + _TAKEOVER_SURVEY_S
-        while time.monotonic() < deadline_s and self._unheard():
-            with anyio.move_on_after(_PASS_EVERY_S):
+        while self._unheard and time.monotonic() < deadline_s:
+            with anyio.move_on_after(deadline_s - time.monotonic()):
                 self._handle(await self._receive.receive())
             self._drain_inbox()
-        unheard = self._unheard()
-        if not unheard:
-            for job in self.scheduler.job_by_id.values():
-                job.known_since_s = 0.0
+        if not self._unheard:
+            self.scheduler.all_workers_heard()
             return
-        log_event('takeover_incomplete', silent=sorted(unheard), until_s=self._silent_until_s)
-        for worker_id in unheard:
+        log_event('takeover_incomplete', silent=sorted(self._unheard), until_s=self._silent_until_s)
+        for worker_id in self._unheard:
             self.scheduler.worker_by_id[worker_id].lease.assume(self._silent_until_s)
 
-    def _unheard(self) -> list[str]:
-        workers = self.scheduler.worker_by_id.values()
-        return [worker.worker_id for worker in workers if not worker.is_surveyed]
+    def _heard(self, worker_id: str) -> None:
+        """Let jobs of earlier owners start once no worker may run any unknown to this one."""
+        if worker_id not in self._unheard:
+            return
+        self._unheard.discard(worker_id)
+        if not self._unheard:
+            log_event('takeover_complete', epoch=self.epoch)
+            self.scheduler.all_workers_heard()
 
     async def _decide_forever(self) -> None:
         while True:
@@ -352,6 +365,7 @@
         link = self._links.get(message.worker_id)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
+        self._heard(message.worker_id)
 
     @_handle.register
     def _(self, message: WorkerSilent) -> None:
@@ -362,6 +376,7 @@
         log_event('worker_over', worker=message.worker_id)
         self.scheduler.worker_over(message.worker_id, _now())
         self._links.close(message.worker_id)
+        self._heard(message.worker_id)
 
     @_handle.register
     def _(self, message: StartAcknowledged) -> None:
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import anyio
+
 from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import JobProgress
@@ -51,21 +53,33 @@
 
 async def read_workers(store: StoreClient, timing: StoreTiming) -> KnownWorkers:
     """Read which workers there are, however long the store needs."""
-    entries = await read_all(store, timing, WORKERS_PREFIX)
-    roster = await read_all(store, timing, ROSTER_PREFIX)
+    entries, roster = await _read_both(store, timing, WORKERS_PREFIX, ROSTER_PREFIX)
     return KnownWorkers(entries, _missing(roster, entries), _revision_by_key(roster))
 
 
 async def read_jobs(store: StoreClient, timing: StoreTiming) -> KeptJobs:
     """Read all jobs, however long the store needs.
 
-    Progress is read before jobs: it belongs to jobs that were there before.
+    Only owners write progress, and no earlier one can any more: it belongs to jobs
+    that were there before.
     """
-    progress = await read_all(store, timing, PROGRESS_PREFIX)
-    jobs = await read_all(store, timing, JOBS_PREFIX)
+    progress, jobs = await _read_both(store, timing, PROGRESS_PREFIX, JOBS_PREFIX)
     return KeptJobs(jobs, _progress_by_id(progress), _revision_by_key(progress))
 
 
+async def _read_both(store: StoreClient, timing: StoreTiming, first: str, second: str) -> tuple[Page, Page]:
+    """Read two prefixes at once: from a store that takes 0.27 s for an answer a takeover took 1.07 s."""
+    page_by_prefix: dict[str, Page] = {}
+
+    async def read(prefix: str) -> None:
+        page_by_prefix[prefix] = await read_all(store, timing, prefix)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read, first)
+        tasks.start_soon(read, second)
+    return page_by_prefix[first], page_by_prefix[second]
+
+
 def _revision_by_key(page: Page) -> dict[str, int]:
     return {item.key: item.revision for item in page.items}
 
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 
-from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_kernel.configuration import Queue
 from dahliaarch_kernel.scheduler.events import RunSeen
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
@@ -18,12 +18,14 @@
 from ...records import cancel_key, job_key, JobRecord, JOBS_PREFIX
 from ...timing import StoreTiming
 from .. import PoolOwner
+from ..messages import JobListed
 from ..settings import OwnerSettings
 
 EPOCH = 50_000
 QUEUE = Queue('q', 'h', '/q/', 'svc', priority=1, max_attempts=3, stretch=3.0, target_latency_s=1.0)
 STEP = StepSpec(1, Resources(1000, 1000, 1), 20.0)
 LAST = 'f' * 16
+NEW = 'e' * 16
 # Jobs that a store keeps at a time, at sixty a second: each for three minutes.
 MANY = 10_800
 # Longest lease that workers grant.
@@ -54,6 +56,16 @@
         return CommitResult(CommitStatus.DONE, EPOCH + 1)
 
 
+class SlowStore(KeptStore):
+    """The same, each answer after a quarter of a second."""
+
+    answer_s = 0.25
+
+    async def read_page(self, prefix, after='', *, timeout_s):
+        await anyio.sleep(self.answer_s)
+        return await super().read_page(prefix, after, timeout_s=timeout_s)
+
+
 class Workers:
     """Workers in memory: one runs a task and falls silent after its first answer, others are idle."""
 
@@ -61,9 +73,12 @@
         self.running_by_id = dict(running)
         self.surveys = Counter()
         self.starts = []
+        self.silent_until_s = {}
 
     async def survey(self, address, life, *, wait_s, **options):
         self.surveys[life] += 1
+        if time.monotonic() < self.silent_until_s.get(life, 0.0):
+            raise WorkerUnreachableError('cut off')
         if life not in self.running_by_id:
             await anyio.sleep(wait_s)
             return Survey(time.monotonic(), (), ())
@@ -107,6 +122,18 @@
     return owner
 
 
+def decode_job_record(item):
+    record = decode(item.value, JobRecord, 'job record')
+    return JobListed(record.spec, record.queue, EPOCH + 1)
+
+
+def submitted(owner, news):
+    """Hand a job to an owner that decides; an owner knows a job once."""
+    if owner.is_ready:
+        owner.post(news)
+    return owner.is_ready
+
+
 def is_ready(owner):
     return owner.is_ready
 
@@ -145,3 +172,30 @@
     anyio.run(take_over, store, workers, lambda owner: workers.starts, LONGEST_LEASE_S - 1.0)
     assert workers.surveys['w0'] > 2
     assert not workers.starts
+
+
+def test_a_job_that_comes_after_a_takeover_does_not_wait_for_workers_that_are_silent():
+    """With one worker gone since the owner before, urgent jobs began 1.2 s after a takeover and ended late."""
+    workers = Workers()
+    workers.silent_until_s['w0'] = float('inf')
+    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
+    news = decode_job_record(kept_job(NEW, time.time()))
+    anyio.run(take_over, store, workers, lambda owner: submitted(owner, news) and workers.starts, 0.8)
+    assert workers.starts == [('w1', TaskKey(NEW, 0, 0, 0))]
+
+
+def test_jobs_of_the_owner_before_begin_once_the_last_silent_worker_has_answered():
+    """They waited for its longest lease, as if it had stayed silent."""
+    workers = Workers()
+    workers.silent_until_s['w0'] = time.monotonic() + 1.6
+    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
+    anyio.run(take_over, store, workers, lambda owner: workers.starts, LONGEST_LEASE_S - 1.0)
+    assert [key for _, key in workers.starts] == [TaskKey(LAST, 0, 0, 0)]
+
+
+def test_what_is_read_at_a_takeover_is_read_at_once():
+    """From a store that takes 0.25 s for an answer, four reads in turn were a second without decisions."""
+    store = SlowStore([kept_job(LAST, time.time()), worker_entry('w0')])
+    begun_s = time.monotonic()
+    anyio.run(take_over, store, Workers(), is_ready, 5.0)
+    assert time.monotonic() - begun_s < 3 * SlowStore.answer_s
