--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -10,28 +10,25 @@
 from dahliaarch_kernel.scheduler import Effect, Moment, Scheduler, SchedulerSettings
 from dahliaarch_kernel.scheduler.claims import Claims
 from dahliaarch_kernel.scheduler.job_state import StepState
+from dahliaarch_kernel.scheduler.leaving import expire_leases
 from dahliaarch_kernel.scheduler.placement import place, Request
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.scheduler.reservation import earliest_claim
 from dahliaarch_kernel.scheduler.room import effective_demand, Room
 from dahliaarch_kernel.scheduler.runs import Run
 
-from .deployments import Deployment
-
 
 class BestFit(Scheduler):
     """Keeps the books of the scheduler and decides in its own, plain way.
 
     Parameters
     ----------
-    deployment : Deployment
-        The pool.
+    settings : SchedulerSettings
+        What the platform says of itself.
     """
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, settings: SchedulerSettings) -> None:
         """Start empty."""
-        pool = deployment.pool
-        settings = SchedulerSettings(far_factor=pool.far_factor, stop_timeout_s=pool.largest_stop_s)
         super().__init__(settings, epoch=1)
         self._policy = compile_policy(SHIPPED['worth'])
 
@@ -39,7 +36,8 @@
         """Start what fits, in the order of arrival."""
         state = self._state
         claims = Claims()
-        workers = list(state.worker_by_id.values())
+        expire_leases(state, now)
+        workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
         room = Room(workers, claims)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
--- a/packages/standins/dahliaarch_standins/comparison/core.py
+++ b/packages/standins/dahliaarch_standins/comparison/core.py
@@ -1,27 +1,12 @@
-"""Plays the same days with several schedulers and compares what owners get."""
+"""Compares what owners get from several schedulers on the same days."""
 
 import statistics
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from dahliaarch_kernel.scheduler import Scheduler, SchedulerSettings
-from dahliaarch_kernel.workload import weighted_cores
-
-from .baselines import BestFit
-from .deployments import Deployment, DEPLOYMENTS, JobKind
-from .simulation import Decider, Simulation
-from .workload import draw_day, DrawnJob
-
-# Length of a day's traffic and of the time after it, in seconds.
-_TRAFFIC_S = 45.0
-_AFTER_S = 20.0
-# The users' formula: a fixed part of a job's worth and one by its size.
-_FIXED_PART = 0.3
-_LARGEST_SIZE_FACTOR = 4.0
-# Price of a weighted core-second that is thrown away, as the users' sites have it.
-_PRICE_OF_WASTE = 0.0015
-# A job is late up to this multiple of its objective.
-_LATE_FACTOR = 3.0
+from .days import Play, play_all, SCHEDULERS
+from .deployments import DEPLOYMENTS
+from .scoring import DayScore
 
 
 class Comparison(NamedTuple):
@@ -31,10 +16,10 @@
     ----------
     scheduler : str
         Its name.
+    net : float
+        What counts to the users, less the price of work that was thrown away.
     credit : float
         Worth earned over worth owed.
-    net : float
-        The same less the price of work that was thrown away.
     served : float
         Share of jobs that ended within the time in which they are worth anything.
     urgent_in_time : float
@@ -50,8 +35,8 @@
     """
 
     scheduler: str
-    credit: float
     net: float
+    credit: float
     served: float
     urgent_in_time: float
     mean_completion_s: float
@@ -60,7 +45,13 @@
     wasted_share: float
 
 
-def compare(deployment: str, seeds: Sequence[int], load: float = 1.0, names: Sequence[str] = ()) -> list[Comparison]:
+def compare(
+    deployment: str,
+    seeds: Sequence[int],
+    load: float = 1.0,
+    names: Sequence[str] = (),
+    workers: int = 1,
+) -> list[Comparison]:
     """Return a row for each scheduler, the same days for all.
 
     Parameters
@@ -73,112 +64,26 @@
         Multiple of the deployment's rates.
     names : sequence of str
         Schedulers; all by default.
+    workers : int
+        Processes that play days.
     """
-    chosen = names or tuple(_SCHEDULERS)
-    return [_play(name, DEPLOYMENTS[deployment], seeds, load) for name in chosen]
-
+    chosen = names or tuple(SCHEDULERS)
+    plays = [Play(name, DEPLOYMENTS[deployment], seed, load) for name in chosen for seed in seeds]
+    scores = play_all(plays, workers)
+    days = len(seeds)
+    return [_row(name, scores[place * days : (place + 1) * days]) for place, name in enumerate(chosen)]
 
-class _Day(NamedTuple):
-    """Sums over one day."""
 
-    earned: float
-    owed: float
-    served: int
-    urgent_in_time: int
-    urgent: int
-    jobs: int
-    completions_s: list[float]
-    gang_waits_s: list[float]
-    idle: list[float]
-    wasted: float
-    worked: float
-
-
-def _play(name: str, deployment: Deployment, seeds: Sequence[int], load: float) -> Comparison:
-    days = [_play_day(name, deployment, seed, load) for seed in seeds]
-    owed = sum(day.owed for day in days)
-    earned = sum(day.earned for day in days)
-    wasted = sum(day.wasted for day in days)
+def _row(name: str, days: Sequence[DayScore]) -> Comparison:
+    waits = [each for day in days for each in day.gang_waits_s]
     return Comparison(
         name,
-        earned / owed,
-        (earned - _PRICE_OF_WASTE * wasted) / owed,
+        statistics.fmean(day.net for day in days),
+        sum(day.earned for day in days) / sum(day.owed for day in days),
         sum(day.served for day in days) / sum(day.jobs for day in days),
         sum(day.urgent_in_time for day in days) / max(1, sum(day.urgent for day in days)),
-        statistics.fmean(each for day in days for each in day.completions_s),
-        max((each for day in days for each in day.gang_waits_s), default=0.0),
+        statistics.fmean([each for day in days for each in day.completions_s] or [0.0]),
+        max(waits, default=0.0),
         statistics.fmean([each for day in days for each in day.idle] or [0.0]),
-        wasted / sum(day.worked for day in days),
-    )
-
-
-def _play_day(name: str, deployment: Deployment, seed: int, load: float) -> _Day:
-    jobs = draw_day(deployment, _TRAFFIC_S, load, seed)
-    simulation = Simulation(deployment, jobs, _SCHEDULERS[name](deployment), seed)
-    simulation.run(_TRAFFIC_S + _AFTER_S)
-    return _sums(deployment, jobs, simulation)
-
-
-def _sums(deployment: Deployment, jobs: list[DrawnJob], simulation: Simulation) -> _Day:
-    mean_work = {kind: _mean_work(jobs, kind) for kind in deployment.kinds}
-    owed = [job for job in jobs if not job.is_hopeless and job.cancel_at_s is None]
-    earned = 0.0
-    served = 0
-    urgent_in_time = 0
-    for job in owed:
-        took_s = simulation.ended_s_by_job.get(job.spec.job_id, float('inf')) - job.at_s
-        lateness = took_s / _objective_s(job)
-        if lateness <= _LATE_FACTOR:
-            served += 1
-            worth = job.kind.worth if lateness <= 1 else job.kind.late_worth
-            earned += worth * _size(job, mean_work)
-        urgent_in_time += job.kind.priority == 0 and lateness <= 1
-    begun_s = simulation.begun_s_by_job
-    ended_s = simulation.ended_s_by_job
-    return _Day(
-        earned,
-        sum(job.kind.worth * _size(job, mean_work) for job in owed),
-        served,
-        urgent_in_time,
-        sum(job.kind.priority == 0 for job in owed),
-        len(owed),
-        [ended_s[job.spec.job_id] - job.at_s for job in owed if job.spec.job_id in ended_s],
-        [begun_s.get(job.spec.job_id, _TRAFFIC_S + _AFTER_S) - job.at_s for job in owed if job.spec.steps[0].gang],
-        simulation.idle_while_waiting,
-        simulation.wasted,
-        simulation.worked,
+        sum(day.wasted for day in days) / max(1.0, sum(day.worked for day in days)),
     )
-
-
-def _objective_s(job: DrawnJob) -> float:
-    """Return the time in which the owner wants the job to end."""
-    return job.kind.stretch * sum(max(work) for work in job.work_s) + job.kind.slack_s
-
-
-def _work(job: DrawnJob) -> float:
-    pairs = zip(job.spec.steps, job.work_s, strict=True)
-    return sum(weighted_cores(step.demand) * sum(work) for step, work in pairs)
-
-
-def _mean_work(jobs: list[DrawnJob], kind: JobKind) -> float:
-    return statistics.fmean([_work(job) for job in jobs if job.kind is kind] or [1.0])
-
-
-def _size(job: DrawnJob, mean_work: dict[JobKind, float]) -> float:
-    share = _work(job) / mean_work[job.kind]
-    return min(_FIXED_PART + (1 - _FIXED_PART) * share, _LARGEST_SIZE_FACTOR)
-
-
-def _scheduler(deployment: Deployment) -> Scheduler:
-    pool = deployment.pool
-    settings = SchedulerSettings(far_factor=pool.far_factor, stop_timeout_s=pool.largest_stop_s)
-    scheduler = Scheduler(settings, epoch=1)
-    guaranteed = int(pool.workers * pool.capacity.accelerators * pool.guaranteed_share / pool.accounts)
-    scheduler.set_guarantees({f'account-{number}': guaranteed for number in range(pool.accounts)})
-    return scheduler
-
-
-_SCHEDULERS: dict[str, Callable[[Deployment], Decider]] = {
-    'worth': _scheduler,
-    'best-fit': BestFit,
-}
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -1,152 +1,117 @@
 """Shapes of the users' jobs and workers, from their sheets and from played days.
 
-Widths, sizes and marks were read off the `job_known` lines of days played on
-the users' bench; times, spreads and worths stand on their sheets.
+Times, spreads, rates and worths stand on the sheets; widths, shares of marks and
+times of stops were read off the logs of played days.
 """
 
-from typing import NamedTuple
-
 from dahliaarch_kernel.workload import Resources
 
+from .shapes import Deployment, JobKind, Pool
+
+# Accelerators of a gang's tasks, each as often as the others.
+GANG_ACCELERATORS = (1, 2, 4, 8, 8)
+# Some of the users' workers take longer than the rest.
+_UNEQUAL = (1.0, 1.0, 1.3)
+# Workers of a grown pool that are there on an ordinary day with trouble.
+_GROWN_WORKERS = 160
+
+
+def _gangs(name: str, rate_per_s: float, work_s: float, largest_s: float, demand: Resources, widths: int) -> JobKind:
+    """Return work of priority 1: a few large tasks that run together."""
+    return JobKind(
+        name,
+        priority=1,
+        rate_per_s=rate_per_s,
+        mean_width=4.0,
+        largest_width=widths,
+        mean_work_s=work_s,
+        work_spread=0.3,
+        largest_work_s=largest_s,
+        demand=demand,
+        accelerators=GANG_ACCELERATORS,
+        is_gang=True,
+        one_rack_share=0.6,
+        checkpoint_share=0.45,
+        estimate_spread=0.5,
+        uneven=0.0,
+        failing_share=0.02,
+        hopeless_share=0.03,
+        cancelled_share=0.05,
+        stretch=3.0,
+        slack_s=1.0,
+        worth=3.0,
+        late_worth=0.9,
+    )
+
+
+def _urgent(name: str, rate_per_s: float, demand: Resources, width: float, widths: int) -> JobKind:
+    """Return work of priority 0: short gangs that somebody waits for."""
+    return JobKind(
+        name,
+        priority=0,
+        rate_per_s=rate_per_s,
+        mean_width=width,
+        largest_width=widths,
+        mean_work_s=2.5,
+        work_spread=0.5,
+        largest_work_s=8.0,
+        demand=demand,
+        accelerators=GANG_ACCELERATORS,
+        is_gang=True,
+        one_rack_share=0.77,
+        estimate_spread=0.97,
+        failing_share=0.05,
+        cancelled_share=0.04,
+        stretch=1.5,
+        slack_s=0.25,
+        worth=4.0,
+        late_worth=0.8,
+    )
+
+
+def _many(name: str, rate_per_s: float, work_s: float, largest_s: float, demand: Resources, width: float) -> JobKind:
+    """Return work of priority 2: many small tasks, one by one."""
+    return JobKind(
+        name,
+        priority=2,
+        rate_per_s=rate_per_s,
+        mean_width=width,
+        largest_width=5 * width,
+        mean_work_s=work_s,
+        work_spread=0.3,
+        largest_work_s=largest_s,
+        demand=demand,
+        accelerators=(1,),
+        is_gang=False,
+        checkpoint_share=0.45,
+        second_step_share=0.28,
+        apart_share=0.1,
+        estimate_spread=0.22,
+        uneven=0.14,
+        failing_share=0.02,
+        cancelled_share=0.15,
+        stretch=3.0,
+        slack_s=3.0,
+        worth=1.0,
+        late_worth=0.3,
+    )
 
-class JobKind(NamedTuple):
-    """One kind of request.
-
-    Parameters
-    ----------
-    name : str
-        Name on the sheet.
-    priority : int
-        Priority of its queue.
-    rate_per_s : float
-        Jobs a second.
-    mean_width, largest_width : float
-        Tasks of a step; widths are log-normal.
-    mean_work_s, work_spread, largest_work_s : float
-        Work of a task on a sound worker.
-    demand : Resources
-        What a task needs beside accelerators.
-    accelerators : tuple of int
-        Accelerators of a task; one entry is drawn a job.
-    is_gang : bool
-        Whether tasks run together.
-    one_rack_share, checkpoint_share : float
-        Shares of jobs so marked.
-    second_step_share : float
-        Share of jobs with a second step.
-    estimate_error : float
-        Largest relative error of the owner's estimate.
-    uneven : float
-        Spread of work among the tasks of a step.
-    failing_share : float
-        Share of runs that fail by their own fault.
-    hopeless_share : float
-        Share of jobs that can never be done.
-    cancelled_share : float
-        Share of jobs that their owner cancels.
-    stretch, slack_s : float
-        Objective: so many times the longest chain of work, plus seconds.
-    worth, late_worth : float
-        Worth of a mean job in time and late.
-    """
-
-    name: str
-    priority: int
-    rate_per_s: float
-    mean_width: float
-    largest_width: float
-    mean_work_s: float
-    work_spread: float
-    largest_work_s: float
-    demand: Resources
-    accelerators: tuple[int, ...]
-    is_gang: bool
-    one_rack_share: float
-    checkpoint_share: float
-    second_step_share: float
-    estimate_error: float
-    uneven: float
-    failing_share: float
-    hopeless_share: float
-    cancelled_share: float
-    stretch: float
-    slack_s: float
-    worth: float
-    late_worth: float
-
-
-class Pool(NamedTuple):
-    """Workers of a deployment.
-
-    Parameters
-    ----------
-    workers, workers_per_rack : int
-        Their numbers.
-    capacity : Resources
-        What each has.
-    speeds : tuple of float
-        Times as long as work takes, by worker in turn.
-    largest_stop_s : float
-        Longest time that stopping a run takes.
-    far_factor : float
-        Times as long as a gang of one rack takes on several.
-    checkpoint_s, restore_s : float
-        Work between checkpoints, and time to go on from one.
-    guaranteed_share : float
-        Share of all accelerators that accounts are guaranteed.
-    accounts : int
-        Number of client accounts.
-    """
-
-    workers: int
-    workers_per_rack: int
-    capacity: Resources
-    speeds: tuple[float, ...] = (1.0, 1.0, 1.3)
-    largest_stop_s: float = 0.9
-    far_factor: float = 3.0
-    checkpoint_s: float = 1.0
-    restore_s: float = 0.25
-    guaranteed_share: float = 0.62
-    accounts: int = 4
-
-
-class Deployment(NamedTuple):
-    """A pool and the jobs that it serves."""
-
-    pool: Pool
-    kinds: tuple[JobKind, ...]
-
-
-_GANG_ACCELERATORS = (1, 2, 4, 8, 8)
 
 _METERS = (
-    JobKind(
-        'interval-recon', 1, 0.392, 2.9, 4, 6.8, 0.3, 11.0, Resources(26_000, 140_000), _GANG_ACCELERATORS, True, 0.6,
-        0.45, 0.0, 0.2, 0.3, 0.05, 0.01, 0.05, 3.0, 1.0, 3.0, 0.9,
-    ),
-    JobKind(
-        'route-valid', 0, 0.763, 2.9, 5, 2.5, 0.5, 8.0, Resources(7_500, 22_000), _GANG_ACCELERATORS, True, 0.8,
-        0.0, 0.0, 0.5, 0.15, 0.02, 0.0, 0.0, 1.5, 0.25, 4.0, 0.8,
-    ),
-    JobKind(
-        'anomaly-scan', 2, 0.294, 16.0, 48, 7.6, 0.3, 11.0, Resources(5_600, 23_000), (1,), False, 0.0,
-        0.45, 0.3, 0.9, 0.3, 0.05, 0.03, 0.15, 3.0, 3.0, 1.0, 0.3,
-    ),
-)  # fmt: skip
+    _gangs('interval-recon', 0.392, 6.8, 11.0, Resources(26_000, 140_000), 4),
+    _urgent('route-valid', 0.763, Resources(7_500, 22_000), 2.9, 8),
+    _many('anomaly-scan', 0.294, 7.6, 11.0, Resources(5_600, 23_000), 16.0),
+)
 _CARS = (
-    JobKind(
-        'damage-scan', 1, 0.429, 2.9, 8, 8.5, 0.3, 14.0, Resources(52_000, 210_000), _GANG_ACCELERATORS, True, 0.6,
-        0.45, 0.0, 0.2, 0.3, 0.05, 0.01, 0.05, 3.0, 1.0, 3.0, 0.9,
-    ),
-    JobKind(
-        'rate-quote', 0, 0.961, 2.4, 4, 2.5, 0.5, 8.0, Resources(15_000, 79_000), _GANG_ACCELERATORS, True, 0.8,
-        0.0, 0.0, 0.5, 0.15, 0.02, 0.0, 0.0, 1.5, 0.25, 4.0, 0.8,
-    ),
-    JobKind(
-        'fleet-rebalance', 2, 0.34, 14.0, 40, 9.5, 0.3, 14.0, Resources(11_000, 59_000), (1,), False, 0.0,
-        0.45, 0.3, 0.9, 0.3, 0.05, 0.03, 0.15, 3.0, 3.0, 1.0, 0.3,
-    ),
-)  # fmt: skip
+    _gangs('damage-scan', 0.429, 8.5, 14.0, Resources(52_000, 210_000), 8),
+    _urgent('rate-quote', 0.961, Resources(15_000, 79_000), 2.6, 8),
+    _many('fleet-rebalance', 0.34, 9.5, 14.0, Resources(11_000, 59_000), 12.0),
+)
+_ZONES = (
+    _gangs('zone-rebuild', 0.314, 8.5, 11.0, Resources(13_000, 52_992), 8),
+    _urgent('zone-check', 0.956, Resources(3_700, 10_992), 3.2, 16),
+    _many('heatmap-refresh', 0.295, 7.6, 11.0, Resources(2_800, 10_992), 15.0),
+)
 
 
 def _grown(kinds: tuple[JobKind, ...], shapes: tuple[tuple[float, float, float], ...]) -> tuple[JobKind, ...]:
@@ -157,28 +122,29 @@
     )
 
 
-# A ninth of the workers are away on an ordinary day with trouble.
-_GROWN_WORKERS = 156
+_METERS_POOL = Pool(24, 8, Resources(64_000, 262_144, 8), _UNEQUAL, hold_s=10.0)
+_CARS_POOL = Pool(
+    24, 8, Resources(128_000, 524_288, 8), _UNEQUAL, 0.1, 0.4, checkpoint_s=2.0, restore_s=0.1, waste_price=0.0015
+)
+_ZONES_POOL = Pool(24, 8, Resources(32_000, 131_072, 8), checkpoint_s=0.5, restore_s=0.6)
+
+
+def _grown_pool(pool: Pool) -> Pool:
+    return pool._replace(workers=_GROWN_WORKERS, workers_per_rack=12, accounts=10)
+
 
 DEPLOYMENTS = {
-    'meters': Deployment(Pool(24, 8, Resources(64_000, 262_144, 8)), _METERS),
-    'cars': Deployment(
-        Pool(24, 8, Resources(128_000, 524_288, 8), largest_stop_s=0.4, checkpoint_s=2.0, restore_s=0.1), _CARS
-    ),
+    'meters': Deployment(_METERS_POOL, _METERS),
+    'cars': Deployment(_CARS_POOL, _CARS),
+    'zones': Deployment(_ZONES_POOL, _ZONES),
     'meters-grown': Deployment(
-        Pool(_GROWN_WORKERS, 12, Resources(64_000, 262_144, 8), accounts=10),
-        _grown(_METERS, ((1.29, 13.0, 29), (3.52, 5.4, 32), (1.02, 39.0, 130))),
+        _grown_pool(_METERS_POOL), _grown(_METERS, ((1.29, 13.0, 29), (3.52, 5.2, 32), (1.02, 37.0, 190)))
     ),
     'cars-grown': Deployment(
-        Pool(
-            _GROWN_WORKERS,
-            12,
-            Resources(128_000, 262_144, 8),
-            largest_stop_s=0.4,
-            checkpoint_s=2.0,
-            restore_s=0.1,
-            accounts=10,
-        ),
-        _grown(_CARS, ((1.48, 10.0, 24), (4.44, 5.0, 24), (1.17, 30.0, 100))),
+        _grown_pool(_CARS_POOL)._replace(capacity=Resources(128_000, 262_144, 8)),
+        _grown(_CARS, ((1.48, 10.0, 24), (4.44, 5.0, 24), (1.17, 30.0, 150))),
+    ),
+    'zones-grown': Deployment(
+        _grown_pool(_ZONES_POOL), _grown(_ZONES, ((1.04, 12.3, 60), (4.4, 5.2, 32), (1.02, 37.0, 190)))
     ),
 }
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -0,0 +1,158 @@
+"""What runs on the workers of a played pool, and how far it is."""
+
+from dahliaarch_kernel.scheduler import StartRun, WorkerProfile
+from dahliaarch_kernel.workload import NO_RESOURCES, Resources, StepSpec, TaskKey, weighted_cores
+
+from .troubles import Sickness
+from .workload import DrawnJob
+
+RunKey = tuple[TaskKey, int]
+_MS = 1000
+
+
+class Execution:
+    """One run on one worker.
+
+    Parameters
+    ----------
+    start : StartRun
+        The order that began it.
+    job : DrawnJob
+        Its job.
+    worker : PlayedWorker
+        Where it runs.
+    begun_s : float
+        When it began.
+    """
+
+    def __init__(self, start: StartRun, job: DrawnJob, worker: 'PlayedWorker', begun_s: float) -> None:
+        """Begin."""
+        self.start = start
+        self.job = job
+        self.worker = worker
+        self.begun_s = begun_s
+        self.is_over = False
+
+    @property
+    def key(self) -> RunKey:
+        """Its task and number."""
+        return (self.start.key, self.start.run)
+
+    @property
+    def step(self) -> StepSpec:
+        """Its step as submitted."""
+        return self.job.spec.steps[self.start.key.step]
+
+    @property
+    def demand(self) -> Resources:
+        """What it holds."""
+        return self.step.demand
+
+    @property
+    def cores(self) -> float:
+        """What it holds, in weighted cores."""
+        return weighted_cores(self.demand)
+
+
+class Unit:
+    """Runs that work together: the members of a gang, or one task.
+
+    Parameters
+    ----------
+    first : Execution
+        Its first member.
+    saved_s : float
+        Work that was saved before.
+    """
+
+    def __init__(self, first: Execution, saved_s: float) -> None:
+        """Begin with one member; work begins once all are there."""
+        step = first.step
+        self.members: list[Execution] = []
+        self.size = step.task_count if step.gang else 1
+        key = first.start.key
+        self.work_s = first.job.work_s[key.step][key.task_index]
+        self.saved_s = saved_s
+        self.done_s = saved_s
+        # Work done in a second, and since when.
+        self.rate = 0.0
+        self.since_s = first.begun_s
+        # Grows whenever what was planned for it does not hold any more.
+        self.plan = 0
+        # Work after which it fails, if it does.
+        self.fails_at_s: float | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all of its members are there."""
+        return len(self.members) == self.size
+
+    def advance(self, now_s: float) -> None:
+        """Take in the work done until now."""
+        self.done_s = min(self.work_s, self.done_s + max(0.0, now_s - self.since_s) * self.rate)
+        self.since_s = max(self.since_s, now_s)
+
+    def percent(self, now_s: float) -> int:
+        """Return the work done so far, in whole percent."""
+        self.advance(now_s)
+        return int(100 * self.done_s / self.work_s)
+
+    def checkpoint(self, every_s: float, *, is_stop: bool) -> str:
+        """Return what is saved of its work: all at a stop, else what was done by the last checkpoint."""
+        if not self.members[0].step.checkpoints:
+            return ''
+        kept_s = self.done_s if is_stop else max(self.saved_s, self.done_s // every_s * every_s)
+        return f'{int(kept_s * _MS):08d}' if kept_s else ''
+
+
+def saved_work_s(checkpoint: str) -> float:
+    """Return the work that a checkpoint holds."""
+    return float(checkpoint or 0) / _MS
+
+
+class PlayedWorker:
+    """One life of a worker.
+
+    Parameters
+    ----------
+    profile : WorkerProfile
+        What it publishes.
+    speed : float
+        Times as long as work takes there.
+    """
+
+    def __init__(self, profile: WorkerProfile, speed: float) -> None:
+        """Start sound and empty."""
+        self.profile = profile
+        self.speed = speed
+        self.sickness: Sickness | None = None
+        self.factor = 1.0
+        self.is_gone = False
+        self.unit_by_run: dict[RunKey, Unit] = {}
+        self.used = NO_RESOURCES
+
+    @property
+    def rate(self) -> float:
+        """Work done there in a second."""
+        if self.sickness is Sickness.STILL:
+            return 0.0
+        return 1.0 / (self.speed * self.factor)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether it hears and tells nothing."""
+        return self.sickness is Sickness.CUT_OFF
+
+    def has_room(self, demand: Resources) -> bool:
+        """Tell whether a task fits."""
+        return self.profile.capacity.covers(self.used.plus(demand))
+
+    def add(self, execution: Execution, unit: Unit) -> None:
+        """Let a run hold its room."""
+        self.unit_by_run[execution.key] = unit
+        self.used = self.used.plus(execution.demand)
+
+    def remove(self, execution: Execution) -> None:
+        """Free what a run held."""
+        if self.unit_by_run.pop(execution.key, None) is not None:
+            self.used = self.used.minus(execution.demand)
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/comparison/scoring.py
@@ -0,0 +1,179 @@
+"""What a day was worth to the owners of its jobs, in the users' measures."""
+
+import heapq
+import statistics
+from collections import defaultdict
+from collections.abc import Callable, Hashable, Iterable, Sequence
+from typing import NamedTuple
+
+from dahliaarch_kernel.workload import weighted_cores
+
+from .ledger import Ledger
+from .shapes import Deployment, JobKind
+from .workload import DrawnJob
+
+# The users' formula: a fixed part of a job's worth and one by its size.
+_FIXED_PART = 0.3
+_LARGEST_SIZE_FACTOR = 4.0
+# A job is late up to this multiple of its objective.
+LATE_FACTOR = 3.0
+# From a job's end until its owner has been shown it, in seconds, as played.
+_SHOWN_AFTER_S = 0.03
+# What counts on most of the users' sheets: the whole day, the worst windows, the
+# worst kind of request and the worst tenth of accounts.
+_WEIGHT_OF_DAY = 0.7
+_WEIGHT_OF_WINDOWS = 0.15
+_WEIGHT_OF_KIND = 0.15
+_WEIGHT_OF_ACCOUNT = 0.2
+# Length of a window in seconds, and how many of the worst count.
+WINDOW_S = 2.0
+_WORST_WINDOWS = 2
+
+
+class JobScore(NamedTuple):
+    """What came of one owed job.
+
+    Parameters
+    ----------
+    job : DrawnJob
+        The job.
+    owed, earned : float
+        Its worth in time, and what it earned.
+    lateness : float
+        Its time over its objective; infinite when it did not end.
+    """
+
+    job: DrawnJob
+    owed: float
+    earned: float
+    lateness: float
+
+
+class DayScore(NamedTuple):
+    """Sums over one day.
+
+    Parameters
+    ----------
+    owed, earned : float
+        Worth of all owed jobs, and what was earned.
+    parts : float
+        What counts, before the price of waste, 0 to 1.
+    wasted, worked : float
+        Weighted core-seconds thrown away, and all.
+    price : float
+        Price of what was thrown away, as a share of what was owed.
+    jobs, served, urgent, urgent_in_time : int
+        Numbers of owed jobs.
+    completions_s, gang_waits_s, idle : list of float
+        Times of jobs, waits of gangs, shares of idle accelerators while one waits.
+    """
+
+    owed: float
+    earned: float
+    parts: float
+    wasted: float
+    worked: float
+    price: float
+    jobs: int
+    served: int
+    urgent: int
+    urgent_in_time: int
+    completions_s: list[float]
+    gang_waits_s: list[float]
+    idle: list[float]
+
+    @property
+    def net(self) -> float:
+        """What counts less the price of waste."""
+        return self.parts - self.price
+
+
+def worth_of(jobs: Sequence[DrawnJob]) -> dict[str, float]:
+    """Return the worth in time of each owed job, by its id."""
+    works: dict[JobKind, list[float]] = defaultdict(list)
+    for job in jobs:
+        works[job.kind].append(_work(job))
+    mean_by_kind = {kind: statistics.fmean(found) for kind, found in works.items()}
+    return {job.spec.job_id: job.kind.worth * _size(job, mean_by_kind) for job in jobs if job.is_owed}
+
+
+def score_jobs(jobs: Sequence[DrawnJob], ledger: Ledger) -> list[JobScore]:
+    """Return what came of each owed job."""
+    owed_by_id = worth_of(jobs)
+    found = []
+    for job in jobs:
+        if not job.is_owed:
+            continue
+        owed = owed_by_id[job.spec.job_id]
+        ended_s = ledger.ended_s_by_job.get(job.spec.job_id, float('inf'))
+        lateness = (ended_s + _SHOWN_AFTER_S - job.at_s) / job.objective_s
+        found.append(JobScore(job, owed, owed * _credit(job.kind, lateness), lateness))
+    return found
+
+
+def score_day(deployment: Deployment, jobs: Sequence[DrawnJob], ledger: Ledger, until_s: float) -> DayScore:
+    """Return what a day was worth."""
+    scores = score_jobs(jobs, ledger)
+    urgent = [score for score in scores if not score.job.kind.priority]
+    owed = sum(score.owed for score in scores)
+    ended_s = ledger.ended_s_by_job
+    begun_s = ledger.begun_s_by_job
+    gangs = [score.job for score in scores if score.job.spec.steps[0].gang]
+    return DayScore(
+        owed,
+        sum(score.earned for score in scores),
+        _parts(scores),
+        ledger.wasted,
+        ledger.worked,
+        deployment.pool.waste_price * ledger.wasted / max(owed, 1.0),
+        len(scores),
+        sum(score.lateness <= LATE_FACTOR for score in scores),
+        len(urgent),
+        sum(score.lateness <= 1 for score in urgent),
+        [ended_s[score.job.spec.job_id] - score.job.at_s for score in scores if score.job.spec.job_id in ended_s],
+        [begun_s.get(job.spec.job_id, until_s) - job.at_s for job in gangs],
+        ledger.idle_while_waiting,
+    )
+
+
+def _credit(kind: JobKind, lateness: float) -> float:
+    """Return the share of its worth that a job earns."""
+    if lateness <= 1:
+        return 1.0
+    return kind.late_worth / kind.worth if lateness <= LATE_FACTOR else 0.0
+
+
+def _parts(scores: Sequence[JobScore]) -> float:
+    by_window = _shares(scores, lambda score: int(score.job.at_s // WINDOW_S))
+    by_kind = _shares(scores, lambda score: score.job.kind.name)
+    by_account = _shares(scores, lambda score: score.job.spec.account)
+    weighted = (
+        _WEIGHT_OF_DAY * _share(scores)
+        + _WEIGHT_OF_WINDOWS * statistics.fmean(heapq.nsmallest(_WORST_WINDOWS, by_window) or [1.0])
+        + _WEIGHT_OF_KIND * min(by_kind, default=1.0)
+        + _WEIGHT_OF_ACCOUNT * min(by_account, default=1.0)
+    )
+    return weighted / (_WEIGHT_OF_DAY + _WEIGHT_OF_WINDOWS + _WEIGHT_OF_KIND + _WEIGHT_OF_ACCOUNT)
+
+
+def _shares(scores: Iterable[JobScore], key: Callable[[JobScore], Hashable]) -> list[float]:
+    """Return the share that was earned, by group."""
+    groups: dict[Hashable, list[JobScore]] = defaultdict(list)
+    for score in scores:
+        groups[key(score)].append(score)
+    return [_share(group) for group in groups.values()]
+
+
+def _share(scores: Sequence[JobScore]) -> float:
+    owed = sum(score.owed for score in scores)
+    return sum(score.earned for score in scores) / owed if owed else 1.0
+
+
+def _work(job: DrawnJob) -> float:
+    pairs = zip(job.spec.steps, job.work_s, strict=True)
+    return sum(weighted_cores(step.demand) * sum(work) for step, work in pairs)
+
+
+def _size(job: DrawnJob, mean_by_kind: dict[JobKind, float]) -> float:
+    share = _work(job) / mean_by_kind[job.kind]
+    return min(_FIXED_PART + (1 - _FIXED_PART) * share, _LARGEST_SIZE_FACTOR)
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -2,17 +2,21 @@
 
 import heapq
 import random
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Callable, Mapping
+from functools import partial, singledispatchmethod
 from itertools import count
 from typing import Protocol
 
 from dahliaarch_kernel.configuration import Queue
 from dahliaarch_kernel.scheduler import Effect, EndKind, Moment, StartRun, StopRun, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
-from dahliaarch_kernel.workload import JobSpec, Resources, TaskKey, weighted_cores
+from dahliaarch_kernel.scheduler.workers import WorkerState
+from dahliaarch_kernel.workload import JobSpec, TaskKey
 
-from .deployments import Deployment
+from .executions import Execution, PlayedWorker, saved_work_s, Unit
+from .ledger import Ledger
+from .shapes import Deployment
+from .troubles import Sickness, SickWorkers
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
 # Time from an order to what it does, in seconds: one message each way.
@@ -23,15 +27,22 @@
 _PASS_EVERY_S = 0.25
 # How often workers tell of progress, in seconds.
 _SURVEY_S = 1.0
-# Shortest time that a stop takes, in seconds.
-_LEAST_STOP_S = 0.05
-_PERCENT = 100
-_MS = 1000
+# From the last answer of a worker that is cut off until it counts as silent.
+_SILENT_AFTER_S = 2.2
+# A run on a worker that fails all that it runs ends after this time, in seconds.
+_FAILS_AFTER_S = (0.1, 0.6)
+# From the end of a worker that left until another comes in its place, in seconds.
+_REPLACED_AFTER_S = 4.0
 
 
 class Decider(Protocol):
     """What a comparison needs of a scheduler."""
 
+    @property
+    def worker_by_id(self) -> Mapping[str, WorkerState]:
+        """Workers that are known."""
+        ...
+
     def add_job(self, spec: JobSpec, queue: Queue, now: Moment) -> bool:
         """Take in an accepted job."""
         ...
@@ -44,6 +55,14 @@
         """Take in a worker."""
         ...
 
+    def worker_silent(self, worker_id: str) -> None:
+        """Take in that a worker does not answer."""
+        ...
+
+    def worker_over(self, worker_id: str, now: Moment) -> None:
+        """Take in that a worker has ended."""
+        ...
+
     def worker_surveyed(self, worker_id: str, running: list[RunSeen], begun_s: float, now: Moment) -> None:
         """Take in what runs on a worker."""
         ...
@@ -61,35 +80,6 @@
         ...
 
 
-class Execution:
-    """One run on one worker: what is true of it."""
-
-    def __init__(self, start: StartRun, job: DrawnJob, begun_s: float, saved_s: float) -> None:
-        """Begin to work."""
-        self.start = start
-        self.job = job
-        self.begun_s = begun_s
-        self.saved_s = saved_s
-        self.ends_s = begun_s
-        self.slowdown = 1.0
-        self.is_over = False
-
-    @property
-    def work_s(self) -> float:
-        """Work of its task."""
-        key = self.start.key
-        return self.job.work_s[key.step][key.task_index]
-
-    @property
-    def demand(self) -> Resources:
-        """What it holds."""
-        return self.job.spec.steps[self.start.key.step].demand
-
-    def done_s(self, now_s: float) -> float:
-        """Return the work done by a time, saved work included."""
-        return min(self.work_s, self.saved_s + max(0.0, now_s - self.begun_s) / self.slowdown)
-
-
 class Simulation:
     """A pool of workers that carries out what a scheduler decides.
 
@@ -98,54 +88,54 @@
     deployment : Deployment
         The pool.
     jobs : list of DrawnJob
-        The day.
+        The day's jobs.
+    sick : sequence of SickWorkers
+        What befalls workers.
     scheduler : Decider
         What decides.
     seed : int
-        Seed of failures and of how long stops take.
+        Seed of failures, of how long stops take and of which workers are sick.
 
     Attributes
     ----------
-    ended_s_by_job : dict
-        When each job's last task succeeded.
-    begun_s_by_job : dict
-        When each job's first task began.
-    wasted, worked : float
-        Weighted core-seconds that were thrown away, and all that were spent.
-    idle_while_waiting : list of float
-        Shares of accelerators that were free while a gang waited.
+    ledger : Ledger
+        What became of each job, and what was thrown away.
     """
 
-    def __init__(self, deployment: Deployment, jobs: list[DrawnJob], scheduler: Decider, seed: int) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        jobs: list[DrawnJob],
+        sick: tuple[SickWorkers, ...],
+        scheduler: Decider,
+        seed: int,
+    ) -> None:
         """Prepare the pool."""
-        self.ended_s_by_job: dict[str, float] = {}
-        self.begun_s_by_job: dict[str, float] = {}
-        self.wasted = 0.0
-        self.worked = 0.0
-        self.idle_while_waiting: list[float] = []
-        self._deployment = deployment
+        self._pool = deployment.pool
         self._scheduler = scheduler
         self._choice = random.Random(seed)
         self._job_by_id = {job.spec.job_id: job for job in jobs}
-        self._profile_by_id = _profiles(deployment)
-        self._speed_by_id = _speeds(deployment, self._choice)
-        self._execution_by_run: dict[tuple[TaskKey, int], Execution] = {}
-        self._done_by_job: dict[str, set[TaskKey]] = {}
+        self._workers = _draw_workers(deployment, self._choice)
+        self._worker_by_id = {worker.profile.worker_id: worker for worker in self._workers}
+        self._unit_by_gang: dict[tuple[str, int, int, int], Unit] = {}
+        # What a worker that is cut off will tell and do once it is back.
+        self._later_by_worker: dict[str, list[Callable[[], None]]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
         self._now_s = 0.0
         self._pass_at_s = 0.0
+        self.ledger = Ledger(deployment.pool, self._job_by_id)
         for job in jobs:
             self._at(job.at_s, partial(self._submit, job))
             if job.cancel_at_s is not None:
                 self._at(job.cancel_at_s, partial(self._cancel, job))
+        for trouble in sick:
+            self._at(trouble.span.begin_s, partial(self._fall_sick, trouble))
 
     def run(self, until_s: float) -> None:
         """Play until a time."""
-        for worker_id, profile in self._profile_by_id.items():
-            self._scheduler.update_worker(profile, self._moment)
-            self._at(self._choice.uniform(0.0, _SURVEY_S), partial(self._survey, worker_id))
-            self._scheduler.worker_surveyed(worker_id, [], 0.0, self._moment)
+        for worker in self._workers:
+            self._join(worker)
         self._ask_pass(0.0)
         while self._events and self._events[0][0] <= until_s:
             self._now_s, _, act = heapq.heappop(self._events)
@@ -170,15 +160,23 @@
         if at_s < self._pass_at_s:
             return
         for effect in self._scheduler.decide(self._moment):
-            if isinstance(effect, StartRun):
-                self._at(self._now_s + _ORDER_S, partial(self._start, effect))
-            elif isinstance(effect, StopRun):
-                self._at(self._now_s + self._stop_s(), partial(self._stop, effect))
-        self._note_idle()
+            self._carry_out(effect)
+        self.ledger.note_idle(self._now_s, self._workers)
         self._ask_pass(_PASS_EVERY_S)
 
-    def _stop_s(self) -> float:
-        return self._choice.uniform(_LEAST_STOP_S, self._deployment.pool.largest_stop_s)
+    @singledispatchmethod
+    def _carry_out(self, effect: object) -> None:
+        raise NotImplementedError(type(effect).__name__)
+
+    @_carry_out.register
+    def _(self, effect: StartRun) -> None:
+        self._at(self._now_s + _ORDER_S, partial(self._start, effect))
+
+    @_carry_out.register
+    def _(self, effect: StopRun) -> None:
+        self.ledger.note_stop(effect)
+        takes_s = self._choice.uniform(self._pool.shortest_stop_s, self._pool.largest_stop_s)
+        self._at(self._now_s + takes_s, partial(self._stop, effect))
 
     def _submit(self, job: DrawnJob) -> None:
         self._scheduler.add_job(job.spec, queue_of(job.kind), self._moment)
@@ -188,128 +186,207 @@
         self._scheduler.cancel(job.spec.job_id, self._moment)
         self._ask_pass(_GATHER_S)
 
-    def _survey(self, worker_id: str) -> None:
+    # Workers and what befalls them.
+
+    def _join(self, worker: PlayedWorker) -> None:
+        self._scheduler.update_worker(worker.profile, self._moment)
+        self._at(self._now_s + self._choice.uniform(0.0, _SURVEY_S), partial(self._survey_again, worker))
+        self._tell_survey(worker)
+
+    def _survey_again(self, worker: PlayedWorker) -> None:
+        if worker.is_gone:
+            return
+        if not worker.is_cut_off:
+            self._tell_survey(worker)
+        self._at(self._now_s + _SURVEY_S, partial(self._survey_again, worker))
+
+    def _tell_survey(self, worker: PlayedWorker) -> None:
+        every_s = self._pool.checkpoint_s
         running = [
-            RunSeen(each.start.key, each.start.run, '', int(_PERCENT * each.done_s(self._now_s) / each.work_s))
-            for each in self._execution_by_run.values()
-            if each.start.worker_id == worker_id
+            RunSeen(key, run, unit.checkpoint(every_s, is_stop=False), unit.percent(self._now_s))
+            for (key, run), unit in worker.unit_by_run.items()
         ]
+        worker_id = worker.profile.worker_id
+        lease = self._scheduler.worker_by_id[worker_id].lease
+        lease.read(self._now_s, self._now_s)
+        lease.sent(self._now_s + self._pool.hold_s)
         self._scheduler.worker_surveyed(worker_id, running, self._now_s, self._moment)
-        self._at(self._now_s + _SURVEY_S, partial(self._survey, worker_id))
+
+    def _fall_sick(self, trouble: SickWorkers) -> None:
+        well = [worker for worker in self._workers if worker.sickness is None and not worker.is_gone]
+        wanted = min(len(well), max(1, round(trouble.share * self._pool.workers)))
+        for worker in self._choice.sample(well, wanted):
+            worker.sickness = trouble.kind
+            worker.factor = trouble.factor
+            self._renew_rates(worker)
+            if trouble.kind is Sickness.LEAVING:
+                left_s = trouble.span.end_s - self._now_s
+                self._scheduler.update_worker(worker.profile._replace(draining=True, leaves_in_s=left_s), self._moment)
+                self._at(trouble.span.end_s, partial(self._leave, worker))
+            else:
+                self._at(trouble.span.end_s, partial(self._recover, worker))
+            if trouble.kind is Sickness.CUT_OFF:
+                self._at(self._now_s + _SILENT_AFTER_S, partial(self._fall_silent, worker))
+
+    def _fall_silent(self, worker: PlayedWorker) -> None:
+        if worker.is_cut_off:
+            self._scheduler.worker_silent(worker.profile.worker_id)
+
+    def _recover(self, worker: PlayedWorker) -> None:
+        worker.sickness = None
+        worker.factor = 1.0
+        self._renew_rates(worker)
+        for act in self._later_by_worker.pop(worker.profile.worker_id, []):
+            act()
+        self._ask_pass(_GATHER_S)
+
+    def _leave(self, worker: PlayedWorker) -> None:
+        worker.is_gone = True
+        self._workers.remove(worker)
+        for unit in set(worker.unit_by_run.values()):
+            self._end_unit(unit, EndKind.BROKEN, lost_on=worker)
+        self._scheduler.worker_over(worker.profile.worker_id, self._moment)
+        self._at(self._now_s + _REPLACED_AFTER_S, partial(self._replace, worker))
+        self._ask_pass(_GATHER_S)
+
+    def _replace(self, worker: PlayedWorker) -> None:
+        profile = worker.profile._replace(worker_id=f'{worker.profile.worker_id}+', draining=False)
+        other = PlayedWorker(profile, worker.speed)
+        self._workers.append(other)
+        self._worker_by_id[profile.worker_id] = other
+        self._join(other)
+
+    def _renew_rates(self, worker: PlayedWorker) -> None:
+        for unit in set(worker.unit_by_run.values()):
+            self._plan(unit)
+
+    # Runs.
 
     def _start(self, start: StartRun) -> None:
+        worker = self._worker_by_id[start.worker_id]
         job = self._job_by_id[start.key.job_id]
-        saved_s = float(start.checkpoint or 0) / _MS
-        restore_s = self._deployment.pool.restore_s if saved_s else 0.0
-        execution = Execution(start, job, self._now_s + restore_s, saved_s)
-        self._execution_by_run[start.key, start.run] = execution
-        self.begun_s_by_job.setdefault(start.key.job_id, self._now_s)
-        self._scheduler.run_started(start.worker_id, start.key, start.run, self._moment)
-        step = job.spec.steps[start.key.step]
-        members = self._members(execution)
-        if step.gang and len(members) < step.task_count:
+        if worker.is_gone:
             return
-        self._work(members if step.gang else [execution])
+        if worker.is_cut_off:
+            # It is taken back once the worker answers again.
+            self._later(worker, partial(self._refuse, start))
+            return
+        execution = Execution(start, job, worker, self._now_s)
+        if not worker.has_room(execution.demand):
+            self._refuse(start)
+            return
+        unit = self._unit_of(execution)
+        unit.members.append(execution)
+        worker.add(execution, unit)
+        self.ledger.note_begin(start.key.job_id, self._now_s)
+        self._scheduler.run_started(start.worker_id, start.key, start.run, self._moment)
+        if unit.is_complete:
+            self._begin_work(unit)
 
-    def _members(self, execution: Execution) -> list[Execution]:
-        """Return the runs of an execution's gang, or itself alone."""
-        start = execution.start
-        if not execution.job.spec.steps[start.key.step].gang:
-            return [execution]
-        return [
-            each
-            for each in self._execution_by_run.values()
-            if each.start.run == start.run and each.start.key[:3] == start.key[:3]
-        ]
+    def _refuse(self, start: StartRun) -> None:
+        self._scheduler.run_ended(RunEnd(start.worker_id, start.key, start.run, EndKind.REFUSED), self._moment)
+        self._ask_pass(_GATHER_S)
 
-    def _work(self, members: list[Execution]) -> None:
-        """Let runs work together from now on, and plan their end."""
-        first = members[0]
-        step = first.job.spec.steps[first.start.key.step]
-        slowdown = max(self._speed_by_id[each.start.worker_id] for each in members)
-        racks = {self._profile_by_id[each.start.worker_id].labels[1] for each in members}
-        if step.same_rack and len(racks) > 1:
-            slowdown *= self._deployment.pool.far_factor
-        fails = first.job.is_hopeless or self._choice.random() < first.job.kind.failing_share
-        for each in members:
-            each.begun_s = max(each.begun_s, self._now_s)
-            each.slowdown = slowdown
-        left_s = (first.work_s - first.saved_s) * slowdown
-        if fails:
-            left_s *= self._choice.random()
-        ends_s = first.begun_s + left_s
-        self._at(ends_s, partial(self._finish, members, EndKind.FAILED if fails else EndKind.DONE))
-
-    def _finish(self, members: list[Execution], kind: EndKind) -> None:
-        if any(each.is_over for each in members):
+    def _unit_of(self, execution: Execution) -> Unit:
+        start = execution.start
+        saved_s = saved_work_s(start.checkpoint)
+        if not execution.step.gang:
+            return Unit(execution, saved_s)
+        gang = (*start.key[:3], start.run)
+        known = self._unit_by_gang.get(gang)
+        if known is None:
+            known = Unit(execution, saved_s)
+            self._unit_by_gang[gang] = known
+        return known
+
+    def _begin_work(self, unit: Unit) -> None:
+        """Let a unit work from now on, once it has its saved work back."""
+        first = unit.members[0]
+        unit.since_s = self._now_s + (self._pool.restore_s if unit.saved_s else 0.0)
+        if first.job.is_hopeless or self._choice.random() < first.job.kind.failing_share:
+            unit.fails_at_s = unit.saved_s + (unit.work_s - unit.saved_s) * self._choice.random()
+        if any(member.worker.sickness is Sickness.FAILING for member in unit.members):
+            self._at(
+                self._now_s + self._choice.uniform(*_FAILS_AFTER_S), partial(self._finish, unit, None, EndKind.FAILED)
+            )
+        self._plan(unit)
+
+    def _plan(self, unit: Unit) -> None:
+        """Work out anew when a unit ends."""
+        unit.advance(self._now_s)
+        unit.plan += 1
+        unit.rate = self._rate(unit) if unit.is_complete else 0.0
+        if not unit.rate:
             return
-        for number, each in enumerate(members):
-            is_blamed = kind is EndKind.DONE or number == 0
-            self._end(each, kind if is_blamed else EndKind.BROKEN)
-        self._ask_pass(_GATHER_S)
+        goal_s = unit.work_s if unit.fails_at_s is None else max(unit.done_s, unit.fails_at_s)
+        kind = EndKind.DONE if unit.fails_at_s is None else EndKind.FAILED
+        ends_s = max(unit.since_s, self._now_s) + (goal_s - unit.done_s) / unit.rate
+        self._at(ends_s, partial(self._finish, unit, unit.plan, kind))
+
+    def _rate(self, unit: Unit) -> float:
+        slowest = min(member.worker.rate for member in unit.members)
+        racks = {member.worker.profile.labels[1] for member in unit.members}
+        is_far = unit.members[0].step.same_rack and len(racks) > 1
+        return slowest / self._pool.far_factor if is_far else slowest
+
+    def _finish(self, unit: Unit, plan: int | None, kind: EndKind) -> None:
+        if plan is not None and plan != unit.plan:
+            return
+        self._end_unit(unit, kind)
 
     def _stop(self, stop: StopRun) -> None:
-        execution = self._execution_by_run.get((stop.key, stop.run))
-        if execution is None:
+        worker = self._worker_by_id[stop.worker_id]
+        if worker.is_cut_off:
+            self._later(worker, partial(self._stop, stop))
             return
-        for member in self._members(execution):
-            self._end(member, EndKind.STOPPED)
-        self._ask_pass(_GATHER_S)
-
-    def _end(self, execution: Execution, kind: EndKind) -> None:
-        start = execution.start
-        execution.is_over = True
-        del self._execution_by_run[start.key, start.run]
-        step = execution.job.spec.steps[start.key.step]
-        checkpoint = ''
-        spent_s = self._now_s - execution.begun_s
-        kept_s = spent_s if kind is EndKind.DONE else 0.0
-        if step.checkpoints and kind is not EndKind.DONE:
-            saved_s = execution.done_s(self._now_s)
-            kept_s = (saved_s - execution.saved_s) * execution.slowdown
-            checkpoint = f'{int(saved_s * _MS):08d}'
-        cores = weighted_cores(execution.demand)
-        self.worked += cores * spent_s
-        self.wasted += cores * max(0.0, spent_s - kept_s)
-        if kind is EndKind.DONE:
-            self._note_done(execution)
-        end = RunEnd(start.worker_id, start.key, start.run, kind, checkpoint)
-        self._scheduler.run_ended(end, self._moment)
+        unit = worker.unit_by_run.get((stop.key, stop.run))
+        if unit is not None:
+            self._end_unit(unit, EndKind.STOPPED)
 
-    def _note_done(self, execution: Execution) -> None:
-        job_id = execution.start.key.job_id
-        done = self._done_by_job.setdefault(job_id, set())
-        done.add(execution.start.key)
-        if len(done) == sum(step.task_count for step in execution.job.spec.steps):
-            self.ended_s_by_job[job_id] = self._now_s
+    def _end_unit(self, unit: Unit, kind: EndKind, lost_on: PlayedWorker | None = None) -> None:
+        """End all members of a unit; the first of a failed gang takes the blame."""
+        if not unit.members or unit.members[0].is_over:
+            return
+        unit.advance(self._now_s)
+        unit.plan += 1
+        for number, member in enumerate(unit.members):
+            is_first = kind in {EndKind.DONE, EndKind.STOPPED} or number == 0
+            checkpoint = unit.checkpoint(self._pool.checkpoint_s, is_stop=kind is EndKind.STOPPED)
+            self._end(member, unit, RunEnd(
+                member.start.worker_id,
+                member.start.key,
+                member.start.run,
+                kind if is_first else EndKind.BROKEN,
+                checkpoint if kind is not EndKind.DONE else '',
+            ), is_told=member.worker is not lost_on)  # fmt: skip
+        self._ask_pass(_GATHER_S)
 
-    def _note_idle(self) -> None:
-        """Note the share of accelerators that are free while a gang waits."""
-        if not any(self._waits(job) for job in self._job_by_id.values()):
+    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, is_told: bool) -> None:
+        member.is_over = True
+        member.worker.remove(member)
+        self.ledger.note_end(member, unit, end, self._now_s)
+        if not is_told:
             return
-        pool = self._deployment.pool
-        used = sum(each.demand.accelerators for each in self._execution_by_run.values())
-        self.idle_while_waiting.append(1.0 - used / (pool.workers * pool.capacity.accelerators))
+        if member.worker.is_cut_off:
+            self._later(member.worker, partial(self._tell_end, end))
+            return
+        self._tell_end(end)
+
+    def _tell_end(self, end: RunEnd) -> None:
+        self._scheduler.run_ended(end, self._moment)
 
-    def _waits(self, job: DrawnJob) -> bool:
-        """Tell whether a job is a gang that was submitted and has not begun."""
-        job_id = job.spec.job_id
-        has_come = job.at_s <= self._now_s and (job.cancel_at_s is None or job.cancel_at_s > self._now_s)
-        return has_come and job.spec.steps[0].gang and job_id not in self.begun_s_by_job
+    def _later(self, worker: PlayedWorker, act: Callable[[], None]) -> None:
+        """Do something once a worker that is cut off is back."""
+        self._later_by_worker.setdefault(worker.profile.worker_id, []).append(act)
 
 
-def _profiles(deployment: Deployment) -> dict[str, WorkerProfile]:
+def _draw_workers(deployment: Deployment, choice: random.Random) -> list[PlayedWorker]:
     pool = deployment.pool
-    return {
-        f'w{number}': WorkerProfile(
-            f'w{number}', SERVICE, 'z', pool.capacity, ('a', f'r{number // pool.workers_per_rack}')
-        )
-        for number in range(pool.workers)
-    }
-
-
-def _speeds(deployment: Deployment, choice: random.Random) -> dict[str, float]:
-    speeds = deployment.pool.speeds
-    numbers = list(range(deployment.pool.workers))
-    choice.shuffle(numbers)
-    return {f'w{number}': speeds[place % len(speeds)] for place, number in enumerate(numbers)}
+    places = list(range(pool.workers))
+    choice.shuffle(places)
+    found = []
+    for number, place in enumerate(places):
+        labels = ('a', f'r{number // pool.workers_per_rack}')
+        profile = WorkerProfile(f'w{number}', SERVICE, 'z', pool.capacity, labels)
+        found.append(PlayedWorker(profile, pool.speeds[place % len(pool.speeds)]))
+    return found
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -0,0 +1,142 @@
+"""Troubles of a day, of the kinds that touch decisions, drawn by a seed."""
+
+import random
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Span(NamedTuple):
+    """A time on the comparison's clock, in seconds."""
+
+    begin_s: float
+    end_s: float
+
+    def holds(self, at_s: float) -> bool:
+        """Tell whether a time lies in it."""
+        return self.begin_s <= at_s < self.end_s
+
+
+class Burst(NamedTuple):
+    """So many times as much comes of one priority."""
+
+    span: Span
+    priority: int
+    factor: float
+
+    def hits(self, priority: int, at_s: float) -> bool:
+        """Tell whether it multiplies what comes of a priority at a time."""
+        return priority == self.priority and self.span.holds(at_s)
+
+
+class Cancellations(NamedTuple):
+    """A share of the jobs that come is cancelled soon after they came."""
+
+    span: Span
+    share: float
+    within_s: float
+
+    def hits(self, at_s: float) -> bool:
+        """Tell whether it may touch a job that comes at a time."""
+        return self.span.holds(at_s)
+
+
+class Sickness(StrEnum):
+    """What befalls a worker."""
+
+    SLOW = 'slow'
+    STILL = 'still'
+    FAILING = 'failing'
+    CUT_OFF = 'cut_off'
+    LEAVING = 'leaving'
+
+
+class SickWorkers(NamedTuple):
+    """A share of the workers is sick for a while.
+
+    Parameters
+    ----------
+    span : Span
+        From when until when; those that leave are gone at its end.
+    kind : Sickness
+        What befalls them.
+    share : float
+        Share of all workers.
+    factor : float
+        Times as long as work takes on slow ones.
+    """
+
+    span: Span
+    kind: Sickness
+    share: float
+    factor: float = 1.0
+
+
+class Troubles(NamedTuple):
+    """All troubles of a day."""
+
+    bursts: tuple[Burst, ...] = ()
+    waves: tuple[Cancellations, ...] = ()
+    sick: tuple[SickWorkers, ...] = ()
+
+
+# Strengths and lengths as on the users' sheets.
+_BURST_FACTOR = (1.9, 2.7)
+_BURST_S = (3.5, 6.0)
+_LEAVERS_SHARE = (0.2, 0.4)
+_LEAVERS_S = (4.0, 12.0)
+_LEAVERS_WITHIN_S = 1.5
+_SICK_SHARE = {
+    Sickness.SLOW: (0.14, 0.2),
+    Sickness.STILL: (0.1, 0.12),
+    Sickness.FAILING: (0.06, 0.1),
+    Sickness.CUT_OFF: (0.12, 0.17),
+    Sickness.LEAVING: (0.04, 0.12),
+}
+_SLOW_FACTOR = (6.5, 8.6)
+_SICK_S = (5.0, 7.0)
+# From a worker's notice until it is gone.
+_NOTICE_S = (2.0, 6.0)
+# Of three sicknesses, how many befall a day's workers.
+_MOST_SICKNESSES = 3
+
+
+def draw_troubles(priorities: Sequence[int], length_s: float, seed: int) -> Troubles:
+    """Return the troubles of one day.
+
+    Parameters
+    ----------
+    priorities : sequence of int
+        Priorities of the kinds of requests.
+    length_s : float
+        Length of the day's traffic.
+    seed : int
+        Seed of the draw.
+    """
+    choice = random.Random(seed)
+    bursts = [_draw_burst(choice, priorities, length_s) for _ in range(choice.randint(1, 2))]
+    waves = [_draw_wave(choice, length_s) for _ in range(choice.randint(0, 1))]
+    sick = [_draw_sick(choice, length_s) for _ in range(choice.randint(0, _MOST_SICKNESSES))]
+    return Troubles(tuple(bursts), tuple(waves), tuple(sick))
+
+
+def _draw_burst(choice: random.Random, priorities: Sequence[int], length_s: float) -> Burst:
+    span = _draw_span(choice, length_s, _BURST_S)
+    return Burst(span, choice.choice(priorities), choice.uniform(*_BURST_FACTOR))
+
+
+def _draw_wave(choice: random.Random, length_s: float) -> Cancellations:
+    span = _draw_span(choice, length_s, _LEAVERS_S)
+    return Cancellations(span, choice.uniform(*_LEAVERS_SHARE), _LEAVERS_WITHIN_S)
+
+
+def _draw_sick(choice: random.Random, length_s: float) -> SickWorkers:
+    kind = choice.choice(tuple(Sickness))
+    span = _draw_span(choice, length_s, _NOTICE_S if kind is Sickness.LEAVING else _SICK_S)
+    factor = choice.uniform(*_SLOW_FACTOR) if kind is Sickness.SLOW else 1.0
+    return SickWorkers(span, kind, choice.uniform(*_SICK_SHARE[kind]), factor)
+
+
+def _draw_span(choice: random.Random, length_s: float, lasts_s: tuple[float, float]) -> Span:
+    begin_s = choice.uniform(0.0, 0.8 * length_s)
+    return Span(begin_s, begin_s + choice.uniform(*lasts_s))
--- a/packages/standins/dahliaarch_standins/comparison/workload.py
+++ b/packages/standins/dahliaarch_standins/comparison/workload.py
@@ -2,12 +2,15 @@
 
 import math
 import random
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler.room import fitting
 from dahliaarch_kernel.workload import JobSpec, StepSpec
 
-from .deployments import Deployment, JobKind
+from .shapes import Deployment, JobKind
+from .troubles import Burst, Cancellations
 
 SERVICE = 'svc'
 # Time of day when the clock of a comparison stands at 0, seconds since 1970.
@@ -15,9 +18,9 @@
 _MAX_ATTEMPTS = 4
 # How much later than its acceptance an owner cancels a job, in seconds.
 _CANCEL_AFTER_S = (1.0, 12.0)
-# Urgent jobs come in a burst once a day, as on the users' standard days.
-_BURST_S = (5.0, 11.0)
-_BURST_FACTOR = 2.3
+_WIDTH_SPREAD = 0.8
+# Most tasks of one step on a worker, where a job limits them.
+_APART = 2
 
 
 class DrawnJob(NamedTuple):
@@ -46,6 +49,21 @@
     is_hopeless: bool
     cancel_at_s: float | None
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether its owner waits for it, and it can be done."""
+        return not self.is_hopeless and self.cancel_at_s is None
+
+    @property
+    def chain_s(self) -> float:
+        """Longest chain of its work on sound workers."""
+        return sum(max(work) for work in self.work_s)
+
+    @property
+    def objective_s(self) -> float:
+        """Time in which its owner wants it to end."""
+        return self.kind.stretch * self.chain_s + self.kind.slack_s
+
 
 def queue_of(kind: JobKind) -> Queue:
     """Return the queue of a kind of request."""
@@ -61,28 +79,52 @@
     )
 
 
-def draw_day(deployment: Deployment, length_s: float, load: float, seed: int) -> list[DrawnJob]:
-    """Return the jobs of a day by time; ``load`` multiplies their rates."""
+def draw_jobs(
+    deployment: Deployment,
+    length_s: float,
+    load: float,
+    seed: int,
+    bursts: Sequence[Burst] = (),
+    waves: Sequence[Cancellations] = (),
+) -> list[DrawnJob]:
+    """Return the jobs of a day by time.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Whose jobs.
+    length_s : float
+        Length of the day's traffic.
+    load : float
+        Multiple of the rates.
+    seed : int
+        Seed of the draw.
+    bursts : sequence of Burst
+        Times when more comes of one kind.
+    waves : sequence of Cancellations
+        Times when many owners leave early.
+    """
     choice = random.Random(seed)
     jobs = []
     for kind in deployment.kinds:
         at_s = choice.expovariate(kind.rate_per_s * load)
         while at_s < length_s:
-            jobs.append(_draw_job(deployment, kind, at_s, choice))
-            at_s += choice.expovariate(kind.rate_per_s * load * _burst(kind, at_s))
+            jobs.append(_draw_job(deployment, kind, at_s, choice, waves))
+            factor = math.prod(burst.factor for burst in bursts if burst.hits(kind.priority, at_s))
+            at_s += choice.expovariate(kind.rate_per_s * load * factor)
     return sorted(jobs, key=lambda job: job.at_s)
 
 
-def _burst(kind: JobKind, at_s: float) -> float:
-    """Return how many times as much of a kind comes at a time."""
-    begun_s, ended_s = _BURST_S
-    return _BURST_FACTOR if kind.priority == 0 and begun_s <= at_s < ended_s else 1.0
-
-
-def _draw_job(deployment: Deployment, kind: JobKind, at_s: float, choice: random.Random) -> DrawnJob:
-    steps = [_draw_step(kind, choice, after=())]
+def _draw_job(
+    deployment: Deployment,
+    kind: JobKind,
+    at_s: float,
+    choice: random.Random,
+    waves: Sequence[Cancellations],
+) -> DrawnJob:
+    steps = [_draw_step(deployment, kind, choice, after=())]
     if choice.random() < kind.second_step_share:
-        steps.append(_draw_step(kind, choice, after=(0,)))
+        steps.append(_draw_step(deployment, kind, choice, after=(0,)))
     account = f'account-{choice.randrange(deployment.pool.accounts)}'
     spec = JobSpec(
         f'{choice.getrandbits(64):016x}',
@@ -93,33 +135,36 @@
         accepted_s=WALL_S + at_s,
     )
     cancel_at_s = at_s + choice.uniform(*_CANCEL_AFTER_S) if choice.random() < kind.cancelled_share else None
+    for wave in waves:
+        if wave.hits(at_s) and choice.random() < wave.share:
+            cancel_at_s = at_s + choice.uniform(0.0, wave.within_s)
     work_s = tuple(work for _, work in steps)
     return DrawnJob(kind, spec, at_s, work_s, choice.random() < kind.hopeless_share, cancel_at_s)
 
 
-def _draw_step(kind: JobKind, choice: random.Random, *, after: tuple[int, ...]) -> tuple[StepSpec, tuple[float, ...]]:
+def _draw_step(
+    deployment: Deployment, kind: JobKind, choice: random.Random, *, after: tuple[int, ...]
+) -> tuple[StepSpec, tuple[float, ...]]:
     width = max(1, round(min(_log_normal(choice, kind.mean_width, _WIDTH_SPREAD), kind.largest_width)))
     work_s = min(_log_normal(choice, kind.mean_work_s, kind.work_spread), kind.largest_work_s)
     is_gang = kind.is_gang and width > 1
+    demand = kind.demand._replace(accelerators=choice.choice(kind.accelerators))
+    fits_in_rack = width <= deployment.pool.workers_per_rack * fitting(deployment.pool.capacity, demand)
     step = StepSpec(
         width,
-        kind.demand._replace(accelerators=choice.choice(kind.accelerators)),
-        work_s * (1.0 + choice.uniform(-1.0, 1.0) * kind.estimate_error),
+        demand,
+        _log_normal(choice, work_s, kind.estimate_spread),
         after=after,
         checkpoints=choice.random() < kind.checkpoint_share,
         gang=is_gang,
-        same_rack=is_gang and width <= _WIDEST_IN_ONE_RACK and choice.random() < kind.one_rack_share,
+        same_rack=choice.random() < kind.one_rack_share and is_gang and fits_in_rack,
+        max_per_worker=_APART if choice.random() < kind.apart_share else 0,
     )
     # Members of a gang advance together; other tasks are uneven.
     uneven = 0.0 if is_gang else kind.uneven
-    return step, tuple(work_s * choice.uniform(1.0 - uneven, 1.0 + uneven) for _ in range(width))
+    return step, tuple(work_s * max(0.1, choice.gauss(1.0, uneven)) for _ in range(width))
 
 
 def _log_normal(choice: random.Random, mean: float, spread: float) -> float:
-    sigma = math.sqrt(math.log(1.0 + spread * spread))
-    return choice.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
-
-
-_WIDTH_SPREAD = 0.8
-# Wider gangs are not asked to stay in one rack.
-_WIDEST_IN_ONE_RACK = 9
+    """Return a value with a mean and a spread of its logarithm."""
+    return choice.lognormvariate(math.log(mean) - spread * spread / 2, spread)
