--- a/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
@@ -5,6 +5,7 @@
 from .effects import AskAdvice, Effect, StartRun, StopRun
 from .events import EndKind
 from .job_state import JobPhase, JobState
+from .mechanisms import Mechanism
 from .progress import JobProgress, StepProgress
 from .settings import SchedulerSettings
 from .workers import Lease, WorkerProfile, WorkerState
@@ -17,6 +18,7 @@
     'JobProgress',
     'JobState',
     'Lease',
+    'Mechanism',
     'Moment',
     'Scheduler',
     'SchedulerSettings',
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -13,6 +13,7 @@
 from .job_state import ENDED_PHASES, JobPhase, JobState
 from .learning import update_slowdowns
 from .leaving import empty_leaving, expire_leases
+from .mechanisms import Mechanism
 from .passes import Pass, REFUSED_PAUSE_S
 from .progress import JobProgress
 from .runs import RunPhase
@@ -204,7 +205,8 @@
             job.open_due(now.wall_s)
         empty_leaving(state, now)
         watch_progress(state, now)
-        update_slowdowns(state.worker_by_id.values())
+        if state.settings.has(Mechanism.WORKER_PACES):
+            update_slowdowns(state.worker_by_id.values())
         Pass(state, now).run()
         effects = state.effects
         state.effects = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -10,6 +10,7 @@
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
 from .learning import observe_pace
+from .mechanisms import Mechanism
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
@@ -84,7 +85,8 @@
         worker.failed_jobs.discard(job.spec.job_id)
         return
     worker.failed_jobs.add(job.spec.job_id)
-    if len(worker.failed_jobs) >= _JOBS_THAT_CONVICT_A_WORKER:
+    has_quarantine = state.settings.has(Mechanism.QUARANTINE)
+    if has_quarantine and len(worker.failed_jobs) >= _JOBS_THAT_CONVICT_A_WORKER:
         worker.quarantined_until_s = now.steady_s + state.settings.quarantine_s
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -2,6 +2,7 @@
 
 from .clock import Moment
 from .job_state import StepState
+from .mechanisms import Mechanism
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
@@ -38,7 +39,7 @@
             continue
         runs = [run for run in worker.run_by_key.values() if run.phase is RunPhase.RUNNING]
         worker.slowness = max((_judge(state, run, now) for run in runs), default=1.0)
-        if worker.slowness >= _SLOW_FACTOR:
+        if worker.slowness >= _SLOW_FACTOR and state.settings.has(Mechanism.QUARANTINE):
             worker.quarantined_until_s = max(worker.quarantined_until_s, now.steady_s + _AVOID_S)
 
 
@@ -65,7 +66,8 @@
     """Move a run that stands still, unless much work would be lost."""
     still_s = run.seen_s - run.moved_s
     is_cheap = still_s > state.settings.stall_s and _lost_s(step, run) < _MOST_LOST_S
-    if is_cheap or still_s > _HOPELESS_STALL_S:
+    has_moves = state.settings.has(Mechanism.MOVES_OF_STILL)
+    if has_moves and (is_cheap or still_s > _HOPELESS_STALL_S):
         state.stop_unit(run, 'stands still')
     return _SLOW_FACTOR
 
@@ -82,6 +84,8 @@
         return 1.0
     left_share = 1.0 if _lost_s(step, run) else 1.0 - run.percent / _WHOLE
     again_s = run.work_s * (usual or 1.0) * left_share
+    if not state.settings.has(Mechanism.MOVES_OF_SLOW):
+        return slowness
     if run.left_s(now.steady_s) > _GAIN_FACTOR * again_s + state.settings.stop_timeout_s:
         step.was_moved_as_slow = True
         state.stop_unit(run, 'worker is slow')
--- a/packages/kernel/dahliaarch_kernel/scheduler/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/learning.py
@@ -32,8 +32,9 @@
 class RunTimes:
     """Learned ratio of real to estimated run times, by queue."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_learning: bool = True) -> None:
         """Start by trusting the estimates."""
+        self._is_learning = is_learning
         self._ratio_by_queue: dict[str, float] = {}
         self._work_by_queue: dict[str, float] = {}
 
@@ -44,7 +45,7 @@
 
     def observe(self, queue: str, step: StepSpec, ran_s: float) -> None:
         """Take in a run that succeeded from its beginning."""
-        if not step.estimate_s:
+        if not step.estimate_s or not self._is_learning:
             return
         ratio = min(max(ran_s / step.estimate_s, _LEAST_RATIO), _LARGEST_RATIO)
         known = self._ratio_by_queue.get(queue, 1.0)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -0,0 +1,32 @@
+"""Mechanisms that decide, each of which can be switched off to see what it is worth."""
+
+from enum import StrEnum
+
+
+class Mechanism(StrEnum):
+    """Names of the mechanisms, as settings have them."""
+
+    #: Room is kept for gangs that wait.
+    GANG_CLAIMS = 'gang_claims'
+    #: Room that is kept may be used by more urgent work.
+    CLAIM_RANKS = 'claim_ranks'
+    #: Workers' paces are learned, and urgent work takes fast workers.
+    WORKER_PACES = 'worker_paces'
+    #: Owners' estimates are corrected by what was seen.
+    LEARNED_TIMES = 'learned_times'
+    #: Runs that stand still are moved.
+    MOVES_OF_STILL = 'moves_of_still'
+    #: Runs that crawl are moved.
+    MOVES_OF_SLOW = 'moves_of_slow'
+    #: Workers on which tasks failed, stood still or crawled get nothing for a while.
+    QUARANTINE = 'quarantine'
+    #: Workers on which tasks failed or crawled of late are used last.
+    SUSPECTS_LAST = 'suspects_last'
+    #: Work waits for a place near its data or in one rack.
+    NEAR_FIRST = 'near_first'
+    #: The cheapest runs are stopped for urgent work.
+    CHEAP_VICTIMS = 'cheap_victims'
+    #: Full workers are filled first.
+    PACKING = 'packing'
+    #: Work goes by its worth for the room and time that it takes.
+    WORTH_ORDER = 'worth_order'
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -9,6 +9,7 @@
 from .clock import Moment
 from .effects import AskAdvice
 from .job_state import JobState, StepState
+from .mechanisms import Mechanism
 from .memory import Signature
 from .placement import place, Placement, Request, without_failed
 from .preemption import Plan, Preemption
@@ -55,7 +56,7 @@
         self._claims = state.claims
         self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts(now.steady_s)]
         self._room = Room(self._workers, state.claims)
-        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy)
+        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
         self._memory = state.memory
         self._is_full = now.steady_s - self._memory.full_at_s >= _FULL_EVERY_S
 
@@ -107,6 +108,8 @@
 
     def _work_out_standing(self, step: StepState, rank: int, unit: Resources) -> Standing:
         order = standing(step, rank, self._state.times, unit, self._now.wall_s)
+        if not self._state.settings.has(Mechanism.WORTH_ORDER):
+            return order._replace(density=0.0)
         policy = self._state.policy
         if not policy.has_priority:
             return order
@@ -141,13 +144,14 @@
         work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
         waited_s = self._now.wall_s - _since_s(step)
         settings = self._state.settings
+        near_s = _GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s
         return Request(
             step,
             len(step.pending),
             work_s,
             self._now.steady_s,
-            waited_s > (_GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s),
-            settings.far_factor,
+            waited_s > near_s or not settings.has(Mechanism.NEAR_FIRST),
+            settings,
             self._state.policy,
             rank,
         )
@@ -254,11 +258,15 @@
     def _reserve(self, request: Request, count: int) -> None:
         """Keep the room that is expected to be free first, for a few gangs that wait."""
         step = request.step
-        if self._claims.has(step) or self._claims.open_ones() >= self._state.settings.reservations:
+        settings = self._state.settings
+        if not settings.has(Mechanism.GANG_CLAIMS):
+            return
+        if self._claims.has(step) or self._claims.open_ones() >= settings.reservations:
             return
-        if self._now.wall_s - _since_s(step) < self._state.settings.reserve_after_s:
+        if self._now.wall_s - _since_s(step) < settings.reserve_after_s:
             return
-        claim = earliest_claim(step, count, request.rank, self._room, self._claims, self._now.steady_s)
+        rank = request.rank if settings.has(Mechanism.CLAIM_RANKS) else RANK_GUARANTEED
+        claim = earliest_claim(step, count, rank, self._room, self._claims, self._now.steady_s)
         if claim is not None:
             self._claims.add(claim)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -6,7 +6,9 @@
 from ..policies import Policy
 from ..workload import Resources
 from .job_state import StepState
+from .mechanisms import Mechanism
 from .room import effective_demand, fits, fitting, is_near, per_worker_limit, Room
+from .settings import SchedulerSettings
 from .variables import candidate_variables, is_slow, is_suspect
 from .workers import WorkerState
 
@@ -53,8 +55,8 @@
         The present, steady clock.
     may_go_far : bool
         Whether a slower place is acceptable.
-    far_factor : float
-        How many times as long tasks take there.
+    settings : SchedulerSettings
+        Limits, and how many times as long tasks take there.
     policy : Policy
         The operators' programs.
     rank : int
@@ -66,7 +68,7 @@
     work_s: float
     now_s: float
     may_go_far: bool
-    far_factor: float
+    settings: SchedulerSettings
     policy: Policy
     rank: int
 
@@ -84,9 +86,9 @@
         return _place_gang(request, room, near)
     placement = Placement(_fill(near, request.task_count, request.step))
     if placement.task_count < request.task_count and request.may_go_far and request.step.spec.data_rack:
-        far = _spots(request, room, request.work_s * request.far_factor, near=False)
+        far = _spots(request, room, request.work_s * request.settings.far_factor, near=False)
         if not placement.task_count:
-            return Placement(_fill(far, request.task_count, request.step), request.far_factor)
+            return Placement(_fill(far, request.task_count, request.step), request.settings.far_factor)
     return placement
 
 
@@ -122,10 +124,10 @@
             return Placement(found)
     if not request.may_go_far or not (step.spec.same_rack or step.spec.data_rack):
         return NOWHERE
-    far = _spots(request, room, request.work_s * request.far_factor, near=False)
+    far = _spots(request, room, request.work_s * request.settings.far_factor, near=False)
     if sum(spot.task_count for spot in far) < request.task_count:
         return NOWHERE
-    return Placement(_fill(far, request.task_count, step), request.far_factor)
+    return Placement(_fill(far, request.task_count, step), request.settings.far_factor)
 
 
 def _one_rack(request: Request, spots: list[Spot]) -> tuple[Spot, ...]:
@@ -178,10 +180,7 @@
     free_by_id = room.free_by_id
     policy = request.policy
     if not policy.has_placement:
-        is_urgent = request.step.job.queue.priority == 0
-        return sorted(
-            spots, key=lambda spot: _preference(spot.worker, free_by_id[spot.worker.worker_id], is_urgent=is_urgent)
-        )
+        return sorted(spots, key=lambda spot: _preference(spot.worker, free_by_id[spot.worker.worker_id], request))
     scored = []
     for spot in spots:
         candidate = candidate_variables(spot.worker, request.step, free_by_id[spot.worker.worker_id])
@@ -190,12 +189,17 @@
     return [spot for _, spot in sorted(scored, key=lambda pair: pair[0])]
 
 
-def _preference(worker: WorkerState, free: Resources, *, is_urgent: bool) -> tuple[bool, bool, int, int]:
+def _preference(worker: WorkerState, free: Resources, request: Request) -> tuple[bool, bool, int, int]:
     """Prefer sound workers, then full ones, so that whole workers stay free.
 
     Urgent work has little time to spare: it takes fast workers first.
     """
-    return (is_suspect(worker), is_urgent and is_slow(worker), free.accelerators, free.memory_mb)
+    settings = request.settings
+    is_urgent = request.step.job.queue.priority == 0
+    is_last = is_suspect(worker) and settings.has(Mechanism.SUSPECTS_LAST)
+    is_full_last = not settings.has(Mechanism.PACKING)
+    accelerators = -free.accelerators if is_full_last else free.accelerators
+    return (is_last, is_urgent and is_slow(worker), accelerators, free.memory_mb)
 
 
 def _fill(spots: list[Spot], count: int, step: StepState) -> tuple[Spot, ...]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -6,10 +6,12 @@
 from ..policies import Policy
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
+from .mechanisms import Mechanism
 from .placement import allowed_workers
 from .ranks import RANK_ORDINARY
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .runs import Run, RunPhase
+from .settings import SchedulerSettings
 from .variables import is_slow, victim_variables
 from .workers import by_rack, WorkerState
 
@@ -93,10 +95,13 @@
         The present, steady clock.
     policy : Policy
         The operators' programs.
+    settings : SchedulerSettings
+        Limits and weights.
     """
 
-    def __init__(self, step_of: StepOf, now_s: float, policy: Policy) -> None:
+    def __init__(self, step_of: StepOf, now_s: float, policy: Policy, settings: SchedulerSettings) -> None:
         """Start a search at one moment."""
+        self._settings = settings
         self._policy = policy
         self._step_of = step_of
         self._now_s = now_s
@@ -128,6 +133,8 @@
         step = self._step_of(run)
         if step is None:
             return 0.0
+        if not self._settings.has(Mechanism.CHEAP_VICTIMS):
+            return 1.0
         members = list(step.run_by_index.values()) if step.spec.gang else [run]
         if self._policy.has_reclaim:
             return self._policy.reclaim_cost(victim_variables(run, step, len(members), self._now_s))
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from .mechanisms import Mechanism
+
 
 class SchedulerSettings(NamedTuple):
     """Limits and weights, all times in seconds.
@@ -25,6 +27,8 @@
         before it starts elsewhere.
     reservations : int
         Gangs for which room is kept at one time.
+    without : frozenset of Mechanism
+        Mechanisms that are switched off.
     """
 
     far_factor: float = 3.0
@@ -35,3 +39,8 @@
     reserve_after_s: float = 0.5
     far_after_share: float = 1.5
     reservations: int = 4
+    without: frozenset[Mechanism] = frozenset()
+
+    def has(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is switched on."""
+        return mechanism not in self.without
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -8,6 +8,7 @@
 from .effects import Effect, StartRun, StopRun
 from .job_state import JobPhase, JobState, StepState
 from .learning import RunTimes
+from .mechanisms import Mechanism
 from .memory import PassMemory
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
@@ -38,7 +39,7 @@
         self.job_by_id: dict[str, JobState] = {}
         self.active_job_by_id: dict[str, JobState] = {}
         self.worker_by_id: dict[str, WorkerState] = {}
-        self.times = RunTimes()
+        self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
         self.claims = Claims()
         self.dirty_jobs: set[str] = set()
         self.effects: list[Effect] = []
--- a/packages/node/dahliaarch_node/own_settings.py
+++ b/packages/node/dahliaarch_node/own_settings.py
@@ -12,7 +12,7 @@
 
 from dahliaarch_kernel.errors import SettingsError
 from dahliaarch_kernel.policies import compile_policy, PolicySettings, SHIPPED
-from dahliaarch_kernel.scheduler import SchedulerSettings
+from dahliaarch_kernel.scheduler import Mechanism, SchedulerSettings
 
 from .ownership import OwnershipSettings
 
@@ -20,6 +20,7 @@
 
 # Limits of the scheduler that the platform's file decides.
 _PLATFORMS = frozenset(('far_factor', 'stop_timeout_s', 'early_s'))
+_WITHOUT = 'without'
 _LARGEST_FILE_BYTES = 65_536
 
 
@@ -88,12 +89,12 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError('file', str(error)) from error
     _refuse_unknown('', found, OwnSettings._fields)
-    scheduler = _numbers('scheduler', found, SchedulerSettings(), _PLATFORMS)
+    scheduler = _scheduler(found)
     ownership = _numbers('ownership', found, OwnershipSettings(), frozenset())
     metrics = _numbers('metrics', found, MetricsSettings(), frozenset())
     return OwnSettings(
         _policy(_table('policy', found)),
-        SchedulerSettings()._replace(**scheduler),
+        scheduler,
         OwnershipSettings()._replace(**ownership),
         MetricsSettings()._replace(**metrics),
     )
@@ -112,6 +113,23 @@
     return policy
 
 
+def _scheduler(found: Mapping[str, Any]) -> SchedulerSettings:
+    table = dict(_table('scheduler', found))
+    without = _mechanisms(table.pop(_WITHOUT, []))
+    numbers = _numbers('scheduler', {'scheduler': table}, SchedulerSettings(), _PLATFORMS | {_WITHOUT})
+    return SchedulerSettings()._replace(without=without, **numbers)
+
+
+def _mechanisms(names: object) -> frozenset[Mechanism]:
+    known = ', '.join(Mechanism)
+    if not isinstance(names, list):
+        raise SettingsError(f'scheduler.{_WITHOUT}', f'{names!r} is not a list of: {known}')
+    try:
+        return frozenset(Mechanism(name) for name in names)
+    except ValueError as error:
+        raise SettingsError(f'scheduler.{_WITHOUT}', f'{error}; known: {known}') from error
+
+
 def _numbers(name: str, found: Mapping[str, Any], defaults: Any, kept: frozenset[str]) -> dict[str, Any]:
     table = _table(name, found)
     _refuse_unknown(name, table, tuple(field for field in defaults._fields if field not in kept))
--- a/packages/node/dahliaarch_node/tests/test_own_settings.py
+++ b/packages/node/dahliaarch_node/tests/test_own_settings.py
@@ -1,6 +1,7 @@
 import pytest
 
 from dahliaarch_kernel.errors import PolicyError, SettingsError
+from dahliaarch_kernel.scheduler import Mechanism
 
 from ..own_settings import OwnSettings, parse_own_settings
 
@@ -18,6 +19,13 @@
     assert found.ownership.lease_s == 3.0
 
 
+def test_mechanisms_can_be_switched_off_by_name():
+    found = parse_own_settings('[scheduler]\nwithout = ["packing", "learned_times"]\nreservations = 2')
+    assert not found.scheduler.has(Mechanism.PACKING)
+    assert found.scheduler.has(Mechanism.QUARANTINE)
+    assert found.scheduler.reservations == 2
+
+
 @pytest.mark.parametrize(
     ('text', 'key'),
     [
@@ -27,6 +35,8 @@
         ('[scheduler]\nreservations = "two"', 'scheduler.reservations'),
         ('[scheduler]\nreservations = -1', 'scheduler.reservations'),
         ('[scheduler]\ndrain_s = 9', 'scheduler.drain_s'),
+        ('[scheduler]\nwithout = "packing"', 'scheduler.without'),
+        ('[scheduler]\nwithout = ["unpacking"]', 'scheduler.without'),
         ('[ownership]\nlease_s = true', 'ownership.lease_s'),
         ('ownership = 3', 'ownership'),
         ('[metrics]\nport = "ninety"', 'metrics.port'),
--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -55,7 +55,7 @@
             step.spec.estimate_s,
             now.steady_s,
             False,
-            settings.far_factor,
+            settings,
             self._policy,
             RANK_ORDINARY,
         )
