--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -33,7 +33,7 @@
     A worker is judged once after each of its surveys: nothing else tells.
     """
     surveyed, state.surveyed_workers = state.surveyed_workers, set()
-    for worker_id in surveyed:
+    for worker_id in sorted(surveyed):
         worker = state.worker_by_id.get(worker_id)
         if worker is None or worker.is_silent:
             continue
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -143,6 +143,10 @@
         """Whether it hears and tells nothing."""
         return self.sickness is Sickness.CUT_OFF
 
+    def units(self) -> tuple[Unit, ...]:
+        """Return what works there, each once and in the order of its begin."""
+        return tuple(dict.fromkeys(self.unit_by_run.values()))
+
     def has_room(self, demand: Resources) -> bool:
         """Tell whether a task fits."""
         return self.profile.capacity.covers(self.used.plus(demand))
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -243,7 +243,7 @@
     def _leave(self, worker: PlayedWorker) -> None:
         worker.is_gone = True
         self._workers.remove(worker)
-        for unit in set(worker.unit_by_run.values()):
+        for unit in worker.units():
             self._end_unit(unit, EndKind.BROKEN, lost_on=worker)
         self._scheduler.worker_over(worker.profile.worker_id, self._moment)
         self._at(self._now_s + _REPLACED_AFTER_S, partial(self._replace, worker))
@@ -257,7 +257,7 @@
         self._join(other)
 
     def _renew_rates(self, worker: PlayedWorker) -> None:
-        for unit in set(worker.unit_by_run.values()):
+        for unit in worker.units():
             self._plan(unit)
 
     # Runs.
