--- a/packages/kernel/dahliaarch_kernel/scheduler/estimates.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/estimates.py
@@ -9,13 +9,13 @@
 import math
 
 # Weight of the belief that estimates tell everything, in squared logarithms.
-_PRIOR_SPREAD = 0.3
+_PRIOR_SQUARES = 0.3
 # Weight of the belief that they are right in the mean, in observations.
-_PRIOR_OBSERVATIONS = 1.0
+_PRIOR_OBSERVATIONS = 3.0
 # Share of what is known that stays with each observation: recent work tells more.
 _MEMORY = 0.98
 # Spread of times around what is expected, in logarithms, before any was seen.
-_PRIOR_RESIDUAL = 0.5
+PRIOR_SPREAD = 1.0
 # Bounds of one observation, so that a single odd run moves little.
 _LARGEST_LOG_RATIO = 3.0
 
@@ -60,15 +60,15 @@
     @property
     def slope(self) -> float:
         """How much longer tasks take, in logarithms, for each step of the estimate."""
-        return (self._sxy + _PRIOR_SPREAD) / (self._sxx + _PRIOR_SPREAD)
+        return (self._sxy + _PRIOR_SQUARES) / (self._sxx + _PRIOR_SQUARES)
 
     @property
-    def residual(self) -> float:
+    def spread(self) -> float:
         """Spread of times around what is expected, in logarithms."""
         slope = self.slope
         squares = self._syy - 2 * slope * self._sxy + slope * slope * self._sxx
         weight = self._seen + _PRIOR_OBSERVATIONS
-        return math.sqrt((max(squares, 0.0) + _PRIOR_OBSERVATIONS * _PRIOR_RESIDUAL**2) / weight)
+        return math.sqrt((max(squares, 0.0) + _PRIOR_OBSERVATIONS * PRIOR_SPREAD**2) / weight)
 
     def expect_s(self, estimate_s: float) -> float:
         """Return the expected run time of a task."""
