--- a/packages/standins/dahliaarch_standins/comparison/ledger.py
+++ b/packages/standins/dahliaarch_standins/comparison/ledger.py
@@ -28,6 +28,9 @@
         When each job's first task began and its last one succeeded.
     done_by_job : dict
         Tasks of each job that have succeeded.
+    failed_s_by_job : dict
+        Time of runs that failed by their own fault, where a step runs as one unit:
+        it counts to the work that a job's objective is worked out from.
     wasted_by_cause : dict
         Weighted core-seconds that were thrown away, by why.
     worked : float
@@ -43,6 +46,7 @@
         self.begun_s_by_job: dict[str, float] = {}
         self.ended_s_by_job: dict[str, float] = {}
         self.done_by_job: dict[str, set[TaskKey]] = {}
+        self.failed_s_by_job = defaultdict[str, float](float)
         self.wasted_by_cause = defaultdict[str, float](float)
         self.stops_by_cause: Counter[str] = Counter()
         self.worked = 0.0
@@ -79,6 +83,8 @@
         self.wasted_by_cause[cause] += member.cores * (spent_s - kept_s)
         if end.kind is EndKind.DONE:
             self._note_done(member, now_s)
+        if end.kind is EndKind.FAILED and unit.fails_at_s is not None and unit.size == member.step.task_count:
+            self.failed_s_by_job[member.job.spec.job_id] += spent_s
 
     def note_idle(self, now_s: float, workers: Iterable[PlayedWorker]) -> None:
         """Note the share of accelerators that are free while a gang waits."""
--- a/packages/standins/dahliaarch_standins/comparison/scoring.py
+++ b/packages/standins/dahliaarch_standins/comparison/scoring.py
@@ -106,7 +106,8 @@
             continue
         owed = owed_by_id[job.spec.job_id]
         ended_s = ledger.ended_s_by_job.get(job.spec.job_id, float('inf'))
-        lateness = (ended_s + _SHOWN_AFTER_S - job.at_s) / job.objective_s
+        wanted_s = job.objective_s + job.kind.stretch * ledger.failed_s_by_job[job.spec.job_id]
+        lateness = (ended_s + _SHOWN_AFTER_S - job.at_s) / wanted_s
         found.append(JobScore(job, owed, owed * _credit(job.kind, lateness), lateness))
     return found
 
