--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -157,8 +157,10 @@
     def _wait_s(self) -> float:
         """Return how long the next survey waits at the worker for an end."""
         has_news = self.listed > self.acknowledged or not self._lease.has_reading
-        if has_news or self._contact.failures or self._orders.has_unresolved_stops:
+        if has_news or self._contact.failures:
             return 0.0
+        if self._orders.has_unresolved_stops:
+            return _STOP_POLL_S
         settings = self._context.settings
         return settings.idle_wait_s if self._is_idle else settings.wait_s
 
@@ -169,8 +171,6 @@
             pause_s = max(settings.unacknowledged_s, settings.listed_again_s * len(survey.ended))
             with anyio.move_on_after(min(pause_s, self._hold_s / _SURVEYS_IN_A_LEASE)):
                 await self.acknowledged_more.wait()
-        elif self._orders.has_unresolved_stops:
-            await anyio.sleep(_STOP_POLL_S)
 
     def _take_in(self, survey: Survey, begun_s: float) -> None:
         ended = tuple(listed.end for listed in survey.ended if listed.number > self.listed)
@@ -210,5 +210,7 @@
 _MOST_DOUBLINGS = 8
 # Surveys in the life of a lease, however seldom: one or two may be lost.
 _SURVEYS_IN_A_LEASE = 3
-# How often a worker is asked while a stop there is not over, in seconds.
+# How long a survey waits at a worker while a stop there is not over, in seconds: it is
+# answered at once when that ends. Asked as often without waiting, workers told of the
+# end 0.08 s later in the mean, and urgent work that waited for it began that late.
 _STOP_POLL_S = 0.15
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_stops.py
@@ -0,0 +1,92 @@
+"""Room that is made by stops is used as soon as it is there.
+
+Urgent jobs that waited for stops began 0.93 s after they came in the mean, though
+workers take 0.9 s at most and 0.6 s in the mean for a stop: while a stop was under
+way its worker was asked every 0.15 s, and an end was heard of at the next question.
+"""
+
+import asyncio
+import time
+
+import anyio
+
+from dahliaarch_kernel.scheduler import EndKind, Lease, StopRun
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import TaskKey
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey
+
+from ...metrics import Metrics
+from ..link_settings import LinkContext, LinkSettings, StartTurns
+from ..links import WorkerLink
+from ..messages import WorkerSurveyed
+
+FIRST, SECOND = (TaskKey('a' * 16, 0, 0, index) for index in range(2))
+# When each of two stops takes effect, in seconds after it was ordered.
+END_S = {FIRST: 0.05, SECOND: 0.26}
+
+
+class StoppingWorker:
+    """A worker that runs two tasks, and answers a survey that waits as soon as one has ended."""
+
+    def __init__(self):
+        self.ended_at_s = {}
+        self.surveys = 0
+        self.news = anyio.Event()
+
+    async def survey(self, address, life, *, acknowledged, wait_s, **order):
+        self.surveys += 1
+        if len(self.ended_at_s) <= acknowledged:
+            with anyio.move_on_after(wait_s):
+                await self.news.wait()
+        running = tuple(RunSeen(key, 1, '', 10.0) for key in END_S if key not in self.ended_at_s)
+        ends = tuple(
+            ListedEnd(number, RunEnd('w', key, 1, EndKind.STOPPED))
+            for number, key in enumerate(self.ended_at_s, start=1)
+            if number > acknowledged
+        )
+        return Survey(time.monotonic(), running, ends)
+
+    async def stop(self, address, life, key, run, fence, *, timeout_s):
+        return OrderReply(OrderStatus.DONE, time.monotonic())
+
+    async def end(self, key):
+        await anyio.sleep(END_S[key])
+        self.ended_at_s[key] = time.monotonic()
+        news, self.news = self.news, anyio.Event()
+        news.set()
+
+
+async def stop_and_hear():
+    """Return how long after its end the second run is known to have ended, and how often the worker was asked."""
+    worker, heard = StoppingWorker(), anyio.Event()
+
+    def post(message):
+        if not isinstance(message, WorkerSurveyed):
+            return
+        # Ends are kept within milliseconds.
+        asyncio.get_running_loop().call_later(0.01, link.acknowledge, message.last_end)
+        if any(end.key == SECOND for end in message.ended):
+            heard.set()
+
+    turns = StartTurns(anyio.Semaphore(8), anyio.Semaphore(8))
+    context = LinkContext(worker, 7, LinkSettings(), Metrics(), post, lambda: None, time.monotonic, turns)
+    link = WorkerLink('w', Address('h', 1), Lease(), context)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        await anyio.sleep(0.05)
+        before = worker.surveys
+        for key in END_S:
+            link.stop(StopRun('w', key, 1, 'makes room'))
+            tasks.start_soon(worker.end, key)
+        await heard.wait()
+        took_s = time.monotonic() - worker.ended_at_s[SECOND]
+        tasks.cancel_scope.cancel()
+    return took_s, worker.surveys - before
+
+
+def test_the_end_of_a_stopped_run_is_heard_of_at_once():
+    took_s, surveys = anyio.run(stop_and_hear)
+    assert took_s < 0.04
+    # One for the first end, one or two until the second.
+    assert surveys <= 4
