Tests: a recorder is told what is shown, and connections are cut once a request is there

Cause: four tests of large writes made a recorder without the callback that it takes since the end of a job is kept at once; they failed in a clean clone. One test of keep-alive probes failed once in a full run (5 s over instead of an answer after 3.1 s) and then passed nine times alone.

Traced: with the loop held up for 0.3 s right after the call both of its cases fail in just that way: the connection is not open when it is to fall silent, so nothing is silenced. What held up the loop of the full run is not known; the machine was idle.

Ruled out: the probes themselves (3.07 to 3.09 s in twelve runs).

Change: the test waits until the request has arrived before it cuts. Its demand is the same, and with the stall of 0.3 s it passes.

--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -68,6 +68,7 @@
             self._epoch,
             mark=dict,
             kept=self._note,
+            shown=lambda job_id: None,
             deposed=lambda: None,
         )
         tasks.start_soon(self.recorder.run)
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
@@ -77,11 +77,15 @@
 
 @pytest.mark.parametrize('is_one_way', [False, True])
 def test_keep_alive_probes_show_a_connection_that_falls_silent_while_an_answer_is_awaited(is_one_way):
-    async def wait_long(request):
-        await anyio.sleep(20)
-        return Response(200)
-
     async def scenario():
+        # The connections are cut once the request is there: one that is not open yet can't fall silent.
+        received = anyio.Event()
+
+        async def wait_long(request):
+            received.set()
+            await anyio.sleep(20)
+            return Response(200)
+
         server = HttpServer(wait_long)
         await server.listen(LOOPBACK)
         async with anyio.create_task_group() as tasks:
@@ -97,7 +101,7 @@
             with anyio.fail_after(5):
                 async with anyio.create_task_group() as calls:
                     calls.start_soon(watch)
-                    await anyio.sleep(0.2)
+                    await received.wait()
                     if is_one_way:
                         await proxy.lose_answers()
                     else:
