--- /dev/null
+++ b/packages/cli/dahliaarch_cli/accounting/core.py
@@ -0,0 +1,255 @@
+"""Sums over the histories of jobs: by queue, by cause, by window, by decision."""
+
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from .histories import JobHistory, RunHistory
+
+# Length of a window in seconds.
+_WINDOW_S = 2.0
+# What counts as a delay on the way, in seconds: an owner learns of a job in
+# milliseconds, starts it as soon as there is room, and keeps its end in 0.01 s.
+_LATE_TO_OWNER_S = 0.5
+_WAITED_S = 0.2
+_LATE_TO_SHOW_S = 0.3
+# Decisions that are named.
+_MOST_NAMED = 8
+
+_SAVED = ' (work saved)'
+
+
+# The users' formula of a job's worth: a fixed part, and one by its work against the
+# mean of its queue, which counts up to so many times.
+_FIXED_PART = 0.3
+_LARGEST_SIZE = 4.0
+
+
+class QueueRow(NamedTuple):
+    """What became of the jobs of one queue.
+
+    Parameters
+    ----------
+    queue : str
+        Its name; jobs that were refused have none.
+    jobs, in_time, late, not_done, cancelled : int
+        Numbers of jobs.
+    worth, worth_in_time, worth_late : float
+        Worth of all owed jobs and of those that ended, in jobs of mean size: the
+        platform tells no worth of one queue against another.
+    """
+
+    queue: str
+    jobs: int
+    in_time: int
+    late: int
+    not_done: int
+    cancelled: int
+    worth: float
+    worth_in_time: float
+    worth_late: float
+
+
+class Loss(NamedTuple):
+    """Jobs that were not in time, or core-seconds that came to nothing, for one reason."""
+
+    cause: str
+    cases: int
+    core_s: float
+
+
+class WindowRow(NamedTuple):
+    """Two seconds: jobs that came, what became of them, and core-seconds thrown away by runs that ended."""
+
+    from_s: float
+    jobs: int
+    in_time: int
+    worth: float
+    worth_in_time: float
+    thrown_away_core_s: float
+
+
+class CostlyDecision(NamedTuple):
+    """Runs that were stopped together for one reason."""
+
+    at_s: float
+    why: str
+    runs: int
+    core_s: float
+    jobs: tuple[str, ...]
+
+
+class Account(NamedTuple):
+    """Where time and core-seconds went.
+
+    Parameters
+    ----------
+    queues : list of QueueRow
+        By queue.
+    late : list of Loss
+        Why jobs were not in time.
+    work : list of Loss
+        Core-seconds by what they came to, useful ones too.
+    windows : list of WindowRow
+        By two-second window, from the first job on.
+    decisions : list of CostlyDecision
+        The costliest.
+    """
+
+    queues: list[QueueRow]
+    late: list[Loss]
+    work: list[Loss]
+    windows: list[WindowRow]
+    decisions: list[CostlyDecision]
+
+
+def account(history_by_id: Mapping[str, JobHistory]) -> Account:
+    """Return where time and core-seconds went."""
+    jobs = [job for job in history_by_id.values() if job.known_s is not None or job.is_refused]
+    size_by_id = _sizes(jobs)
+    return Account(
+        _by_queue(jobs, size_by_id),
+        _by_delay(jobs),
+        _by_outcome(jobs),
+        _by_window(jobs, size_by_id),
+        _costliest(jobs),
+    )
+
+
+def _by_queue(jobs: Iterable[JobHistory], size_by_id: Mapping[str, float]) -> list[QueueRow]:
+    rows = []
+    for queue, members in sorted(_jobs_by_queue(jobs).items()):
+        owed = [job for job in members if job.is_owed]
+        in_time = [job for job in owed if job.is_in_time]
+        late = [job for job in owed if job.phase == 'succeeded' and not job.is_in_time]
+        cancelled = sum(job.cancelled_s is not None for job in members)
+        worth = [sum(size_by_id[job.job_id] for job in group) for group in (owed, in_time, late)]
+        not_done = len(owed) - len(in_time) - len(late)
+        rows.append(QueueRow(queue, len(members), len(in_time), len(late), not_done, cancelled, *worth))
+    return rows
+
+
+def _jobs_by_queue(jobs: Iterable[JobHistory]) -> dict[str, list[JobHistory]]:
+    jobs_by_queue: dict[str, list[JobHistory]] = defaultdict(list)
+    for job in jobs:
+        jobs_by_queue[job.queue or '(refused)'].append(job)
+    return jobs_by_queue
+
+
+def _sizes(jobs: Iterable[JobHistory]) -> dict[str, float]:
+    """Return the worth of each job, in jobs of mean size of its queue."""
+    size_by_id = {}
+    for members in _jobs_by_queue(jobs).values():
+        mean = statistics.fmean(job.core_s for job in members) or 1.0
+        for job in members:
+            size = _FIXED_PART + (1 - _FIXED_PART) * job.core_s / mean
+            size_by_id[job.job_id] = min(size, _LARGEST_SIZE)
+    return size_by_id
+
+
+def _by_delay(jobs: Iterable[JobHistory]) -> list[Loss]:
+    counts = Counter(_delay(job) for job in jobs if not job.is_in_time and (job.is_owed or job.known_s is None))
+    return [Loss(cause, count, 0.0) for cause, count in counts.most_common()]
+
+
+def _delay(job: JobHistory) -> str:
+    """Return what kept a job from being in time: the first that holds."""
+    if job.known_s is None:
+        return 'refused'
+    if job.known_s - job.asked_s > _LATE_TO_OWNER_S:
+        return 'late to the owner'
+    if not job.runs:
+        return 'never started'
+    causes = {run.cause for run in job.runs if run.stopped_why or run.how == 'lapsed'}
+    if causes:
+        return f'stopped: {min(causes)}'
+    last_s = max((run.ended_s for run in job.runs if run.how == 'done' and run.ended_s), default=None)
+    if last_s is not None and job.shown_s is not None and job.shown_s - last_s > _LATE_TO_SHOW_S:
+        return 'end kept late'
+    if job.runs[0].ordered_s - job.known_s > _WAITED_S:
+        return 'waited for room'
+    if any(run.how == 'failed' for run in job.runs):
+        return 'runs failed'
+    return 'ran too long' if last_s is not None else 'not ended'
+
+
+def _by_outcome(jobs: Iterable[JobHistory]) -> list[Loss]:
+    core_s_by_cause: dict[str, float] = defaultdict(float)
+    runs_by_cause: Counter[str] = Counter()
+    for job in jobs:
+        for run in job.runs:
+            cause = _outcome(job, run)
+            core_s_by_cause[cause] += _core_s(job, run)
+            runs_by_cause[cause] += 1
+    found = [Loss(cause, runs_by_cause[cause], core_s) for cause, core_s in core_s_by_cause.items()]
+    return sorted(found, key=lambda loss: -loss.core_s)
+
+
+def _outcome(job: JobHistory, run: RunHistory) -> str:
+    if run.how == 'done':
+        return 'done'
+    if run.ended_s is None:
+        return 'not ended'
+    return run.cause + (_SAVED if _is_saved(job, run) else '')
+
+
+def _is_saved(job: JobHistory, run: RunHistory) -> bool:
+    """Tell whether the work of a run that was stopped goes on in the next."""
+    return bool(run.stopped_why) and job.cancelled_s is None and job.saves_by_step[run.task[2]]
+
+
+def _core_s(job: JobHistory, run: RunHistory) -> float:
+    step = run.task[2]
+    return run.took_s * (job.cores_by_step[step] if step < len(job.cores_by_step) else 1.0)
+
+
+def _is_thrown_away(job: JobHistory, run: RunHistory) -> bool:
+    return run.ended_s is not None and run.how != 'done' and not _is_saved(job, run)
+
+
+def _by_window(jobs: list[JobHistory], size_by_id: Mapping[str, float]) -> list[WindowRow]:
+    if not jobs:
+        return []
+    first_s = min(job.asked_s for job in jobs)
+    jobs_by_window: dict[int, list[JobHistory]] = defaultdict(list)
+    lost_by_window: dict[int, float] = defaultdict(float)
+    for job in jobs:
+        if job.is_owed or job.known_s is None:
+            jobs_by_window[_window(job.asked_s - first_s)].append(job)
+        for run in job.runs:
+            if run.ended_s is not None and _is_thrown_away(job, run):
+                lost_by_window[_window(run.ended_s - first_s)] += _core_s(job, run)
+    rows = []
+    for window in sorted(jobs_by_window.keys() | lost_by_window.keys()):
+        came = jobs_by_window[window]
+        in_time = [job for job in came if job.is_in_time]
+        worth, worth_in_time = (sum(size_by_id[job.job_id] for job in group) for group in (came, in_time))
+        lost = lost_by_window[window]
+        rows.append(WindowRow(window * _WINDOW_S, len(came), len(in_time), worth, worth_in_time, lost))
+    return rows
+
+
+def _window(after_s: float) -> int:
+    return int(after_s // _WINDOW_S)
+
+
+def _costliest(jobs: Iterable[JobHistory]) -> list[CostlyDecision]:
+    """Return the stops that threw most away; those for one reason count as one decision."""
+    runs_by_reason: dict[str, list[tuple[JobHistory, RunHistory]]] = defaultdict(list)
+    for job in jobs:
+        for run in job.runs:
+            if run.stopped_why and _is_thrown_away(job, run):
+                reason = run.stopped_why if ' for ' in run.stopped_why else f'{run.stopped_why}: {job.job_id}'
+                runs_by_reason[reason].append((job, run))
+    found = [
+        CostlyDecision(
+            min(run.ended_s or run.ordered_s for _, run in pairs),
+            why,
+            len(pairs),
+            sum(_core_s(job, run) for job, run in pairs),
+            tuple(sorted({job.job_id for job, _ in pairs})),
+        )
+        for why, pairs in runs_by_reason.items()
+    ]
+    return sorted(found, key=lambda decision: -decision.core_s)[:_MOST_NAMED]
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -0,0 +1,184 @@
+"""The history of each job, put together from the lines of all instances."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from ..explaining import LogLine
+
+_Task = tuple[str, int, int, int]
+
+
+class RunHistory:
+    """One run of a task.
+
+    Parameters
+    ----------
+    task : tuple
+        Job, occurrence, step and index.
+    number : int
+        Number of the run.
+    ordered_s : float
+        When its start was ordered, seconds since 1970.
+    """
+
+    def __init__(self, task: _Task, number: int, ordered_s: float) -> None:
+        """Start as a run under way."""
+        self.task = task
+        self.number = number
+        self.ordered_s = ordered_s
+        self.ended_s: float | None = None
+        self.how = ''
+        self.stopped_why = ''
+
+    @property
+    def took_s(self) -> float:
+        """Time from its order to its end; 0 while it runs."""
+        return 0.0 if self.ended_s is None else self.ended_s - self.ordered_s
+
+    @property
+    def cause(self) -> str:
+        """Why it ended, if not by success: the reason of its stop, or how it ended."""
+        return self.stopped_why.split(' for ')[0] or self.how
+
+
+class JobHistory:
+    """What the lines tell of one job.
+
+    Parameters
+    ----------
+    job_id : str
+        Its id.
+    """
+
+    def __init__(self, job_id: str) -> None:
+        """Start without any line."""
+        self.job_id = job_id
+        self.queue = ''
+        self.stretch = 0.0
+        self.target_s = 0.0
+        self.cores_by_step: list[float] = []
+        self.saves_by_step: list[bool] = []
+        self.asked_s = float('inf')
+        self.is_refused = False
+        self.known_s: float | None = None
+        self.cancelled_s: float | None = None
+        self.shown_s: float | None = None
+        self.phase = ''
+        self.occurrences = 1
+        self.runs: list[RunHistory] = []
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether its owner waits for one end of it, and it was taken."""
+        return self.known_s is not None and self.cancelled_s is None and self.occurrences == 1
+
+    @property
+    def core_s(self) -> float:
+        """Weighted core-seconds of the runs that succeeded."""
+        return sum(run.took_s * self.cores_by_step[run.task[2]] for run in self.runs if run.how == 'done')
+
+    @property
+    def work_s(self) -> float:
+        """Longest chain of its work as it was seen: per step the longest success, and what failed."""
+        longest_by_step: dict[int, float] = {}
+        for run in self.runs:
+            step = run.task[2]
+            if run.how == 'done':
+                longest_by_step[step] = max(longest_by_step.get(step, 0.0), run.took_s)
+        failed = {run.number: run.took_s for run in self.runs if run.how == 'failed'}
+        return sum(longest_by_step.values()) + sum(failed.values())
+
+    @property
+    def took_s(self) -> float | None:
+        """Time from the first question to the end as shown; nothing when it has none."""
+        return None if self.shown_s is None else self.shown_s - self.asked_s
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it was shown as succeeded within its objective."""
+        if self.took_s is None or self.phase != 'succeeded':
+            return False
+        return self.took_s <= self.stretch * self.work_s + self.target_s
+
+
+def read_histories(lines: Iterable[LogLine]) -> dict[str, JobHistory]:
+    """Return the history of each job by its id."""
+    builder = _Builder()
+    for line in sorted(lines, key=lambda each: each.at_s):
+        handle = _HANDLER_BY_EVENT.get(line.event)
+        if handle is not None:
+            handle(builder, line)
+    return builder.job_by_id
+
+
+class _Builder:
+    """Takes in one line after the other."""
+
+    def __init__(self) -> None:
+        self.job_by_id: dict[str, JobHistory] = {}
+        self._run_by_key: dict[tuple[_Task, int], RunHistory] = {}
+
+    def job(self, job_id: str) -> JobHistory:
+        return self.job_by_id.setdefault(job_id, JobHistory(job_id))
+
+    def answered(self, line: LogLine) -> None:
+        if line.fields.get('operation') != 'submit':
+            return
+        job = self.job(str(line.fields['target']).rpartition('/')[2])
+        job.asked_s = min(job.asked_s, line.at_s - float(line.fields['took_s']))
+        job.is_refused = int(line.fields['status']) >= HTTPStatus.BAD_REQUEST
+
+    def known(self, line: LogLine) -> None:
+        job = self.job(line.fields['job'])
+        if job.known_s is not None:
+            return
+        job.known_s = line.at_s
+        job.asked_s = min(job.asked_s, float(line.fields['accepted_s']))
+        job.queue = line.fields['queue']
+        job.occurrences = int(line.fields['occurrences'])
+        job.stretch = float(line.fields.get('stretch', 0.0))
+        job.target_s = float(line.fields.get('target_s', 0.0))
+        job.cores_by_step = list(line.fields.get('cores', ()))
+        job.saves_by_step = ['checkpoints' in text for text in line.fields['steps']]
+
+    def ordered(self, line: LogLine) -> None:
+        key = _key(line.fields)
+        run = RunHistory(*key, line.at_s)
+        self._run_by_key[key] = run
+        self.job(run.task[0]).runs.append(run)
+
+    def stopped(self, line: LogLine) -> None:
+        run = self._run_by_key.get(_key(line.fields))
+        if run is not None and not run.stopped_why:
+            run.stopped_why = line.fields['why']
+
+    def ended(self, line: LogLine) -> None:
+        run = self._run_by_key.get(_key(line.fields))
+        if run is not None and run.ended_s is None:
+            run.ended_s = line.at_s
+            run.how = line.fields['how']
+
+    def cancelled(self, line: LogLine) -> None:
+        self.job(line.fields['job']).cancelled_s = line.at_s
+
+    def shown(self, line: LogLine) -> None:
+        job = self.job(line.fields['job'])
+        job.shown_s = line.at_s
+        job.phase = line.fields['phase']
+
+
+def _key(fields: dict[str, Any]) -> tuple[_Task, int]:
+    job_id, occurrence, step, index = fields['task']
+    return (job_id, occurrence, step, index), fields['run']
+
+
+_HANDLER_BY_EVENT: dict[str, Callable[[_Builder, LogLine], None]] = {
+    'request_answered': _Builder.answered,
+    'job_known': _Builder.known,
+    'run_ordered': _Builder.ordered,
+    'stop_ordered': _Builder.stopped,
+    'run_ended': _Builder.ended,
+    'job_cancelled': _Builder.cancelled,
+    'job_ended': _Builder.shown,
+}
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -14,6 +14,7 @@
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
+from .accounting import account, read_histories
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
 
@@ -74,6 +75,24 @@
         typer.echo(sentence)
 
 
+@app.command(name='account')
+def show_account(
+    logs: Annotated[list[Path], typer.Argument(help='Files with log lines of the instances, in any order.')],
+    as_json: Annotated[bool, typer.Option('--json', help='Print one JSON object.')] = False,
+) -> None:
+    """Tell from logs where time and core-seconds went, why jobs were late and which decisions cost most."""
+    lines: list[LogLine] = []
+    for path in logs:
+        lines.extend(read_lines(path))
+    found = account(read_histories(lines))
+    if as_json:
+        rows = {name: [row._asdict() for row in part] for name, part in found._asdict().items()}
+        typer.echo(json.dumps(rows, indent=2))
+        return
+    for name, part in found._asdict().items():
+        _print(name, [_rounded(row._asdict()) for row in part])
+
+
 @app.command()
 def demo(jobs: int = 40, seed: int = 1) -> None:
     """Run real daemons against stand-ins, kill the owner meanwhile, and count."""
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -0,0 +1,117 @@
+"""The account of a day is worked out from log lines alone."""
+
+import pytest
+
+from ..accounting import account, read_histories
+from ..explaining import LogLine
+
+URGENT, BATCH = 'a' * 16, 'b' * 16
+START_S = 1000.0
+
+
+def line(after_s, event, **fields):
+    return LogLine(START_S + after_s, 'i1', event, fields)
+
+
+def known(after_s, job, queue, *, cores=10.0, checkpoints=False, stretch=2.0):
+    summary = '1 x 1000m 10MB 1acc, 1s' + (', checkpoints' if checkpoints else '')
+    return line(
+        after_s,
+        'job_known',
+        job=job,
+        queue=queue,
+        accepted_s=START_S + after_s,
+        occurrences=1,
+        steps=[summary],
+        cores=[cores],
+        stretch=stretch,
+        target_s=0.5,
+    )
+
+
+def ordered(after_s, job, run=1):
+    return line(after_s, 'run_ordered', task=[job, 0, 0, 0], run=run, worker='w')
+
+
+def stopped(after_s, job, why, run=1):
+    return line(after_s, 'stop_ordered', task=[job, 0, 0, 0], run=run, worker='w', why=why)
+
+
+def ended(after_s, job, how, run=1):
+    return line(after_s, 'run_ended', task=[job, 0, 0, 0], run=run, worker='w', how=how)
+
+
+def shown(after_s, job):
+    return line(after_s, 'job_ended', job=job, phase='succeeded')
+
+
+def account_of(*lines):
+    return account(read_histories(lines))
+
+
+def preempted(*, checkpoints):
+    """A batch job is stopped after 3 s for an urgent one, and runs again from 6 s on."""
+    return account_of(
+        known(0.0, BATCH, 'batch', checkpoints=checkpoints),
+        ordered(0.0, BATCH),
+        known(3.0, URGENT, 'urgent'),
+        stopped(3.0, BATCH, f'makes room for {URGENT}'),
+        ended(3.5, BATCH, 'stopped'),
+        ordered(3.5, URGENT),
+        ended(5.5, URGENT, 'done'),
+        shown(5.6, URGENT),
+        ordered(6.0, BATCH, 2),
+        ended(12.0, BATCH, 'done', 2),
+        shown(12.1, BATCH),
+    )
+
+
+def test_what_was_stopped_is_thrown_away_unless_it_was_saved():
+    lost = {row.cause: row.core_s for row in preempted(checkpoints=False).work}
+    assert lost == {'done': pytest.approx(80.0), 'makes room': pytest.approx(35.0)}
+    saved = {row.cause: row.core_s for row in preempted(checkpoints=True).work}
+    assert saved == {'done': pytest.approx(80.0), 'makes room (work saved)': pytest.approx(35.0)}
+
+
+def test_the_costliest_decision_names_its_reason_and_the_jobs_that_lost():
+    found = preempted(checkpoints=False).decisions
+    assert [(each.why, each.runs, each.jobs) for each in found] == [(f'makes room for {URGENT}', 1, (BATCH,))]
+    assert found[0].core_s == pytest.approx(35.0)
+    assert not preempted(checkpoints=True).decisions
+
+
+def test_a_job_is_in_time_by_its_own_objective():
+    rows = {row.queue: row for row in preempted(checkpoints=False).queues}
+    assert (rows['urgent'].in_time, rows['urgent'].late) == (1, 0)
+    assert rows['urgent'].worth_in_time == pytest.approx(1.0)
+    # It took 12.1 s; twice its 6 s of work and half a second are allowed.
+    assert (rows['batch'].in_time, rows['batch'].late) == (1, 0)
+
+
+def alone(began_s, ended_s, shown_s):
+    run = ordered(began_s, URGENT), ended(ended_s, URGENT, 'done')
+    return account_of(known(0.0, URGENT, 'q'), *run, shown(shown_s, URGENT))
+
+
+@pytest.mark.parametrize(
+    ('found', 'cause'),
+    [
+        (alone(3.0, 4.0, 4.1), 'waited for room'),
+        (alone(0.0, 1.0, 9.0), 'end kept late'),
+        (account_of(known(0.0, URGENT, 'q')), 'never started'),
+    ],
+)
+def test_the_first_delay_on_the_way_is_named(found, cause):
+    assert [(row.cause, row.cases) for row in found.late] == [(cause, 1)]
+
+
+def test_a_refused_job_counts_in_the_window_in_which_it_was_asked_for():
+    refused = line(5.0, 'request_answered', operation='submit', target=f'/q/{URGENT}', status=503, took_s=0.0)
+    found = account_of(known(0.0, BATCH, 'batch'), refused)
+    assert [(row.from_s, row.jobs, row.in_time) for row in found.windows] == [(0.0, 1, 0), (4.0, 1, 0)]
+    assert [row.cause for row in found.late] == ['never started', 'refused']
+
+
+def test_without_any_line_there_is_nothing_to_tell():
+    found = account_of()
+    assert not any(found)
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -23,7 +23,7 @@
     StopRun,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
-from dahliaarch_kernel.workload import step_summary
+from dahliaarch_kernel.workload import step_summary, weighted_cores
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
@@ -332,6 +332,9 @@
                 accepted_s=message.spec.accepted_s,
                 occurrences=message.spec.occurrences,
                 steps=[step_summary(step) for step in message.spec.steps],
+                cores=[weighted_cores(step.demand) for step in message.spec.steps],
+                stretch=message.queue.stretch,
+                target_s=message.queue.target_latency_s,
             )
 
     @_handle.register
