A bound, the split of every loss, drawn deployments and the ablation as a command

Purpose: to know how far the decisions are from what is possible, and why, on more than the deployments that are written down.

Luck is drawn by name, so that two schedulers meet the same failures and sick workers.

--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -6,24 +6,26 @@
 
 import typer
 from result import is_ok, Result
-from rich.console import Console
-from rich.table import Table
 
 from dahliaarch_standins.bench import run_bench
+from dahliaarch_standins.comparison import ablate as ablate_mechanisms
 from dahliaarch_standins.comparison import compare as compare_schedulers
+from dahliaarch_standins.comparison import DEPLOYMENTS, DRAWN, gap_on, plot_effects
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
 from .accounting import account, read_histories
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
+from .printing import print_columns, print_effects, print_gap, print_table
 
 app = typer.Typer(no_args_is_help=True, help=__doc__)
-_console = Console()
 
 Url = Annotated[str, typer.Option('--url', envvar='DAHLIAARCH_URL', help='Address of any instance, for callers.')]
 Key = Annotated[str, typer.Option('--key', envvar='DAHLIAARCH_KEY', help='Key of a client account.')]
 Queue = Annotated[str, typer.Argument(help='Path of the queue, for example /reconciliation/.')]
+Deployment = Annotated[str, typer.Option(help=f'One of: {", ".join((*DEPLOYMENTS, DRAWN))}.')]
+Cores = Annotated[int, typer.Option(help='Days that are played at a time.')]
 JobId = Annotated[str, typer.Argument(help='16 hexadecimal digits, chosen by the caller.')]
 
 
@@ -58,7 +60,7 @@
         typer.echo(json.dumps(answer.unwrap(), indent=2))
         return
     for name, rows in answer.unwrap().items():
-        _print(name, rows)
+        print_table(name, rows)
 
 
 @app.command()
@@ -90,7 +92,7 @@
         typer.echo(json.dumps(rows, indent=2))
         return
     for name, part in found._asdict().items():
-        _print(name, [_rounded(row._asdict()) for row in part])
+        print_table(name, [row._asdict() for row in part])
 
 
 @app.command()
@@ -108,10 +110,38 @@
 
 
 @app.command()
-def compare(deployment: str = 'meters', days: int = 4, load: float = 1.2, seed: int = 1) -> None:
+def compare(
+    deployment: Deployment = 'meters',
+    days: int = 4,
+    load: float = 1.2,
+    seed: int = 1,
+    with_bound: Annotated[bool, typer.Option('--bound', help='Tell what no scheduler could exceed, too.')] = False,
+    cores: Cores = 1,
+) -> None:
     """Compare the decisions with those of best fit and backfill, under a fake clock."""
-    rows = compare_schedulers(deployment, range(seed, seed + days), load)
-    _print(f'{deployment}, {days} days, load {load}', [_rounded(row._asdict()) for row in rows])
+    seeds = range(seed, seed + days)
+    rows = compare_schedulers(deployment, seeds, load, workers=cores)
+    print_columns(f'{deployment}, {days} days, load {load}', [row._asdict() for row in rows], 'scheduler')
+    if with_bound:
+        print_gap(gap_on(deployment, seeds, load, cores))
+
+
+@app.command()
+def ablate(
+    days: int = 40,
+    load: float = 1.0,
+    seed: int = 1,
+    deployments: Annotated[str, typer.Option(help='Names, with commas between.')] = 'zones,meters,cars,drawn',
+    output: Annotated[Path, typer.Option('--output', '-o', help='Folder for ablation.json and .png.')] = Path(),
+    cores: Cores = 1,
+) -> None:
+    """Switch off each mechanism that decides, one by one, and tell what it is worth on the same days."""
+    effects = ablate_mechanisms(range(seed, seed + days), load, deployments=deployments.split(','), workers=cores)
+    output.mkdir(parents=True, exist_ok=True)
+    rows = [effect._asdict() for effect in effects]
+    (output / 'ablation.json').write_text(json.dumps(rows, indent=2), encoding='utf-8')
+    plot_effects(effects, output / 'ablation.png')
+    print_effects(effects)
 
 
 @app.command()
@@ -134,23 +164,6 @@
     raise typer.Exit(1 if broken else 0)
 
 
-def _rounded(row: dict[str, object]) -> dict[str, object]:
-    return {name: round(each, 3) if isinstance(each, float) else each for name, each in row.items()}
-
-
-def _print(name: str, rows: object) -> None:
-    if not isinstance(rows, list):
-        _console.print(f'{name}: {rows}')
-        return
-    table = Table(title=name)
-    columns = list(rows[0]) if rows else []
-    for column in columns:
-        table.add_column(column)
-    for row in rows:
-        table.add_row(*(str(row[column]) for column in columns))
-    _console.print(table)
-
-
 def _finish(answer: Result[str, CallFailure], done: str = '') -> None:
     if not is_ok(answer):
         _fail(answer.unwrap_err())
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/printing.py
@@ -0,0 +1,62 @@
+"""Tables that are read at 80 columns."""
+
+from collections.abc import Mapping, Sequence
+
+from rich import box
+from rich.console import Console
+from rich.table import Table
+
+from dahliaarch_standins.comparison import Effect, Gap
+
+_console = Console()
+
+
+def print_table(name: str, rows: object) -> None:
+    """Print one row each; a plain value as it is."""
+    if not isinstance(rows, list):
+        _console.print(f'{name}: {rows}')
+        return
+    table = Table(title=name)
+    columns = list(rows[0]) if rows else []
+    for column in columns:
+        table.add_column(column)
+    for row in rows:
+        table.add_row(*(_text(row[column]) for column in columns))
+    _console.print(table)
+
+
+def print_columns(name: str, rows: Sequence[Mapping[str, object]], head: str) -> None:
+    """Print one column each, under what names it, for rows of many measures."""
+    table = Table('', *(_text(row[head]) for row in rows), title=name)
+    for measure in rows[0]:
+        if measure != head:
+            table.add_row(measure, *(_text(row[measure]) for row in rows))
+    _console.print(table)
+
+
+def print_gap(gap: Gap) -> None:
+    """Print what no scheduler could exceed, what was reached, and what each cause cost."""
+    table = Table('cause', 'worth lost', 'thrown away', title=f'bound {gap.bound:.3f}, reached {gap.net:.3f}')
+    for loss in gap.losses:
+        table.add_row(loss.cause, _text(loss.worth), _text(loss.waste))
+    table.add_section()
+    worth, waste = (sum(losses) for losses in zip(*((loss.worth, loss.waste) for loss in gap.losses), strict=True))
+    table.add_row('all', _text(worth), _text(waste))
+    table.add_row('beyond any scheduler', _text(gap.beyond_reach), '')
+    _console.print(table)
+
+
+def print_effects(effects: Sequence[Effect]) -> None:
+    """Print what each mechanism is worth, and the margin, by deployment."""
+    deployments = list(dict.fromkeys(effect.deployment for effect in effects))
+    text_by_place = {
+        (effect.mechanism, effect.deployment): f'{effect.gain:+.3f}±{effect.margin:.3f}' for effect in effects
+    }
+    table = Table('worth of', *deployments, title=f'{effects[0].days} days each', box=box.SIMPLE)
+    for mechanism in dict.fromkeys(effect.mechanism for effect in effects):
+        table.add_row(mechanism, *(text_by_place[mechanism, deployment] for deployment in deployments))
+    _console.print(table)
+
+
+def _text(cell: object) -> str:
+    return f'{cell:.3f}' if isinstance(cell, float) else str(cell)
--- a/packages/standins/dahliaarch_standins/comparison/__init__.py
+++ b/packages/standins/dahliaarch_standins/comparison/__init__.py
@@ -1,6 +1,23 @@
 """Compares the scheduler's decisions with baselines under a fake clock."""
 
+from .ablation import ablate, Effect
 from .core import compare, Comparison
 from .deployments import DEPLOYMENTS
+from .drawing import draw_deployment, DRAWN
+from .gap import Gap, gap_on
+from .losses import Loss
+from .plotting import plot_effects
 
-__all__ = ('Comparison', 'DEPLOYMENTS', 'compare')
+__all__ = (
+    'Comparison',
+    'DEPLOYMENTS',
+    'DRAWN',
+    'Effect',
+    'Gap',
+    'Loss',
+    'ablate',
+    'compare',
+    'draw_deployment',
+    'gap_on',
+    'plot_effects',
+)
--- a/packages/standins/dahliaarch_standins/comparison/core.py
+++ b/packages/standins/dahliaarch_standins/comparison/core.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .days import Play, play_all, SCHEDULERS
-from .deployments import DEPLOYMENTS
+from .drawing import deployment_named
 from .scoring import DayScore
 
 
@@ -57,7 +57,7 @@
     Parameters
     ----------
     deployment : str
-        Name of a deployment.
+        Name of a deployment, or ``drawn`` for one of its own each day.
     seeds : sequence of int
         One day each.
     load : float
@@ -68,7 +68,7 @@
         Processes that play days.
     """
     chosen = names or tuple(SCHEDULERS)
-    plays = [Play(name, DEPLOYMENTS[deployment], seed, load) for name in chosen for seed in seeds]
+    plays = [Play(name, deployment_named(deployment, seed), seed, load) for name in chosen for seed in seeds]
     scores = play_all(plays, workers)
     days = len(seeds)
     return [_row(name, scores[place * days : (place + 1) * days]) for place, name in enumerate(chosen)]
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -71,6 +71,8 @@
         self.members: list[Execution] = []
         self.size = step.task_count if step.gang else 1
         key = first.start.key
+        # The task that stands for it: the first of a gang.
+        self.key = key._replace(task_index=0) if step.gang else key
         self.work_s = first.job.work_s[key.step][key.task_index]
         self.saved_s = saved_s
         self.done_s = saved_s
--- a/packages/standins/dahliaarch_standins/comparison/ledger.py
+++ b/packages/standins/dahliaarch_standins/comparison/ledger.py
@@ -2,6 +2,8 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
 
 from dahliaarch_kernel.scheduler import EndKind, StopRun
 from dahliaarch_kernel.scheduler.events import RunEnd
@@ -12,6 +14,40 @@
 from .workload import DrawnJob
 
 
+class Cause(StrEnum):
+    """Why time or work was lost, where no stop was ordered: a stop has the reason of its decision."""
+
+    RUN_FAILED = 'run failed'
+    WORKER_LOST = 'worker lost'
+    WAITED_FOR_ROOM = 'waited for room'
+    IDLE_WHILE_WAITING = 'waited beside idle accelerators'
+    SLOW_WORKER = 'slow worker'
+    UNAVOIDABLE = 'not delayed'
+
+
+class Attempt(NamedTuple):
+    """One run of one task.
+
+    Parameters
+    ----------
+    task_index : int
+        Which task of its step.
+    begun_s, ended_s : float
+        When it began and ended, on the comparison's clock.
+    saved_before_s, kept_s : float
+        Work that it went on from, and how much of its time was kept.
+    why : str
+        Why it came to nothing; empty for a success.
+    """
+
+    task_index: int
+    begun_s: float
+    ended_s: float
+    saved_before_s: float
+    kept_s: float
+    why: str
+
+
 class Ledger:
     """Notes begins, ends and stops.
 
@@ -35,6 +71,10 @@
         Weighted core-seconds that were thrown away, by why.
     worked : float
         Weighted core-seconds that were spent.
+    attempts_by_step : dict
+        Runs that have ended, by job and step, in the order of their ends.
+    free_by_time : list of tuple
+        Accelerators that were free, at each pass.
     idle_while_waiting : list of float
         Shares of accelerators that were free while a gang waited.
     stops_by_cause : Counter
@@ -50,6 +90,8 @@
         self.wasted_by_cause = defaultdict[str, float](float)
         self.stops_by_cause: Counter[str] = Counter()
         self.worked = 0.0
+        self.attempts_by_step: dict[tuple[str, int], list[Attempt]] = {}
+        self.free_by_time: list[tuple[float, int]] = []
         self.idle_while_waiting: list[float] = []
         self._pool = pool
         self._job_by_id = job_by_id
@@ -71,28 +113,50 @@
         """Note that a run of a job has begun."""
         self.begun_s_by_job.setdefault(job_id, now_s)
 
-    def note_end(self, member: Execution, unit: Unit, end: RunEnd, now_s: float) -> None:
-        """Note the end of a run and what of its time is lost."""
+    def note_end(self, member: Execution, unit: Unit, end: RunEnd, cause: Cause | None, now_s: float) -> None:
+        """Note the end of a run and what of its time is lost.
+
+        Parameters
+        ----------
+        member, unit : Execution, Unit
+            What ended, and what it worked with.
+        end : RunEnd
+            How it ended.
+        cause : Cause or None
+            Why, if neither by success nor by a stop.
+        now_s : float
+            The present.
+        """
+        is_done = end.kind is EndKind.DONE
         spent_s = now_s - member.begun_s
-        kept_s = spent_s
-        if end.kind is not EndKind.DONE:
-            saved_s = max(0.0, saved_work_s(end.checkpoint) - unit.saved_s)
-            kept_s = min(spent_s, saved_s / unit.rate) if unit.rate else 0.0
+        kept_s = spent_s if is_done else self._kept_s(unit, end, spent_s)
         self.worked += member.cores * spent_s
-        cause = self._why_by_run.pop(member.key, str(end.kind))
-        self.wasted_by_cause[cause] += member.cores * (spent_s - kept_s)
-        if end.kind is EndKind.DONE:
+        stopped_why = self._why_by_run.pop(member.key, '')
+        why = '' if is_done else stopped_why or str(cause or end.kind)
+        if why:
+            self.wasted_by_cause[why] += member.cores * (spent_s - kept_s)
+        key = member.start.key
+        attempt = Attempt(key.task_index, member.begun_s, now_s, unit.saved_s, kept_s, why)
+        self.attempts_by_step.setdefault((key.job_id, key.step), []).append(attempt)
+        if is_done:
             self._note_done(member, now_s)
         if end.kind is EndKind.FAILED and unit.fails_at_s is not None and unit.size == member.step.task_count:
-            self.failed_s_by_job[member.job.spec.job_id] += spent_s
+            self.failed_s_by_job[key.job_id] += spent_s
+
+    def _kept_s(self, unit: Unit, end: RunEnd, spent_s: float) -> float:
+        """Return how much of a run's time the next one need not spend again."""
+        if not unit.rate:
+            return 0.0
+        saved_s = max(0.0, saved_work_s(end.checkpoint) - unit.saved_s)
+        return min(spent_s, saved_s / unit.rate)
 
     def note_idle(self, now_s: float, workers: Iterable[PlayedWorker]) -> None:
         """Note the share of accelerators that are free while a gang waits."""
-        if not any(self._waits(job, now_s) for job in self._job_by_id.values()):
-            return
         capacity = self._pool.workers * self._pool.capacity.accelerators
         used = sum(worker.used.accelerators for worker in workers)
-        self.idle_while_waiting.append(1.0 - used / capacity)
+        self.free_by_time.append((now_s, capacity - used))
+        if any(self._waits(job, now_s) for job in self._job_by_id.values()):
+            self.idle_while_waiting.append(1.0 - used / capacity)
 
     def _waits(self, job: DrawnJob, now_s: float) -> bool:
         """Tell whether a job is a gang that was submitted and has not begun."""
--- a/packages/standins/dahliaarch_standins/comparison/scoring.py
+++ b/packages/standins/dahliaarch_standins/comparison/scoring.py
@@ -18,16 +18,15 @@
 # A job is late up to this multiple of its objective.
 LATE_FACTOR = 3.0
 # From a job's end until its owner has been shown it, in seconds, as played.
-_SHOWN_AFTER_S = 0.03
+SHOWN_AFTER_S = 0.03
 # What counts on most of the users' sheets: the whole day, the worst windows, the
 # worst kind of request and the worst tenth of accounts.
 _WEIGHT_OF_DAY = 0.7
 _WEIGHT_OF_WINDOWS = 0.15
 _WEIGHT_OF_KIND = 0.15
 _WEIGHT_OF_ACCOUNT = 0.2
-# Length of a window in seconds, and how many of the worst count.
-WINDOW_S = 2.0
-_WORST_WINDOWS = 2
+# How many of the worst windows count.
+WORST_WINDOWS = 2
 
 
 class JobScore(NamedTuple):
@@ -48,6 +47,11 @@
     earned: float
     lateness: float
 
+    @property
+    def lost(self) -> float:
+        """What it did not earn."""
+        return self.owed - self.earned
+
 
 class DayScore(NamedTuple):
     """Sums over one day.
@@ -107,7 +111,7 @@
         owed = owed_by_id[job.spec.job_id]
         ended_s = ledger.ended_s_by_job.get(job.spec.job_id, float('inf'))
         wanted_s = job.objective_s + job.kind.stretch * ledger.failed_s_by_job[job.spec.job_id]
-        lateness = (ended_s + _SHOWN_AFTER_S - job.at_s) / wanted_s
+        lateness = (ended_s + SHOWN_AFTER_S - job.at_s) / wanted_s
         found.append(JobScore(job, owed, owed * _credit(job.kind, lateness), lateness))
     return found
 
@@ -144,30 +148,61 @@
     return kind.late_worth / kind.worth if lateness <= LATE_FACTOR else 0.0
 
 
-def _parts(scores: Sequence[JobScore]) -> float:
-    by_window = _shares(scores, lambda score: int(score.job.at_s // WINDOW_S))
-    by_kind = _shares(scores, lambda score: score.job.kind.name)
-    by_account = _shares(scores, lambda score: score.job.spec.account)
-    weighted = (
-        _WEIGHT_OF_DAY * _share(scores)
-        + _WEIGHT_OF_WINDOWS * statistics.fmean(heapq.nsmallest(_WORST_WINDOWS, by_window) or [1.0])
-        + _WEIGHT_OF_KIND * min(by_kind, default=1.0)
-        + _WEIGHT_OF_ACCOUNT * min(by_account, default=1.0)
+class PartsWeights(NamedTuple):
+    """What counts, as shares of one.
+
+    Parameters
+    ----------
+    day, windows, kind, account : float
+        The whole day, the worst windows, the worst kind of request and the worst account.
+    """
+
+    day: float
+    windows: float
+    kind: float
+    account: float
+
+
+def parts_weights() -> PartsWeights:
+    """Return the weights of what counts; they sum to one."""
+    weights = (_WEIGHT_OF_DAY, _WEIGHT_OF_WINDOWS, _WEIGHT_OF_KIND, _WEIGHT_OF_ACCOUNT)
+    return PartsWeights(*(weight / sum(weights) for weight in weights))
+
+
+def costs_of_loss(scores: Sequence[JobScore]) -> dict[str, float]:
+    """Return by job how much each unit of its worth counts to the day, where the worst groups are as they are."""
+    weights = parts_weights()
+    cost_by_id: dict[str, float] = defaultdict(float)
+    worst = (
+        (weights.day, [scores]),
+        (weights.windows, _worst(scores, lambda score: score.job.window, WORST_WINDOWS)),
+        (weights.kind, _worst(scores, lambda score: score.job.kind.name, 1)),
+        (weights.account, _worst(scores, lambda score: score.job.spec.account, 1)),
     )
-    return weighted / (_WEIGHT_OF_DAY + _WEIGHT_OF_WINDOWS + _WEIGHT_OF_KIND + _WEIGHT_OF_ACCOUNT)
+    for weight, groups in worst:
+        for group in groups:
+            owed = sum(score.owed for score in group)
+            for score in group:
+                cost_by_id[score.job.spec.job_id] += weight / len(groups) / owed
+    return cost_by_id
 
 
-def _shares(scores: Iterable[JobScore], key: Callable[[JobScore], Hashable]) -> list[float]:
-    """Return the share that was earned, by group."""
+def _worst(scores: Iterable[JobScore], key: Callable[[JobScore], Hashable], count: int) -> list[Sequence[JobScore]]:
+    """Return the groups that earned the smallest shares."""
     groups: dict[Hashable, list[JobScore]] = defaultdict(list)
     for score in scores:
         groups[key(score)].append(score)
-    return [_share(group) for group in groups.values()]
+    return heapq.nsmallest(count, groups.values(), key=_share)
+
+
+def _parts(scores: Sequence[JobScore]) -> float:
+    cost_by_id = costs_of_loss(scores)
+    return 1.0 - sum(cost_by_id[score.job.spec.job_id] * score.lost for score in scores)
 
 
 def _share(scores: Sequence[JobScore]) -> float:
     owed = sum(score.owed for score in scores)
-    return sum(score.earned for score in scores) / owed if owed else 1.0
+    return sum(score.earned for score in scores) / owed
 
 
 def _work(job: DrawnJob) -> float:
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -13,9 +13,11 @@
 from dahliaarch_kernel.scheduler.workers import WorkerState
 from dahliaarch_kernel.workload import JobSpec, TaskKey
 
+from .chances import Chances
 from .executions import Execution, PlayedWorker, saved_work_s, Unit
-from .ledger import Ledger
-from .shapes import Deployment
+from .ledger import Cause, Ledger
+from .shapes import Deployment, Pool
+from .sickness import draw_sick_places, REPLACED_AFTER_S, SickPlace
 from .troubles import Sickness, SickWorkers
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
@@ -27,12 +29,13 @@
 _PASS_EVERY_S = 0.25
 # How often workers tell of progress, in seconds.
 _SURVEY_S = 1.0
+# Name of the chance that a run fails by its own fault: the same until it has failed.
+FAILURE = 'failure'
 # From the last answer of a worker that is cut off until it counts as silent.
 _SILENT_AFTER_S = 2.2
 # A run on a worker that fails all that it runs ends after this time, in seconds.
 _FAILS_AFTER_S = (0.1, 0.6)
-# From the end of a worker that left until another comes in its place, in seconds.
-_REPLACED_AFTER_S = 4.0
+_CAUSE_BY_KIND = {EndKind.FAILED: Cause.RUN_FAILED, EndKind.BROKEN: Cause.WORKER_LOST}
 
 
 class Decider(Protocol):
@@ -113,10 +116,10 @@
         """Prepare the pool."""
         self._pool = deployment.pool
         self._scheduler = scheduler
-        self._choice = random.Random(seed)
+        self._chances = Chances(seed)
         self._job_by_id = {job.spec.job_id: job for job in jobs}
-        self._workers = _draw_workers(deployment, self._choice)
-        self._worker_by_id = {worker.profile.worker_id: worker for worker in self._workers}
+        self._worker_by_place = _draw_workers(deployment, self._chances)
+        self._worker_by_id = {worker.profile.worker_id: worker for worker in self._worker_by_place}
         self._unit_by_gang: dict[tuple[str, int, int, int], Unit] = {}
         # What a worker that is cut off will tell and do once it is back.
         self._later_by_worker: dict[str, list[Callable[[], None]]] = {}
@@ -129,12 +132,12 @@
             self._at(job.at_s, partial(self._submit, job))
             if job.cancel_at_s is not None:
                 self._at(job.cancel_at_s, partial(self._cancel, job))
-        for trouble in sick:
-            self._at(trouble.span.begin_s, partial(self._fall_sick, trouble))
+        for each in draw_sick_places(deployment.pool, sick, self._chances):
+            self._at(each.span.begin_s, partial(self._fall_sick, each))
 
     def run(self, until_s: float) -> None:
         """Play until a time."""
-        for worker in self._workers:
+        for worker in self._worker_by_place:
             self._join(worker)
         self._ask_pass(0.0)
         while self._events and self._events[0][0] <= until_s:
@@ -161,7 +164,7 @@
             return
         for effect in self._scheduler.decide(self._moment):
             self._carry_out(effect)
-        self.ledger.note_idle(self._now_s, self._workers)
+        self.ledger.note_idle(self._now_s, self._present())
         self._ask_pass(_PASS_EVERY_S)
 
     @singledispatchmethod
@@ -175,7 +178,9 @@
     @_carry_out.register
     def _(self, effect: StopRun) -> None:
         self.ledger.note_stop(effect)
-        takes_s = self._choice.uniform(self._pool.shortest_stop_s, self._pool.largest_stop_s)
+        luck = self._chances.nth_about('stop', *effect.key)
+        self._chances.has_come('stop', *effect.key)
+        takes_s = luck.uniform(self._pool.shortest_stop_s, self._pool.largest_stop_s)
         self._at(self._now_s + takes_s, partial(self._stop, effect))
 
     def _submit(self, job: DrawnJob) -> None:
@@ -190,7 +195,8 @@
 
     def _join(self, worker: PlayedWorker) -> None:
         self._scheduler.update_worker(worker.profile, self._moment)
-        self._at(self._now_s + self._choice.uniform(0.0, _SURVEY_S), partial(self._survey_again, worker))
+        first_s = self._chances.about('survey', worker.profile.worker_id).uniform(0.0, _SURVEY_S)
+        self._at(self._now_s + first_s, partial(self._survey_again, worker))
         self._tell_survey(worker)
 
     def _survey_again(self, worker: PlayedWorker) -> None:
@@ -212,21 +218,22 @@
         lease.sent(self._now_s + self._pool.hold_s)
         self._scheduler.worker_surveyed(worker_id, running, self._now_s, self._moment)
 
-    def _fall_sick(self, trouble: SickWorkers) -> None:
-        well = [worker for worker in self._workers if worker.sickness is None and not worker.is_gone]
-        wanted = min(len(well), max(1, round(trouble.share * self._pool.workers)))
-        for worker in self._choice.sample(well, wanted):
-            worker.sickness = trouble.kind
-            worker.factor = trouble.factor
-            self._renew_rates(worker)
-            if trouble.kind is Sickness.LEAVING:
-                left_s = trouble.span.end_s - self._now_s
-                self._scheduler.update_worker(worker.profile._replace(draining=True, leaves_in_s=left_s), self._moment)
-                self._at(trouble.span.end_s, partial(self._leave, worker))
-            else:
-                self._at(trouble.span.end_s, partial(self._recover, worker))
-            if trouble.kind is Sickness.CUT_OFF:
-                self._at(self._now_s + _SILENT_AFTER_S, partial(self._fall_silent, worker))
+    def _present(self) -> list[PlayedWorker]:
+        return [worker for worker in self._worker_by_place if not worker.is_gone]
+
+    def _fall_sick(self, sick: SickPlace) -> None:
+        worker = self._worker_by_place[sick.place]
+        worker.sickness = sick.kind
+        worker.factor = sick.factor
+        self._renew_rates(worker)
+        if sick.kind is Sickness.LEAVING:
+            left_s = sick.span.end_s - self._now_s
+            self._scheduler.update_worker(worker.profile._replace(draining=True, leaves_in_s=left_s), self._moment)
+            self._at(sick.span.end_s, partial(self._leave, sick.place))
+        else:
+            self._at(sick.span.end_s, partial(self._recover, worker))
+        if sick.kind is Sickness.CUT_OFF:
+            self._at(self._now_s + _SILENT_AFTER_S, partial(self._fall_silent, worker))
 
     def _fall_silent(self, worker: PlayedWorker) -> None:
         if worker.is_cut_off:
@@ -240,21 +247,22 @@
             act()
         self._ask_pass(_GATHER_S)
 
-    def _leave(self, worker: PlayedWorker) -> None:
+    def _leave(self, place: int) -> None:
+        worker = self._worker_by_place[place]
         worker.is_gone = True
-        self._workers.remove(worker)
         for unit in worker.units():
             self._end_unit(unit, EndKind.BROKEN, lost_on=worker)
         self._scheduler.worker_over(worker.profile.worker_id, self._moment)
-        self._at(self._now_s + _REPLACED_AFTER_S, partial(self._replace, worker))
+        self._at(self._now_s + REPLACED_AFTER_S, partial(self._replace, place))
         self._ask_pass(_GATHER_S)
 
-    def _replace(self, worker: PlayedWorker) -> None:
-        profile = worker.profile._replace(worker_id=f'{worker.profile.worker_id}+', draining=False)
-        other = PlayedWorker(profile, worker.speed)
-        self._workers.append(other)
-        self._worker_by_id[profile.worker_id] = other
-        self._join(other)
+    def _replace(self, place: int) -> None:
+        gone = self._worker_by_place[place]
+        profile = gone.profile._replace(worker_id=f'{gone.profile.worker_id}+', draining=False)
+        worker = PlayedWorker(profile, gone.speed)
+        self._worker_by_place[place] = worker
+        self._worker_by_id[profile.worker_id] = worker
+        self._join(worker)
 
     def _renew_rates(self, worker: PlayedWorker) -> None:
         for unit in worker.units():
@@ -303,19 +311,19 @@
         """Let a unit work from now on, once it has its saved work back."""
         first = unit.members[0]
         unit.since_s = self._now_s + (self._pool.restore_s if unit.saved_s else 0.0)
-        if first.job.is_hopeless or self._choice.random() < first.job.kind.failing_share:
-            unit.fails_at_s = unit.saved_s + (unit.work_s - unit.saved_s) * self._choice.random()
+        luck = self._chances.nth_about(FAILURE, *unit.key)
+        share = failing_share(luck, first.job)
+        if share is not None:
+            unit.fails_at_s = unit.saved_s + (unit.work_s - unit.saved_s) * share
         if any(member.worker.sickness is Sickness.FAILING for member in unit.members):
-            self._at(
-                self._now_s + self._choice.uniform(*_FAILS_AFTER_S), partial(self._finish, unit, None, EndKind.FAILED)
-            )
+            self._at(self._now_s + luck.uniform(*_FAILS_AFTER_S), partial(self._finish, unit, None, EndKind.FAILED))
         self._plan(unit)
 
     def _plan(self, unit: Unit) -> None:
         """Work out anew when a unit ends."""
         unit.advance(self._now_s)
         unit.plan += 1
-        unit.rate = self._rate(unit) if unit.is_complete else 0.0
+        unit.rate = _rate(unit, self._pool.far_factor) if unit.is_complete else 0.0
         if not unit.rate:
             return
         goal_s = unit.work_s if unit.fails_at_s is None else max(unit.done_s, unit.fails_at_s)
@@ -323,12 +331,6 @@
         ends_s = max(unit.since_s, self._now_s) + (goal_s - unit.done_s) / unit.rate
         self._at(ends_s, partial(self._finish, unit, unit.plan, kind))
 
-    def _rate(self, unit: Unit) -> float:
-        slowest = min(member.worker.rate for member in unit.members)
-        racks = {member.worker.profile.labels[1] for member in unit.members}
-        is_far = unit.members[0].step.same_rack and len(racks) > 1
-        return slowest / self._pool.far_factor if is_far else slowest
-
     def _finish(self, unit: Unit, plan: int | None, kind: EndKind) -> None:
         if plan is not None and plan != unit.plan:
             return
@@ -349,6 +351,8 @@
             return
         unit.advance(self._now_s)
         unit.plan += 1
+        if kind is EndKind.FAILED:
+            self._chances.has_come(FAILURE, *unit.key)
         for number, member in enumerate(unit.members):
             is_first = kind in {EndKind.DONE, EndKind.STOPPED} or number == 0
             checkpoint = unit.checkpoint(self._pool.checkpoint_s, is_stop=kind is EndKind.STOPPED)
@@ -358,13 +362,13 @@
                 member.start.run,
                 kind if is_first else EndKind.BROKEN,
                 checkpoint if kind is not EndKind.DONE else '',
-            ), is_told=member.worker is not lost_on)  # fmt: skip
+            ), cause=_CAUSE_BY_KIND.get(kind), is_told=member.worker is not lost_on)  # fmt: skip
         self._ask_pass(_GATHER_S)
 
-    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, is_told: bool) -> None:
+    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, cause: Cause | None, is_told: bool) -> None:
         member.is_over = True
         member.worker.remove(member)
-        self.ledger.note_end(member, unit, end, self._now_s)
+        self.ledger.note_end(member, unit, end, cause, self._now_s)
         if not is_told:
             return
         if member.worker.is_cut_off:
@@ -380,13 +384,32 @@
         self._later_by_worker.setdefault(worker.profile.worker_id, []).append(act)
 
 
-def _draw_workers(deployment: Deployment, choice: random.Random) -> list[PlayedWorker]:
+def _rate(unit: Unit, far_factor: float) -> float:
+    """Return the work that a unit does in a second: its slowest member's, less when it is spread over racks."""
+    slowest = min(member.worker.rate for member in unit.members)
+    racks = {member.worker.profile.labels[1] for member in unit.members}
+    is_far = unit.members[0].step.same_rack and len(racks) > 1
+    return slowest / far_factor if is_far else slowest
+
+
+def failing_share(luck: random.Random, job: DrawnJob) -> float | None:
+    """Return after which share of its work a run fails by its own fault, if it does."""
+    fails = luck.random() < job.kind.failing_share
+    return luck.random() if fails or job.is_hopeless else None
+
+
+def draw_speeds(pool: Pool, chances: Chances) -> list[float]:
+    """Return by place how many times as long work takes."""
+    speeds = [pool.speeds[place % len(pool.speeds)] for place in range(pool.workers)]
+    chances.about('speeds').shuffle(speeds)
+    return speeds
+
+
+def _draw_workers(deployment: Deployment, chances: Chances) -> list[PlayedWorker]:
     pool = deployment.pool
-    places = list(range(pool.workers))
-    choice.shuffle(places)
     found = []
-    for number, place in enumerate(places):
-        labels = ('a', f'r{number // pool.workers_per_rack}')
-        profile = WorkerProfile(f'w{number}', SERVICE, 'z', pool.capacity, labels)
-        found.append(PlayedWorker(profile, pool.speeds[place % len(pool.speeds)]))
+    for place, speed in enumerate(draw_speeds(pool, chances)):
+        labels = ('a', f'r{place // pool.workers_per_rack}')
+        profile = WorkerProfile(f'w{place}', SERVICE, 'z', pool.capacity, labels)
+        found.append(PlayedWorker(profile, speed))
     return found
--- a/packages/standins/dahliaarch_standins/comparison/workload.py
+++ b/packages/standins/dahliaarch_standins/comparison/workload.py
@@ -15,7 +15,10 @@
 SERVICE = 'svc'
 # Time of day when the clock of a comparison stands at 0, seconds since 1970.
 WALL_S = 1_700_000_000.0
+# Runs of a task that may fail by their own fault before its job is given up.
 _MAX_ATTEMPTS = 4
+# Length of a window in seconds: those in which least is earned count by themselves.
+_WINDOW_S = 2.0
 # How much later than its acceptance an owner cancels a job, in seconds.
 _CANCEL_AFTER_S = (1.0, 12.0)
 _WIDTH_SPREAD = 0.8
@@ -54,6 +57,11 @@
         """Whether its owner waits for it, and it can be done."""
         return not self.is_hopeless and self.cancel_at_s is None
 
+    @property
+    def window(self) -> int:
+        """The window in which it came."""
+        return int(self.at_s // _WINDOW_S)
+
     @property
     def chain_s(self) -> float:
         """Longest chain of its work on sound workers."""
