--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -89,6 +89,11 @@
         """Whether all of its members are there."""
         return len(self.members) == self.size
 
+    def blamed(self) -> Execution:
+        """Return the member that fails when the unit does: one on a worker that fails all, if there is any."""
+        failing = [each for each in self.members if each.worker.sickness is Sickness.FAILING]
+        return (failing or self.members)[0]
+
     def advance(self, now_s: float) -> None:
         """Take in the work done until now."""
         self.done_s = min(self.work_s, self.done_s + max(0.0, now_s - self.since_s) * self.rate)
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -346,21 +346,22 @@
             self._end_unit(unit, EndKind.STOPPED)
 
     def _end_unit(self, unit: Unit, kind: EndKind, lost_on: PlayedWorker | None = None) -> None:
-        """End all members of a unit; the first of a failed gang takes the blame."""
+        """End all members of a unit; one of a failed gang takes the blame."""
         if not unit.members or unit.members[0].is_over:
             return
         unit.advance(self._now_s)
         unit.plan += 1
         if kind is EndKind.FAILED:
             self._chances.has_come(FAILURE, *unit.key)
-        for number, member in enumerate(unit.members):
-            is_first = kind in {EndKind.DONE, EndKind.STOPPED} or number == 0
+        blamed = unit.blamed()
+        for member in unit.members:
+            ends_so = kind in {EndKind.DONE, EndKind.STOPPED} or member is blamed
             checkpoint = unit.checkpoint(self._pool.checkpoint_s, is_stop=kind is EndKind.STOPPED)
             self._end(member, unit, RunEnd(
                 member.start.worker_id,
                 member.start.key,
                 member.start.run,
-                kind if is_first else EndKind.BROKEN,
+                kind if ends_so else EndKind.BROKEN,
                 checkpoint if kind is not EndKind.DONE else '',
             ), cause=_CAUSE_BY_KIND.get(kind), is_told=member.worker is not lost_on)  # fmt: skip
         self._ask_pass(_GATHER_S)
