Entries of workers from another writer name no worker, and leave the others

An entry that turned bad left its worker in use. An entry of a service that nobody had configured had the owner ask at its address.

Ruled out: taking a worker with a bad entry for gone: tasks run there, and the next owner, which sees only the bad entry, would start them elsewhere; so the list that owners keep of known workers now counts whatever the entries say.

Entries of the tests' own workers carry all fields that workers write.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -124,6 +124,7 @@
             self._state.memory.grown_workers.add(profile.worker_id)
         worker.profile = profile
         worker.is_listed = True
+        worker.is_named = True
         if not profile.draining:
             worker.leaves_at_s = None
             return is_new
@@ -136,6 +137,13 @@
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
             worker.is_listed = False
+            worker.is_named = True
+
+    def suspend_worker(self, worker_id: str) -> None:
+        """Record that a worker's entry can't be read: it gets nothing new until one can."""
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is not None:
+            worker.is_named = False
 
     def all_workers_heard(self) -> None:
         """Record that no worker can run a job of which this owner does not know."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -109,6 +109,8 @@
         self.run_by_key: dict[TaskKey, Run] = {}
         self.used = NO_RESOURCES
         self.is_listed = True
+        # Whether its entry, if it has one, can be read: another writer may have made it.
+        self.is_named = True
         self.is_surveyed = False
         self.is_silent = False
         self.leaves_at_s: float | None = None
@@ -147,9 +149,9 @@
         A worker whose entry is missing but which answers is alive: entries
         lapse while the store is away.
         """
-        return (
-            self.is_surveyed and not self.is_silent and not self.profile.draining and now_s >= self.quarantined_until_s
-        )
+        if not self.is_named or self.profile.draining:
+            return False
+        return self.is_surveyed and not self.is_silent and now_s >= self.quarantined_until_s
 
 
 def by_rack(workers: list[WorkerState]) -> dict[str, list[WorkerState]]:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -21,9 +21,11 @@
     Scheduler,
     StartRun,
     StopRun,
+    WorkerProfile,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import step_summary, weighted_cores
+from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
@@ -33,6 +35,7 @@
 from .end_news import EndNews
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .link_settings import LinkContext, LinkSettings, StartTurns
+from .links import WorkerLink
 from .messages import (
     AdviceFailed,
     AdviceGiven,
@@ -41,16 +44,19 @@
     OwnerMessage,
     RunNever,
     StartAcknowledged,
+    WorkerInherited,
     WorkerListed,
     WorkerOver,
     WorkerSilent,
     WorkerSurveyed,
     WorkerUnlisted,
+    WorkerUnreadable,
 )
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
 from .takeover import KnownWorkers, read_jobs, read_workers
+from .unserved import UnservedWorkers
 
 # Starts under way at one time, urgent ones and others: over a link of 1 Mbit/s the last of them is answered
 # in 0.2 s. 1,400 at once were given up before they had been sent.
@@ -107,6 +113,7 @@
         self._tasks: TaskGroup | None = None
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
+        self._unserved = UnservedWorkers()
         self._progress_by_id: dict[str, JobProgress] = {}
         self._silent_until_s = 0.0
         # Workers that may run jobs of earlier owners of which this one does not know.
@@ -157,9 +164,11 @@
             self._scope.cancel()
 
     def set_configuration(self, configuration: Configuration) -> None:
-        """Take in the accounts' guarantees."""
+        """Take in the accounts' guarantees and the services."""
         accounts = configuration.account_by_name.values()
         self.scheduler.set_guarantees({account.name: account.guaranteed_accelerators for account in accounts})
+        for message in self._unserved.set_services(configuration.service_by_name):
+            self.post(message)
 
     async def run(self) -> None:
         """Take the pool over and decide until deposed or cancelled."""
@@ -198,11 +207,10 @@
         return kept.jobs.revision
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
-        """Yield the workers that have an entry, and those that had one."""
+        """Yield the workers that the owner before knew, then those that have an entry."""
+        for entry in workers.roster:
+            yield WorkerInherited(entry.profile, entry.address)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
-        for entry in workers.missing:
-            yield WorkerListed(entry.profile, entry.address)
-            yield WorkerUnlisted(entry.profile.worker_id)
 
     async def _survey_all(self) -> None:
         """Hear from every worker that answers at once.
@@ -345,18 +353,31 @@
     @_handle.register
     def _(self, message: WorkerListed) -> None:
         profile = message.profile
-        is_new = self.scheduler.update_worker(profile, _now())
-        assert self._tasks is not None  # noqa: S101
-        link = self._links.open(self.scheduler.worker_by_id[profile.worker_id], message.address, self._tasks)
-        if is_new or link.is_draining != profile.draining:
+        is_known = profile.worker_id in self.scheduler.worker_by_id
+        if not is_known and self._unserved.sets_aside(message):
+            log_event('worker_unserved', worker=profile.worker_id, service=profile.service)
+            return
+        link = self._keep_in_touch(profile, message.address)
+        if not is_known or link.is_draining != profile.draining:
             log_event(
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
             )
         link.is_draining = profile.draining
 
+    @_handle.register
+    def _(self, message: WorkerInherited) -> None:
+        self._keep_in_touch(message.profile, message.address)
+        self.scheduler.unlist_worker(message.profile.worker_id)
+
+    @_handle.register
+    def _(self, message: WorkerUnreadable) -> None:
+        self._unserved.forget(message.worker_id)
+        self.scheduler.suspend_worker(message.worker_id)
+
     @_handle.register
     def _(self, message: WorkerUnlisted) -> None:
         log_event('worker_unlisted', worker=message.worker_id)
+        self._unserved.forget(message.worker_id)
         self.scheduler.unlist_worker(message.worker_id)
 
     @_handle.register
@@ -397,6 +418,12 @@
     def _(self, message: AdviceFailed) -> None:
         self.scheduler.advice_failed(message.step, _now())
 
+    def _keep_in_touch(self, profile: WorkerProfile, address: Address) -> WorkerLink:
+        """Take in what a worker publishes; return the link to it."""
+        self.scheduler.update_worker(profile, _now())
+        assert self._tasks is not None  # noqa: S101
+        return self._links.open(self.scheduler.worker_by_id[profile.worker_id], address, self._tasks)
+
     def _take_in_end(self, end: RunEnd, now: Moment) -> None:
         log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
         self.scheduler.run_ended(end, now)
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -14,7 +14,7 @@
 from ..records import CANCEL_SUFFIX, job_id_of, JobRecord, JOBS_PREFIX
 from ..timing import StoreTiming
 from ..watching import next_news
-from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted
+from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted, WorkerUnreadable
 
 Post = Callable[[OwnerMessage], None]
 
@@ -132,6 +132,7 @@
             entry = decode_worker(worker_id, item.value)
         except ProtocolError as error:
             log_event('worker_entry_malformed', worker=worker_id, why=str(error))
+            yield WorkerUnreadable(worker_id)
             return
         self._known.add(item.key)
         yield WorkerListed(entry.profile, entry.address)
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -31,12 +31,25 @@
     address: Address
 
 
+class WorkerInherited(NamedTuple):
+    """The owner before knew a worker: tasks may run there, whether it has an entry or not."""
+
+    profile: WorkerProfile
+    address: Address
+
+
 class WorkerUnlisted(NamedTuple):
     """A worker's entry is gone."""
 
     worker_id: str
 
 
+class WorkerUnreadable(NamedTuple):
+    """A worker's entry is there and names no worker: another writer made it."""
+
+    worker_id: str
+
+
 class WorkerSurveyed(NamedTuple):
     """A worker said what runs and what has ended.
 
@@ -121,7 +134,9 @@
     JobListed
     | JobCancelled
     | WorkerListed
+    | WorkerInherited
     | WorkerUnlisted
+    | WorkerUnreadable
     | WorkerSurveyed
     | WorkerSilent
     | WorkerOver
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -22,14 +22,14 @@
     ----------
     entries : Page
         Workers' entries.
-    missing : tuple of RosterEntry
-        Workers that the last owner knew and that have no entry now.
+    roster : tuple of RosterEntry
+        Workers that the last owner knew, with an entry or without.
     revision_by_key : dict
         Revisions of the keys that the owner writes.
     """
 
     entries: Page
-    missing: tuple[RosterEntry, ...]
+    roster: tuple[RosterEntry, ...]
     revision_by_key: dict[str, int]
 
 
@@ -54,7 +54,7 @@
 async def read_workers(store: StoreClient, timing: StoreTiming) -> KnownWorkers:
     """Read which workers there are, however long the store needs."""
     entries, roster = await _read_both(store, timing, WORKERS_PREFIX, ROSTER_PREFIX)
-    return KnownWorkers(entries, _missing(roster, entries), _revision_by_key(roster))
+    return KnownWorkers(entries, _roster(roster), _revision_by_key(roster))
 
 
 async def read_jobs(store: StoreClient, timing: StoreTiming) -> KeptJobs:
@@ -94,8 +94,5 @@
     return found
 
 
-def _missing(roster: Page, workers: Page) -> tuple[RosterEntry, ...]:
-    """Return the known workers whose entries are missing: they may have lapsed."""
-    listed = {item.key.removeprefix(WORKERS_PREFIX) for item in workers.items}
-    entries = [entry for item in roster.items for entry in decode(item.value, list[RosterEntry], 'roster')]
-    return tuple(entry for entry in entries if entry.profile.worker_id not in listed)
+def _roster(page: Page) -> tuple[RosterEntry, ...]:
+    return tuple(entry for item in page.items for entry in decode(item.value, list[RosterEntry], 'roster'))
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -0,0 +1,153 @@
+"""Entries of workers that another writer made, as the owner of the pool takes them.
+
+What happened: an entry that could not be read any more left its worker in use as it was, and one of a service that
+nobody had configured had the owner ask at its address again and again.
+
+The cause: what can't be read was passed over, as if nothing had been written; and each entry that could be read was
+taken for a worker of the pool.
+"""
+
+from functools import partial
+
+import anyio
+import msgspec
+
+from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.configuration import build_configuration, ConfigurationParts, ServiceSettings
+from dahliaarch_kernel.scheduler import WorkerProfile
+from dahliaarch_kernel.workload import Resources, TaskKey
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.store import Item, WORKERS_PREFIX
+
+from ...records import ROSTER_PREFIX, RosterEntry
+from ..feeds import job_messages
+from ..messages import WorkerListed, WorkerUnlisted, WorkerUnreadable
+from ..unserved import UnservedWorkers
+from .test_takeover import kept_job, KeptStore, LAST, take_over, worker_entry, Workers
+
+KEY = TaskKey(LAST, 0, 0, 0)
+
+
+def run_takeover(store, workers, holds, **options):
+    return anyio.run(partial(take_over, store, workers, holds, **options))
+
+
+def configuration(*services):
+    return build_configuration(
+        ConfigurationParts(1, services=[ServiceSettings(name, True, False) for name in services])
+    )
+
+
+def bad(worker_id):
+    return Item(WORKERS_PREFIX + worker_id, b'\xff', 1)
+
+
+def of_service(worker_id, service):
+    item = worker_entry(worker_id)
+    return item._replace(value=msgspec.json.encode(msgspec.json.decode(item.value) | {'Service': service}))
+
+
+def in_roster(worker_id, service='svc'):
+    profile = WorkerProfile(worker_id, service, 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    return Item(f'{ROSTER_PREFIX}0', encode([RosterEntry(profile, Address('127.0.0.1', 1))]), 1)
+
+
+def listed(worker_id, service):
+    profile = WorkerProfile(worker_id, service, 'z', Resources(1, 1, 1), ())
+    return WorkerListed(profile, Address('127.0.0.1', 1))
+
+
+def started(workers):
+    return {life for life, _ in workers.starts}
+
+
+def test_entries_that_can_not_be_read_leave_the_others():
+    workers = Workers()
+    store = KeptStore([bad('b'), worker_entry('w'), bad('z'), kept_job(LAST, 1.0)])
+    run_takeover(store, workers, lambda owner: workers.starts, within_s=3)
+    assert started(workers) == {'w'}
+    assert set(workers.surveys) == {'w'}
+
+
+def test_a_worker_whose_entry_can_not_be_read_any_more_gets_nothing_new_until_it_can():
+    workers = Workers()
+    store = KeptStore([worker_entry('w')])
+
+    def suspended(owner):
+        if 'w' in workers.surveys and KEY.job_id not in owner.scheduler.job_by_id:
+            owner.post(WorkerUnreadable('w'))
+            for message in jobs(owner):
+                owner.post(message)
+        return False
+
+    def resumed(owner):
+        if owner.is_ready and KEY.job_id not in owner.scheduler.job_by_id:
+            owner.post(WorkerUnreadable('w'))
+            for message in jobs(owner):
+                owner.post(message)
+            owner.post(listed('w', 'svc')._replace(profile=in_touch(owner)))
+        return workers.starts
+
+    run_takeover(store, workers, suspended, within_s=0.8)
+    assert not workers.starts
+    run_takeover(store, workers, resumed, within_s=3)
+    assert started(workers) == {'w'}
+
+
+def in_touch(owner):
+    return owner.scheduler.worker_by_id['w'].profile
+
+
+def jobs(owner):
+    return job_messages(kept_job(LAST, 1.0)._replace(revision=owner.epoch + 1))
+
+
+def test_what_runs_on_a_worker_whose_entry_can_not_be_read_is_known_to_the_next_owner():
+    """The owner before knew the worker; without it the task would run a second time elsewhere."""
+    workers = Workers({'w': ()})
+    store = KeptStore([bad('w'), in_roster('w'), worker_entry('x')])
+    owner = run_takeover(store, workers, lambda owner: owner.is_ready, within_s=3)
+    assert set(workers.surveys) == {'w', 'x'}
+    assert not owner.scheduler.worker_by_id['w'].takes_starts(0.0)
+
+
+def test_a_worker_of_a_service_that_nobody_configured_is_not_asked():
+    workers = Workers()
+    store = KeptStore([of_service('w', 'foreign'), worker_entry('x')])
+    run_takeover(store, workers, lambda owner: False, within_s=0.6, configuration=configuration('svc'))
+    assert set(workers.surveys) == {'x'}
+
+
+def test_a_worker_of_a_service_that_was_dropped_is_asked_by_the_next_owner():
+    """Tasks of jobs accepted before may run there."""
+    workers = Workers()
+    store = KeptStore([of_service('w', 'dropped'), in_roster('w', 'dropped')])
+    run_takeover(store, workers, lambda owner: False, within_s=0.6, configuration=configuration('svc'))
+    assert set(workers.surveys) == {'w'}
+
+
+def test_a_service_that_is_configured_later_brings_its_workers():
+    unserved = UnservedWorkers()
+    assert not unserved.set_services({'a'})
+    assert not unserved.sets_aside(listed('w', 'a'))
+    assert unserved.sets_aside(listed('v', 'b'))
+    assert unserved.sets_aside(listed('u', 'c'))
+    unserved.forget('u')
+    assert [message.profile.worker_id for message in unserved.set_services({'b', 'c'})] == ['v']
+    assert not unserved.set_services({'b', 'c'})
+
+
+def test_an_entry_that_is_removed_after_it_could_not_be_read_is_like_any_that_lapsed():
+    workers = Workers()
+    store = KeptStore([worker_entry('w')])
+
+    def removed(owner):
+        if owner.is_ready and KEY.job_id not in owner.scheduler.job_by_id:
+            owner.post(WorkerUnreadable('w'))
+            owner.post(WorkerUnlisted('w'))
+            for message in jobs(owner):
+                owner.post(message)
+        return workers.starts
+
+    run_takeover(store, workers, removed, within_s=3)
+    assert started(workers) == {'w'}
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -96,7 +96,9 @@
         'Service': 'svc',
         'Addr': '127.0.0.1:1',
         'Zone': 'z',
+        'Version': 'v1',
         'Slots': 8,
+        'Seq': 1,
         'State': 'ready',
         'Capacity': {'Cpu': 64_000, 'MemMb': 262_144, 'Gpu': 8},
         'Labels': ['a', 'r0'],
@@ -109,10 +111,12 @@
     return Item(job_key(job_id), encode(JobRecord(spec, QUEUE)), 1)
 
 
-async def take_over(store, workers, holds, within_s):
+async def take_over(store, workers, holds, within_s, configuration=None):
     """Run an owner until something holds of it, or for so long; return it."""
     settings = OwnerSettings(EPOCH, Bounds(max_hold_s=LONGEST_LEASE_S), StoreTiming())
     owner = PoolOwner(settings, store, workers, tuple, Metrics())
+    if configuration is not None:
+        owner.set_configuration(configuration)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(owner.run)
         with anyio.move_on_after(within_s):
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -170,11 +170,13 @@
             'Service': self._service,
             'Addr': f'{address.host}:{address.port}',
             'Zone': 'z',
+            'Version': 'v1',
             'Slots': 8,
             'State': 'draining' if self.is_draining else 'ready',
             'Capacity': {'Cpu': self.capacity[0], 'MemMb': self.capacity[1], 'Gpu': self.capacity[2]},
             'Labels': ['a', self._rack],
             'ClockMs': int(time.monotonic() * _MS),
+            'Seq': self._seq,
         }
         if self.is_draining:
             entry['RemainingMs'] = 4000
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -81,7 +81,7 @@
                 await anyio.sleep(0.02)
 
     async def kept_workers(self):
-        return (await read_workers(self.client, TIMING)).missing
+        return (await read_workers(self.client, TIMING)).roster
 
     def _note(self, mark):
         self.rounds += 1
