News of workers are read without a pause while more may wait

Cause: the owner paused 0.4 s after each answer of its watch of workers' entries, and an answer holds 500 news at most. 1,500 workers that write every 1.5 s are 1,000 news a second and more: on a trial of 1,500 workers with the pages logged the answers were full from 5 s on.

Ruled out: passes that hold up the loop (0.147 s at most there), a takeover (one owner all the time), the acknowledgement of the word by the store (10 ms).

Change: no pause after an answer of 200 news or more. The same for the watch of jobs. Decisions are carried out by a class of their own, out of the owner's.

The store's stand-in puts 500 news into an answer, as the store does.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -15,12 +15,9 @@
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import (
-    AskAdvice,
     JobProgress,
     Moment,
     Scheduler,
-    StartRun,
-    StopRun,
     WorkerProfile,
 )
 from dahliaarch_kernel.scheduler.events import RunEnd
@@ -32,6 +29,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
+from .effects import Effects
 from .end_news import EndNews
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .link_settings import LinkContext, LinkSettings, StartTurns
@@ -131,6 +129,7 @@
         )
         self._links = Links(context)
         self._adviser = Adviser(askers, self.post, time.monotonic)
+        self._effects = Effects(self.scheduler, self._links, self._adviser, self.post)
         self._recorder = Recorder(
             store,
             settings.timing,
@@ -253,7 +252,7 @@
         begun_s = time.perf_counter()
         effects = self.scheduler.decide(_now())
         for effect in effects:
-            self._carry_out(effect)
+            self._effects.carry_out(effect)
         self._links.close_all_but(self.scheduler.worker_by_id)
         self._metrics.active_jobs.set(self.scheduler.active_jobs)
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
@@ -280,39 +279,6 @@
                 return
             self._handle(message)
 
-    @singledispatchmethod
-    def _carry_out(self, effect: object) -> None:
-        raise NotImplementedError(type(effect).__name__)
-
-    @_carry_out.register
-    def _(self, effect: StartRun) -> None:
-        link = self._links.get(effect.worker_id)
-        if link is None:
-            self.post(RunNever(effect.worker_id, effect.key, effect.run))
-            return
-        job = self.scheduler.job_by_id[effect.key.job_id]
-        log_event(
-            'run_ordered',
-            worker=effect.worker_id,
-            task=effect.key,
-            run=effect.run,
-            from_checkpoint=effect.checkpoint,
-            rank=effect.rank,
-            expected_s=round(effect.expected_s, 2),
-        )
-        link.start(effect, job.spec.payload)
-
-    @_carry_out.register
-    def _(self, effect: StopRun) -> None:
-        log_event('stop_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, why=effect.reason)
-        link = self._links.get(effect.worker_id)
-        if link is not None:
-            link.stop(effect)
-
-    @_carry_out.register
-    def _(self, effect: AskAdvice) -> None:
-        self._adviser.ask(effect)
-
     @singledispatchmethod
     def _handle(self, message: object) -> None:
         raise NotImplementedError(type(message).__name__)
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -0,0 +1,70 @@
+"""Carries out what the scheduler decided."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from dahliaarch_kernel.scheduler import AskAdvice, Scheduler, StartRun, StopRun
+
+from ..logs import log_event
+from .advising import Adviser
+from .messages import OwnerMessage, RunNever
+from .registry import Links
+
+
+class Effects:
+    """Hands each decision to the link or the adviser that it is for, with a log line.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Knows the jobs.
+    links : Links
+        Links to workers.
+    adviser : Adviser
+        Asks the outside policy.
+    post : callable
+        Hands a message to the task that decides.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, links: Links, adviser: Adviser, post: Callable[[OwnerMessage], None]
+    ) -> None:
+        """Keep whom decisions are handed to."""
+        self._scheduler = scheduler
+        self._links = links
+        self._adviser = adviser
+        self._post = post
+
+    @singledispatchmethod
+    def carry_out(self, effect: object) -> None:
+        """Carry out one decision."""
+        raise NotImplementedError(type(effect).__name__)
+
+    @carry_out.register
+    def _(self, effect: StartRun) -> None:
+        link = self._links.get(effect.worker_id)
+        if link is None:
+            self._post(RunNever(effect.worker_id, effect.key, effect.run))
+            return
+        job = self._scheduler.job_by_id[effect.key.job_id]
+        log_event(
+            'run_ordered',
+            worker=effect.worker_id,
+            task=effect.key,
+            run=effect.run,
+            from_checkpoint=effect.checkpoint,
+            rank=effect.rank,
+            expected_s=round(effect.expected_s, 2),
+        )
+        link.start(effect, job.spec.payload)
+
+    @carry_out.register
+    def _(self, effect: StopRun) -> None:
+        log_event('stop_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, why=effect.reason)
+        link = self._links.get(effect.worker_id)
+        if link is not None:
+            link.stop(effect)
+
+    @carry_out.register
+    def _(self, effect: AskAdvice) -> None:
+        self._adviser.ask(effect)
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -26,6 +26,10 @@
 # two thirds of all calls of the store. A worker that leaves must get nothing new
 # after 2 s.
 _WORKERS_WATCH_PAUSE_S = 0.4
+# News in one answer after which no pause is made: more may wait. The store puts
+# some 500 into an answer, and with a pause after each of them 1,500 workers were
+# heard 5 s late.
+_BUSY_PAGE = 200
 
 
 class Feed(NamedTuple):
@@ -61,11 +65,16 @@
     for item in page.items:
         for message in job_messages(item):
             feed.post(message)
-    if page.items:
-        await anyio.sleep(_JOBS_WATCH_PAUSE_S)
+    await _pause_after(page, _JOBS_WATCH_PAUSE_S)
     return max(revision, page.revision)
 
 
+async def _pause_after(page: Page, pause_s: float) -> None:
+    """Let news gather, unless there may be more already: then what is known would grow older with each answer."""
+    if 0 < len(page.items) < _BUSY_PAGE:
+        await anyio.sleep(pause_s)
+
+
 def job_messages(item: Item) -> Iterator[OwnerMessage]:
     """Yield a job or a cancellation; removals are the owner's own."""
     if item.removed:
@@ -122,8 +131,7 @@
             self._feed.post(message)
         if news.is_whole:
             return news.page.revision
-        if news.page.items:
-            await anyio.sleep(_WORKERS_WATCH_PAUSE_S)
+        await _pause_after(news.page, _WORKERS_WATCH_PAUSE_S)
         return max(revision, news.page.revision)
 
     def _listed(self, item: Item) -> Iterator[OwnerMessage]:
--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -15,6 +15,7 @@
 from .faults import Faults
 
 _MS = 1000.0
+# Most items, and most news, in one answer.
 _PAGE = 500
 
 
@@ -162,7 +163,9 @@
                 prefix = query['PathPrefix']
                 events = [each for each in self._history if each['Revision'] > after and each['Key'].startswith(prefix)]
                 if events and prefix != self.muted_key:
-                    return _json({'events': events, 'StoreRevision': self.revision})
+                    cut = events[:_PAGE]
+                    last = self.revision if len(cut) == len(events) else cut[-1]['Revision']
+                    return _json({'events': cut, 'StoreRevision': last})
                 await changed.wait()
         return _json({'events': [], 'StoreRevision': self.revision})
 
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
@@ -0,0 +1,86 @@
+"""Thousands of workers write their entries, and one of them says that it leaves.
+
+What happened: a worker's word that it leaves came to the owner more than 5 s after the store had acknowledged it, and
+tasks were started there meanwhile, which died with it.
+
+The sequence: each worker writes its entry every 1.5 s. The owner paused 0.4 s after each answer of its watch, and the
+store puts 500 news into one answer. From about 1,000 news a second on the answers were always full, and what the owner
+knew of its workers grew older by the second, until the store had forgotten what came next.
+
+The cause: a pause that knows nothing of how much waits.
+"""
+
+import anyio
+import msgspec
+
+from dahliaarch_node.owner.feeds import Feed, WorkersFeed
+from dahliaarch_node.owner.messages import WorkerListed
+from dahliaarch_node.timing import StoreTiming
+from dahliaarch_platform.http import HttpClient
+from dahliaarch_platform.settings import StoreSettings
+from dahliaarch_platform.store import StoreClient, WORKERS_PREFIX
+from dahliaarch_standins.platform import StoreStandIn
+
+WORKERS = 3_600
+HEARTBEAT_S = 1.5
+# Writes of entries come together this often.
+BEAT_S = 0.05
+# The owner follows for this long before a worker leaves.
+BEFORE_S = 4.0
+# A leaving worker must get nothing new after 2 s: half of that is left to decisions.
+HEARD_S = 1.0
+
+
+def entry(state, seq):
+    return msgspec.json.encode(
+        {
+            'Service': 'svc',
+            'Addr': '127.0.0.1:1',
+            'Zone': 'z',
+            'Version': 'v1',
+            'Slots': 8,
+            'State': state,
+            'Capacity': {'Cpu': 64_000, 'MemMb': 262_144, 'Gpu': 8},
+            'Labels': ['a', 'r0'],
+            'Seq': seq,
+        }
+    )
+
+
+async def keep_writing(store):
+    """Write each entry once in a heartbeat."""
+    seq = 0
+    while True:
+        for _ in range(int(WORKERS * BEAT_S / HEARTBEAT_S)):
+            seq += 1
+            number = seq % WORKERS
+            if number:
+                store.put(f'{WORKERS_PREFIX}w{number}', entry('ready', seq))
+        await anyio.sleep(BEAT_S)
+
+
+def test_a_worker_that_leaves_is_heard_however_many_others_write():
+    leaving = []
+
+    def post(message):
+        if isinstance(message, WorkerListed) and message.profile.draining:
+            leaving.append(message.profile.worker_id)
+
+    async def scenario():
+        store = StoreStandIn()
+        address = await store.listen()
+        client = StoreClient(StoreSettings(address), HttpClient(), lambda *_: None)
+        feed = WorkersFeed(Feed(client, StoreTiming(), post))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run, 0)
+            tasks.start_soon(keep_writing, store)
+            await anyio.sleep(BEFORE_S)
+            store.put(f'{WORKERS_PREFIX}w0', entry('draining', 1))
+            with anyio.move_on_after(HEARD_S):
+                while not leaving:
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+        store.server.close()
+
+    anyio.run(scenario)
+    assert leaving == ['w0']
