A pass asks for a step's claims by index, and looks at free accelerators first

Cause, profiled at 540 workers and 6,000 waiting tasks: 4.0 million walks over claims to tell whether a step has one, and 1.9 million full comparisons of free room with what a task needs, most of them on workers without a free accelerator.

--- a/packages/kernel/dahliaarch_kernel/scheduler/claims.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/claims.py
@@ -1,5 +1,6 @@
 """Room on workers that is kept for steps that wait."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -54,6 +55,8 @@
     def __init__(self) -> None:
         """Start without any."""
         self._claims: list[Claim] = []
+        # How many claims each step has: it is asked several times for each step of a pass.
+        self._count_by_step: Counter[StepState] = Counter()
         self._freed: set[str] = set()
         self.version = 0
 
@@ -64,17 +67,27 @@
     def add(self, claim: Claim) -> None:
         """Keep room."""
         self._claims.append(claim)
+        self._count_by_step[claim.step] += 1
         self.version += 1
 
     def drop(self, is_dropped: Callable[[Claim], bool]) -> None:
         """Give room back."""
-        kept = [claim for claim in self._claims if not is_dropped(claim)]
-        if len(kept) < len(self._claims):
-            for claim in self._claims:
-                if is_dropped(claim):
-                    self._freed.update(claim.count_by_worker)
-            self._claims = kept
-            self.version += 1
+        kept = []
+        for claim in self._claims:
+            if is_dropped(claim):
+                self._freed.update(claim.count_by_worker)
+            else:
+                kept.append(claim)
+        if len(kept) == len(self._claims):
+            return
+        self._claims = kept
+        self._count_by_step = Counter(claim.step for claim in self._claims)
+        self.version += 1
+
+    def drop_of(self, step: StepState) -> None:
+        """Give back the room that is kept for a step."""
+        if self.has(step):
+            self.drop(lambda claim: claim.step is step)
 
     def take_freed(self) -> set[str]:
         """Return the workers on which claims were dropped since the last call."""
@@ -83,7 +96,7 @@
 
     def has(self, step: StepState) -> bool:
         """Tell whether room is kept for a step."""
-        return any(claim.step is step for claim in self._claims)
+        return step in self._count_by_step
 
     def open_ones(self) -> int:
         """Return how many claims stop nothing."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -267,10 +267,12 @@
             self._claims.add(claim)
 
     def _forget_claim(self, step: StepState) -> None:
-        self._claims.drop(lambda claim: claim.step is step)
+        self._claims.drop_of(step)
 
     def _reopen_claim(self, step: StepState) -> None:
         """Drop a step's claim that stops nothing and is no longer fresh, to make it anew."""
+        if not self._claims.has(step):
+            return
         oldest_s = self._now.steady_s - _FULL_EVERY_S
         self._claims.drop(lambda claim: claim.step is step and not claim.is_firm and claim.made_s <= oldest_s)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -1,6 +1,7 @@
 """Where the tasks of a step go."""
 
 from collections import defaultdict
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from ..policies import Policy
@@ -154,11 +155,8 @@
     step = request.step
     demand = effective_demand(step)
     end_s = request.now_s + work_s
-    free_by_id = room.free_by_id
     found = []
-    for worker in _candidates(step, room, request.now_s, near=near):
-        if not fits(free_by_id[worker.worker_id], demand):
-            continue
+    for worker in _with_room(_candidates(step, room, request.now_s, near=near), room.free_by_id, demand):
         free = room.free_for(worker, step, request.rank, end_s)
         count = min(fitting(free, demand), per_worker_limit(worker, step))
         if count:
@@ -166,6 +164,13 @@
     return _by_preference(found, request, room)
 
 
+def _with_room(workers: list[WorkerState], free_by_id: Mapping[str, Resources], demand: Resources) -> list[WorkerState]:
+    """Return the workers on which one task fits; most have no accelerator free, which is looked at first."""
+    wanted = demand.accelerators
+    free = [worker for worker in workers if free_by_id[worker.worker_id].accelerators >= wanted]
+    return [worker for worker in free if fits(free_by_id[worker.worker_id], demand)]
+
+
 def _candidates(step: StepState, room: Room, now_s: float, *, near: bool) -> list[WorkerState]:
     able = room.admissible(step)
     if near and step.spec.data_rack:
