--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -34,7 +34,7 @@
     for worker in allowed_workers(step, room):
         if is_near(worker, step):
             free = worker.free.minus(kept_by_id.get(worker.worker_id, NO_RESOURCES))
-            openings.extend(_openings(worker, free, step, count, now_s))
+            openings.extend(_openings(worker, free, step, count, room.ends(worker, now_s)))
     openings.sort()
     counts_by_rack: dict[str, Counter[str]] = defaultdict(Counter)
     for opening in openings:
@@ -59,14 +59,13 @@
     free: Resources,
     step: StepState,
     count: int,
-    now_s: float,
+    ends: list[tuple[float, Resources]],
 ) -> Iterator[_Opening]:
     """Yield, as its runs end, when one more task fits on a worker."""
     demand = effective_demand(step)
     most = min(count, per_worker_limit(worker, step), fitting(worker.profile.capacity, demand))
     rack = worker.rack if step.spec.same_rack else ''
     found = 0
-    ends = sorted((run.left_s(now_s), run.demand) for run in worker.run_by_key.values())
     for after_s, freed in ((0.0, NO_RESOURCES), *ends):
         free = free.plus(freed)
         fits = min(most, fitting(free, demand))
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -26,13 +26,26 @@
         self.workers = workers
         self.free_by_id = {worker.worker_id: worker.free for worker in workers}
         self._claims = claims
+        self._ends_by_worker: dict[str, list[tuple[float, Resources]]] = {}
         self._admissible_by_need: dict[tuple[str, str], list[WorkerState]] = {}
         self._index_claims()
 
     def take(self, worker: WorkerState, demand: Resources) -> None:
         """Use up room."""
+        self._ends_by_worker.pop(worker.worker_id, None)
         self.free_by_id[worker.worker_id] = self.free_by_id[worker.worker_id].minus(demand)
 
+    def ends(self, worker: WorkerState, now_s: float) -> list[tuple[float, Resources]]:
+        """Return when each run on a worker is expected to end, from now, and what it frees; the first first.
+
+        Each gang that waits asks for it on all workers, in one pass.
+        """
+        known = self._ends_by_worker.get(worker.worker_id)
+        if known is None:
+            known = sorted((run.left_s(now_s), run.demand) for run in worker.run_by_key.values())
+            self._ends_by_worker[worker.worker_id] = known
+        return known
+
     def admissible(self, step: StepState) -> list[WorkerState]:
         """Return the workers that may ever run a step's tasks."""
         need = (step.job.queue.service, step.spec.label)
