A start that waited for its turn is not sent to a worker that leaves by then

Change: what is known of the worker is looked at again when the turn comes; the start counts as refused, and its task goes elsewhere. The test failed before.

--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -32,6 +32,8 @@
         Surveys in a row that failed.
     heard : Event
         Set when a survey is answered, and then replaced.
+    is_draining : bool
+        Whether the worker has said that it leaves.
     scope : CancelScope
         Ends all that is under way with this life.
     """
@@ -43,6 +45,7 @@
         self.lease = lease
         self.context = context
         self.failures = 0
+        self.is_draining = False
         self.heard = anyio.Event()
         self.scope = anyio.CancelScope()
 
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -40,7 +40,6 @@
     def __init__(self, worker_id: str, address: Address, lease: Lease, context: LinkContext) -> None:
         """Start without having asked anything."""
         self.address = address
-        self.is_draining = False
         self.acknowledged = 0
         self.listed = 0
         self.processed = 0
@@ -53,6 +52,15 @@
         self._contact = Contact(worker_id, address, lease, context)
         self._orders = WorkerOrders(self._contact)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the worker has said that it leaves."""
+        return self._contact.is_draining
+
+    @is_draining.setter
+    def is_draining(self, is_draining: bool) -> None:
+        self._contact.is_draining = is_draining
+
     async def run(self) -> None:
         """Survey until closed."""
         with self._contact.scope:
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -80,10 +80,10 @@
 
     def _is_needless(self, effect: StartRun) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
-        is_silent = self._contact.is_silent
-        if not is_silent and (effect.key, effect.run) not in self._stops_under_way:
+        takes_none = self._contact.is_silent or self._contact.is_draining
+        if not takes_none and (effect.key, effect.run) not in self._stops_under_way:
             return False
-        kind = EndKind.REFUSED if is_silent else EndKind.STOPPED
+        kind = EndKind.REFUSED if takes_none else EndKind.STOPPED
         self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run, kind))
         return True
 
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -14,19 +14,22 @@
 import anyio
 import pytest
 
-from dahliaarch_kernel.scheduler import EndKind, Lease, StopRun
+from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun, StopRun
 from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_node.metrics import Metrics
 from dahliaarch_platform.settings import Address
-from dahliaarch_platform.workers import ListedEnd, Survey, WorkerUnansweredError
+from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey, WorkerUnansweredError
 
 from ..link_settings import LinkContext, LinkSettings, StartTurns
 from ..links import WorkerLink
+from ..messages import RunNever
 
 PLAYED_S = 4.0
 ENDS = 60
 STOPS = 100
+KEY = TaskKey('a' * 16, 0, 0, 0)
 
 
 class Worker:
@@ -37,6 +40,7 @@
         self.answers = True
         self.surveys = 0
         self.stops = 0
+        self.starts = 0
 
     async def survey(self, *_, **options):
         self.surveys += 1
@@ -46,17 +50,24 @@
         ended = (RunEnd('w', TaskKey('a' * 16, 0, 0, index), index + 1, EndKind.DONE) for index in range(self.ends))
         return Survey(anyio.current_time(), (), tuple(ListedEnd(number + 1, end) for number, end in enumerate(ended)))
 
+    async def start(self, *_, **options):
+        self.starts += 1
+        return OrderReply(OrderStatus.DONE, anyio.current_time())
+
     async def stop(self, *_, **options):
         self.stops += 1
         await anyio.sleep(0.1)
         raise WorkerUnansweredError('silent')
 
 
-def link_to(worker):
+def context_of(worker):
     settings = LinkSettings(hold_s=6.0)
     turns = StartTurns(anyio.Semaphore(8), anyio.Semaphore(8))
-    context = LinkContext(worker, 1, settings, Metrics(), lambda message: None, lambda: None, anyio.current_time, turns)
-    return WorkerLink('w', Address('h', 1), Lease(), context)
+    return LinkContext(worker, 1, settings, Metrics(), lambda message: None, lambda: None, anyio.current_time, turns)
+
+
+def link_to(worker):
+    return WorkerLink('w', Address('h', 1), Lease(), context_of(worker))
 
 
 def play(worker, scenario, *, is_draining=False):
@@ -101,3 +112,27 @@
         assert worker.surveys - before <= 1 + 4 * PLAYED_S / longest_s
 
     play(worker, scenario, is_draining=is_draining)
+
+
+def test_a_start_that_waited_for_its_turn_until_its_worker_leaves_is_not_sent():
+    """Behind hundreds of unanswered starts a turn comes seconds later; what starts then dies with its worker."""
+    worker = Worker()
+    told = []
+
+    async def run():
+        turns = StartTurns(anyio.Semaphore(0), anyio.Semaphore(0))
+        context = context_of(worker)._replace(turns=turns, post=told.append)
+        link = WorkerLink('w', Address('h', 1), Lease(), context)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            await anyio.sleep(0.05)
+            link.start(StartRun('w', KEY, 1, '', RANK_ORDINARY, 1.0, ''), '')
+            await anyio.sleep(0.05)
+            link.is_draining = True
+            turns.other.release()
+            await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert not worker.starts
+    assert RunNever('w', KEY, 1) in told
