Split what had two jobs: what earlier owners started, what a comparison needs of a scheduler, tests of room that is made

One test is named for what holds since quarantine is gone: a worker that fails all it runs is used last.

--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -158,3 +158,24 @@
 def task(count=1, accelerators=1, work_s=5.0, **fields):
     """Return a step of small tasks."""
     return StepSpec(count, Resources(4_000, 16_000, accelerators), work_s, **fields)
+
+
+def run_all(pool, job_id, kind=EndKind.DONE):
+    for key in [key for _, key in sorted(pool.running) if key.job_id == job_id]:
+        if any(each == key for _, each in pool.running):
+            pool.end_unit(key, kind)
+
+
+def learn_slow_workers(pool, slow):
+    """Let tasks of one step end on every worker, later on the slow ones."""
+    for number in range(6):
+        job_id = f'{number + 500:016x}'
+        pool.submit(job_id, task(len(pool.profiles), accelerators=8, work_s=4.0), queue=PATIENT)
+        pool.step(0.3)
+        for is_slow in (False, True):
+            pool.now_s += 1.2 if is_slow else 4.0
+            for worker, key in sorted(pool.running):
+                if (worker in slow) is is_slow:
+                    pool.end_unit(key, EndKind.DONE)
+        pool.step(0.3)
+    assert not pool.running
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -4,17 +4,11 @@
 
 from dahliaarch_kernel.scheduler import EndKind, StartRun, StopRun
 
-from .pool import ORDINARY, PATIENT, Pool, task, URGENT
+from .pool import learn_slow_workers, ORDINARY, PATIENT, Pool, run_all, task, URGENT
 
 A, B, C = 'a' * 16, 'b' * 16, 'c' * 16
 
 
-def run_all(pool, job_id, kind=EndKind.DONE):
-    for key in [key for _, key in sorted(pool.running) if key.job_id == job_id]:
-        if any(each == key for _, each in pool.running):
-            pool.end_unit(key, kind)
-
-
 def test_a_job_of_two_steps_runs_in_order_and_succeeds():
     pool = Pool()
     pool.submit(A, task(2), task(3, after=(0,)))
@@ -38,58 +32,6 @@
     assert job.shown_phase == 'succeeded'
 
 
-def test_urgent_work_within_its_guarantee_preempts_and_takes_the_room():
-    pool = Pool(workers=2)
-    pool.scheduler.set_guarantees({'acc': 16})
-    pool.submit(A, task(16, checkpoints=True), queue=PATIENT)
-    pool.step()
-    pool.submit(B, task(2, accelerators=8, gang=True, same_rack=True), queue=URGENT)
-    assert {type(effect) for effect in pool.step()} == {StopRun}
-    pool.finish_stops()
-    started = [effect for effect in pool.step(0.1) if isinstance(effect, StartRun)]
-    assert [effect.key.job_id for effect in started] == [B, B]
-
-
-def test_guaranteed_work_that_first_finds_no_victims_preempts_as_soon_as_there_are_some():
-    """Kept room stayed kept for seconds and nothing was stopped meanwhile."""
-    pool = Pool(workers=2)
-    pool.scheduler.set_guarantees({'acc': 8, 'other': 8})
-    pool.submit(A, task(2, accelerators=8, gang=True, work_s=9.0), queue=URGENT, account='other')
-    pool.step()
-    pool.submit(B, task(1, accelerators=8, gang=True), queue=URGENT)
-    pool.step()
-    pool.step(1.0)
-    run_all(pool, A)
-    pool.submit(C, task(16, work_s=9.0), queue=PATIENT)
-    started = [effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)]
-    assert B in started
-
-
-def test_the_cheapest_victims_are_those_that_lose_nothing():
-    pool = Pool(workers=2)
-    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
-    pool.submit(B, task(1, accelerators=8, checkpoints=True), queue=PATIENT)
-    pool.step()
-    pool.step(3.0)
-    pool.submit(C, task(1, accelerators=8), queue=URGENT)
-    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
-    assert stopped == [B]
-
-
-def test_a_wide_gang_is_not_starved_by_small_jobs():
-    pool = Pool(workers=2)
-    for number in range(16):
-        pool.submit(f'{number:016x}', task(1, work_s=2.0 + number / 4), queue=PATIENT)
-    pool.step()
-    pool.submit(A, task(2, accelerators=8, gang=True, work_s=3.0), queue=ORDINARY)
-    pool.step(1.0)
-    for number in range(16):
-        run_all(pool, f'{number:016x}')
-        pool.submit(f'{number + 100:016x}', task(1, work_s=6.0), queue=PATIENT)
-        pool.step(0.25)
-    assert any(key.job_id == A for _, key in pool.running)
-
-
 def test_a_failed_task_is_tried_elsewhere_and_its_job_fails_at_the_bound():
     pool = Pool()
     pool.submit(A, task(), queue=ORDINARY)
@@ -113,7 +55,7 @@
     assert not pool.scheduler.job_by_id[A].has_ended
 
 
-def test_a_worker_that_fails_all_it_runs_gets_nothing_for_a_while():
+def test_a_worker_that_fails_all_it_runs_is_used_last():
     pool = Pool(workers=2)
     for number in range(2):
         pool.submit(f'{number:016x}', task(2))
@@ -234,50 +176,6 @@
     assert len(again) == 1
 
 
-def test_the_holder_of_a_claim_is_tried_though_a_like_gang_was_blocked_by_that_claim():
-    """A smaller gang of the same shape came first, failed, and stood for both for ever."""
-    pool = Pool(workers=3)
-    wide = {'accelerators': 8, 'gang': True, 'work_s': 6.0}
-    pool.submit(A, task(2, accelerators=8, work_s=4.0), queue=PATIENT)
-    pool.step()
-    pool.submit(B, task(3, **wide), queue=ORDINARY)
-    pool.step(1.0)
-    pool.submit(C, task(2, **wide), queue=ORDINARY)
-    pool.step(1.0)
-    run_all(pool, A)
-    for _ in range(3):
-        pool.step(0.3)
-    assert any(key.job_id == B for _, key in pool.running)
-
-
-def test_two_urgent_gangs_do_not_claim_the_same_room():
-    """Each was kept from the other's claim and both waited until the claims were stale."""
-    pool = Pool(workers=4)
-    pool.submit(A, task(4, accelerators=8, checkpoints=True), queue=PATIENT)
-    pool.step()
-    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
-    pool.step()
-    pool.submit(C, task(2, accelerators=8, gang=True), queue=URGENT)
-    pool.step(0.1)
-    pool.finish_stops()
-    started = {effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)}
-    assert started == {B, C}
-
-
-def test_guaranteed_work_stops_ordinary_work_before_urgent_work_of_others():
-    pool = Pool(workers=2)
-    pool.scheduler.set_guarantees({'acc': 8})
-    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
-    pool.step()
-    pool.step(1.5)
-    pool.submit(B, task(1, accelerators=8), queue=URGENT, account='other')
-    pool.step()
-    pool.step(0.2)
-    pool.submit(C, task(1, accelerators=8), queue=URGENT)
-    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
-    assert stopped == [A]
-
-
 def test_a_gang_is_not_called_slow_for_a_late_start_and_a_guess_that_was_off():
     pool = Pool(workers=2)
     pool.submit(A, task(2, accelerators=8, gang=True, work_s=1.4), queue=URGENT)
@@ -303,21 +201,6 @@
     assert pool.step()[0].worker_id != still
 
 
-def learn_slow_workers(pool, slow):
-    """Let tasks of one step end on every worker, later on the slow ones."""
-    for number in range(6):
-        job_id = f'{number + 500:016x}'
-        pool.submit(job_id, task(len(pool.profiles), accelerators=8, work_s=4.0), queue=PATIENT)
-        pool.step(0.3)
-        for is_slow in (False, True):
-            pool.now_s += 1.2 if is_slow else 4.0
-            for worker, key in sorted(pool.running):
-                if (worker in slow) is is_slow:
-                    pool.end_unit(key, EndKind.DONE)
-        pool.step(0.3)
-    assert not pool.running
-
-
 def test_workers_that_take_longer_for_like_tasks_are_known_as_slow():
     pool = Pool(workers=6)
     learn_slow_workers(pool, {'w1', 'w4'})
@@ -332,31 +215,6 @@
     assert {effect.worker_id for effect in pool.step(0.1)} == {'w2', 'w3', 'w4', 'w5'}
 
 
-def test_urgent_work_stops_others_on_fast_workers_first():
-    """It waited for stops and then ran where it took longer: both together made it late."""
-    pool = Pool(workers=6)
-    learn_slow_workers(pool, {'w0', 'w1'})
-    pool.submit(A, task(6, accelerators=8), queue=PATIENT)
-    pool.step(0.3)
-    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
-    stopped = {effect.worker_id for effect in pool.step(0.3) if isinstance(effect, StopRun)}
-    assert len(stopped) == 2
-    assert not stopped & {'w0', 'w1'}
-
-
-def test_urgent_work_uses_room_that_is_kept_for_a_waiting_gang():
-    """It stopped other work instead, beside accelerators that stood idle for the gang."""
-    pool = Pool(workers=2)
-    pool.submit(A, task(1, accelerators=8, work_s=9.0), queue=ORDINARY)
-    pool.step()
-    pool.submit(B, task(2, accelerators=8, gang=True), queue=ORDINARY)
-    pool.step(1.0)
-    assert list(pool.scheduler._state.claims)
-    pool.submit(C, task(1, accelerators=8, work_s=30.0), queue=URGENT)
-    effects = pool.step(0.1)
-    assert [(type(effect), effect.key.job_id) for effect in effects] == [(StartRun, C)]
-
-
 def test_a_step_that_found_no_room_starts_once_a_run_of_another_ends():
     pool = Pool(workers=1)
     pool.submit(A, task(1, accelerators=8), queue=PATIENT)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_preemption.py
@@ -0,0 +1,128 @@
+"""Room that is made by stopping others, and room that is kept for those who wait."""
+
+from dahliaarch_kernel.scheduler import StartRun, StopRun
+
+from .pool import learn_slow_workers, ORDINARY, PATIENT, Pool, run_all, task, URGENT
+
+A, B, C = 'a' * 16, 'b' * 16, 'c' * 16
+
+
+def test_urgent_work_within_its_guarantee_preempts_and_takes_the_room():
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 16})
+    pool.submit(A, task(16, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True, same_rack=True), queue=URGENT)
+    assert {type(effect) for effect in pool.step()} == {StopRun}
+    pool.finish_stops()
+    started = [effect for effect in pool.step(0.1) if isinstance(effect, StartRun)]
+    assert [effect.key.job_id for effect in started] == [B, B]
+
+
+def test_guaranteed_work_that_first_finds_no_victims_preempts_as_soon_as_there_are_some():
+    """Kept room stayed kept for seconds and nothing was stopped meanwhile."""
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 8, 'other': 8})
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=9.0), queue=URGENT, account='other')
+    pool.step()
+    pool.submit(B, task(1, accelerators=8, gang=True), queue=URGENT)
+    pool.step()
+    pool.step(1.0)
+    run_all(pool, A)
+    pool.submit(C, task(16, work_s=9.0), queue=PATIENT)
+    started = [effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)]
+    assert B in started
+
+
+def test_the_cheapest_victims_are_those_that_lose_nothing():
+    pool = Pool(workers=2)
+    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
+    pool.submit(B, task(1, accelerators=8, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.step(3.0)
+    pool.submit(C, task(1, accelerators=8), queue=URGENT)
+    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
+    assert stopped == [B]
+
+
+def test_a_wide_gang_is_not_starved_by_small_jobs():
+    pool = Pool(workers=2)
+    for number in range(16):
+        pool.submit(f'{number:016x}', task(1, work_s=2.0 + number / 4), queue=PATIENT)
+    pool.step()
+    pool.submit(A, task(2, accelerators=8, gang=True, work_s=3.0), queue=ORDINARY)
+    pool.step(1.0)
+    for number in range(16):
+        run_all(pool, f'{number:016x}')
+        pool.submit(f'{number + 100:016x}', task(1, work_s=6.0), queue=PATIENT)
+        pool.step(0.25)
+    assert any(key.job_id == A for _, key in pool.running)
+
+
+def test_the_holder_of_a_claim_is_tried_though_a_like_gang_was_blocked_by_that_claim():
+    """A smaller gang of the same shape came first, failed, and stood for both for ever."""
+    pool = Pool(workers=3)
+    wide = {'accelerators': 8, 'gang': True, 'work_s': 6.0}
+    pool.submit(A, task(2, accelerators=8, work_s=4.0), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(3, **wide), queue=ORDINARY)
+    pool.step(1.0)
+    pool.submit(C, task(2, **wide), queue=ORDINARY)
+    pool.step(1.0)
+    run_all(pool, A)
+    for _ in range(3):
+        pool.step(0.3)
+    assert any(key.job_id == B for _, key in pool.running)
+
+
+def test_two_urgent_gangs_do_not_claim_the_same_room():
+    """Each was kept from the other's claim and both waited until the claims were stale."""
+    pool = Pool(workers=4)
+    pool.submit(A, task(4, accelerators=8, checkpoints=True), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
+    pool.step()
+    pool.submit(C, task(2, accelerators=8, gang=True), queue=URGENT)
+    pool.step(0.1)
+    pool.finish_stops()
+    started = {effect.key.job_id for effect in pool.step(0.1) if isinstance(effect, StartRun)}
+    assert started == {B, C}
+
+
+def test_guaranteed_work_stops_ordinary_work_before_urgent_work_of_others():
+    pool = Pool(workers=2)
+    pool.scheduler.set_guarantees({'acc': 8})
+    pool.submit(A, task(1, accelerators=8), queue=PATIENT)
+    pool.step()
+    pool.step(1.5)
+    pool.submit(B, task(1, accelerators=8), queue=URGENT, account='other')
+    pool.step()
+    pool.step(0.2)
+    pool.submit(C, task(1, accelerators=8), queue=URGENT)
+    stopped = [effect.key.job_id for effect in pool.step() if isinstance(effect, StopRun)]
+    assert stopped == [A]
+
+
+def test_urgent_work_stops_others_on_fast_workers_first():
+    """It waited for stops and then ran where it took longer: both together made it late."""
+    pool = Pool(workers=6)
+    learn_slow_workers(pool, {'w0', 'w1'})
+    pool.submit(A, task(6, accelerators=8), queue=PATIENT)
+    pool.step(0.3)
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=URGENT)
+    stopped = {effect.worker_id for effect in pool.step(0.3) if isinstance(effect, StopRun)}
+    assert len(stopped) == 2
+    assert not stopped & {'w0', 'w1'}
+
+
+def test_urgent_work_uses_room_that_is_kept_for_a_waiting_gang():
+    """It stopped other work instead, beside accelerators that stood idle for the gang."""
+    pool = Pool(workers=2)
+    pool.submit(A, task(1, accelerators=8, work_s=9.0), queue=ORDINARY)
+    pool.step()
+    pool.submit(B, task(2, accelerators=8, gang=True), queue=ORDINARY)
+    pool.step(1.0)
+    assert list(pool.scheduler._state.claims)
+    pool.submit(C, task(1, accelerators=8, work_s=30.0), queue=URGENT)
+    effects = pool.step(0.1)
+    assert [(type(effect), effect.key.job_id) for effect in effects] == [(StartRun, C)]
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -29,6 +29,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
+from .earlier_work import EarlierWork
 from .effects import Effects
 from .end_news import EndNews
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
@@ -67,8 +68,6 @@
 # seconds: they answer in milliseconds. While it waited 1.2 s for one that was
 # gone, urgent jobs that had just come ended late.
 _TAKEOVER_SURVEY_S = 0.25
-# Share by which the slowest worker's clock prolongs a lease, and rounding.
-_SLOWEST_CLOCK = 1.03
 
 
 class PoolOwner:
@@ -113,9 +112,7 @@
         self._workers_feed = WorkersFeed(self._feed)
         self._unserved = UnservedWorkers()
         self._progress_by_id: dict[str, JobProgress] = {}
-        self._silent_until_s = 0.0
-        # Workers that may run jobs of earlier owners of which this one does not know.
-        self._unheard: set[str] = set()
+        self._earlier = EarlierWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
         context = LinkContext(
             workers,
@@ -198,7 +195,7 @@
         self._progress_by_id = kept.progress_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
         # A silent worker may run jobs of earlier owners until its lease ends.
-        self._silent_until_s = time.monotonic() + self._settings.bounds.max_hold_s * _SLOWEST_CLOCK
+        self._earlier.may_last(self._settings.bounds.max_hold_s, time.monotonic())
         for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
             self._handle_all(job_messages(item))
         self._drain_inbox()
@@ -217,28 +214,13 @@
         Jobs accepted before this owner wait for the others, each until it answers or
         its lease has ended; later ones can't run there.
         """
-        workers = self.scheduler.worker_by_id.values()
-        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed}
+        self._earlier.expect_workers()
         deadline_s = time.monotonic() + _TAKEOVER_SURVEY_S
-        while self._unheard and time.monotonic() < deadline_s:
+        while self._earlier.is_unheard and time.monotonic() < deadline_s:
             with anyio.move_on_after(deadline_s - time.monotonic()):
                 self._handle(await self._receive.receive())
             self._drain_inbox()
-        if not self._unheard:
-            self.scheduler.all_workers_heard()
-            return
-        log_event('takeover_incomplete', silent=sorted(self._unheard), until_s=self._silent_until_s)
-        for worker_id in self._unheard:
-            self.scheduler.worker_by_id[worker_id].lease.assume(self._silent_until_s)
-
-    def _heard(self, worker_id: str) -> None:
-        """Let jobs of earlier owners start once no worker may run any unknown to this one."""
-        if worker_id not in self._unheard:
-            return
-        self._unheard.discard(worker_id)
-        if not self._unheard:
-            log_event('takeover_complete', epoch=self.epoch)
-            self.scheduler.all_workers_heard()
+        self._earlier.go_on()
 
     async def _decide_forever(self) -> None:
         while True:
@@ -286,15 +268,13 @@
     @_handle.register
     def _(self, message: JobListed) -> None:
         job_id = message.spec.job_id
-        # Only jobs accepted before this owner may run on a worker not heard yet.
-        is_old = message.revision < self.epoch
         added = self.scheduler.add_job(
             message.spec,
             message.queue,
             _now(),
             revision=message.revision,
             progress=self._progress_by_id.get(job_id),
-            not_before_s=self._silent_until_s if is_old else 0.0,
+            not_before_s=self._earlier.not_before_s(message.revision),
         )
         if added:
             log_event(
@@ -355,7 +335,7 @@
         link = self._links.get(message.worker_id)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
-        self._heard(message.worker_id)
+        self._earlier.heard(message.worker_id)
 
     @_handle.register
     def _(self, message: WorkerSilent) -> None:
@@ -366,7 +346,7 @@
         log_event('worker_over', worker=message.worker_id)
         self.scheduler.worker_over(message.worker_id, _now())
         self._links.close(message.worker_id)
-        self._heard(message.worker_id)
+        self._earlier.heard(message.worker_id)
 
     @_handle.register
     def _(self, message: StartAcknowledged) -> None:
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/earlier_work.py
@@ -0,0 +1,64 @@
+"""What earlier owners started, as far as a new one has not heard of it yet."""
+
+from dahliaarch_kernel.scheduler import Scheduler
+
+from ..logs import log_event
+
+# Share by which the slowest worker's clock prolongs a lease, and rounding.
+_SLOWEST_CLOCK = 1.03
+
+
+class EarlierWork:
+    """Holds jobs of earlier owners back until no worker may run one that this owner does not know of.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Knows workers and jobs.
+    epoch : int
+        Epoch of this owner: jobs accepted before may run anywhere.
+    """
+
+    def __init__(self, scheduler: Scheduler, epoch: int) -> None:
+        """Start before the takeover."""
+        self._scheduler = scheduler
+        self._epoch = epoch
+        # When leases that earlier owners gave have ended at the latest, steady clock.
+        self._until_s = 0.0
+        self._unheard: set[str] = set()
+
+    @property
+    def is_unheard(self) -> bool:
+        """Whether some worker has yet to say what runs there."""
+        return bool(self._unheard)
+
+    def may_last(self, hold_s: float, now_s: float) -> None:
+        """Note that a silent worker may run jobs of earlier owners until a lease from now has ended."""
+        self._until_s = now_s + hold_s * _SLOWEST_CLOCK
+
+    def not_before_s(self, revision: int) -> float:
+        """Return from when a job of a revision may start, steady clock: one accepted by this owner at once."""
+        return self._until_s if revision < self._epoch else 0.0
+
+    def expect_workers(self) -> None:
+        """Wait for every worker that has not been heard yet."""
+        workers = self._scheduler.worker_by_id.values()
+        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed}
+
+    def go_on(self) -> None:
+        """Let jobs of earlier owners start, or have them wait for the workers that are silent."""
+        if not self._unheard:
+            self._scheduler.all_workers_heard()
+            return
+        log_event('takeover_incomplete', silent=sorted(self._unheard), until_s=self._until_s)
+        for worker_id in self._unheard:
+            self._scheduler.worker_by_id[worker_id].lease.assume(self._until_s)
+
+    def heard(self, worker_id: str) -> None:
+        """Take in that a worker has said what runs there, or is over."""
+        if worker_id not in self._unheard:
+            return
+        self._unheard.discard(worker_id)
+        if not self._unheard:
+            log_event('takeover_complete', epoch=self._epoch)
+            self._scheduler.all_workers_heard()
--- a/packages/standins/dahliaarch_standins/comparison/days.py
+++ b/packages/standins/dahliaarch_standins/comparison/days.py
@@ -7,9 +7,10 @@
 from dahliaarch_kernel.scheduler import Scheduler, SchedulerSettings
 
 from .baselines import BestFit
+from .decider import Decider
 from .scoring import DayScore, score_day
 from .shapes import Deployment
-from .simulation import Decider, Simulation
+from .simulation import Simulation
 from .troubles import draw_troubles, Troubles
 from .workload import draw_jobs, DrawnJob
 
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/comparison/decider.py
@@ -0,0 +1,55 @@
+"""What a comparison needs of a scheduler."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import Effect, Moment, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.scheduler.workers import WorkerState
+from dahliaarch_kernel.workload import JobSpec, TaskKey
+
+
+class Decider(Protocol):
+    """What a comparison needs of a scheduler."""
+
+    @property
+    def worker_by_id(self) -> Mapping[str, WorkerState]:
+        """Workers that are known."""
+        ...
+
+    def add_job(self, spec: JobSpec, queue: Queue, now: Moment) -> bool:
+        """Take in an accepted job."""
+        ...
+
+    def cancel(self, job_id: str, now: Moment) -> bool:
+        """Cancel a job."""
+        ...
+
+    def update_worker(self, profile: WorkerProfile, now: Moment) -> bool:
+        """Take in a worker."""
+        ...
+
+    def worker_silent(self, worker_id: str) -> None:
+        """Take in that a worker does not answer."""
+        ...
+
+    def worker_over(self, worker_id: str, now: Moment) -> None:
+        """Take in that a worker has ended."""
+        ...
+
+    def worker_surveyed(self, worker_id: str, running: list[RunSeen], begun_s: float, now: Moment) -> None:
+        """Take in what runs on a worker."""
+        ...
+
+    def run_started(self, worker_id: str, key: TaskKey, run: int, now: Moment) -> None:
+        """Take in that a run has begun."""
+        ...
+
+    def run_ended(self, end: RunEnd, now: Moment) -> None:
+        """Take in the end of a run."""
+        ...
+
+    def decide(self, now: Moment) -> list[Effect]:
+        """Decide what to start and stop."""
+        ...
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -2,18 +2,15 @@
 
 import heapq
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial, singledispatchmethod
 from itertools import count
-from typing import Protocol
 
-from dahliaarch_kernel.configuration import Queue
-from dahliaarch_kernel.scheduler import Effect, EndKind, Moment, StartRun, StopRun, WorkerProfile
+from dahliaarch_kernel.scheduler import EndKind, Moment, StartRun, StopRun, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
-from dahliaarch_kernel.scheduler.workers import WorkerState
-from dahliaarch_kernel.workload import JobSpec, TaskKey
 
 from .chances import Chances
+from .decider import Decider
 from .executions import Execution, PlayedWorker, saved_work_s, Unit
 from .ledger import Cause, Ledger
 from .shapes import Deployment, Pool
@@ -38,51 +35,6 @@
 _CAUSE_BY_KIND = {EndKind.FAILED: Cause.RUN_FAILED, EndKind.BROKEN: Cause.WORKER_LOST}
 
 
-class Decider(Protocol):
-    """What a comparison needs of a scheduler."""
-
-    @property
-    def worker_by_id(self) -> Mapping[str, WorkerState]:
-        """Workers that are known."""
-        ...
-
-    def add_job(self, spec: JobSpec, queue: Queue, now: Moment) -> bool:
-        """Take in an accepted job."""
-        ...
-
-    def cancel(self, job_id: str, now: Moment) -> bool:
-        """Cancel a job."""
-        ...
-
-    def update_worker(self, profile: WorkerProfile, now: Moment) -> bool:
-        """Take in a worker."""
-        ...
-
-    def worker_silent(self, worker_id: str) -> None:
-        """Take in that a worker does not answer."""
-        ...
-
-    def worker_over(self, worker_id: str, now: Moment) -> None:
-        """Take in that a worker has ended."""
-        ...
-
-    def worker_surveyed(self, worker_id: str, running: list[RunSeen], begun_s: float, now: Moment) -> None:
-        """Take in what runs on a worker."""
-        ...
-
-    def run_started(self, worker_id: str, key: TaskKey, run: int, now: Moment) -> None:
-        """Take in that a run has begun."""
-        ...
-
-    def run_ended(self, end: RunEnd, now: Moment) -> None:
-        """Take in the end of a run."""
-        ...
-
-    def decide(self, now: Moment) -> list[Effect]:
-        """Decide what to start and stop."""
-        ...
-
-
 class Simulation:
     """A pool of workers that carries out what a scheduler decides.
 
