--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -122,7 +122,7 @@
             self._state.memory.grown_workers.add(profile.worker_id)
         worker.profile = profile
         worker.is_listed = True
-        worker.is_named = True
+        worker.has_readable_entry = True
         if not profile.draining:
             worker.leaves_at_s = None
             return is_new
@@ -135,13 +135,13 @@
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
             worker.is_listed = False
-            worker.is_named = True
+            worker.has_readable_entry = True
 
     def suspend_worker(self, worker_id: str) -> None:
         """Record that a worker's entry can't be read: it gets nothing new until one can."""
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
-            worker.is_named = False
+            worker.has_readable_entry = False
 
     def all_workers_heard(self) -> None:
         """Record that no worker can run a job of which this owner does not know."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -138,7 +138,7 @@
 
     def _request(self, step: StepState, rank: int) -> Request:
         work_s = self._state.times.expect_s(step.job.queue.name, step.spec)
-        waited_s = self._now.wall_s - _since_s(step)
+        waited_s = self._now.wall_s - begin_s(step.job.spec, step.occurrence)
         settings = self._state.settings
         near_s = _GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s
         return Request(
@@ -259,7 +259,7 @@
             return
         if self._claims.has(step) or self._claims.open_ones() >= settings.reservations:
             return
-        if self._now.wall_s - _since_s(step) < settings.reserve_after_s:
+        if self._now.wall_s - begin_s(step.job.spec, step.occurrence) < settings.reserve_after_s:
             return
         rank = request.rank if settings.has(Mechanism.CLAIM_RANKS) else RANK_GUARANTEED
         claim = earliest_claim(step, count, rank, self._room, self._claims, self._now.steady_s)
@@ -293,9 +293,3 @@
 def _wanted(request: Request) -> int:
     """Return how many tasks must find room for a step to start any."""
     return request.task_count if request.step.spec.gang else 1
-
-
-def _since_s(step: StepState) -> float:
-    """Return when a step's occurrence came up, seconds since 1970."""
-    spec = step.job.spec
-    return spec.due_s(step.occurrence) or spec.accepted_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -109,8 +109,8 @@
         self.run_by_key: dict[TaskKey, Run] = {}
         self.used = NO_RESOURCES
         self.is_listed = True
-        # Whether its entry, if it has one, can be read: another writer may have made it.
-        self.is_named = True
+        # False while its entry is another writer's and names no worker.
+        self.has_readable_entry = True
         self.is_surveyed = False
         self.is_silent = False
         self.leaves_at_s: float | None = None
@@ -149,7 +149,7 @@
         A worker whose entry is missing but which answers is alive: entries
         lapse while the store is away.
         """
-        if not self.is_named or self.profile.draining:
+        if not self.has_readable_entry or self.profile.draining:
             return False
         return self.is_surveyed and not self.is_silent
 
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -312,7 +312,8 @@
 
     @_handle.register
     def _(self, message: WorkerInherited) -> None:
-        self._keep_in_touch(message.profile, message.address)
+        link = self._keep_in_touch(message.profile, message.address)
+        link.is_draining = message.profile.draining
         self.scheduler.unlist_worker(message.profile.worker_id)
 
     @_handle.register
--- a/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -47,8 +47,8 @@
     return item._replace(value=msgspec.json.encode(msgspec.json.decode(item.value) | {'Service': service}))
 
 
-def in_roster(worker_id, service='svc'):
-    profile = WorkerProfile(worker_id, service, 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
+def in_roster(worker_id, service='svc', *, draining=False):
+    profile = WorkerProfile(worker_id, service, 'z', Resources(64_000, 262_144, 8), ('a', 'r0'), draining)
     return Item(f'{ROSTER_PREFIX}0', encode([RosterEntry(profile, Address('127.0.0.1', 1))]), 1)
 
 
@@ -111,6 +111,13 @@
     assert not owner.scheduler.worker_by_id['w'].takes_starts
 
 
+def test_a_worker_that_leaves_and_whose_entry_is_gone_gets_short_leases_of_the_next_owner():
+    """With the longest ones, what ran there would start elsewhere seconds later."""
+    workers = Workers({'w': ()})
+    owner = run_takeover(KeptStore([in_roster('w', draining=True)]), workers, lambda owner: owner.is_ready, within_s=3)
+    assert owner._links.get('w').is_draining
+
+
 def test_a_worker_of_a_service_that_nobody_configured_is_not_asked():
     workers = Workers()
     store = KeptStore([of_service('w', 'foreign'), worker_entry('x')])
