Workers of a service that only a queue names are taken in

Cause, from reading: services were taken from the list of services alone; a configuration that names one only in a queue would have set all its workers aside. Test with it.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -163,7 +163,8 @@
         """Take in the accounts' guarantees and the services."""
         accounts = configuration.account_by_name.values()
         self.scheduler.set_guarantees({account.name: account.guaranteed_accelerators for account in accounts})
-        for message in self._unserved.set_services(configuration.service_by_name):
+        of_queues = {queue.service for queue in configuration.queue_by_name.values()}
+        for message in self._unserved.set_services(of_queues.union(configuration.service_by_name)):
             self.post(message)
 
     async def run(self) -> None:
--- a/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -23,7 +23,7 @@
 from ..feeds import job_messages
 from ..messages import WorkerListed, WorkerUnlisted, WorkerUnreadable
 from ..unserved import UnservedWorkers
-from .test_takeover import kept_job, KeptStore, LAST, take_over, worker_entry, Workers
+from .test_takeover import kept_job, KeptStore, LAST, QUEUE, take_over, worker_entry, Workers
 
 KEY = TaskKey(LAST, 0, 0, 0)
 
@@ -125,6 +125,13 @@
     assert set(workers.surveys) == {'x'}
 
 
+def test_a_worker_of_a_service_that_only_a_queue_names_is_asked():
+    workers = Workers()
+    named = build_configuration(ConfigurationParts(1, queues=[QUEUE]))
+    run_takeover(KeptStore([worker_entry('w')]), workers, lambda owner: False, within_s=0.6, configuration=named)
+    assert set(workers.surveys) == {'w'}
+
+
 def test_a_worker_of_a_service_that_was_dropped_is_asked_by_the_next_owner():
     """Tasks of jobs accepted before may run there."""
     workers = Workers()
