--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -61,7 +61,7 @@
 
 
 def watch_progress(state: SchedulerState, now: Moment) -> None:
-    """Move runs that stand still or crawl, and avoid their workers.
+    """Move runs that stand still, and note which workers are slow: those are used last.
 
     A worker is judged once after each of its surveys: nothing else tells.
     """
