Runs that a worker takes with it are told: a log line, a metric, and the two commands that read logs

Cause: the record of the incident names no run that was lost with a worker; `worker_over` and `worker_given_up` name the worker alone, so that logs can't tell a task at fault from a machine at fault, nor who went down beside it. Change: `run_lost` for each run, with how long it was known to run there and how many of other jobs went with it, by both ways (another life answers, the lease has ended in silence); `dahliaarch_runs_lost_total`; `explain` and `account` read it. No decision changes.

--- a/packages/cli/dahliaarch_cli/accounting/core.py
+++ b/packages/cli/dahliaarch_cli/accounting/core.py
@@ -161,7 +161,7 @@
         return 'late to the owner'
     if not job.runs:
         return 'never started'
-    causes = {run.cause for run in job.runs if run.stopped_why or run.how == 'lapsed'}
+    causes = {run.cause for run in job.runs if run.stopped_why or run.how in {'lapsed', 'lost'}}
     if causes:
         return f'stopped: {min(causes)}'
     last_s = max((run.ended_s for run in job.runs if run.how == 'done' and run.ended_s), default=None)
--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -36,6 +36,7 @@
     'run_ordered': 'task {task} was ordered to start on {worker} as run {run}',
     'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
     'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
+    'run_lost': 'run {run} of task {task} was lost with {worker} ({why}) after {ran_s} s beside {beside} others',
     'start_refused': '{worker} refused run {run} of task {task}: {status}',
     'start_in_doubt': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
     'write_unanswered': 'the store did not answer a write: {why}',
@@ -45,6 +46,9 @@
 }
 
 
+_ENDS = frozenset(('run_ended', 'run_lost'))
+
+
 def read_lines(path: Path) -> Iterator[LogLine]:
     """Yield the log lines of a file; other lines are passed over."""
     with path.open(encoding='utf-8') as lines:
@@ -98,6 +102,6 @@
     if 'job_known' in events and 'run_ordered' not in events:
         yield 'nothing of it was started in this time: see its queue in the status, and what else ran'
     ordered = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event == 'run_ordered'}
-    ended = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event == 'run_ended'}
+    ended = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event in _ENDS}
     for task, run in sorted(ordered - ended):
         yield f'not known: how run {run} of task {list(task)} ended'
--- a/packages/cli/dahliaarch_cli/tests/test_explaining.py
+++ b/packages/cli/dahliaarch_cli/tests/test_explaining.py
@@ -31,3 +31,13 @@
 
 def test_what_the_logs_do_not_tell_is_said(tmp_path):
     assert 'no line names this job' in next(explain_job(A, lines(tmp_path)))
+
+
+def test_a_run_that_was_lost_with_its_worker_is_told_with_what_went_beside_it(tmp_path):
+    task = [A, 0, 0, 0]
+    ordered = {'at': 3.0, 'instance': 'i1', 'event': 'run_ordered', 'task': task, 'worker': 'w', 'run': 9}
+    lost = {'at': 4.0, 'instance': 'i1', 'event': 'run_lost', 'task': task, 'worker': 'w', 'run': 9}
+    lost |= {'why': 'worker over', 'ran_s': 0.02, 'beside': 3}
+    told = list(explain_job(A, lines(tmp_path, ordered, lost)))
+    assert 'was lost with w (worker over) after 0.02 s beside 3 others' in told[1]
+    assert not any('not known: how run' in line for line in told)
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -8,7 +8,7 @@
 from .clock import Moment
 from .effects import Effect
 from .ends import take_in_end
-from .events import EndKind, RunEnd, RunSeen
+from .events import EndKind, LossCause, RunEnd, RunLost, RunSeen
 from .health import watch_progress
 from .job_state import ENDED_PHASES, JobPhase, JobState
 from .learning import update_slowdowns
@@ -159,6 +159,7 @@
         worker = self._state.worker_by_id.pop(worker_id, None)
         if worker is None:
             return
+        self._state.note_losses(worker, LossCause.WORKER_OVER)
         for run in tuple(worker.run_by_key.values()):
             end = RunEnd(worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint)
             take_in_end(self._state, end, now)
@@ -218,6 +219,11 @@
         state.effects = []
         return effects
 
+    def take_lost_runs(self) -> list[RunLost]:
+        """Return the runs that workers took with them since the last call."""
+        lost, self._state.lost_runs = self._state.lost_runs, []
+        return lost
+
     def take_dirty_jobs(self) -> set[str]:
         """Return the jobs whose progress must be kept, and forget that it must."""
         dirty = self._state.dirty_jobs
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -42,6 +42,40 @@
     checkpoint: str = ''
 
 
+class LossCause(StrEnum):
+    """Why a run is believed to be gone though its worker did not list its end."""
+
+    WORKER_OVER = 'worker over'
+    LEASE_ENDED = 'lease ended'
+
+
+class RunLost(NamedTuple):
+    """A run that its worker took with it, for the log.
+
+    Parameters
+    ----------
+    worker_id : str
+        Life of the worker.
+    key : TaskKey
+        Its task.
+    run : int
+        Number of the run.
+    cause : LossCause
+        What tells that it is gone.
+    ran_s : float
+        How long it was known to run there, in seconds.
+    beside : int
+        Runs of other jobs that went with it.
+    """
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    cause: LossCause
+    ran_s: float
+    beside: int
+
+
 class RunSeen(NamedTuple):
     """A run that a worker lists as running.
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -1,6 +1,7 @@
 """Workers that leave, or that are given up once their leases have ended."""
 
 from .clock import Moment
+from .events import LossCause
 from .runs import RunPhase
 from .state import SchedulerState
 from .workers import WorkerState
@@ -24,6 +25,7 @@
 
 
 def _give_up(state: SchedulerState, worker: WorkerState) -> None:
+    state.note_losses(worker, LossCause.LEASE_ENDED)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
     if not worker.is_listed:
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -101,6 +101,11 @@
         self._mark_percent = 0.0
         self.rank = 0
 
+    @property
+    def ran_s(self) -> float:
+        """How long it was known to run, in seconds."""
+        return self.seen_s - self.started_s
+
     def went_on(self) -> None:
         """Note that it did not begin at the beginning of its work, or not when it was noted."""
         self._mark_s = None
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -6,6 +6,7 @@
 from ..workload import TaskKey
 from .claims import Claims
 from .effects import Effect, StartRun, StopRun
+from .events import LossCause, RunLost
 from .job_state import JobPhase, JobState, StepState
 from .learning import RunTimes
 from .mechanisms import Mechanism
@@ -42,6 +43,7 @@
         self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
         self.claims = Claims()
         self.dirty_jobs: set[str] = set()
+        self.lost_runs: list[RunLost] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
         self.surveyed_workers: set[str] = set()
@@ -79,6 +81,13 @@
         if run.key.task_index not in step.done:
             step.pending.add(run.key.task_index)
 
+    def note_losses(self, worker: WorkerState, cause: LossCause) -> None:
+        """Note what a worker takes with it."""
+        self.lost_runs.extend(
+            RunLost(worker.worker_id, run.key, run.number, cause, run.ran_s, worker.beside(run))
+            for run in worker.run_by_key.values()
+        )
+
     def start(self, step: StepState, task_index: int, run: Run) -> None:
         """Order a start."""
         kept = step.checkpoint_by_index
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -142,6 +142,10 @@
             del self.run_by_key[run.key]
             self.used = self.used.minus(run.demand)
 
+    def beside(self, run: Run) -> int:
+        """Return how many runs of other jobs are here beside a run."""
+        return sum(other.job_id != run.key.job_id for other in self.run_by_key)
+
     @property
     def takes_starts(self) -> bool:
         """Tell whether a start may be ordered here.
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -57,6 +57,12 @@
             registry=self.registry,
         )
         self.run_ends = Counter('dahliaarch_run_ends', 'Ends of runs', ['kind'], registry=self.registry)
+        self.runs_lost = Counter(
+            'dahliaarch_runs_lost',
+            'Runs that were lost with their workers',
+            ['why'],
+            registry=self.registry,
+        )
         self.decide_s = Histogram(
             'dahliaarch_decide_seconds',
             'Time of one pass of decisions',
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -234,6 +234,7 @@
     def _decide(self) -> None:
         begun_s = time.perf_counter()
         effects = self.scheduler.decide(_now())
+        self._log_lost_runs()
         for effect in effects:
             self._effects.carry_out(effect)
         self._links.close_all_but(self.scheduler.worker_by_id)
@@ -243,6 +244,19 @@
             self._recorder.needed.set()
         self._note_roster()
 
+    def _log_lost_runs(self) -> None:
+        for lost in self.scheduler.take_lost_runs():
+            self._metrics.runs_lost.labels(lost.cause.value).inc()
+            log_event(
+                'run_lost',
+                worker=lost.worker_id,
+                task=lost.key,
+                run=lost.run,
+                why=lost.cause,
+                ran_s=round(lost.ran_s, 2),
+                beside=lost.beside,
+            )
+
     def _note_roster(self) -> None:
         """Have the known workers kept when they have changed."""
         roster = self._links.roster(self.scheduler.worker_by_id)
