Tests, red: a task that crashes each worker that starts it is never given up

Stand-in: a payload that begins with `crash` crashes the worker, which is back 0.4 s later as another life.

--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -167,3 +167,16 @@
     Then it is shown as succeeded
     And it ran on those workers with valid tickets only
     And no task ran twice
+
+  Scenario: A task that crashes each worker that starts it is given up
+    Given a deployment of three instances
+    When a job is accepted whose task crashes each worker that starts it
+    Then it is shown as failed
+    And no more than five workers have crashed under it
+
+  Scenario: The owner is killed while a task crashes one worker after the other
+    Given a deployment of three instances
+    When a job is accepted whose task crashes each worker that starts it
+    And the owner is killed once two workers have crashed
+    Then it is shown as failed
+    And no more than five workers have crashed under it
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -303,6 +303,29 @@
     running.wait_for(job_id, 'succeeded', queue)
 
 
+@when('a job is accepted whose task crashes each worker that starts it')
+def _(running):
+    running.submit([{**PARALLEL[0], 'Count': 1}], 'crash5')
+
+
+@when('the owner is killed once two workers have crashed')
+def _(running):
+    running.wait_until(lambda: len(running.ends()) == 2)
+    running.deployment.kill(running.owner())
+
+
+@then('it is shown as failed')
+def _(running):
+    running.wait_for(running.job_ids[-1], 'failed')
+
+
+@then('no more than five workers have crashed under it')
+def _(running):
+    # After three crashes, which may tell of a task, two more are borne: starts that were under way.
+    running.sleep(1.0)
+    assert len(running.starts()) <= 5
+
+
 @then('no task ran twice')
 def _(running):
     assert not running.doubled()
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -17,6 +17,10 @@
 _MS = 1000.0
 _HEARTBEAT_S = 0.5
 _TICK_S = 0.02
+# How long a worker that crashed is away.
+_DOWN_S = 0.4
+# A payload that begins so crashes the worker that starts it.
+_CRASHING = 'crash'
 
 
 class Noted(NamedTuple):
@@ -72,7 +76,8 @@
     """One life of a worker.
 
     Tasks take the time that their payload names in seconds; a payload that
-    begins with ``fail`` fails.
+    begins with ``fail`` fails, and one that begins with ``crash`` crashes the
+    worker, which is back a little later as another life.
 
     Parameters
     ----------
@@ -124,6 +129,7 @@
         self._until_s = 0.0
         self._lapsed_at_s = 0.0
         self._news = anyio.Event()
+        self._must_crash = False
         self.address = Address('127.0.0.1', 0)
         self._seq = 0
         self.server = HttpServer(self._answer)
@@ -143,6 +149,8 @@
                 self._heartbeat()
                 next_beat_s = time.monotonic() + _HEARTBEAT_S
             self._work(time.monotonic())
+            if self._must_crash:
+                await self._crash_and_return()
             await anyio.sleep(_TICK_S)
 
     def leave(self) -> None:
@@ -266,6 +274,15 @@
         self.worker_id = worker_id
         self.publish()
 
+    async def _crash_and_return(self) -> None:
+        """Crash, and take connections again a little later."""
+        self._must_crash = False
+        self.server.close()
+        name, _, life = self.worker_id.partition('-')
+        self.crash(f'{name}-{int(life or 0) + 1}')
+        await anyio.sleep(_DOWN_S)
+        await self.server.listen(self.address)
+
     def _start(self, body: dict[str, Any]) -> Response:
         now_s = time.monotonic()
         task, number = body['Task'], body['Run']
@@ -281,7 +298,8 @@
         self._extend(body)
         self._highest_by_task[task] = number
         payload = body['Spec']
-        work_s = -1.0 if payload.startswith('fail') else float(payload)
+        work_s = -1.0 if payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
+        self._must_crash = self._must_crash or payload.startswith(_CRASHING)
         self._run_by_task[task] = _Run(task, number, work_s, now_s)
         self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s))
         return self._reply({})
