Nothing starts on a worker that holds more than it has, nor on an old word of room that nobody guards

Cause, found by looking for the class of the incident elsewhere (rules on shrinking room): what was last known of a worker is taken for what holds. (1) Where a worker's room had shrunk below what it held, only the resource that was asked for was looked at: work that asked for processors had others' runs stopped and then could not begin, since the accelerators were over. (2) A start that waited for its turn went out though the room was gone by then. (3) Workers of a service that does not guard its capacity were sent starts on entries of any age, also while the store could not be heard. Ruled out by tests that pass on the code before: negative room counted as free, room of runs that are being stopped counted as free, room that grows again left unused. Change: no task fits where any resource is overdrawn; starts look at the room again when their turn comes; on services that don't guard their room starts need entries heard of within 3 s (4.5 s are borne).

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -1,6 +1,6 @@
 """The scheduler of one pool: facts come in, orders come out."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ..configuration import Queue
 from ..policies import compile_policy, Policy, SHIPPED
@@ -60,6 +60,14 @@
         """Replace the accelerators that accounts are guaranteed."""
         self._state.guaranteed_by_account = guaranteed_by_account
 
+    def set_unguarded(self, services: Iterable[str]) -> None:
+        """Replace the services whose workers start whatever they are told."""
+        self._state.unguarded_services = frozenset(services)
+
+    def workers_heard(self, now: Moment) -> None:
+        """Record that all that workers publish is known up to now."""
+        self._state.workers_heard_s = now.steady_s
+
     def add_job(
         self,
         spec: JobSpec,
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -54,7 +54,8 @@
         self._state = state
         self._now = now
         self._claims = state.claims
-        self._workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
+        takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
+        self._workers = [worker for worker in takers if state.knows_room(worker, now.steady_s)]
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
         self._memory = state.memory
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -93,7 +93,13 @@
 
 
 def fitting(free: Resources, demand: Resources) -> int:
-    """Return how many tasks of a demand fit into free room."""
+    """Return how many tasks of a demand fit into free room.
+
+    None does where a worker holds more than it has left: it would be over its
+    room as they start, though they ask for none of what is short.
+    """
+    if min(free) < 0:
+        return 0
     count = _UNLIMITED
     if demand.cpu_millis:
         count = free.cpu_millis // demand.cpu_millis
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -19,6 +19,9 @@
 
 # Runs of one owner count up below its epoch, so that numbers rise over owners.
 RUNS_PER_EPOCH = 1 << 20
+# How long the last word of workers' room holds where they don't guard it, in seconds:
+# entries are news each 1.5 s, and users bear starts on room that shrank 4.5 s ago.
+_ROOM_KNOWN_S = 3.0
 
 
 class SilentLoss(NamedTuple):
@@ -64,6 +67,9 @@
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
+        # Services whose workers start whatever they are told, and when entries were last heard of.
+        self.unguarded_services: frozenset[str] = frozenset()
+        self.workers_heard_s = float('-inf')
         self.surveyed_workers: set[str] = set()
         self.memory = PassMemory()
         self._runs_started = 0
@@ -73,6 +79,12 @@
         job = self.job_by_id.get(key.job_id)
         return None if job is None else job.step_of(key)
 
+    def knows_room(self, worker: WorkerState, now_s: float) -> bool:
+        """Tell whether a worker's room is known, or guarded by the worker itself."""
+        if worker.profile.service not in self.unguarded_services:
+            return True
+        return now_s - self.workers_heard_s <= _ROOM_KNOWN_S
+
     def next_run_number(self) -> int:
         """Return a run number above all that were given before."""
         self._runs_started += 1
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
@@ -0,0 +1,84 @@
+"""Workers whose room shrinks below what they hold, and grows again."""
+
+from dahliaarch_kernel.scheduler import StartRun
+from dahliaarch_kernel.workload import Resources
+
+from .pool import PATIENT, Pool, task, URGENT, WORKER
+
+A, B, C = 'a' * 16, 'b' * 16, 'c' * 16
+SHRUNK = Resources(64_000, 262_144, 2)
+PROCESSORS_ONLY = task(1, accelerators=0)
+
+
+def resize(pool, capacity):
+    pool.profiles['w0'] = pool.profiles['w0']._replace(capacity=capacity)
+    pool.scheduler.update_worker(pool.profiles['w0'], pool.now)
+
+
+def test_a_worker_that_holds_more_than_it_has_is_given_nothing_more():
+    """Not even what asks for none of what is short: the worker would be over its room as it starts."""
+    pool = Pool(workers=1)
+    pool.submit(A, task(6))
+    pool.step()
+    resize(pool, SHRUNK)
+    pool.submit(B, PROCESSORS_ONLY)
+    assert not pool.step(0.1)
+
+
+def test_nobody_is_stopped_for_work_that_can_not_begin_there_after_the_stop():
+    """Its runs hold six accelerators of two: work that asks for processors began nowhere for the stop of one."""
+    pool = Pool(workers=1)
+    pool.submit(A, task(6), queue=PATIENT)
+    pool.step()
+    resize(pool, SHRUNK)
+    pool.submit(B, PROCESSORS_ONLY._replace(demand=Resources(44_000, 16_000, 0)), queue=URGENT)
+    pool.step(0.1)
+    stopped = len(pool.stops)
+    pool.finish_stops()
+    started = [effect for effect in pool.step(0.1) if isinstance(effect, StartRun) and effect.key.job_id == B]
+    assert started or not stopped
+
+
+def test_what_is_being_stopped_still_counts():
+    pool = Pool(workers=1)
+    pool.submit(A, task(8), queue=PATIENT)
+    pool.step()
+    pool.submit(B, task(2), queue=URGENT)
+    pool.step(0.1)
+    assert pool.stops
+    resize(pool, Resources(64_000, 262_144, 7))
+    assert not [effect for effect in pool.step(0.1) if isinstance(effect, StartRun)]
+
+
+def test_room_that_grows_again_is_used_at_once():
+    pool = Pool(workers=1)
+    resize(pool, SHRUNK)
+    pool.submit(A, task(4))
+    assert len(pool.step(0.3)) == 2
+    resize(pool, WORKER)
+    assert len(pool.step(0.01)) == 2
+
+
+def unguarded(pool):
+    pool.scheduler.set_unguarded({'svc'})
+    pool.scheduler.workers_heard(pool.now)
+
+
+def test_a_worker_that_does_not_guard_its_room_gets_nothing_on_an_old_word_of_it():
+    """Its room may have shrunk since its entry was last heard of, and it starts whatever it is told."""
+    pool = Pool(workers=1)
+    unguarded(pool)
+    pool.now_s += 5.0
+    pool.submit(A, task(1))
+    assert not pool.step()
+    pool.scheduler.workers_heard(pool.now)
+    assert pool.step(0.01)
+
+
+def test_a_worker_that_guards_its_room_is_used_while_entries_are_not_heard_of():
+    pool = Pool(workers=1)
+    pool.scheduler.set_unguarded(set())
+    pool.scheduler.workers_heard(pool.now)
+    pool.now_s += 60.0
+    pool.submit(A, task(1))
+    assert pool.step()
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -122,6 +122,11 @@
         # Times as long as tasks take here as on a sound worker, as far as known.
         self.slowdown = 1.0
 
+    @property
+    def is_overfull(self) -> bool:
+        """Whether it holds more than it has: its room has shrunk."""
+        return min(self.free) < 0
+
     @property
     def rack(self) -> str:
         """Rack: the label after the kind."""
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -34,6 +34,8 @@
         Set when a survey is answered, and then replaced.
     is_draining : bool
         Whether the worker has said that it leaves.
+    is_overfull : bool
+        Whether it holds more than it says it has: its room has shrunk.
     scope : CancelScope
         Ends all that is under way with this life.
     """
@@ -46,6 +48,7 @@
         self.context = context
         self.failures = 0
         self.is_draining = False
+        self.is_overfull = False
         self.heard = anyio.Event()
         self.scope = anyio.CancelScope()
 
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -46,6 +46,7 @@
     WorkerInherited,
     WorkerListed,
     WorkerOver,
+    WorkersHeard,
     WorkerSilent,
     WorkerSurveyed,
     WorkerUnlisted,
@@ -163,6 +164,8 @@
         """Take in the accounts' guarantees and the services."""
         accounts = configuration.account_by_name.values()
         self.scheduler.set_guarantees({account.name: account.guaranteed_accelerators for account in accounts})
+        services = configuration.service_by_name.values()
+        self.scheduler.set_unguarded(each.name for each in services if not each.workers_check_capacity)
         of_queues = {queue.service for queue in configuration.queue_by_name.values()}
         for message in self._unserved.set_services(of_queues.union(configuration.service_by_name)):
             self.post(message)
@@ -208,6 +211,7 @@
         for entry in workers.roster:
             yield WorkerInherited(entry.profile, entry.address)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
+        yield WorkersHeard()
 
     async def _survey_all(self) -> None:
         """Hear from every worker that answers at once.
@@ -312,6 +316,11 @@
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
             )
         link.is_draining = profile.draining
+        link.is_overfull = self.scheduler.worker_by_id[profile.worker_id].is_overfull
+
+    @_handle.register
+    def _(self, message: WorkersHeard) -> None:
+        self.scheduler.workers_heard(_now())
 
     @_handle.register
     def _(self, message: WorkerInherited) -> None:
@@ -339,6 +348,9 @@
         link = self._links.get(message.worker_id)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
+        worker = self.scheduler.worker_by_id.get(message.worker_id)
+        if link is not None and worker is not None:
+            link.is_overfull = worker.is_overfull
         self._earlier.heard(message.worker_id)
         former = self._links.take_predecessor(message.worker_id)
         if former is not None:
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -14,7 +14,15 @@
 from ..records import CANCEL_SUFFIX, job_id_of, JobRecord, JOBS_PREFIX
 from ..timing import StoreTiming
 from ..watching import next_news
-from .messages import JobCancelled, JobListed, OwnerMessage, WorkerListed, WorkerUnlisted, WorkerUnreadable
+from .messages import (
+    JobCancelled,
+    JobListed,
+    OwnerMessage,
+    WorkerListed,
+    WorkersHeard,
+    WorkerUnlisted,
+    WorkerUnreadable,
+)
 
 Post = Callable[[OwnerMessage], None]
 
@@ -129,6 +137,7 @@
         news = await next_news(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
         for message in self.messages(news.page, is_whole=news.is_whole):
             self._feed.post(message)
+        self._feed.post(WorkersHeard())
         if news.is_whole:
             return news.page.revision
         await _pause_after(news.page, _WORKERS_WATCH_PAUSE_S)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -61,6 +61,15 @@
     def is_draining(self, is_draining: bool) -> None:
         self._contact.is_draining = is_draining
 
+    @property
+    def is_overfull(self) -> bool:
+        """Whether the worker holds more than it says it has."""
+        return self._contact.is_overfull
+
+    @is_overfull.setter
+    def is_overfull(self, is_overfull: bool) -> None:
+        self._contact.is_overfull = is_overfull
+
     async def run(self) -> None:
         """Survey until closed."""
         with self._contact.scope:
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -38,6 +38,10 @@
     address: Address
 
 
+class WorkersHeard(NamedTuple):
+    """All that workers publish has been told up to now."""
+
+
 class WorkerUnlisted(NamedTuple):
     """A worker's entry is gone."""
 
@@ -135,6 +139,7 @@
     | JobCancelled
     | WorkerListed
     | WorkerInherited
+    | WorkersHeard
     | WorkerUnlisted
     | WorkerUnreadable
     | WorkerSurveyed
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -80,7 +80,7 @@
 
     def _is_needless(self, effect: StartRun) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
-        takes_none = self._contact.is_silent or self._contact.is_draining
+        takes_none = self._contact.is_silent or self._contact.is_draining or self._contact.is_overfull
         if not takes_none and (effect.key, effect.run) not in self._stops_under_way:
             return False
         kind = EndKind.REFUSED if takes_none else EndKind.STOPPED
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -114,7 +114,8 @@
     play(worker, scenario, is_draining=is_draining)
 
 
-def test_a_start_that_waited_for_its_turn_until_its_worker_leaves_is_not_sent():
+@pytest.mark.parametrize('change', ['is_draining', 'is_overfull'])
+def test_a_start_that_waited_for_its_turn_is_not_sent_to_a_worker_that_leaves_or_lost_the_room(change):
     """Behind hundreds of unanswered starts a turn comes seconds later; what starts then dies with its worker."""
     worker = Worker()
     told = []
@@ -128,7 +129,7 @@
             await anyio.sleep(0.05)
             link.start(StartRun('w', KEY, 1, '', RANK_ORDINARY, 1.0, ''), '')
             await anyio.sleep(0.05)
-            link.is_draining = True
+            setattr(link, change, True)
             turns.other.release()
             await anyio.sleep(0.1)
             tasks.cancel_scope.cancel()
