Tests, red: a job accepted after the new owner's key is run by both owners; records name the owner that was told

What it proves: `EarlierWork.not_before_s` takes a revision above the epoch for a job that this owner alone can have started. The suspicion of the issue holds; no fault of the store or of a worker is needed. Change: the record of a job names the epoch of the owner that its acceptor knew and told (`job_known` shows it). Nothing decides by it yet.

--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -159,7 +159,8 @@
         except JobRejectedError as error:
             log_event('job_rejected', job=call.job_id, why=str(error))
             return _json(HTTPStatus.BAD_REQUEST, {'error': str(error)})
-        record = encode(JobRecord(spec, call.queue))
+        owner = self._ownership.owner
+        record = encode(JobRecord(spec, call.queue, 0 if owner is None else owner.epoch))
         keep = partial(keep_job, self._store, call.job_id, record)
         outcome = await self._keep(keep, AcceptJob(call.job_id, record))
         if outcome.fate is Fate.KEPT and outcome.revision:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -289,6 +289,7 @@
                 job=job_id,
                 queue=message.queue.name,
                 revision=message.revision,
+                owner_epoch=message.owner_epoch,
                 account=message.spec.account,
                 accepted_s=message.spec.accepted_s,
                 occurrences=message.spec.occurrences,
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -95,7 +95,7 @@
     except ProtocolError as error:
         log_event('job_record_malformed', key=item.key, why=str(error))
         return
-    yield JobListed(record.spec, record.queue, item.revision)
+    yield JobListed(record.spec, record.queue, item.revision, record.owner_epoch)
 
 
 class WorkersFeed:
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -11,11 +11,24 @@
 
 
 class JobListed(NamedTuple):
-    """A job is in the store."""
+    """A job is in the store.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    queue : Queue
+        Its queue when it was accepted.
+    revision : int
+        Store revision of its acceptance.
+    owner_epoch : int
+        Epoch of the owner that the accepting instance knew.
+    """
 
     spec: JobSpec
     queue: Queue
     revision: int
+    owner_epoch: int = 0
 
 
 class JobCancelled(NamedTuple):
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -0,0 +1,113 @@
+"""Two owners at a time: one has taken the pool, the other has not heard of it yet.
+
+A task ran on two workers at once. The store turned the owner away and served the
+others, one of which took the pool. A job was accepted 15 ms before the old owner
+heard of its successor, by an instance that had not heard either and told the old
+one, which started it. The new owner took the job for its own, since the revision
+of its acceptance lay above its epoch (4790 and 4783), and started it at once,
+0.36 s after the first run began; that ran on a worker which was silent to it.
+"""
+
+import time
+
+import anyio
+
+from dahliaarch_kernel.codec import decode, encode
+from dahliaarch_kernel.scheduler.events import RunSeen
+from dahliaarch_kernel.workload import JobSpec, TaskKey
+from dahliaarch_platform.settings import Bounds
+from dahliaarch_platform.workers import OrderReply, OrderStatus, Survey, WorkerUnreachableError
+
+from ...metrics import Metrics
+from ...records import JobRecord
+from ...timing import StoreTiming
+from .. import PoolOwner
+from ..messages import JobListed
+from ..settings import OwnerSettings
+from .test_takeover import EPOCH, KeptStore, LONGEST_LEASE_S, NEW, QUEUE, STEP, worker_entry
+
+SUCCESSOR = EPOCH + 100
+JOB = TaskKey(NEW, 0, 0, 0)
+
+
+class SplitWorkers:
+    """Two workers: the successor does not reach the first of them."""
+
+    def __init__(self):
+        self.starts = []
+        self.running_by_id = {'w0': (), 'w1': ()}
+
+    async def survey(self, address, life, *, fence, wait_s, **options):
+        self._reach(life, fence)
+        await anyio.sleep(min(wait_s, 0.05))
+        return Survey(time.monotonic(), self.running_by_id[life], ())
+
+    async def start(self, address, life, order, *, timeout_s):
+        self._reach(life, order.fence)
+        self.starts.append((life, order.key, order.fence))
+        self.running_by_id[life] += (RunSeen(order.key, order.run, '', 1.0),)
+        return OrderReply(OrderStatus.DONE, time.monotonic())
+
+    async def stop(self, address, life, key, run, fence, *, timeout_s):
+        self._reach(life, fence)
+        return OrderReply(OrderStatus.DONE, time.monotonic())
+
+    @staticmethod
+    def _reach(life, fence):
+        if life == 'w0' and fence == SUCCESSOR:
+            raise WorkerUnreachableError('cut off')
+
+
+def owner_of(epoch, store, workers):
+    settings = OwnerSettings(epoch, Bounds(max_hold_s=LONGEST_LEASE_S), StoreTiming())
+    return PoolOwner(settings, store, workers, tuple, Metrics())
+
+
+def news(owner_epoch):
+    """Return a job that was accepted after the successor took the pool, by an instance that knew some owner."""
+    spec = JobSpec(NEW, 'acc', QUEUE.name, '20', (STEP,), accepted_s=time.time())
+    return JobListed(spec, QUEUE, SUCCESSOR + 7, owner_epoch)
+
+
+async def ready(owner):
+    with anyio.fail_after(5):
+        while not owner.is_ready:
+            await anyio.sleep(0.01)
+
+
+def starts_with_two_owners(owner_epoch, within_s):
+    """Return the starts of a job that both owners hear of."""
+    workers = SplitWorkers()
+
+    async def run():
+        old = owner_of(EPOCH, KeptStore([worker_entry('w0')]), workers)
+        new = owner_of(SUCCESSOR, KeptStore([worker_entry('w0'), worker_entry('w1')]), workers)
+        async with anyio.create_task_group() as tasks:
+            for owner in (old, new):
+                tasks.start_soon(owner.run)
+                await ready(owner)
+            for owner in (old, new):
+                owner.post(news(owner_epoch))
+            await anyio.sleep(within_s)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return workers.starts
+
+
+def test_a_job_that_the_owner_before_was_told_of_waits_for_workers_that_may_run_it():
+    assert starts_with_two_owners(EPOCH, LONGEST_LEASE_S - 1.0) == [('w0', JOB, EPOCH)]
+
+
+def test_a_job_that_nobody_was_told_of_waits_likewise():
+    """The old owner's own watch of the store may show it."""
+    assert len(starts_with_two_owners(0, LONGEST_LEASE_S - 1.0)) == 1
+
+
+def test_an_owner_that_hears_of_a_job_of_its_successor_does_not_start_it():
+    assert starts_with_two_owners(SUCCESSOR, 0.5) == [('w1', JOB, SUCCESSOR)]
+
+
+def test_a_record_from_before_owners_were_named_names_none():
+    spec = news(0).spec
+    assert decode(encode((spec, QUEUE)), JobRecord, 'job record') == JobRecord(spec, QUEUE, 0)
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -21,10 +21,22 @@
 
 
 class JobRecord(NamedTuple):
-    """An accepted job and its queue as it was then."""
+    """An accepted job and its queue as it was then.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    queue : Queue
+        Its queue.
+    owner_epoch : int
+        Epoch of the owner that the accepting instance knew, and told of the job; 0
+        when it knew none.
+    """
 
     spec: JobSpec
     queue: Queue
+    owner_epoch: int = 0
 
 
 class RosterEntry(NamedTuple):
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -152,7 +152,7 @@
             self.owner.post(JobCancelled(job_id))
             return
         job = decode(record, JobRecord, 'job record')
-        self.owner.post(JobListed(job.spec, job.queue, revision))
+        self.owner.post(JobListed(job.spec, job.queue, revision, job.owner_epoch))
 
 
 def _accepted(outcome: WriteOutcome) -> Accepted:
