A job starts at once only where its owner alone was told of it

Callers could see one task run twice at a time after a take-over (a doubled anomaly pass). For some time after a claim instances still know the owner before, tell it of the jobs that they accept, and it starts them until it hears of its successor; where a worker is silent to the new owner, nothing tells of that run. Change: an owner starts at once what names its own epoch, and anything once every worker has answered it (from then on workers refuse the owner before); what names another epoch waits for the silent workers, as jobs accepted before the take-over do. An owner that reads a newer epoch in a job knows that it is replaced and stops. Weighed: acceptance as a conditional write on the owner's key, which would refuse jobs during each take-over and tie them to its write; this costs no call. Price: jobs accepted in that window wait as earlier ones do, only while some worker is silent. In test_takeover.py the job that must not wait names its owner now: without, it was the case that this mends.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -274,6 +274,11 @@
 
     @_handle.register
     def _(self, message: JobListed) -> None:
+        if message.owner_epoch > self.epoch:
+            # Its acceptor knew a newer owner, which may have started it.
+            log_event('owner_outdated', job=message.spec.job_id, epoch=self.epoch, newer=message.owner_epoch)
+            self.depose()
+            return
         job_id = message.spec.job_id
         added = self.scheduler.add_job(
             message.spec,
@@ -281,7 +286,7 @@
             _now(),
             revision=message.revision,
             progress=self._progress_by_id.get(job_id),
-            not_before_s=self._earlier.not_before_s(message.revision),
+            not_before_s=self._earlier.not_before_s(message.owner_epoch),
         )
         if added:
             log_event(
--- a/packages/node/dahliaarch_node/owner/earlier_work.py
+++ b/packages/node/dahliaarch_node/owner/earlier_work.py
@@ -16,7 +16,7 @@
     scheduler : Scheduler
         Knows workers and jobs.
     epoch : int
-        Epoch of this owner: jobs accepted before may run anywhere.
+        Epoch of this owner: jobs that others were told of may run anywhere.
     """
 
     def __init__(self, scheduler: Scheduler, epoch: int) -> None:
@@ -26,6 +26,8 @@
         # When leases that earlier owners gave have ended at the latest, steady clock.
         self._until_s = 0.0
         self._unheard: set[str] = set()
+        # Workers take no orders of earlier owners once they have answered this one.
+        self._has_heard_all = False
 
     @property
     def is_unheard(self) -> bool:
@@ -36,9 +38,15 @@
         """Note that a silent worker may run jobs of earlier owners until a lease from now has ended."""
         self._until_s = now_s + hold_s * _SLOWEST_CLOCK
 
-    def not_before_s(self, revision: int) -> float:
-        """Return from when a job of a revision may start, steady clock: one accepted by this owner at once."""
-        return self._until_s if revision < self._epoch else 0.0
+    def not_before_s(self, owner_epoch: int) -> float:
+        """Return from when a job may start, steady clock: one of which this owner alone was told, at once.
+
+        That it was accepted after this owner's claim does not tell: for some time
+        instances know the owner before, tell it of jobs, and it starts them.
+        """
+        if owner_epoch == self._epoch or self._has_heard_all:
+            return 0.0
+        return self._until_s
 
     def expect_workers(self) -> None:
         """Wait for every worker that has not been heard yet."""
@@ -48,7 +56,7 @@
     def go_on(self) -> None:
         """Let jobs of earlier owners start, or have them wait for the workers that are silent."""
         if not self._unheard:
-            self._scheduler.all_workers_heard()
+            self._go_on_with_all()
             return
         log_event('takeover_incomplete', silent=sorted(self._unheard), until_s=self._until_s)
         for worker_id in self._unheard:
@@ -61,4 +69,8 @@
         self._unheard.discard(worker_id)
         if not self._unheard:
             log_event('takeover_complete', epoch=self._epoch)
-            self._scheduler.all_workers_heard()
+            self._go_on_with_all()
+
+    def _go_on_with_all(self) -> None:
+        self._has_heard_all = True
+        self._scheduler.all_workers_heard()
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -128,7 +128,7 @@
 
 def decode_job_record(item):
     record = decode(item.value, JobRecord, 'job record')
-    return JobListed(record.spec, record.queue, EPOCH + 1)
+    return JobListed(record.spec, record.queue, EPOCH + 1, EPOCH)
 
 
 def submitted(owner, news):
