An owner gives orders only while it surely is the owner, on a clock that counts suspension

An owner whose machine was suspended, or frozen, gave orders and renewed leases on workers as soon as it woke, up to 0.6 s before its next renewal told it of a successor; one cut off from the store and from its peers did so for ever. Workers that the successor did not reach took the orders. Cause: the steady clock stands still during a suspension, and nothing compared the age of the owner's claim with anything before an order went out. What was last known was taken for what holds. Change: authority ends 2 s (the life of the lease in the store) after the last confirmation was asked for: a grant or renewal, or, while the store is away, answers of most instances to a beat that they know of no newer owner. It is looked at before each pass, each try of a start and each renewal of a worker's lease. Ages, leases and deadlines of the owner are measured on CLOCK_BOOTTIME. A new owner allows for leases that were given until then (2 s longer for jobs of earlier owners while a worker is silent). Ruled out: shorter leases on workers (they outlast outages by design); stopping at once without the store (an outage for all would stop all work).

--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -18,6 +18,7 @@
 from dahliaarch_platform.workers import WorkerClient
 
 from .asking import askers
+from .authority import Authority
 from .configuration import ConfigurationFollower, PeerFeed, StoreFeed
 from .front import Front
 from .logs import log_event, LogWriter
@@ -75,11 +76,13 @@
         self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
         self._follower = ConfigurationFollower(self._metrics)
         self._store_feed = StoreFeed(self._follower, self._store, self._timing)
+        self._authority = Authority(own.ownership.lease_s)
         self._ownership = Ownership(
             self._member,
             self._store,
             self._timing,
             own.ownership,
+            self._authority,
             is_able=settings.cpu_share * settings.cores >= _ABLE_CORES,
         )
         self._advice = AdviceClient(self._http, settings.advice) if settings.advice else None
@@ -88,7 +91,7 @@
         self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
         self._peer_feed = PeerFeed(self._follower, self._mesh)
         self._membership = Membership(
-            self._member, self._store, self._timing, self._follower, self._peer_feed, self._mesh
+            self._member, self._store, self._timing, self._follower, self._peer_feed, self._mesh, self._authority
         )
         self._replies.membership = self._membership
         self._front_server = HttpServer(
@@ -158,6 +161,7 @@
             WorkerClient(self._http),
             partial(askers, self._advice, self._mesh, self._membership),
             self._metrics,
+            self._authority,
         )
         self._replies.owner = owner
         self._metrics.is_owner.set(1)
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -1,6 +1,5 @@
 """The instances that are there: each has an entry in the store and hears the owner."""
 
-import time
 from typing import NamedTuple
 
 import anyio
@@ -8,6 +7,8 @@
 from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient, Write
 
+from .authority import Authority
+from .clock import steady_s
 from .configuration import ConfigurationFollower, PeerFeed
 from .logs import log_event
 from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
@@ -32,6 +33,21 @@
     missed: int = 0
 
 
+class _Round:
+    """One beat to all: confirms the owner's authority once most of the instances have agreed."""
+
+    def __init__(self, asked_s: float, instances: int, authority: Authority) -> None:
+        self._asked_s = asked_s
+        self._needed = instances // 2 + 1
+        self._authority = authority
+
+    def agreed(self) -> None:
+        """Take in that one more instance knows of no newer owner."""
+        self._needed -= 1
+        if self._needed <= 0:
+            self._authority.confirm(self._asked_s)
+
+
 class Membership:
     """Registers this instance and, on the owner, keeps in touch with all.
 
@@ -49,6 +65,8 @@
         Fetches newer versions from others.
     mesh : Mesh
         Messages to the others.
+    authority : Authority
+        Confirmed where most instances know of no newer owner.
     """
 
     def __init__(
@@ -59,8 +77,10 @@
         follower: ConfigurationFollower,
         peer_feed: PeerFeed,
         mesh: Mesh,
+        authority: Authority,
     ) -> None:
         """Start knowing nobody."""
+        self._authority = authority
         self._member = member
         self._store = store
         self._timing = timing
@@ -91,7 +111,7 @@
         if member.instance == self._member.instance:
             return
         if known is None or known.member != member:
-            self._peer_by_instance[member.instance] = _Peer(member, -1, time.monotonic())
+            self._peer_by_instance[member.instance] = _Peer(member, -1, steady_s())
 
     def peers(self) -> list[Member]:
         """Return the instances that answered of late, this one left out."""
@@ -119,9 +139,11 @@
                 self._mesh.tell((peer.member.host, peer.member.port), beat)
 
     async def _beat_all(self, epoch: int) -> None:
+        count = _Round(steady_s(), len(self._peer_by_instance) + 1, self._authority)
+        count.agreed()
         async with anyio.create_task_group() as tasks:
             for peer in tuple(self._peer_by_instance.values()):
-                tasks.start_soon(self._beat, peer, epoch)
+                tasks.start_soon(self._beat, peer, epoch, count)
             tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
 
     async def _load(self) -> None:
@@ -129,7 +151,7 @@
         for item in page.items:
             self.add(decode(item.value, Member, 'member'))
 
-    async def _beat(self, peer: _Peer, epoch: int) -> None:
+    async def _beat(self, peer: _Peer, epoch: int, count: _Round) -> None:
         member = peer.member
         beat = Beat(self._member, epoch, self._follower.version)
         try:
@@ -140,9 +162,11 @@
         if not isinstance(reply, BeatReply):
             return
         self.announced(member, reply.version)
+        if reply.epoch <= epoch:
+            count.agreed()
         if peer.missed:
             log_event('beats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
-        self._update(peer, _Peer(member, reply.version, time.monotonic()))
+        self._update(peer, _Peer(member, reply.version, steady_s()))
 
     def _note_missed(self, peer: _Peer, error: PeerSilentError) -> None:
         if not peer.missed:
@@ -155,7 +179,7 @@
             self._peer_by_instance[before.member.instance] = after
 
     async def _forget_silent(self) -> None:
-        limit_s = time.monotonic() - _FORGET_AFTER_S
+        limit_s = steady_s() - _FORGET_AFTER_S
         for instance, peer in tuple(self._peer_by_instance.items()):
             if peer.heard_s > limit_s:
                 continue
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -26,6 +26,8 @@
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
+from ..authority import Authority, lasting_authority
+from ..clock import steady_s
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
@@ -86,6 +88,8 @@
         Returns the ways to ask the outside policy now.
     metrics : Metrics
         Counters.
+    authority : Authority or None
+        Whether orders may be given; one that never ends by default.
     """
 
     def __init__(
@@ -95,8 +99,11 @@
         workers: WorkerClient,
         askers: Callable[[], Sequence[Ask]],
         metrics: Metrics,
+        authority: Authority | None = None,
     ) -> None:
         """Prepare; `run` takes the pool over."""
+        self._authority = authority or lasting_authority()
+        self._has_authority = True
         self.is_ready = False
         self.end_news = EndNews()
         self.scheduler = Scheduler(
@@ -122,11 +129,12 @@
             metrics,
             self.post,
             self.depose,
-            time.monotonic,
+            steady_s,
             StartTurns(anyio.Semaphore(_MOST_STARTS), anyio.Semaphore(_MOST_STARTS)),
+            self._may_order,
         )
         self._links = Links(context)
-        self._adviser = Adviser(askers, self.post, time.monotonic)
+        self._adviser = Adviser(askers, self.post, steady_s)
         self._effects = Effects(self.scheduler, self._links, self._adviser, self.post, metrics)
         self._recorder = Recorder(
             store,
@@ -198,8 +206,10 @@
         kept = await read_jobs(self._store, self._settings.timing)
         self._progress_by_id = kept.progress_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
-        # A silent worker may run jobs of earlier owners until its lease ends.
-        self._earlier.may_last(self._settings.bounds.max_hold_s, time.monotonic())
+        # A silent worker may run jobs of earlier owners until its lease ends, which the
+        # owner before may have given while its authority lasted.
+        lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
+        self._earlier.may_last(lease_s, steady_s())
         for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
             self._handle_all(job_messages(item))
         self._drain_inbox()
@@ -220,9 +230,9 @@
         its lease has ended; later ones can't run there.
         """
         self._earlier.expect_workers()
-        deadline_s = time.monotonic() + _TAKEOVER_SURVEY_S
-        while self._earlier.is_unheard and time.monotonic() < deadline_s:
-            with anyio.move_on_after(deadline_s - time.monotonic()):
+        deadline_s = steady_s() + _TAKEOVER_SURVEY_S
+        while self._earlier.is_unheard and steady_s() < deadline_s:
+            with anyio.move_on_after(deadline_s - steady_s()):
                 self._handle(await self._receive.receive())
             self._drain_inbox()
         self._earlier.go_on()
@@ -235,7 +245,17 @@
                 self._handle(await self._receive.receive())
             self._drain_inbox()
 
+    def _may_order(self) -> bool:
+        """Tell whether this instance surely owns the pool now; looked at before each order."""
+        may_order = self._authority.holds(steady_s())
+        if may_order is not self._has_authority:
+            self._has_authority = may_order
+            log_event('authority_regained' if may_order else 'authority_lost', epoch=self.epoch)
+        return may_order
+
     def _decide(self) -> None:
+        if not self._may_order():
+            return
         begun_s = time.perf_counter()
         effects = self.scheduler.decide(_now())
         for note in self.scheduler.take_notes():
@@ -401,7 +421,7 @@
 
 
 def _now() -> Moment:
-    return Moment(time.monotonic(), time.time())
+    return Moment(steady_s(), time.time())
 
 
 def _note_policy_failure(program: str, error: Exception) -> None:
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -75,6 +75,10 @@
     other: anyio.Semaphore
 
 
+def _always() -> bool:
+    return True
+
+
 class LinkContext(NamedTuple):
     """What every link uses.
 
@@ -96,6 +100,8 @@
         Steady clock.
     turns : StartTurns
         Bounds the starts under way on all links together.
+    may_order : callable
+        Tells whether this instance surely owns the pool now.
     """
 
     client: WorkerClient
@@ -106,3 +112,4 @@
     fenced: Callable[[], None]
     clock: Callable[[], float]
     turns: StartTurns
+    may_order: Callable[[], bool] = _always
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -107,7 +107,8 @@
         wait_s = self._wait_s()
         # A worker that does not answer is not given more time: its lease must end
         # at some point for its runs to start elsewhere.
-        until_s = None if self._contact.failures else self._contact.lease_until(self._hold_s)
+        may_renew = context.may_order() and not self._contact.failures
+        until_s = self._contact.lease_until(self._hold_s) if may_renew else None
         try:
             survey = await self._ask(until_s, wait_s)
         except WorkerUnreachableError as error:
@@ -127,7 +128,7 @@
             self._lease.assume_held(settings.hold_s, context.clock())
         self._lease.read(survey.clock_s, context.clock())
         self._take_in(survey, begun_s)
-        if until_s is not None:
+        if until_s is not None or not context.may_order():
             # One that renewed no lease, the first and any after a failure, is followed
             # at once by one that does.
             await self._pause(survey)
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -71,6 +71,8 @@
         settings = self._contact.context.settings
         is_doubtful = False
         for number in range(settings.order_tries):
+            if not self._contact.context.may_order():
+                return self._withhold(effect, is_doubtful=is_doubtful)
             status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
             if status is not None:
                 self._start_answered(effect, status, is_doubtful=is_doubtful)
@@ -78,6 +80,12 @@
             is_doubtful = True
         return True
 
+    def _withhold(self, effect: StartRun, *, is_doubtful: bool) -> bool:
+        """Send a start no more, since another instance may own the pool; tell whether it stays in doubt."""
+        if not is_doubtful:
+            self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
+        return is_doubtful
+
     def _is_needless(self, effect: StartRun) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
         takes_none = self._contact.is_silent or self._contact.is_draining or self._contact.is_overfull
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -20,6 +20,8 @@
     Write,
 )
 
+from .authority import Authority
+from .clock import steady_s
 from .logs import log_event
 from .records import Member, OWNER_KEY
 from .timing import StoreTiming
@@ -68,6 +70,8 @@
         Timeouts and pauses.
     settings : OwnershipSettings
         Times of the lease.
+    authority : Authority
+        Confirmed by each grant and renewal of the lease.
     is_able : bool
         Whether this instance has the resources to own the pool.
     """
@@ -78,6 +82,7 @@
         store: StoreClient,
         timing: StoreTiming,
         settings: OwnershipSettings,
+        authority: Authority,
         *,
         is_able: bool,
     ) -> None:
@@ -89,6 +94,7 @@
         self._store = store
         self._timing = timing
         self._settings = settings
+        self._authority = authority
         self._delay_s = settings.claim_delay_s if is_able else settings.slow_claim_delay_s
         self._lease = 0
         self._had_owner = False
@@ -173,10 +179,17 @@
     async def _renew(self) -> bool:
         """Renew the lease, at once again when the first call gets no answer."""
         try:
-            return await self._store.keep_lease(self._lease, timeout_s=self._timing.keep_s)
+            return await self._renew_once()
         except StoreUnansweredError as error:
             log_event('owner_lease_unanswered', why=str(error), lease=self._lease)
-        return await self._store.keep_lease(self._lease, timeout_s=self._timing.keep_s)
+        return await self._renew_once()
+
+    async def _renew_once(self) -> bool:
+        asked_s = steady_s()
+        is_kept = await self._store.keep_lease(self._lease, timeout_s=self._timing.keep_s)
+        if is_kept:
+            self._authority.confirm(asked_s)
+        return is_kept
 
     async def _claim_free(self) -> None:
         if self.is_leaving:
@@ -190,6 +203,7 @@
         """Take the key if it still is at a revision (0: absent)."""
         if self.is_leaving:
             return
+        asked_s = steady_s()
         lease = await self._store.grant_lease(self._settings.lease_s, timeout_s=self._timing.call_s)
         write = Write(OWNER_KEY, encode(self._member), lease)
         try:
@@ -199,18 +213,19 @@
                 timeout_s=self._timing.call_s,
             )
         except StoreUnansweredError:
-            await self._read_back(lease)
+            await self._read_back(lease, asked_s)
             return
         if outcome.status is CommitStatus.DONE:
-            self._won(lease, outcome.revision)
+            self._won(lease, outcome.revision, asked_s)
 
-    async def _read_back(self, lease: int) -> None:
+    async def _read_back(self, lease: int, asked_s: float) -> None:
         """Find out whether a claim without an answer has been carried out."""
         item = await self._store.get(OWNER_KEY, timeout_s=self._timing.call_s)
         if item is not None and decode(item.value, Member, 'member') == self._member:
-            self._won(lease, item.revision)
+            self._won(lease, item.revision, asked_s)
 
-    def _won(self, lease: int, epoch: int) -> None:
+    def _won(self, lease: int, epoch: int, asked_s: float) -> None:
+        self._authority.confirm(asked_s)
         self._lease = lease
         self.heard(Owner(self._member, epoch))
 
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -35,9 +35,18 @@
 
 
 class BeatReply(NamedTuple):
-    """Version of the configuration that an instance follows."""
+    """What an instance knows as it answers a beat.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration that it follows.
+    epoch : int
+        Epoch of the newest owner that it knows.
+    """
 
     version: int
+    epoch: int = 0
 
 
 class AskConfiguration(NamedTuple):
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -87,7 +87,8 @@
         self._ownership.heard(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.announced(message.owner, message.version)
-        return BeatReply(self._follower.version)
+        known = self._ownership.owner
+        return BeatReply(self._follower.version, 0 if known is None else known.epoch)
 
     @_reply.register
     async def _(self, message: AskConfiguration) -> Message | None:
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -21,6 +21,7 @@
 import msgspec
 import pytest
 
+from dahliaarch_node.authority import Authority
 from dahliaarch_node.configuration import ConfigurationFollower, PeerFeed, StoreFeed
 from dahliaarch_node.membership import Membership
 from dahliaarch_node.metrics import Metrics
@@ -76,11 +77,12 @@
         store = StoreClient(StoreSettings(store_address), HttpClient(), lambda *_: None)
         self.follower = ConfigurationFollower(Metrics())
         self._store_feed = StoreFeed(self.follower, store, timing)
-        ownership = Ownership(self.member, store, timing, OwnershipSettings(), is_able=True)
+        authority = Authority(OwnershipSettings().lease_s)
+        ownership = Ownership(self.member, store, timing, OwnershipSettings(), authority, is_able=True)
         replies = PeerReplies(store, self.follower, ownership, None)
         self.mesh = Mesh(replies.answer)
         self._peer_feed = PeerFeed(self.follower, self.mesh)
-        self.membership = Membership(self.member, store, timing, self.follower, self._peer_feed, self.mesh)
+        self.membership = Membership(self.member, store, timing, self.follower, self._peer_feed, self.mesh, authority)
         replies.membership = self.membership
 
     def run(self, tasks):
