--- a/packages/standins/dahliaarch_standins/platform/faults.py
+++ b/packages/standins/dahliaarch_standins/platform/faults.py
@@ -31,6 +31,8 @@
         self.lost_share = 0.0
         self.refused_share = 0.0
         self.late_s = 0.0
+        # Owners with a higher epoch are not answered, as across a cut; 0 for none.
+        self.highest_fence = 0
         self._random = random.Random(seed)
 
     async def before(self, request: Request) -> Response | None:
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -130,6 +130,7 @@
         self._lapsed_at_s = 0.0
         self._news = anyio.Event()
         self._must_crash = False
+        self._crashes = 0
         self.address = Address('127.0.0.1', 0)
         self._seq = 0
         self.server = HttpServer(self._answer)
@@ -214,6 +215,8 @@
         if request.header('expected-instance') not in {'', self.worker_id}:
             return Response(421)
         body = msgspec.json.decode(request.body)
+        if 0 < self.faults.highest_fence < body.get('Fence', 0):
+            return await self.faults.lose()
         if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
         self._fence = body.get('Fence', 0)
@@ -278,8 +281,8 @@
         """Crash, and take connections again a little later."""
         self._must_crash = False
         self.server.close()
-        name, _, life = self.worker_id.partition('-')
-        self.crash(f'{name}-{int(life or 0) + 1}')
+        self._crashes += 1
+        self.crash(f'{self.worker_id.partition("-")[0]}-c{self._crashes}')
         await anyio.sleep(_DOWN_S)
         await self.server.listen(self.address)
 
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -13,13 +13,22 @@
 from ..deployment import Caller
 from ..deployment.core import KEY, PREFIX_BY_QUEUE
 from ..deployment.jobs import draw_steps
-from .faults import draw_plan, Fault, inject
 from .following import APPLY_S, FollowingCheck, SLOW_APPLY_S
+from .plans import draw_plan, Fault, inject
 from .probing import probe_forever
 from .settings import SoakSettings
 from .system import System
 from .versions import OTHER_KEY
-from .violations import doubled_runs, ENDED_STATES, false_ends, refused_that_ran, still_running, Submission, Violation
+from .violations import (
+    crashed_too_often,
+    doubled_runs,
+    ENDED_STATES,
+    false_ends,
+    refused_that_ran,
+    still_running,
+    Submission,
+    Violation,
+)
 
 # Times between a caller's jobs, and between its tries of one, in seconds.
 _GAP_S = 0.4
@@ -130,6 +139,7 @@
         *(Violation('an instance becomes ready', name) for name in unready),
         *doubled_runs(system.deployment.workers),
         *await _running_on(system, states),
+        *crashed_too_often(submissions, system.deployment.workers),
         *refused_that_ran(submissions, system.deployment.workers),
         *false_ends(states, submissions, _done_tasks(system)),
         *check.violations,
@@ -163,20 +173,24 @@
 ) -> None:
     """Hand jobs in over kept connections until some time after the last fault."""
     caller = system.deployment.caller()
+    # Drawn apart, so that the other jobs of a seed stay what they are.
+    crashes = random.Random(choice.getrandbits(64) if settings.crashing_share else 0)
     with anyio.move_on_after(settings.faults_s + _TRAFFIC_AFTER_S):
         while True:
             await anyio.sleep(choice.expovariate(1 / _GAP_S))
             steps = _crowd(choice) if settings.is_crowded else draw_steps(choice, estimate_ms=_ESTIMATE_MS)
             with anyio.CancelScope(shield=True):
+                if crashes.random() < settings.crashing_share:
+                    submissions.append(await _hand_in(caller, crashes, [{**steps[0], 'Count': 1}], 'crash'))
                 submissions.append(await _hand_in(caller, choice, steps))
 
 
-async def _hand_in(caller: Caller, choice: random.Random, steps: list[dict[str, Any]]) -> Submission:
+async def _hand_in(caller: Caller, choice: random.Random, steps: list[dict[str, Any]], payload: str = '') -> Submission:
     queue = choice.choice(sorted(PREFIX_BY_QUEUE))
     job_id = f'{choice.getrandbits(64):016x}'
     is_to_be_cancelled = choice.random() < _CANCELLED_SHARE
     work_s = _CANCELLED_WORK_S if is_to_be_cancelled else choice.uniform(*_WORK_S)
-    body = {'Spec': f'{work_s:.2f}', 'Steps': steps}
+    body = {'Spec': f'{payload}{work_s:.2f}', 'Steps': steps}
     path = PREFIX_BY_QUEUE[queue] + job_id
     statuses: list[int] = []
     for pause_s in _TRIES_S:
@@ -190,7 +204,7 @@
     if is_cancelled:
         await anyio.sleep(choice.uniform(0.0, 1.0))
         await _cancel(caller, path)
-    return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled)
+    return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled, bool(payload))
 
 
 async def _cancel(caller: Caller, path: str) -> None:
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -11,6 +11,9 @@
 # slowest of the platform's, 5 Mbit/s.
 SLOW_BYTES_PER_S = 600_000
 
+# Share of the jobs that crash workers: one or two of a soak.
+_CRASHING_SHARE = 0.06
+
 
 class SoakSettings(NamedTuple):
     """Size and length of one soak; times in seconds.
@@ -36,6 +39,8 @@
     is_crowded : bool
         Whether jobs are of many short tasks, so that some always wait: what a
         deposed owner would start wrongly.
+    crashing_share : float
+        Share of the jobs whose task crashes each worker that starts it.
     without : str
         Protection that is switched off, in a control arm: one of PROTECTIONS.
     """
@@ -51,6 +56,7 @@
     settle_s: float = 30.0
     kinds: tuple[str, ...] = ()
     is_crowded: bool = False
+    crashing_share: float = 0.0
     without: str = ''
 
 
@@ -67,6 +73,7 @@
         slow_links=slow_links,
         faults=int(6 * share),
         faults_s=8.0 + 2.0 * (share - 1),
+        crashing_share=_CRASHING_SHARE,
     )
 
 
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -1,6 +1,6 @@
 """What callers and workers saw, held against what is promised to them."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import pairwise
 from typing import NamedTuple
@@ -11,6 +11,9 @@
 # States of a job of which nothing may run.
 ENDED_STATES = frozenset(('succeeded', 'failed', 'cancelled'))
 
+# Starts of a task that crashes workers: three that tell, and two more.
+_MOST_CRASHING_STARTS = 5
+
 
 class Violation(NamedTuple):
     """A promise that was not kept."""
@@ -32,6 +35,8 @@
         Answers to its tries; 0 where there was none.
     is_cancelled : bool
         Whether its cancellation was acknowledged.
+    crashes_workers : bool
+        Whether its task crashes each worker that starts it.
     """
 
     job_id: str
@@ -39,6 +44,7 @@
     tasks: int
     statuses: tuple[int, ...]
     is_cancelled: bool = False
+    crashes_workers: bool = False
 
     @property
     def is_accepted(self) -> bool:
@@ -92,6 +98,15 @@
                 yield Violation('nothing of an ended job runs on', f'{worker.worker_id}: {task}, {run}, {state}')
 
 
+def crashed_too_often(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
+    """Yield tasks that crash workers and were started more often than is borne."""
+    guilty = {submission.job_id for submission in submissions if submission.crashes_workers}
+    starts = Counter(start.task for worker in workers for start in worker.starts)
+    for task, count in starts.items():
+        if count > _MOST_CRASHING_STARTS and task.partition('.')[0] in guilty:
+            yield Violation('a task that crashes workers is given up', f'{task}: {count} starts')
+
+
 def refused_that_ran(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
     """Yield jobs that ran though every try to hand them in was refused."""
     refused = {submission.job_id for submission in submissions if submission.is_refused}
@@ -126,4 +141,6 @@
         return None
     if submission.is_cancelled and state == 'cancelled':
         return None
+    if submission.crashes_workers and state == 'failed':
+        return None
     return Violation('an accepted job is done', f'{submission.job_id}: {state or "no answer"}')
