Account: stops by job, what became of the room they made, times from the first job on, headings and lists that are read

Sight for work that is stopped again and again: `account` told neither how often a job was stopped nor whether the job that room was made for began there; times were seconds since 1970, headings were cut at 80 columns, lists of jobs shown as tuples. Now: rows by job (stops, the most of one task, core-seconds thrown away, for how many jobs) and by use of the room; `explain` closes with the same for one job.

--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -2,6 +2,7 @@
 
 from .core import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .histories import JobHistory, read_histories, RunHistory
+from .stops import RoomUse, StoppedJob, tell_stops
 
 __all__ = (
     'Account',
@@ -9,8 +10,11 @@
     'JobHistory',
     'Loss',
     'QueueRow',
+    'RoomUse',
     'RunHistory',
+    'StoppedJob',
     'WindowRow',
     'account',
     'read_histories',
+    'tell_stops',
 )
--- a/packages/cli/dahliaarch_cli/accounting/core.py
+++ b/packages/cli/dahliaarch_cli/accounting/core.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from .histories import JobHistory, RunHistory
+from .stops import RoomUse, StoppedJob, stops_by_job, use_of_room
 
 # Length of a window in seconds.
 _WINDOW_S = 2.0
@@ -71,7 +72,7 @@
 
 
 class CostlyDecision(NamedTuple):
-    """Runs that were stopped together for one reason."""
+    """Runs that were stopped together for one reason, at a time from the first job on."""
 
     at_s: float
     why: str
@@ -95,6 +96,10 @@
         By two-second window, from the first job on.
     decisions : list of CostlyDecision
         The costliest.
+    room : list of RoomUse
+        What became of room that stops made.
+    stopped : list of StoppedJob
+        Jobs that lost most by such stops.
     """
 
     queues: list[QueueRow]
@@ -102,6 +107,8 @@
     work: list[Loss]
     windows: list[WindowRow]
     decisions: list[CostlyDecision]
+    room: list[RoomUse]
+    stopped: list[StoppedJob]
 
 
 def account(history_by_id: Mapping[str, JobHistory]) -> Account:
@@ -114,6 +121,8 @@
         _by_outcome(jobs),
         _by_window(jobs, size_by_id),
         _costliest(jobs),
+        use_of_room(history_by_id),
+        stops_by_job(jobs)[:_MOST_NAMED],
     )
 
 
@@ -180,7 +189,7 @@
     for job in jobs:
         for run in job.runs:
             cause = _outcome(job, run)
-            core_s_by_cause[cause] += _core_s(job, run)
+            core_s_by_cause[cause] += job.core_s_of(run)
             runs_by_cause[cause] += 1
     found = [Loss(cause, runs_by_cause[cause], core_s) for cause, core_s in core_s_by_cause.items()]
     return sorted(found, key=lambda loss: -loss.core_s)
@@ -191,21 +200,11 @@
         return 'done'
     if run.ended_s is None:
         return 'not ended'
-    return run.cause + (_SAVED if _is_saved(job, run) else '')
-
-
-def _is_saved(job: JobHistory, run: RunHistory) -> bool:
-    """Tell whether the work of a run that was stopped goes on in the next."""
-    return bool(run.stopped_why) and job.cancelled_s is None and job.saves_by_step[run.task[2]]
-
-
-def _core_s(job: JobHistory, run: RunHistory) -> float:
-    step = run.task[2]
-    return run.took_s * (job.cores_by_step[step] if step < len(job.cores_by_step) else 1.0)
+    return run.cause + (_SAVED if job.saves(run) else '')
 
 
 def _is_thrown_away(job: JobHistory, run: RunHistory) -> bool:
-    return run.ended_s is not None and run.how != 'done' and not _is_saved(job, run)
+    return run.ended_s is not None and run.how != 'done' and not job.saves(run)
 
 
 def _by_window(jobs: list[JobHistory], size_by_id: Mapping[str, float]) -> list[WindowRow]:
@@ -219,7 +218,7 @@
             jobs_by_window[_window(job.asked_s - first_s)].append(job)
         for run in job.runs:
             if run.ended_s is not None and _is_thrown_away(job, run):
-                lost_by_window[_window(run.ended_s - first_s)] += _core_s(job, run)
+                lost_by_window[_window(run.ended_s - first_s)] += job.core_s_of(run)
     rows = []
     for window in sorted(jobs_by_window.keys() | lost_by_window.keys()):
         came = jobs_by_window[window]
@@ -234,8 +233,9 @@
     return int(after_s // _WINDOW_S)
 
 
-def _costliest(jobs: Iterable[JobHistory]) -> list[CostlyDecision]:
+def _costliest(jobs: list[JobHistory]) -> list[CostlyDecision]:
     """Return the stops that threw most away; those for one reason count as one decision."""
+    first_s = min((job.asked_s for job in jobs), default=0.0)
     runs_by_reason: dict[str, list[tuple[JobHistory, RunHistory]]] = defaultdict(list)
     for job in jobs:
         for run in job.runs:
@@ -244,10 +244,10 @@
                 runs_by_reason[reason].append((job, run))
     found = [
         CostlyDecision(
-            min(run.ended_s or run.ordered_s for _, run in pairs),
+            min(run.stopped_s for _, run in pairs) - first_s,
             why,
             len(pairs),
-            sum(_core_s(job, run) for job, run in pairs),
+            sum(job.core_s_of(run) for job, run in pairs),
             tuple(sorted({job.job_id for job, _ in pairs})),
         )
         for why, pairs in runs_by_reason.items()
--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -20,13 +20,17 @@
         Number of the run.
     ordered_s : float
         When its start was ordered, seconds since 1970.
+    worker : str
+        Where.
     """
 
-    def __init__(self, task: _Task, number: int, ordered_s: float) -> None:
+    def __init__(self, task: _Task, number: int, ordered_s: float, worker: str) -> None:
         """Start as a run under way."""
         self.task = task
         self.number = number
         self.ordered_s = ordered_s
+        self.worker = worker
+        self.stopped_s = 0.0
         self.ended_s: float | None = None
         self.how = ''
         self.stopped_why = ''
@@ -76,7 +80,16 @@
     @property
     def core_s(self) -> float:
         """Weighted core-seconds of the runs that succeeded."""
-        return sum(run.took_s * self.cores_by_step[run.task[2]] for run in self.runs if run.how == 'done')
+        return sum(self.core_s_of(run) for run in self.runs if run.how == 'done')
+
+    def core_s_of(self, run: RunHistory) -> float:
+        """Return the weighted core-seconds of a run."""
+        step = run.task[2]
+        return run.took_s * (self.cores_by_step[step] if step < len(self.cores_by_step) else 1.0)
+
+    def saves(self, run: RunHistory) -> bool:
+        """Tell whether the work of a run that was stopped goes on in the next."""
+        return bool(run.stopped_why) and self.cancelled_s is None and self.saves_by_step[run.task[2]]
 
     @property
     def work_s(self) -> float:
@@ -144,7 +157,7 @@
 
     def ordered(self, line: LogLine) -> None:
         key = _key(line.fields)
-        run = RunHistory(*key, line.at_s)
+        run = RunHistory(*key, line.at_s, line.fields['worker'])
         self._run_by_key[key] = run
         self.job(run.task[0]).runs.append(run)
 
@@ -152,6 +165,7 @@
         run = self._run_by_key.get(_key(line.fields))
         if run is not None and not run.stopped_why:
             run.stopped_why = line.fields['why']
+            run.stopped_s = line.at_s
 
     def ended(self, line: LogLine) -> None:
         run = self._run_by_key.get(_key(line.fields))
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/accounting/stops.py
@@ -0,0 +1,131 @@
+"""Stops that made room: whom they hit, what they threw away, and what became of the room."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from .histories import JobHistory, RunHistory
+
+# A stop takes up to 0.9 s; work that it was ordered for begins at once after it, in
+# seconds from the order.
+_IN_TIME_S = 1.5
+# Work that begins on the same worker later than this found other room there, in seconds.
+_LATE_S = 3.0
+_FOR = 'makes room for '
+
+
+class StoppedJob(NamedTuple):
+    """A job whose tasks were stopped to make room.
+
+    Parameters
+    ----------
+    job, queue : str
+        The job.
+    ended : str
+        Its end; empty while it has none.
+    stops, most_of_one_task : int
+        Stops of its tasks.
+    core_s : float
+        Core-seconds that they threw away.
+    stopped_for : int
+        Jobs that room was made for.
+    """
+
+    job: str
+    queue: str
+    ended: str
+    stops: int
+    most_of_one_task: int
+    core_s: float
+    stopped_for: int
+
+
+class RoomUse(NamedTuple):
+    """What became of room that was made.
+
+    Parameters
+    ----------
+    use : str
+        Whether the job that it was made for began there, and when.
+    stops : int
+        Stops.
+    core_s : float
+        Core-seconds that they threw away.
+    """
+
+    use: str
+    stops: int
+    core_s: float
+
+
+class _Stop(NamedTuple):
+    job: JobHistory
+    run: RunHistory
+    core_s: float
+
+    @property
+    def made_for(self) -> str:
+        """Job that room was made for."""
+        return self.run.stopped_why.removeprefix(_FOR)
+
+
+def stops_by_job(jobs: Iterable[JobHistory]) -> list[StoppedJob]:
+    """Return the jobs that were stopped to make room, those that lost most first."""
+    rows = []
+    for stops in _by_job(jobs).values():
+        job = stops[0].job
+        by_task = Counter(stop.run.task for stop in stops)
+        core_s = sum(stop.core_s for stop in stops)
+        made_for = {stop.made_for for stop in stops}
+        rows.append(
+            StoppedJob(job.job_id, job.queue, job.phase, len(stops), max(by_task.values()), core_s, len(made_for))
+        )
+    return sorted(rows, key=lambda row: (-row.core_s, row.job))
+
+
+def use_of_room(history_by_id: Mapping[str, JobHistory]) -> list[RoomUse]:
+    """Return what became of the room that stops made, what threw most away first."""
+    count_by_use: Counter[str] = Counter()
+    core_s_by_use: dict[str, float] = defaultdict(float)
+    for stops in _by_job(history_by_id.values()).values():
+        for stop in stops:
+            use = _use(stop, history_by_id.get(stop.made_for))
+            count_by_use[use] += 1
+            core_s_by_use[use] += stop.core_s
+    found = [RoomUse(use, count, core_s_by_use[use]) for use, count in count_by_use.items()]
+    return sorted(found, key=lambda row: -row.core_s)
+
+
+def tell_stops(job: JobHistory | None) -> str:
+    """Return in a sentence how often a job was stopped to make room; nothing when it was not, or is unknown."""
+    rows = [] if job is None else stops_by_job([job])
+    if not rows:
+        return ''
+    row = rows[0]
+    return (
+        f'stopped {row.stops} times to make room for {row.stopped_for} jobs, one of its tasks '
+        f'{row.most_of_one_task} times: {row.core_s:.0f} core-seconds were thrown away'
+    )
+
+
+def _by_job(jobs: Iterable[JobHistory]) -> dict[str, list[_Stop]]:
+    stops_by_job: dict[str, list[_Stop]] = defaultdict(list)
+    for job in jobs:
+        for run in job.runs:
+            if run.stopped_why.startswith(_FOR):
+                thrown_away_s = 0.0 if job.saves(run) else job.core_s_of(run)
+                stops_by_job[job.job_id].append(_Stop(job, run, thrown_away_s))
+    return stops_by_job
+
+
+def _use(stop: _Stop, made_for: JobHistory | None) -> str:
+    """Return whether work began on room that was made for it."""
+    stopped_s = stop.run.stopped_s
+    later = [] if made_for is None else [run for run in made_for.runs if run.ordered_s >= stopped_s]
+    if not later:
+        return 'it never began'
+    waits_s = [run.ordered_s - stopped_s for run in later if run.worker == stop.run.worker]
+    if waits_s and min(waits_s) < _LATE_S:
+        return 'it began there' if min(waits_s) < _IN_TIME_S else 'it began there late'
+    soonest_s = min(run.ordered_s - stopped_s for run in later)
+    return 'it began elsewhere' if soonest_s < _IN_TIME_S else 'it began much later'
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -14,7 +14,7 @@
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
-from .accounting import account, read_histories
+from .accounting import account, read_histories, tell_stops
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
 from .printing import print_columns, print_effects, print_gap, print_table
@@ -75,6 +75,9 @@
         lines.extend(read_lines(path))
     for sentence in explain_job(job_id, lines, as_json=as_json):
         typer.echo(sentence)
+    told = tell_stops(read_histories(lines).get(job_id))
+    if told and not as_json:
+        typer.echo(told)
 
 
 @app.command(name='account')
--- a/packages/cli/dahliaarch_cli/printing.py
+++ b/packages/cli/dahliaarch_cli/printing.py
@@ -19,7 +19,7 @@
     table = Table(title=name)
     columns = list(rows[0]) if rows else []
     for column in columns:
-        table.add_column(column)
+        table.add_column(column.replace('_', ' '), overflow='fold')
     for row in rows:
         table.add_row(*(_text(row[column]) for column in columns))
     _console.print(table)
@@ -59,4 +59,6 @@
 
 
 def _text(cell: object) -> str:
+    if isinstance(cell, (tuple, list)):
+        return ' '.join(str(part) for part in cell)
     return f'{cell:.3f}' if isinstance(cell, float) else str(cell)
--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..accounting import account, read_histories
+from ..accounting import account, read_histories, tell_stops
 from ..explaining import LogLine
 
 URGENT, BATCH = 'a' * 16, 'b' * 16
@@ -29,8 +29,8 @@
     )
 
 
-def ordered(after_s, job, run=1):
-    return line(after_s, 'run_ordered', task=[job, 0, 0, 0], run=run, worker='w')
+def ordered(after_s, job, run=1, worker='w'):
+    return line(after_s, 'run_ordered', task=[job, 0, 0, 0], run=run, worker=worker)
 
 
 def stopped(after_s, job, why, run=1):
@@ -80,6 +80,54 @@
     assert not preempted(checkpoints=True).decisions
 
 
+def test_decisions_are_timed_from_the_first_job_on():
+    assert preempted(checkpoints=False).decisions[0].at_s == pytest.approx(3.0)
+
+
+def test_stops_are_told_by_job_and_by_what_became_of_the_room():
+    found = preempted(checkpoints=False)
+    assert [(row.job, row.ended, row.stops, row.most_of_one_task) for row in found.stopped] == [
+        (BATCH, 'succeeded', 1, 1)
+    ]
+    assert [(row.use, row.stops) for row in found.room] == [('it began there', 1)]
+    assert found.room[0].core_s == pytest.approx(35.0)
+    assert not preempted(checkpoints=True).room[0].core_s
+
+
+@pytest.mark.parametrize(
+    ('began', 'use'),
+    [
+        ((), 'it never began'),
+        ((ordered(5.5, URGENT),), 'it began there late'),
+        ((ordered(4.0, URGENT, worker='v'),), 'it began elsewhere'),
+        ((ordered(9.0, URGENT),), 'it began much later'),
+    ],
+)
+def test_room_that_served_nobody_in_time_is_told(began, use):
+    found = account_of(
+        known(0.0, BATCH, 'batch'),
+        ordered(0.0, BATCH),
+        known(3.0, URGENT, 'urgent'),
+        stopped(3.0, BATCH, f'makes room for {URGENT}'),
+        ended(3.5, BATCH, 'stopped'),
+        *began,
+    )
+    assert [row.use for row in found.room] == [use]
+
+
+def test_what_a_job_lost_by_stops_is_a_sentence():
+    histories = read_histories(
+        (
+            known(0.0, BATCH, 'batch'),
+            ordered(0.0, BATCH),
+            stopped(3.0, BATCH, f'makes room for {URGENT}'),
+            ended(3.5, BATCH, 'stopped'),
+        )
+    )
+    assert tell_stops(histories[BATCH]).startswith('stopped 1 times to make room for 1 jobs')
+    assert not tell_stops(None)
+
+
 def test_a_job_is_in_time_by_its_own_objective():
     rows = {row.queue: row for row in preempted(checkpoints=False).queues}
     assert (rows['urgent'].in_time, rows['urgent'].late) == (1, 0)
