Owner: what messages change is a module of its own; ends are kept also while no orders are given; unread state is gone

Found while splitting: while authority was lost a pass returned before it asked for ends to be kept. The revision of a job's acceptance decided nothing any more in the kernel and left it. A test that played the same twice uses one piece.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -74,7 +74,6 @@
         queue: Queue,
         now: Moment,
         *,
-        revision: int = 0,
         progress: JobProgress | None = None,
         not_before_s: float = 0.0,
     ) -> bool:
@@ -88,8 +87,6 @@
             Its queue when it was accepted.
         now : Moment
             The present.
-        revision : int
-            Store revision of its acceptance.
         progress : JobProgress or None
             What an earlier owner kept of it.
         not_before_s : float
@@ -97,7 +94,7 @@
         """
         if spec.job_id in self._state.job_by_id:
             return False
-        job = JobState(spec, queue, revision)
+        job = JobState(spec, queue)
         job.known_since_s = not_before_s
         if progress is not None:
             job.restore(progress)
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -57,7 +57,6 @@
         # Logarithms of the times that its tasks take on a worker like the others.
         self.log_times: list[float] = []
         self.standing: DatedStanding | None = None
-        # Whether a run was moved since it crawled against its estimate.
         self.advice = Advice() if job.queue.advice else None
 
     @property
@@ -137,15 +136,12 @@
         The job as submitted.
     queue : Queue
         Its queue when it was accepted.
-    revision : int
-        Store revision of its acceptance.
     """
 
-    def __init__(self, spec: JobSpec, queue: Queue, revision: int = 0) -> None:
+    def __init__(self, spec: JobSpec, queue: Queue) -> None:
         """Start with nothing done."""
         self.spec = spec
         self.queue = queue
-        self.revision = revision
         self.phase = JobPhase.QUEUED
         self.has_begun = False
         self.ended_s = 0.0
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -7,7 +7,6 @@
 import math
 import time
 from collections.abc import Callable, Iterable, Sequence
-from functools import singledispatchmethod
 
 import anyio
 from anyio.abc import TaskGroup
@@ -15,14 +14,9 @@
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import (
-    JobProgress,
     Moment,
     Scheduler,
-    WorkerProfile,
 )
-from dahliaarch_kernel.scheduler.events import RunEnd
-from dahliaarch_kernel.workload import step_summary, weighted_cores
-from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
@@ -35,24 +29,12 @@
 from .effects import Effects
 from .end_news import EndNews
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
+from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
-from .links import WorkerLink
 from .messages import (
-    AdviceFailed,
-    AdviceGiven,
-    JobCancelled,
-    JobListed,
     OwnerMessage,
-    RunNever,
-    StartAcknowledged,
     WorkerInherited,
-    WorkerListed,
-    WorkerOver,
     WorkersHeard,
-    WorkerSilent,
-    WorkerSurveyed,
-    WorkerUnlisted,
-    WorkerUnreadable,
 )
 from .recorder import Recorder
 from .registry import Links
@@ -115,11 +97,9 @@
         self._store = store
         self._metrics = metrics
         self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](math.inf)
-        self._tasks: TaskGroup | None = None
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
         self._unserved = UnservedWorkers()
-        self._progress_by_id: dict[str, JobProgress] = {}
         self._earlier = EarlierWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
         context = LinkContext(
@@ -182,18 +162,19 @@
         """Take the pool over and decide until deposed or cancelled."""
         with self._scope:
             async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
-                jobs_revision = await self._load(tasks)
-                await self._survey_all()
+                parts = IntakeParts(self.scheduler, self._links, self._earlier, self._unserved, self.depose, _now)
+                intake = Intake(parts, self.epoch, tasks)
+                jobs_revision = await self._load(intake, tasks)
+                await self._survey_all(intake)
                 self.is_ready = True
                 log_event('owner_ready', epoch=self.epoch, jobs=len(self.scheduler.job_by_id))
                 tasks.start_soon(follow_jobs, self._feed, jobs_revision)
                 tasks.start_soon(self._recorder.run)
                 tasks.start_soon(self._adviser.run)
                 tasks.start_soon(self._recorder.clean, self._settings.bounds.status_s, time.time)
-                await self._decide_forever()
+                await self._decide_forever(intake)
 
-    async def _load(self, tasks: TaskGroup) -> int:
+    async def _load(self, intake: Intake, tasks: TaskGroup) -> int:
         """Take in workers and jobs; return the revision to follow jobs from.
 
         Workers come first: from then on their leases are renewed, while thousands
@@ -201,19 +182,19 @@
         in the inbox, for it means nothing before the jobs are known.
         """
         workers = await read_workers(self._store, self._settings.timing)
-        self._handle_all(self._workers_known(workers))
+        intake.handle_all(self._workers_known(workers))
         tasks.start_soon(self._workers_feed.run, workers.entries.revision)
         kept = await read_jobs(self._store, self._settings.timing)
-        self._progress_by_id = kept.progress_by_id
+        intake.progress_by_id = kept.progress_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
         # A silent worker may run jobs of earlier owners until its lease ends, which the
         # owner before may have given while its authority lasted.
         lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
         self._earlier.may_last(lease_s, steady_s())
         for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
-            self._handle_all(job_messages(item))
-        self._drain_inbox()
-        self._progress_by_id = {}
+            intake.handle_all(job_messages(item))
+        self._drain_inbox(intake)
+        intake.progress_by_id = {}
         return kept.jobs.revision
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
@@ -223,7 +204,7 @@
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
         yield WorkersHeard()
 
-    async def _survey_all(self) -> None:
+    async def _survey_all(self, intake: Intake) -> None:
         """Hear from every worker that answers at once.
 
         Jobs accepted before this owner wait for the others, each until it answers or
@@ -233,17 +214,17 @@
         deadline_s = steady_s() + _TAKEOVER_SURVEY_S
         while self._earlier.is_unheard and steady_s() < deadline_s:
             with anyio.move_on_after(deadline_s - steady_s()):
-                self._handle(await self._receive.receive())
-            self._drain_inbox()
+                intake.handle(await self._receive.receive())
+            self._drain_inbox(intake)
         self._earlier.go_on()
 
-    async def _decide_forever(self) -> None:
+    async def _decide_forever(self, intake: Intake) -> None:
         while True:
             self._decide()
             await anyio.sleep(_PASS_GAP_S)
             with anyio.move_on_after(_PASS_EVERY_S):
-                self._handle(await self._receive.receive())
-            self._drain_inbox()
+                intake.handle(await self._receive.receive())
+            self._drain_inbox(intake)
 
     def _may_order(self) -> bool:
         """Tell whether this instance surely owns the pool now; looked at before each order."""
@@ -254,8 +235,14 @@
         return may_order
 
     def _decide(self) -> None:
-        if not self._may_order():
-            return
+        if self._may_order():
+            self._order()
+        if self.scheduler.has_dirty_jobs or self._links.has_unkept_ends:
+            self._recorder.needed.set()
+        self._note_roster()
+
+    def _order(self) -> None:
+        """Decide, and give the orders."""
         begun_s = time.perf_counter()
         effects = self.scheduler.decide(_now())
         for note in self.scheduler.take_notes():
@@ -265,9 +252,6 @@
         self._links.close_all_but(self.scheduler.worker_by_id)
         self._metrics.active_jobs.set(self.scheduler.active_jobs)
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
-        if self.scheduler.has_dirty_jobs or self._links.has_unkept_ends:
-            self._recorder.needed.set()
-        self._note_roster()
 
     def _note_roster(self) -> None:
         """Have the known workers kept when they have changed."""
@@ -276,148 +260,13 @@
             self._recorder.roster = roster
             self._recorder.needed.set()
 
-    def _handle_all(self, messages: Iterable[OwnerMessage]) -> None:
-        for message in messages:
-            self._handle(message)
-
-    def _drain_inbox(self) -> None:
+    def _drain_inbox(self, intake: Intake) -> None:
         while True:
             try:
                 message = self._receive.receive_nowait()
             except anyio.WouldBlock:
                 return
-            self._handle(message)
-
-    @singledispatchmethod
-    def _handle(self, message: object) -> None:
-        raise NotImplementedError(type(message).__name__)
-
-    @_handle.register
-    def _(self, message: JobListed) -> None:
-        if message.owner_epoch > self.epoch:
-            # Its acceptor knew a newer owner, which may have started it.
-            log_event('owner_outdated', job=message.spec.job_id, epoch=self.epoch, newer=message.owner_epoch)
-            self.depose()
-            return
-        job_id = message.spec.job_id
-        added = self.scheduler.add_job(
-            message.spec,
-            message.queue,
-            _now(),
-            revision=message.revision,
-            progress=self._progress_by_id.get(job_id),
-            not_before_s=self._earlier.not_before_s(message.owner_epoch),
-        )
-        if added:
-            log_event(
-                'job_known',
-                job=job_id,
-                queue=message.queue.name,
-                revision=message.revision,
-                owner_epoch=message.owner_epoch,
-                account=message.spec.account,
-                accepted_s=message.spec.accepted_s,
-                occurrences=message.spec.occurrences,
-                steps=[step_summary(step) for step in message.spec.steps],
-                cores=[weighted_cores(step.demand) for step in message.spec.steps],
-                stretch=message.queue.stretch,
-                target_s=message.queue.target_latency_s,
-            )
-
-    @_handle.register
-    def _(self, message: JobCancelled) -> None:
-        if self.scheduler.cancel(message.job_id, _now()):
-            log_event('job_cancelled', job=message.job_id)
-
-    @_handle.register
-    def _(self, message: WorkerListed) -> None:
-        profile = message.profile
-        is_known = profile.worker_id in self.scheduler.worker_by_id
-        if not is_known and self._unserved.sets_aside(message):
-            log_event('worker_unserved', worker=profile.worker_id, service=profile.service)
-            return
-        link = self._keep_in_touch(profile, message.address)
-        if not is_known or link.is_draining != profile.draining:
-            log_event(
-                'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
-            )
-        link.is_draining = profile.draining
-        link.is_overfull = self.scheduler.worker_by_id[profile.worker_id].is_overfull
-
-    @_handle.register
-    def _(self, message: WorkersHeard) -> None:
-        self.scheduler.workers_heard(_now())
-
-    @_handle.register
-    def _(self, message: WorkerInherited) -> None:
-        link = self._keep_in_touch(message.profile, message.address)
-        link.is_draining = message.profile.draining
-        self.scheduler.unlist_worker(message.profile.worker_id)
-
-    @_handle.register
-    def _(self, message: WorkerUnreadable) -> None:
-        self._unserved.forget(message.worker_id)
-        self.scheduler.suspend_worker(message.worker_id)
-
-    @_handle.register
-    def _(self, message: WorkerUnlisted) -> None:
-        log_event('worker_unlisted', worker=message.worker_id)
-        self._unserved.forget(message.worker_id)
-        self.scheduler.unlist_worker(message.worker_id)
-
-    @_handle.register
-    def _(self, message: WorkerSurveyed) -> None:
-        now = _now()
-        for end in message.ended:
-            self._take_in_end(end, now)
-        self.scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now)
-        link = self._links.get(message.worker_id)
-        if link is not None:
-            link.processed = max(link.processed, message.last_end)
-        worker = self.scheduler.worker_by_id.get(message.worker_id)
-        if link is not None and worker is not None:
-            link.is_overfull = worker.is_overfull
-        self._earlier.heard(message.worker_id)
-        former = self._links.take_predecessor(message.worker_id)
-        if former is not None:
-            self._handle(WorkerOver(former))
-
-    @_handle.register
-    def _(self, message: WorkerSilent) -> None:
-        self.scheduler.worker_silent(message.worker_id)
-
-    @_handle.register
-    def _(self, message: WorkerOver) -> None:
-        log_event('worker_over', worker=message.worker_id)
-        self.scheduler.worker_over(message.worker_id, _now())
-        self._links.close(message.worker_id)
-        self._earlier.heard(message.worker_id)
-
-    @_handle.register
-    def _(self, message: StartAcknowledged) -> None:
-        self.scheduler.run_started(message.worker_id, message.key, message.run, _now())
-
-    @_handle.register
-    def _(self, message: RunNever) -> None:
-        self._take_in_end(RunEnd(message.worker_id, message.key, message.run, message.kind), _now())
-
-    @_handle.register
-    def _(self, message: AdviceGiven) -> None:
-        self.scheduler.advice_given(message.step, message.asked, message.ticket_by_worker, message.until_s)
-
-    @_handle.register
-    def _(self, message: AdviceFailed) -> None:
-        self.scheduler.advice_failed(message.step, _now())
-
-    def _keep_in_touch(self, profile: WorkerProfile, address: Address) -> WorkerLink:
-        """Take in what a worker publishes; return the link to it."""
-        self.scheduler.update_worker(profile, _now())
-        assert self._tasks is not None  # noqa: S101
-        return self._links.open(self.scheduler.worker_by_id[profile.worker_id], address, self._tasks)
-
-    def _take_in_end(self, end: RunEnd, now: Moment) -> None:
-        log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
-        self.scheduler.run_ended(end, now)
+            intake.handle(message)
 
 
 def _now() -> Moment:
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -0,0 +1,228 @@
+"""What each message changes in what the owner believes."""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from anyio.abc import TaskGroup
+
+from dahliaarch_kernel.scheduler import JobProgress, Moment, Scheduler, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import step_summary, weighted_cores
+from dahliaarch_platform.settings import Address
+
+from ..logs import log_event
+from .earlier_work import EarlierWork
+from .links import WorkerLink
+from .messages import (
+    AdviceFailed,
+    AdviceGiven,
+    JobCancelled,
+    JobListed,
+    OwnerMessage,
+    RunNever,
+    StartAcknowledged,
+    WorkerInherited,
+    WorkerListed,
+    WorkerOver,
+    WorkersHeard,
+    WorkerSilent,
+    WorkerSurveyed,
+    WorkerUnlisted,
+    WorkerUnreadable,
+)
+from .registry import Links
+from .unserved import UnservedWorkers
+
+
+class IntakeParts(NamedTuple):
+    """What messages change.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Jobs and workers.
+    links : Links
+        Links to workers.
+    earlier : EarlierWork
+        What earlier owners started.
+    unserved : UnservedWorkers
+        Workers of services that nobody configured.
+    deposed : callable
+        Called when a message tells of a newer owner.
+    now : callable
+        Returns the present time.
+    """
+
+    scheduler: Scheduler
+    links: Links
+    earlier: EarlierWork
+    unserved: UnservedWorkers
+    deposed: Callable[[], None]
+    now: Callable[[], Moment]
+
+
+class Intake:
+    """Takes in messages, one after the other.
+
+    Parameters
+    ----------
+    parts : IntakeParts
+        What they change.
+    epoch : int
+        Epoch of this owner.
+    tasks : TaskGroup
+        Where links to workers run.
+
+    Attributes
+    ----------
+    progress_by_id : dict
+        What earlier owners kept of jobs that are not taken in yet.
+    """
+
+    def __init__(self, parts: IntakeParts, epoch: int, tasks: TaskGroup) -> None:
+        """Start with nothing taken in."""
+        self.progress_by_id: dict[str, JobProgress] = {}
+        self._scheduler = parts.scheduler
+        self._links = parts.links
+        self._earlier = parts.earlier
+        self._unserved = parts.unserved
+        self._deposed = parts.deposed
+        self._now = parts.now
+        self._epoch = epoch
+        self._tasks = tasks
+
+    def handle_all(self, messages: Iterable[OwnerMessage]) -> None:
+        """Take in messages, the first first."""
+        for message in messages:
+            self.handle(message)
+
+    @singledispatchmethod
+    def handle(self, message: object) -> None:
+        """Take in one message."""
+        raise NotImplementedError(type(message).__name__)
+
+    @handle.register
+    def _(self, message: JobListed) -> None:
+        if message.owner_epoch > self._epoch:
+            # Its acceptor knew a newer owner, which may have started it.
+            log_event('owner_outdated', job=message.spec.job_id, epoch=self._epoch, newer=message.owner_epoch)
+            self._deposed()
+            return
+        job_id = message.spec.job_id
+        added = self._scheduler.add_job(
+            message.spec,
+            message.queue,
+            self._now(),
+            progress=self.progress_by_id.get(job_id),
+            not_before_s=self._earlier.not_before_s(message.owner_epoch),
+        )
+        if added:
+            log_event(
+                'job_known',
+                job=job_id,
+                queue=message.queue.name,
+                revision=message.revision,
+                owner_epoch=message.owner_epoch,
+                account=message.spec.account,
+                accepted_s=message.spec.accepted_s,
+                occurrences=message.spec.occurrences,
+                steps=[step_summary(step) for step in message.spec.steps],
+                cores=[weighted_cores(step.demand) for step in message.spec.steps],
+                stretch=message.queue.stretch,
+                target_s=message.queue.target_latency_s,
+            )
+
+    @handle.register
+    def _(self, message: JobCancelled) -> None:
+        if self._scheduler.cancel(message.job_id, self._now()):
+            log_event('job_cancelled', job=message.job_id)
+
+    @handle.register
+    def _(self, message: WorkerListed) -> None:
+        profile = message.profile
+        is_known = profile.worker_id in self._scheduler.worker_by_id
+        if not is_known and self._unserved.sets_aside(message):
+            log_event('worker_unserved', worker=profile.worker_id, service=profile.service)
+            return
+        link = self._keep_in_touch(profile, message.address)
+        if not is_known or link.is_draining != profile.draining:
+            log_event(
+                'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
+            )
+        link.is_draining = profile.draining
+        link.is_overfull = self._scheduler.worker_by_id[profile.worker_id].is_overfull
+
+    @handle.register
+    def _(self, message: WorkersHeard) -> None:
+        self._scheduler.workers_heard(self._now())
+
+    @handle.register
+    def _(self, message: WorkerInherited) -> None:
+        link = self._keep_in_touch(message.profile, message.address)
+        link.is_draining = message.profile.draining
+        self._scheduler.unlist_worker(message.profile.worker_id)
+
+    @handle.register
+    def _(self, message: WorkerUnreadable) -> None:
+        self._unserved.forget(message.worker_id)
+        self._scheduler.suspend_worker(message.worker_id)
+
+    @handle.register
+    def _(self, message: WorkerUnlisted) -> None:
+        log_event('worker_unlisted', worker=message.worker_id)
+        self._unserved.forget(message.worker_id)
+        self._scheduler.unlist_worker(message.worker_id)
+
+    @handle.register
+    def _(self, message: WorkerSurveyed) -> None:
+        now = self._now()
+        for end in message.ended:
+            self._take_in_end(end, now)
+        self._scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now)
+        link = self._links.get(message.worker_id)
+        if link is not None:
+            link.processed = max(link.processed, message.last_end)
+        worker = self._scheduler.worker_by_id.get(message.worker_id)
+        if link is not None and worker is not None:
+            link.is_overfull = worker.is_overfull
+        self._earlier.heard(message.worker_id)
+        former = self._links.take_predecessor(message.worker_id)
+        if former is not None:
+            self.handle(WorkerOver(former))
+
+    @handle.register
+    def _(self, message: WorkerSilent) -> None:
+        self._scheduler.worker_silent(message.worker_id)
+
+    @handle.register
+    def _(self, message: WorkerOver) -> None:
+        log_event('worker_over', worker=message.worker_id)
+        self._scheduler.worker_over(message.worker_id, self._now())
+        self._links.close(message.worker_id)
+        self._earlier.heard(message.worker_id)
+
+    @handle.register
+    def _(self, message: StartAcknowledged) -> None:
+        self._scheduler.run_started(message.worker_id, message.key, message.run, self._now())
+
+    @handle.register
+    def _(self, message: RunNever) -> None:
+        self._take_in_end(RunEnd(message.worker_id, message.key, message.run, message.kind), self._now())
+
+    @handle.register
+    def _(self, message: AdviceGiven) -> None:
+        self._scheduler.advice_given(message.step, message.asked, message.ticket_by_worker, message.until_s)
+
+    @handle.register
+    def _(self, message: AdviceFailed) -> None:
+        self._scheduler.advice_failed(message.step, self._now())
+
+    def _keep_in_touch(self, profile: WorkerProfile, address: Address) -> WorkerLink:
+        """Take in what a worker publishes; return the link to it."""
+        self._scheduler.update_worker(profile, self._now())
+        return self._links.open(self._scheduler.worker_by_id[profile.worker_id], address, self._tasks)
+
+    def _take_in_end(self, end: RunEnd, now: Moment) -> None:
+        log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
+        self._scheduler.run_ended(end, now)
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -88,7 +88,7 @@
                     await anyio.sleep(0.01)
             clock.for_s += SUSPENDED_S
             owner.post(news(EPOCH))
-            await after_ready(workers)
+            await after_ready(owner)
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
@@ -96,7 +96,7 @@
 
 
 def test_an_owner_that_was_suspended_orders_nothing_before_it_is_confirmed(clock):
-    async def wait(workers):
+    async def wait(owner):
         await anyio.sleep(0.5)
 
     assert not play(clock, Authority(LEASE_S), wait).starts
@@ -105,7 +105,7 @@
 def test_it_goes_on_as_soon_as_it_is_confirmed(clock):
     authority = Authority(LEASE_S)
 
-    async def confirm(workers):
+    async def confirm(owner):
         await anyio.sleep(0.3)
         authority.confirm(clock())
         await anyio.sleep(0.5)
@@ -117,7 +117,7 @@
     """A successor waits for the leases that were given before it took the pool, and for no later ones."""
     woken = []
 
-    async def wait(workers):
+    async def wait(owner):
         await anyio.sleep(0.1)
         woken.append(time.monotonic())
         await anyio.sleep(0.5)
@@ -128,25 +128,11 @@
 
 
 def test_a_start_whose_turn_comes_after_the_machine_woke_is_not_sent(clock):
-    authority = Authority(LEASE_S)
-    workers = Workers()
+    async def start(owner):
+        owner._links.get('w0').start(StartRun('w0', TaskKey(NEW, 0, 0, 0), 1, ''), '')
+        await anyio.sleep(0.2)
 
-    async def run():
-        settings = OwnerSettings(EPOCH, Bounds(max_hold_s=LONGEST_LEASE_S), StoreTiming())
-        owner = PoolOwner(settings, KeptStore([worker_entry('w0')]), workers, tuple, Metrics(), authority)
-        authority.confirm(clock())
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(owner.run)
-            with anyio.fail_after(5):
-                while not owner.is_ready:
-                    await anyio.sleep(0.01)
-            clock.for_s += SUSPENDED_S
-            owner._links.get('w0').start(StartRun('w0', TaskKey(NEW, 0, 0, 0), 1, ''), '')
-            await anyio.sleep(0.2)
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
-    assert not workers.starts
+    assert not play(clock, Authority(LEASE_S), start).starts
 
 
 class SilentStore:
