--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -13,10 +13,7 @@
 
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
-from dahliaarch_kernel.scheduler import (
-    Moment,
-    Scheduler,
-)
+from dahliaarch_kernel.scheduler import Moment, Scheduler
 from dahliaarch_platform.store import StoreClient
 from dahliaarch_platform.workers import WorkerClient
 
@@ -31,11 +28,7 @@
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
-from .messages import (
-    OwnerMessage,
-    WorkerInherited,
-    WorkersHeard,
-)
+from .messages import OwnerMessage, WorkerInherited, WorkersHeard
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
