--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -47,6 +47,8 @@
     draw_settings(3017)._replace(kinds=_SECOND_KINDS, crashing_share=0.0),
     # Three owners in turn, none of which could keep the crashes that it counted, started a task six times.
     draw_settings(6019)._replace(kinds=_THIRD_KINDS),
+    # The same under two, after a crash that fell between two owners.
+    draw_settings(6021)._replace(kinds=_THIRD_KINDS),
 )
 NEW = draw_settings(1)
 # Each is 3 daemons.
