Stand-in of a worker: a late order is not carried out by another life

Cause, from the logs: run was ordered on w1 and ended on w1-c1; the stand-in looked at the intended life before it delayed the order, and the worker had crashed meanwhile (tasks that crash workers are new in the soak). Ruled out: an order of the owner to w1-c1, there is none in its log; a take-over that did not wait (w1 was over, its run was gone). Workers answer such a call as meant for another life, so the check stays as it is. Change: the life is looked at again after the delay and before the answer.

--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -40,5 +40,30 @@
     assert len(anyio.run(scenario).starts) == runs
 
 
-async def call(worker, path, body):
-    await HttpClient().call(worker.address, 'POST', path, msgspec.json.encode(body), timeout_s=0.1)
+@pytest.mark.parametrize(('crashes', 'runs'), [(False, 1), (True, 0)], ids=['same life', 'another life'])
+def test_an_order_that_is_carried_out_late_is_not_by_another_life(crashes, runs):
+    """A start that was meant for a worker that had crashed began on its next life, while its task ran elsewhere."""
+
+    async def scenario():
+        worker = WorkerStandIn('w0', 'svc', 'r0', StoreStandIn())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(worker.run)
+            while not worker.address.port:
+                await anyio.sleep(0.01)
+            worker.faults.lost_share, worker.faults.late_s = 1.0, 0.3
+            with pytest.raises(CallUnansweredError):
+                await call(worker, '/run-start', start(fence=1), life='w0')
+            if crashes:
+                worker.crash('w0-1')
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+        worker.server.close()
+        return worker
+
+    assert len(anyio.run(scenario).starts) == runs
+
+
+async def call(worker, path, body, life=''):
+    headers = {'Expected-Instance': life}
+    encoded = msgspec.json.encode(body)
+    await HttpClient().call(worker.address, 'POST', path, encoded, timeout_s=0.1, headers=headers)
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -212,7 +212,7 @@
         refusal = await self.faults.before(request)
         if refusal is not None:
             return refusal
-        if request.header('expected-instance') not in {'', self.worker_id}:
+        if not self._is_meant(request):
             return Response(421)
         body = msgspec.json.decode(request.body)
         if 0 < self.faults.highest_fence < body.get('Fence', 0):
@@ -223,13 +223,17 @@
         is_lost = self.faults.loses()
         if is_lost and self.faults.late_s:
             await anyio.sleep(self.faults.late_s)
-            if self._is_fenced_off(body):
-                # A newer owner has given orders meanwhile.
+            if self._is_fenced_off(body) or not self._is_meant(request):
+                # A newer owner has given orders meanwhile, or the worker has crashed.
                 return await self.faults.lose()
         self.faults.observe(request.path, is_done=False)
         response = await self._carry_out(request.path, body)
         self.faults.observe(request.path, is_done=True)
-        return await self.faults.lose() if is_lost else response
+        return await self.faults.lose() if is_lost or not self._is_meant(request) else response
+
+    def _is_meant(self, request: Request) -> bool:
+        """Tell whether a call is meant for this life."""
+        return request.header('expected-instance') in {'', self.worker_id}
 
     def _is_fenced_off(self, body: dict[str, Any]) -> bool:
         """Tell whether an order is of an older owner than another that came."""
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -49,6 +49,8 @@
     draw_settings(6019)._replace(kinds=_THIRD_KINDS),
     # The same under two, after a crash that fell between two owners.
     draw_settings(6021)._replace(kinds=_THIRD_KINDS),
+    # The stand-in of a worker let its next life carry out a late start that was meant for the life before.
+    draw_settings(7002)._replace(kinds=_THIRD_KINDS),
 )
 NEW = draw_settings(1)
 # Each is 3 daemons.
