--- a/packages/cli/dahliaarch_cli/accounting/core.py
+++ b/packages/cli/dahliaarch_cli/accounting/core.py
@@ -208,9 +208,7 @@
 
 
 def _by_window(jobs: list[JobHistory], size_by_id: Mapping[str, float]) -> list[WindowRow]:
-    if not jobs:
-        return []
-    first_s = min(job.asked_s for job in jobs)
+    first_s = _first_s(jobs)
     jobs_by_window: dict[int, list[JobHistory]] = defaultdict(list)
     lost_by_window: dict[int, float] = defaultdict(float)
     for job in jobs:
@@ -229,13 +227,18 @@
     return rows
 
 
+def _first_s(jobs: list[JobHistory]) -> float:
+    """Return when the first job was asked for, seconds since 1970."""
+    return min((job.asked_s for job in jobs), default=0.0)
+
+
 def _window(after_s: float) -> int:
     return int(after_s // _WINDOW_S)
 
 
 def _costliest(jobs: list[JobHistory]) -> list[CostlyDecision]:
     """Return the stops that threw most away; those for one reason count as one decision."""
-    first_s = min((job.asked_s for job in jobs), default=0.0)
+    first_s = _first_s(jobs)
     runs_by_reason: dict[str, list[tuple[JobHistory, RunHistory]]] = defaultdict(list)
     for job in jobs:
         for run in job.runs:
--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -171,13 +171,8 @@
         run = self._run_by_key.get(_key(line.fields))
         if run is not None and run.ended_s is None:
             run.ended_s = line.at_s
-            run.how = line.fields['how']
-
-    def lost(self, line: LogLine) -> None:
-        run = self._run_by_key.get(_key(line.fields))
-        if run is not None and run.ended_s is None:
-            run.ended_s = line.at_s
-            run.how = 'lost'
+            # A run that was lost with its worker has no end of its own.
+            run.how = line.fields.get('how', 'lost')
 
     def cancelled(self, line: LogLine) -> None:
         self.job(line.fields['job']).cancelled_s = line.at_s
@@ -199,7 +194,7 @@
     'run_ordered': _Builder.ordered,
     'stop_ordered': _Builder.stopped,
     'run_ended': _Builder.ended,
-    'run_lost': _Builder.lost,
+    'run_lost': _Builder.ended,
     'job_cancelled': _Builder.cancelled,
     'job_ended': _Builder.shown,
 }
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -75,8 +75,8 @@
         lines.extend(read_lines(path))
     for sentence in explain_job(job_id, lines, as_json=as_json):
         typer.echo(sentence)
-    told = tell_stops(read_histories(lines).get(job_id))
-    if told and not as_json:
+    told = '' if as_json else tell_stops(read_histories(lines).get(job_id))
+    if told:
         typer.echo(told)
 
 
