Sight: of which start of a worker an answer is, and runs that a list no longer names

Callers saw tasks run again whose end no log line told. Two things were missing to tell the hypotheses apart: why such a run counts as gone (run_lost, 'not listed'), and whether the worker is still the one whose ends were counted (worker_restarted: its start, the ends taken in, acknowledged and listed now). No logic changes.

--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -47,6 +47,7 @@
 
     WORKER_OVER = 'worker over'
     LEASE_ENDED = 'lease ended'
+    NOT_LISTED = 'not listed'
 
 
 class RunLost(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -113,10 +113,12 @@
 
     def note_losses(self, worker: WorkerState, cause: LossCause) -> None:
         """Note what a worker takes with it."""
-        self.notes.extend(
-            RunLost(worker.worker_id, run.key, run.number, cause, run.ran_s, worker.beside(run))
-            for run in worker.run_by_key.values()
-        )
+        for run in worker.run_by_key.values():
+            self.note_loss(worker, run, cause)
+
+    def note_loss(self, worker: WorkerState, run: Run, cause: LossCause) -> None:
+        """Note that a run is gone though its worker did not list its end."""
+        self.notes.append(RunLost(worker.worker_id, run.key, run.number, cause, run.ran_s, worker.beside(run)))
 
     def start(self, step: StepState, task_index: int, run: Run) -> None:
         """Order a start."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -5,7 +5,7 @@
 from .clock import Moment
 from .crashes import outlived_trial
 from .ends import take_in_end
-from .events import EndKind, RunEnd, RunSeen
+from .events import EndKind, LossCause, RunEnd, RunSeen
 from .learning import observe_pace
 from .ranks import RANK_ORDINARY, RANK_URGENT
 from .room import effective_demand
@@ -50,6 +50,7 @@
         is_listed = (run.key, run.number) in seen_keys
         if is_listed or not run.is_confirmed or run.seen_s >= begun_s:
             continue
+        state.note_loss(worker, run, LossCause.NOT_LISTED)
         take_in_end(state, RunEnd(worker.worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint), now)
 
 
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_surveys.py
@@ -0,0 +1,19 @@
+"""What a worker's list of runs changes."""
+
+from dahliaarch_kernel.scheduler.events import LossCause
+
+from .pool import Pool, task
+
+A = 'a' * 16
+
+
+def test_a_run_that_is_neither_listed_nor_told_to_have_ended_is_noted_as_lost():
+    pool = Pool(workers=1)
+    pool.submit(A, task())
+    pool.step()
+    pool.survey('w0')
+    pool.now_s += 1.0
+    pool.running.clear()
+    pool.survey('w0')
+    (note,) = pool.scheduler.take_notes()
+    assert (note.worker_id, note.cause) == ('w0', LossCause.NOT_LISTED)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -49,6 +49,7 @@
         self._context = context
         self._tasks: TaskGroup | None = None
         self._is_idle = False
+        self._born_ms: int | None = None
         self._contact = Contact(worker_id, address, lease, context)
         self._orders = WorkerOrders(self._contact)
 
@@ -191,6 +192,17 @@
                 await self.acknowledged_more.wait()
 
     def _take_in(self, survey: Survey, begun_s: float) -> None:
+        if survey.born_ms != self._born_ms:
+            log_event(
+                'worker_restarted',
+                worker=self._worker_id,
+                born_ms=survey.born_ms,
+                born_before_ms=self._born_ms,
+                ends_taken_in=self.listed,
+                ends_acknowledged=self.acknowledged,
+                ends_listed=[listed.number for listed in survey.ended],
+            )
+            self._born_ms = survey.born_ms
         ended = tuple(listed.end for listed in survey.ended if listed.number > self.listed)
         for end in ended:
             self._context.metrics.run_ends.labels(end.kind.value).inc()
