Tests, red: ends on workers that have started again under their id are not taken in

Callers saw a task that had ended well run again, and a job that had failed as often as its queue allows started once more. Both come about with real daemons once each worker has told of some ends and then crashes and comes back under its id: 2 starts of a task that succeeds, 4 of one that may fail 3 times. The stand-in of a worker may start again under its id now: it forgets all, its clock and its counts start anew, it tells when it was born, cuts leases that are too long, and late orders of before are carried out by the later life.

--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -160,6 +160,7 @@
             self._policy_address = await self.policy.listen()
         tasks.start_soon(self.store.run)
         for worker in self.workers:
+            worker.max_hold_s = self.max_hold_s
             tasks.start_soon(worker.run)
         self.configure()
         return self._store_address
--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -60,7 +60,42 @@
     assert starts_after(crash) == runs
 
 
+def test_an_order_that_is_carried_out_late_is_by_the_next_life_under_the_same_id():
+    """The id does not tell lives apart, and the later one remembers no fence."""
+
+    async def start_again(worker):
+        await call(worker, '/hold', {'Fence': 2, 'AckedUpto': 0})
+        await worker.start_again(0.05)
+
+    assert starts_after(start_again) == 1
+
+
+def test_a_worker_that_starts_again_under_its_id_knows_and_counts_nothing_of_before():
+    async def scenario():
+        worker = WorkerStandIn('w0', 'svc', 'r0', StoreStandIn())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(worker.run)
+            while not worker.address.port:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.1)
+            lists = []
+            for number in (1, 2):
+                await call(worker, '/run-start', {**start(fence=3 - number), 'Run': number, 'Spec': '0'})
+                await anyio.sleep(0.1)
+                lists.append(await call(worker, '/hold', {'Fence': 3 - number, 'AckedUpto': number - 1}))
+                await worker.start_again(0.01)
+            tasks.cancel_scope.cancel()
+        worker.server.close()
+        return lists
+
+    earlier, later = anyio.run(scenario)
+    assert later['born'] > earlier['born']
+    assert later['ClockMs'] < earlier['ClockMs'] + 100
+    assert [[row[0] for row in each['Finished']] for each in (earlier, later)] == [[1], []]
+
+
 async def call(worker, path, body, life=''):
     headers = {'Expected-Instance': life}
     encoded = msgspec.json.encode(body)
-    await HttpClient().call(worker.address, 'POST', path, encoded, timeout_s=0.1, headers=headers)
+    reply = await HttpClient().call(worker.address, 'POST', path, encoded, timeout_s=0.1, headers=headers)
+    return msgspec.json.decode(reply.body)
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -72,8 +72,36 @@
     at_s: float
 
 
+class _Life:
+    """What a worker holds and knows since its start, and forgets when it crashes.
+
+    Parameters
+    ----------
+    now_s : float
+        When it starts, by the clock of the whole machine.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        """Start with nothing."""
+        self.born_s = now_s
+        self.born_ms = int(time.time() * _MS)
+        self.run_by_task: dict[str, _Run] = {}
+        self.highest_by_task: dict[str, int] = {}
+        self.finished: list[list[Any]] = []
+        self.ends = 0
+        self.acknowledged = 0
+        self.fence = 0
+        # Its lease, by its own clock, and when that last ended, by the machine's.
+        self.until_s = 0.0
+        self.lapsed_at_s = 0.0
+
+    def clock_s(self) -> float:
+        """Return a reading of its own clock, which starts anew with it."""
+        return time.monotonic() - self.born_s
+
+
 class WorkerStandIn:
-    """One life of a worker.
+    """A worker, through all of its lives.
 
     Tasks take the time that their payload names in seconds; a payload that
     begins with ``fail`` fails, and one that begins with ``crash`` crashes the
@@ -82,7 +110,7 @@
     Parameters
     ----------
     worker_id : str
-        Identifier of this life.
+        Identifier that it publishes; a life may keep that of the life before.
     service : str
         Service that it belongs to.
     rack : str
@@ -118,18 +146,17 @@
         self.is_draining = False
         self.is_cut_off = False
         self.capacity = Resources(64_000, 262_144, 8)
+        # Longest lease that it grants, in seconds.
+        self.max_hold_s = 10.0
+        # Whether it comes back under the id that it had when a task crashes it.
+        self.keeps_id = False
         self._service = service
         self._rack = rack
         self._store = store
-        self._run_by_task: dict[str, _Run] = {}
-        self._highest_by_task: dict[str, int] = {}
-        self._finished: list[list[Any]] = []
-        self._ends = 0
-        self._fence = 0
-        self._until_s = 0.0
-        self._lapsed_at_s = 0.0
+        self._life = _Life(time.monotonic())
         self._news = anyio.Event()
         self._must_crash = False
+        self._is_down = False
         self._crashes = 0
         self.address = Address('127.0.0.1', 0)
         self._seq = 0
@@ -138,7 +165,7 @@
     @property
     def running(self) -> dict[str, int]:
         """Runs by task."""
-        return {task: run.number for task, run in self._run_by_task.items()}
+        return {task: run.number for task, run in self._life.run_by_task.items()}
 
     async def run(self) -> None:
         """Serve, work and publish, until cancelled."""
@@ -158,7 +185,7 @@
         """Vanish without a word."""
         self._store.remove(f'servers/{self.worker_id}')
         self.server.close()
-        self._run_by_task.clear()
+        self._life.run_by_task.clear()
 
     def cut_off(self) -> None:
         """Part it from the store and from all instances; its entry lapses and it runs on."""
@@ -184,7 +211,8 @@
             'State': 'draining' if self.is_draining else 'ready',
             'Capacity': {'Cpu': self.capacity[0], 'MemMb': self.capacity[1], 'Gpu': self.capacity[2]},
             'Labels': ['a', self._rack],
-            'ClockMs': int(time.monotonic() * _MS),
+            'ClockMs': int(self._life.clock_s() * _MS),
+            'born': self._life.born_ms,
             'Seq': self._seq,
         }
         if self.is_draining:
@@ -192,19 +220,22 @@
         self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
 
     def _work(self, now_s: float) -> None:
-        lapsed = self._until_s and now_s > self._until_s
+        life = self._life
+        lapsed = life.until_s and life.clock_s() > life.until_s
         if lapsed:
-            self._lapsed_at_s = now_s
-        for run in tuple(self._run_by_task.values()):
+            life.lapsed_at_s = now_s
+        for run in tuple(life.run_by_task.values()):
             how = 'lapsed' if lapsed else run.ended_how(now_s)
             if how:
                 self._end(run, how, now_s)
 
     def _end(self, run: _Run, how: str, now_s: float) -> None:
-        self._run_by_task.pop(run.task, None)
-        self._ends += 1
-        self._finished.append([self._ends, run.task, run.number, how, ''])
+        life = self._life
+        life.run_by_task.pop(run.task, None)
+        life.ends += 1
+        life.finished.append([life.ends, run.task, run.number, how, ''])
         self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s))
+        self._forget(life.acknowledged)
         news, self._news = self._news, anyio.Event()
         news.set()
 
@@ -219,11 +250,11 @@
             return await self.faults.lose()
         if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
-        self._fence = body.get('Fence', 0)
+        self._life.fence = body.get('Fence', 0)
         is_lost = self.faults.loses()
         if is_lost and self.faults.late_s:
             await anyio.sleep(self.faults.late_s)
-            if self._is_fenced_off(body) or not self._is_meant(request):
+            if self._is_down or self._is_fenced_off(body) or not self._is_meant(request):
                 # A newer owner has given orders meanwhile, or the worker has crashed.
                 return await self.faults.lose()
         self.faults.observe(request.path, is_done=False)
@@ -237,7 +268,7 @@
 
     def _is_fenced_off(self, body: dict[str, Any]) -> bool:
         """Tell whether an order is of an older owner than another that came."""
-        return self.checks_fences and body.get('Fence', 0) < self._fence
+        return self.checks_fences and body.get('Fence', 0) < self._life.fence
 
     async def _carry_out(self, path: str, body: dict[str, Any]) -> Response:
         if path == '/hold':
@@ -251,38 +282,57 @@
     async def _hold(self, body: dict[str, Any]) -> Response:
         self._extend(body)
         self._forget(body['AckedUpto'])
-        if not self._finished and body.get('WaitMs'):
+        if not self._life.finished and body.get('WaitMs'):
             news = self._news
             with anyio.move_on_after(body['WaitMs'] / _MS):
                 await news.wait()
         now_s = time.monotonic()
-        running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._run_by_task.values()]
-        return self._reply({'Running': running, 'Finished': self._finished[:500]})
+        running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._life.run_by_task.values()]
+        return self._reply({'born': self._life.born_ms, 'Running': running, 'Finished': self._life.finished[:500]})
 
     def _forget(self, acknowledged: int) -> None:
-        """Forget the ends that are acknowledged."""
-        now = {Noted(row[1], row[2]) for row in self._finished if row[0] <= acknowledged}
+        """Forget the ends that are acknowledged, also those that are yet to come under such numbers."""
+        life = self._life
+        life.acknowledged = max(life.acknowledged, acknowledged)
+        now = {Noted(row[1], row[2]) for row in life.finished if row[0] <= life.acknowledged}
         # An end counts as noted unless the lease has ended between the two.
-        self.noted.update(now - {Noted(end.task, end.run) for end in self.ends if end.at_s <= self._lapsed_at_s})
-        self._finished = [row for row in self._finished if row[0] > acknowledged]
+        self.noted.update(now - {Noted(end.task, end.run) for end in self.ends if end.at_s <= life.lapsed_at_s})
+        life.finished = [row for row in life.finished if row[0] > life.acknowledged]
 
     def crash(self, worker_id: str) -> None:
         """Lose everything and come back as another life at the same address."""
-        self._store.remove(f'servers/{self.worker_id}')
+        self._lose_everything()
+        if worker_id != self.worker_id:
+            self._store.remove(f'servers/{self.worker_id}')
+        self.worker_id = worker_id
+        self.publish()
+
+    def _lose_everything(self) -> None:
         now_s = time.monotonic()
-        for run in self._run_by_task.values():
+        for run in self._life.run_by_task.values():
             self.ends.append(Ended(self.worker_id, run.task, run.number, 'crashed', now_s))
-        self._run_by_task.clear()
-        self._highest_by_task.clear()
-        self._finished.clear()
-        self._ends = 0
-        self._fence = 0
-        self._until_s = 0.0
-        self.worker_id = worker_id
+        self._life = _Life(now_s)
+
+    async def start_again(self, down_s: float = _DOWN_S) -> None:
+        """Crash and come back under the same id, with the entry written again before it has lapsed.
+
+        Calls that were not answered yet may be carried out by the later life.
+        """
+        self._must_crash = False
+        self._is_down = True
+        self.server.close()
+        self._lose_everything()
+        await anyio.sleep(down_s)
+        self._life = _Life(time.monotonic())
+        self._is_down = False
+        await self.server.listen(self.address)
         self.publish()
 
     async def _crash_and_return(self) -> None:
         """Crash, and take connections again a little later."""
+        if self.keeps_id:
+            await self.start_again()
+            return
         self._must_crash = False
         self.server.close()
         self._crashes += 1
@@ -291,23 +341,23 @@
         await self.server.listen(self.address)
 
     def _start(self, body: dict[str, Any]) -> Response:
-        now_s = time.monotonic()
+        life, now_s = self._life, time.monotonic()
         task, number = body['Task'], body['Run']
-        known = self._run_by_task.get(task)
+        known = life.run_by_task.get(task)
         if known is not None and known.number == number:
             return self._reply({})
-        if body['UntilMs'] / _MS <= now_s:
+        if body['UntilMs'] / _MS <= life.clock_s():
             return self._reply({'Reason': 'late'}, 409)
-        if self.checks_run_numbers and number <= self._highest_by_task.get(task, 0):
+        if self.checks_run_numbers and number <= life.highest_by_task.get(task, 0):
             return self._reply({'Reason': 'old'}, 409)
         if self.policy is not None and not self._has_ticket(task, body):
             return self._reply({'Reason': 'ticket'}, 409)
         self._extend(body)
-        self._highest_by_task[task] = number
+        life.highest_by_task[task] = number
         payload = body['Spec']
         work_s = -1.0 if payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
         self._must_crash = self._must_crash or payload.startswith(_CRASHING)
-        self._run_by_task[task] = _Run(task, number, work_s, now_s)
+        life.run_by_task[task] = _Run(task, number, work_s, now_s)
         self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s))
         return self._reply({})
 
@@ -318,14 +368,16 @@
 
     def _stop(self, body: dict[str, Any]) -> Response:
         task, number = body['Task'], body['Run']
-        run = self._run_by_task.get(task)
-        self._highest_by_task[task] = max(number, self._highest_by_task.get(task, 0))
+        life = self._life
+        run = life.run_by_task.get(task)
+        life.highest_by_task[task] = max(number, life.highest_by_task.get(task, 0))
         if run is not None and run.number == number:
             run.stops_at_s = time.monotonic() + 0.1
         return self._reply({})
 
     def _extend(self, body: dict[str, Any]) -> None:
-        self._until_s = max(self._until_s, body.get('UntilMs', 0) / _MS)
+        asked_s = body.get('UntilMs', 0) / _MS
+        self._life.until_s = max(self._life.until_s, min(asked_s, self._life.clock_s() + self.max_hold_s))
 
     def _reply(self, fields: dict[str, Any], status: int = 200) -> Response:
-        return Response(status, msgspec.json.encode({'ClockMs': int(time.monotonic() * _MS), **fields}))
+        return Response(status, msgspec.json.encode({'ClockMs': int(self._life.clock_s() * _MS), **fields}))
