An owner that an instance told of a newer one is replaced for good

An owner that the store turns away asks the other instances whether they know of a newer one, and goes on while most of them don't. One that answered with a newer epoch did not count, and that was all: when those instances started again, also turned away by the store, they knew of no owner, took the first that they heard for it, and confirmed the old one beside its successor. Change: the first answer that names a newer epoch ends the ownership (epochs are revisions of one key: a newer one is a later owner, whoever tells it). Ruled out: not counting instances that have just started, which would stop all work when they are replaced during an outage of the store. Tests: an owner is told of each newer epoch; one that is told of its own goes on.

--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -91,7 +91,14 @@
         self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
         self._peer_feed = PeerFeed(self._follower, self._mesh)
         self._membership = Membership(
-            self._member, self._store, self._timing, self._follower, self._peer_feed, self._mesh, self._authority
+            self._member,
+            self._store,
+            self._timing,
+            self._follower,
+            self._peer_feed,
+            self._mesh,
+            self._authority,
+            self._ownership.outdated,
         )
         self._replies.membership = self._membership
         self._front_server = HttpServer(
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -1,5 +1,6 @@
 """The instances that are there: each has an entry in the store and hears the owner."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -67,6 +68,8 @@
         Messages to the others.
     authority : Authority
         Confirmed where most instances know of no newer owner.
+    outdated : callable
+        Called with the epoch of a newer owner that an instance knows of.
     """
 
     def __init__(
@@ -78,9 +81,11 @@
         peer_feed: PeerFeed,
         mesh: Mesh,
         authority: Authority,
+        outdated: Callable[[int], None],
     ) -> None:
         """Start knowing nobody."""
         self._authority = authority
+        self._outdated = outdated
         self._member = member
         self._store = store
         self._timing = timing
@@ -162,7 +167,9 @@
         if not isinstance(reply, BeatReply):
             return
         self.announced(member, reply.version)
-        if reply.epoch <= epoch:
+        if reply.epoch > epoch:
+            self._outdated(reply.epoch)
+        else:
             count.agreed()
         if peer.missed:
             log_event('beats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -28,6 +28,11 @@
     return epoch * _LIVES_PER_EPOCH + min(lives, _LIVES_PER_EPOCH - 1)
 
 
+def epoch_of(fence: int) -> int:
+    """Return the epoch of the owner whose orders carry a fence."""
+    return fence // _LIVES_PER_EPOCH
+
+
 class Links:
     """Links by life of a worker; one at a time under each name.
 
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -23,7 +23,7 @@
 from ...clock import steady_s
 from ...membership import Membership
 from ...metrics import Metrics
-from ...ownership import Ownership, OwnershipSettings
+from ...ownership import Owner, Ownership, OwnershipSettings
 from ...peers import BeatReply, PeerSilentError
 from ...records import Member
 from ...timing import StoreTiming
@@ -174,6 +174,15 @@
         """Take in a version."""
 
 
+def membership_with(peers, authority, outdated=lambda epoch: None):
+    found = Membership(
+        Member('i', 'a', 'h', 99), None, StoreTiming(), Follower(), PeerFeed(), peers, authority, outdated
+    )
+    for number, _ in enumerate(peers.replies):
+        found.add(Member(f'i{number}', 'a', 'h', number))
+    return found
+
+
 @pytest.mark.parametrize(
     ('replies', 'holds'),
     [
@@ -187,10 +196,30 @@
 )
 def test_while_the_store_is_away_most_instances_confirm_an_owner(replies, holds):
     authority = Authority(LEASE_S)
-    membership = Membership(
-        Member('i', 'a', 'h', 99), None, StoreTiming(), Follower(), PeerFeed(), Peers(replies), authority
-    )
-    for number, _ in enumerate(replies):
-        membership.add(Member(f'i{number}', 'a', 'h', number))
-    anyio.run(membership._beat_all, EPOCH)
+    anyio.run(membership_with(Peers(replies), authority)._beat_all, EPOCH)
     assert authority.holds(steady_s()) is holds
+
+
+def test_an_owner_that_was_told_of_a_newer_one_is_replaced_for_good():
+    """The instances that told it start again, know of no owner, and would confirm the first that they hear.
+
+    What they remembered held for a life of theirs; it did not come back. The owner had been told, and went on asking.
+    """
+    told = []
+
+    async def run():
+        peers = Peers([BeatReply(1, EPOCH + 1), BeatReply(1, EPOCH + 1)])
+        await membership_with(peers, Authority(LEASE_S), told.append)._beat_all(EPOCH)
+
+    anyio.run(run)
+    assert told == [EPOCH + 1] * 2
+
+
+def test_an_instance_owns_no_pool_of_which_it_was_told_that_another_does():
+    member = Member('i0', 'a', 'h', 1)
+    ownership = Ownership(member, SilentStore(), StoreTiming(), OwnershipSettings(), Authority(LEASE_S), is_able=True)
+    ownership.heard(Owner(member, EPOCH))
+    ownership.outdated(EPOCH)
+    assert ownership.is_own
+    ownership.outdated(EPOCH + 1)
+    assert not ownership.is_own
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -120,6 +120,15 @@
             log_event('ownership_lost', epoch=0 if self.owner is None else self.owner.epoch)
             self._clear()
 
+    def outdated(self, newer_epoch: int) -> None:
+        """Take in that somebody knows of a newer owner, who is not known here yet.
+
+        Whoever tells so may have forgotten it by the next question.
+        """
+        if self.is_own and self.owner is not None and self.owner.epoch < newer_epoch:
+            log_event('owner_outdated', epoch=self.owner.epoch, newer=newer_epoch)
+            self.deposed()
+
     async def run(self) -> None:
         """Claim, keep or watch until cancelled."""
         while True:
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -82,7 +82,9 @@
         replies = PeerReplies(store, self.follower, ownership, None)
         self.mesh = Mesh(replies.answer)
         self._peer_feed = PeerFeed(self.follower, self.mesh)
-        self.membership = Membership(self.member, store, timing, self.follower, self._peer_feed, self.mesh, authority)
+        self.membership = Membership(
+            self.member, store, timing, self.follower, self._peer_feed, self.mesh, authority, ownership.outdated
+        )
         replies.membership = self.membership
 
     def run(self, tasks):
