--- a/packages/standins/dahliaarch_standins/demo/core.py
+++ b/packages/standins/dahliaarch_standins/demo/core.py
@@ -8,6 +8,8 @@
 
 import anyio
 
+from dahliaarch_node.owner.registry import epoch_of
+
 from ..deployment import Caller, Deployment
 from ..deployment.jobs import draw_steps
 
@@ -117,12 +119,12 @@
         for end in worker.ends:
             if end.how == 'done':
                 done.setdefault(end.task, set()).add(end.run)
-    fences = {start.fence for worker in deployment.workers for start in worker.starts}
+    epochs = {epoch_of(start.fence) for worker in deployment.workers for start in worker.starts}
     return DemoCounts(
         accepted,
         succeeded,
         accepted - succeeded,
         sum(len(runs) > 1 for runs in done.values()),
         sum(len(worker.starts) for worker in deployment.workers),
-        len(fences),
+        len(epochs),
     )
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -88,6 +88,31 @@
     assert not running.doubled()
 
 
+def test_an_acknowledgement_that_got_no_answer_does_not_cost_the_next_life_its_ends(running):
+    """It came to the next life before that had answered anybody: whatever ended there was forgotten unread."""
+    worker = running.workers[0]
+
+    def lose_what_acknowledges(step, is_done):
+        if step == '/hold' and is_done and worker.ends:
+            worker.faults.lost_share, worker.faults.late_s = 1.0, 1.2
+
+    worker.faults.observer = lose_what_acknowledges
+    running.submit(MANY_TASKS, '0.1')
+    running.wait_until(lambda: worker.faults.lost_share)
+    running.sleep(0.2)
+    worker.faults.observer, worker.faults.lost_share = None, 0.0
+    # The late acknowledgement overtakes the first question to the next life.
+    worker.faults.delay_s = 1.2
+    running.portal.call(worker.start_again, 0.2)
+    running.sleep(1.5)
+    worker.faults.delay_s = 0.0
+    running.wait_for(running.job_ids[-1], 'succeeded')
+    running.sleep(1.0)
+    running.submit(MANY_TASKS, '1')
+    running.wait_for(running.job_ids[-1], 'succeeded')
+    assert not running.doubled()
+
+
 def test_a_task_that_crashes_workers_is_given_up_though_they_keep_their_ids(running):
     """Two crashes of one worker are two crashes."""
     for worker in running.workers:
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -179,7 +179,7 @@
                 self._heartbeat()
                 next_beat_s = time.monotonic() + _HEARTBEAT_S
             self._work(time.monotonic())
-            if self._must_crash:
+            if self._must_crash and not self._is_down:
                 await self._crash_and_return()
             await anyio.sleep(_TICK_S)
 
@@ -320,8 +320,11 @@
     async def start_again(self, down_s: float = _DOWN_S) -> None:
         """Crash and come back under the same id, with the entry written again before it has lapsed.
 
-        Calls that were not answered yet may be carried out by the later life.
+        Calls that were not answered yet may be carried out by the later life. One
+        that is down already stays so for as long as it was to.
         """
+        if self._is_down:
+            return
         self._must_crash = False
         self._is_down = True
         self.server.close()
@@ -338,10 +341,12 @@
             await self.start_again()
             return
         self._must_crash = False
+        self._is_down = True
         self.server.close()
         self._crashes += 1
         self.crash(f'{self.worker_id.partition("-")[0]}-c{self._crashes}')
         await anyio.sleep(_DOWN_S)
+        self._is_down = False
         await self.server.listen(self.address)
 
     def _start(self, body: dict[str, Any]) -> Response:
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -5,10 +5,14 @@
 
 import anyio
 
+from dahliaarch_node.owner.registry import epoch_of, fence_of
+
 from ..proxy import FaultProxy
 from .plans import Fault, register
 from .system import System
 
+# How long a worker is away that starts again, in seconds.
+_DOWN_S = (0.02, 0.8)
 # Names of the steps at which every instance loses power.
 _STEPS = (
     'kv-txn jobs',
@@ -86,9 +90,8 @@
 async def leave_owner_a_worker(system: System, fault: Fault, choice: random.Random) -> None:
     """Cut the owner off from the store, and a worker from its successor but not from it."""
     worker = choice.choice(system.deployment.workers)
-    worker.faults.highest_fence = max(
-        (start.fence for each in system.deployment.workers for start in each.starts), default=0
-    )
+    fences = [start.fence for each in system.deployment.workers for start in each.starts]
+    worker.faults.highest_fence = fence_of(epoch_of(max(fences, default=0)) + 1, 0) - 1
     await cut_owner_from_store(system, fault, choice)
     worker.faults.highest_fence = 0
 
@@ -239,6 +242,15 @@
     system.crash_worker(choice.choice(system.deployment.workers))
 
 
+@register
+async def restart_worker(system: System, fault: Fault, choice: random.Random) -> None:
+    """Let workers crash and come back under the ids that they had, in half of all cases again at once."""
+    workers = system.deployment.workers
+    for worker in choice.sample(workers, choice.randint(1, len(workers))):
+        for _ in range(choice.choice((1, 2))):
+            await worker.start_again(choice.uniform(*_DOWN_S))
+
+
 def _owner_or_any(system: System, choice: random.Random) -> str:
     """Return the owner in half of all cases, else any instance."""
     owner = system.deployment.owner_now()
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -41,6 +41,8 @@
         deposed owner would start wrongly.
     crashing_share : float
         Share of the jobs whose task crashes each worker that starts it.
+    keeping_ids : int
+        Workers that come back under the id that they had when a task crashes them.
     without : str
         Protection that is switched off, in a control arm: one of PROTECTIONS.
     """
@@ -57,6 +59,7 @@
     kinds: tuple[str, ...] = ()
     is_crowded: bool = False
     crashing_share: float = 0.0
+    keeping_ids: int = 0
     without: str = ''
 
 
@@ -74,6 +77,7 @@
         faults=int(6 * share),
         faults_s=8.0 + 2.0 * (share - 1),
         crashing_share=_CRASHING_SHARE,
+        keeping_ids=choice.randint(0, workers),
     )
 
 
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -55,6 +55,8 @@
         self.operator = Operator(self.deployment, settings.seed)
         self.deployment.store.checks_conditions = settings.without != 'conditions'
         self.deployment.store.muted_key = CONFIGURATION_KEY if settings.without == 'news' else ''
+        for worker in self.deployment.workers[: settings.keeping_ids]:
+            worker.keeps_id = True
         for worker in self.deployment.workers:
             worker.checks_fences = settings.without != 'fences'
             worker.checks_run_numbers = settings.without != 'run numbers'
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -38,19 +38,19 @@
     # SIGHUP during the start, before the handler stands, ended an instance.
     SoakSettings(1, kinds=_FIRST_KINDS, changes=0),
     # A watch that a silent store had received was waited for when it was back: a configuration came 7 s late.
-    draw_settings(2001)._replace(kinds=_SECOND_KINDS, crashing_share=0.0),
-    draw_settings(2007)._replace(kinds=_SECOND_KINDS, crashing_share=0.0),
+    draw_settings(2001)._replace(kinds=_SECOND_KINDS, crashing_share=0.0, keeping_ids=0),
+    draw_settings(2007)._replace(kinds=_SECOND_KINDS, crashing_share=0.0, keeping_ids=0),
     # The same; then the stand-in of a worker carried out a start of an owner whose successor had been there: a task
     # ran twice at a time.
-    draw_settings(2012)._replace(kinds=_SECOND_KINDS, crashing_share=0.0),
+    draw_settings(2012)._replace(kinds=_SECOND_KINDS, crashing_share=0.0, keeping_ids=0),
     # SIGTERM at an instance that was being started, which ends it at once, ended the soak.
-    draw_settings(3017)._replace(kinds=_SECOND_KINDS, crashing_share=0.0),
+    draw_settings(3017)._replace(kinds=_SECOND_KINDS, crashing_share=0.0, keeping_ids=0),
     # Three owners in turn, none of which could keep the crashes that it counted, started a task six times.
-    draw_settings(6019)._replace(kinds=_THIRD_KINDS),
+    draw_settings(6019)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
     # The same under two, after a crash that fell between two owners.
-    draw_settings(6021)._replace(kinds=_THIRD_KINDS),
+    draw_settings(6021)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
     # The stand-in of a worker let its next life carry out a late start that was meant for the life before.
-    draw_settings(7002)._replace(kinds=_THIRD_KINDS),
+    draw_settings(7002)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
 )
 NEW = draw_settings(1)
 # Each is 3 daemons.
