--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -93,8 +93,8 @@
 
     Tasks that had ended well there ran again. A fence of its own protects a life only from its first answer on, so one
     that begins while such an acknowledgement may still come gets nothing new. What settled it: in a soak (seed 8001)
-    `run_lost` with `not listed` 0.5 s after `run_ordered`, on a worker that had started again 5 s before while orders to
-    it were carried out late and answers took 0.4 s; in this test the worker passes over ends up to 8.
+    `run_lost` with `not listed` 0.5 s after `run_ordered`, on a worker that had started again 5 s before while orders
+    to it were carried out late and answers took 0.4 s; in this test the worker passes over ends up to 8.
     """
     worker = running.workers[0]
 
