A job that an earlier owner had no time to give up is judged by the next; crashes in smaller steps

Since a job is judged only 2 s after a crash, an owner that ended meanwhile left one with too many crashes that nobody judged before the next: one start more. The next owner judges it as it takes it over (test).

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -6,7 +6,7 @@
 from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, StepKey, TaskKey
 from .clock import Moment
-from .crashes import judge, silent_worker_crashed, worker_crashed, worker_lives
+from .crashes import judge, judge_kept, silent_worker_crashed, worker_crashed, worker_lives
 from .effects import Effect
 from .ends import take_in_end
 from .events import EndKind, LossCause, Note, RunEnd, RunSeen
@@ -98,6 +98,7 @@
         job.known_since_s = not_before_s
         if progress is not None:
             job.restore(progress)
+            judge_kept(job, now)
         self._state.job_by_id[spec.job_id] = job
         if not job.has_ended:
             self._state.active_job_by_id[spec.job_id] = job
--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -118,6 +118,13 @@
     return Crash(run.number, worker.worker_id, run.ran_s, tells_of_it)
 
 
+def judge_kept(job: JobState, now: Moment) -> None:
+    """Have a job judged of which an earlier owner kept too many crashes: it may have ended before it could."""
+    kept = (crashes for step in job.step_by_key.values() for crashes in step.crashes_by_index.values())
+    if any(_is_given_up(crashes) for crashes in kept):
+        job.judged_at_s = now.steady_s
+
+
 def judge(state: SchedulerState, now: Moment) -> None:
     """Give up jobs with a task that too many workers crashed under, once it is known who crashed beside them."""
     for job in tuple(state.active_jobs()):
@@ -130,26 +137,27 @@
     recent = [death for death in state.recent_deaths if now.steady_s - death.at_s < _TOGETHER_S]
     state.recent_deaths = [*recent, Death(now.steady_s, crash_by_task)]
     for key, crash in crash_by_task.items():
-        step = state.step_of(key)
-        if step is not None and _counts(step, key, crash):
-            _count(state, step, key, crash)
+        _count(state, key, crash)
     _excuse_those_together(state)
-    for key, crash in crash_by_task.items():
-        job = state.job_by_id.get(key.job_id)
-        if job is not None and not job.has_ended and _is_convicted(job, key):
-            job.judged_at_s = now.steady_s + (0.0 if crash.ran_s < OUTLIVED_S else _TOGETHER_S)
+    for each, latest in crash_by_task.items():
+        _call_to_account(state, each, latest, now)
 
 
 def _excuse_those_together(state: SchedulerState) -> None:
     """Excuse tasks that had run for a while on workers that crashed together with others."""
     for death in state.recent_deaths:
         for key, crash in death.crash_by_task.items():
-            step = state.step_of(key)
-            if step is None or crash.ran_s < OUTLIVED_S or _is_excused_enough(step, key):
-                continue
-            is_together = _others(state.recent_deaths, death, key) >= _OTHERS_THAT_EXCUSE
-            if is_together and step.excuse(key.task_index, crash.run):
-                state.dirty_jobs.add(key.job_id)
+            if crash.ran_s >= OUTLIVED_S and _others(state.recent_deaths, death, key) >= _OTHERS_THAT_EXCUSE:
+                _excuse(state, key, crash)
+
+
+def _excuse(state: SchedulerState, key: TaskKey, crash: Crash) -> None:
+    step = state.step_of(key)
+    if step is None:
+        return
+    crashes = step.crashes_by_index.get(key.task_index, ())
+    if sum(each.with_others for each in crashes) < _MOST_EXCUSED and step.excuse(key.task_index, crash.run):
+        state.dirty_jobs.add(key.job_id)
 
 
 def _others(deaths: Iterable[Death], death: Death, key: TaskKey) -> int:
@@ -159,11 +167,6 @@
     )
 
 
-def _is_excused_enough(step: StepState, key: TaskKey) -> bool:
-    crashes = step.crashes_by_index.get(key.task_index, ())
-    return sum(crash.with_others for crash in crashes) >= _MOST_EXCUSED
-
-
 def _counts(step: StepState, key: TaskKey, crash: Crash) -> bool:
     """Tell whether a crash says anything of a task that may still be given up."""
     if step.job.has_ended or key.task_index in step.done:
@@ -171,13 +174,24 @@
     return not step.spec.lasting or crash.ran_s <= _LASTING_TELLS_S
 
 
-def _count(state: SchedulerState, step: StepState, key: TaskKey, crash: Crash) -> None:
+def _count(state: SchedulerState, key: TaskKey, crash: Crash) -> None:
+    step = state.step_of(key)
+    if step is None or not _counts(step, key, crash):
+        return
     step.count_crash(key.task_index, crash)
     state.dirty_jobs.add(key.job_id)
     if is_suspect(step.crashes_by_index[key.task_index]):
         step.suspects.add(key.task_index)
 
 
+def _call_to_account(state: SchedulerState, key: TaskKey, crash: Crash, now: Moment) -> None:
+    """Have a task judged that has too many crashes."""
+    step = state.step_of(key)
+    if step is not None and _is_given_up(step.crashes_by_index.get(key.task_index, ())):
+        # Who crashed beside it may not be known yet; that excuses no crash soon after a start.
+        step.job.judged_at_s = now.steady_s + (0.0 if crash.ran_s < OUTLIVED_S else _TOGETHER_S)
+
+
 def _give_up_guilty(state: SchedulerState, job: JobState, now: Moment) -> None:
     for step in job.step_by_key.values():
         for index, crashes in step.crashes_by_index.items():
@@ -187,11 +201,6 @@
                 return
 
 
-def _is_convicted(job: JobState, key: TaskKey) -> bool:
-    step = job.step_of(key)
-    return step is not None and _is_given_up(step.crashes_by_index.get(key.task_index, []))
-
-
 def _is_given_up(crashes: Sequence[Crash]) -> bool:
     counted = telling(crashes)
     if len(counted) >= _MOST_CRASHES:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
@@ -121,6 +121,24 @@
     assert phase(heir) == 'failed'
 
 
+def test_the_next_owner_gives_up_what_the_one_before_had_no_time_to():
+    first = Pool()
+    first.submit(A, task(1, work_s=8.0))
+    for _ in range(3):
+        (start,) = starts_of(first.step(0.5), GUILTY)
+        first.now_s += 2.0
+        first.survey(start.worker_id)
+        first.crash(start.worker_id)
+        first.keep_progress()
+    assert phase(first) == 'running'
+    heir = Pool(epoch=9)
+    heir.spec_by_id = first.spec_by_id
+    kept = first.scheduler.job_by_id[A]
+    heir.scheduler.add_job(kept.spec, kept.queue, heir.now, progress=kept.progress())
+    assert not heir.step(0.1)
+    assert phase(heir) == 'failed'
+
+
 def test_a_suspect_starts_again_only_once_its_crashes_are_kept():
     """A next owner would know of none: with the store refusing, three owners in turn started a task six times."""
     pool = Pool()
