account: changes of the owner, how long work waited for them, and whether two owners gave orders at a time

What the wait of urgent jobs at take-overs is, and the share of take-overs in which two owners were served at once, could not be told from logs. Tests with the command's own.

--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -3,6 +3,7 @@
 from .core import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .histories import JobHistory, read_histories, RunHistory
 from .stops import RoomUse, StoppedJob, tell_stops
+from .takeovers import TakeOver, takeovers
 
 __all__ = (
     'Account',
@@ -13,8 +14,10 @@
     'RoomUse',
     'RunHistory',
     'StoppedJob',
+    'TakeOver',
     'WindowRow',
     'account',
     'read_histories',
+    'takeovers',
     'tell_stops',
 )
--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -22,10 +22,13 @@
         When its start was ordered, seconds since 1970.
     worker : str
         Where.
+    rank : int
+        Rank that its step had then.
     """
 
-    def __init__(self, task: _Task, number: int, ordered_s: float, worker: str) -> None:
+    def __init__(self, task: _Task, number: int, ordered_s: float, worker: str, rank: int = 0) -> None:
         """Start as a run under way."""
+        self.rank = rank
         self.task = task
         self.number = number
         self.ordered_s = ordered_s
@@ -157,7 +160,7 @@
 
     def ordered(self, line: LogLine) -> None:
         key = _key(line.fields)
-        run = RunHistory(*key, line.at_s, line.fields['worker'])
+        run = RunHistory(*key, line.at_s, line.fields['worker'], line.fields.get('rank', 0))
         self._run_by_key[key] = run
         self.job(run.task[0]).runs.append(run)
 
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/accounting/takeovers.py
@@ -0,0 +1,89 @@
+"""Changes of the pool's owner: how long work waited, and whether two owners gave orders at a time."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from dahliaarch_kernel.scheduler.ranks import RANK_URGENT
+from dahliaarch_kernel.scheduler.state import RUNS_PER_EPOCH
+
+from ..explaining import LogLine
+from .histories import JobHistory
+
+
+class TakeOver(NamedTuple):
+    """One change of the pool's owner.
+
+    Parameters
+    ----------
+    at_s : float
+        When the new owner was ready, from the first line on.
+    owner : str
+        The instance.
+    epoch : int
+        Its epoch.
+    jobs, urgent : int
+        Jobs that were handed in before it was ready and began under it; those of
+        them that began as urgent work.
+    longest_wait_s, mean_urgent_wait_s : float
+        From handing in to the first start.
+    orders_of_two_s : float
+        For how long starts of an owner before went out after its own first one.
+    """
+
+    at_s: float
+    owner: str
+    epoch: int
+    jobs: int
+    urgent: int
+    longest_wait_s: float
+    mean_urgent_wait_s: float
+    orders_of_two_s: float
+
+
+class _Orders(NamedTuple):
+    """When the starts of one owner went out."""
+
+    first_s: float
+    last_s: float
+
+
+def takeovers(lines: Iterable[LogLine], history_by_id: Mapping[str, JobHistory]) -> list[TakeOver]:
+    """Return the changes of the owner after the first one, in order of time."""
+    ordered = sorted(lines, key=lambda line: line.at_s)
+    orders_by_epoch = _orders_by_epoch(ordered)
+    ready = [line for line in ordered if line.event == 'owner_ready']
+    return [_takeover(line, line.at_s - ordered[0].at_s, orders_by_epoch, history_by_id.values()) for line in ready[1:]]
+
+
+def _orders_by_epoch(lines: Iterable[LogLine]) -> dict[int, _Orders]:
+    times_by_epoch: dict[int, list[float]] = defaultdict(list)
+    for line in lines:
+        if line.event == 'run_ordered':
+            times_by_epoch[_epoch(line.fields['run'])].append(line.at_s)
+    return {epoch: _Orders(min(times), max(times)) for epoch, times in times_by_epoch.items()}
+
+
+def _takeover(
+    ready: LogLine, at_s: float, orders_by_epoch: Mapping[int, _Orders], jobs: Iterable[JobHistory]
+) -> TakeOver:
+    epoch = int(ready.fields['epoch'])
+    waited = [job for job in jobs if job.runs and job.asked_s < ready.at_s and _epoch(job.runs[0].number) == epoch]
+    waits_s = [job.runs[0].ordered_s - job.asked_s for job in waited]
+    urgent_s = [job.runs[0].ordered_s - job.asked_s for job in waited if job.runs[0].rank <= RANK_URGENT]
+    own = orders_by_epoch.get(epoch)
+    before_s = max((orders.last_s for each, orders in orders_by_epoch.items() if each < epoch), default=0.0)
+    return TakeOver(
+        at_s,
+        ready.instance,
+        epoch,
+        len(waits_s),
+        len(urgent_s),
+        max(waits_s, default=0.0),
+        sum(urgent_s) / len(urgent_s) if urgent_s else 0.0,
+        0.0 if own is None else max(0.0, before_s - own.first_s),
+    )
+
+
+def _epoch(run: int) -> int:
+    return run // RUNS_PER_EPOCH
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -14,7 +14,7 @@
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
-from .accounting import account, read_histories, tell_stops
+from .accounting import account, read_histories, takeovers, tell_stops
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
 from .printing import print_columns, print_effects, print_gap, print_table
@@ -89,12 +89,13 @@
     lines: list[LogLine] = []
     for path in logs:
         lines.extend(read_lines(path))
-    found = account(read_histories(lines))
+    histories = read_histories(lines)
+    found = {**account(histories)._asdict(), 'takeovers': takeovers(lines, histories)}
     if as_json:
-        rows = {name: [row._asdict() for row in part] for name, part in found._asdict().items()}
+        rows = {name: [row._asdict() for row in part] for name, part in found.items()}
         typer.echo(json.dumps(rows, indent=2))
         return
-    for name, part in found._asdict().items():
+    for name, part in found.items():
         print_table(name, [row._asdict() for row in part])
 
 
--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..accounting import account, read_histories, tell_stops
+from ..accounting import account, read_histories, takeovers, tell_stops
 from ..explaining import LogLine
 
 URGENT, BATCH = 'a' * 16, 'b' * 16
@@ -163,3 +163,29 @@
 def test_without_any_line_there_is_nothing_to_tell():
     found = account_of()
     assert not any(found)
+
+
+def owner_run(epoch, number=1):
+    return (epoch << 20) + number
+
+
+def test_a_takeover_tells_who_waited_and_whether_two_owners_gave_orders():
+    lines = [
+        line(0.0, 'owner_ready', epoch=7),
+        known(0.5, BATCH, 'batch'),
+        ordered(0.6, BATCH, owner_run(7)),
+        known(1.0, URGENT, 'urgent'),
+        line(3.0, 'owner_ready', epoch=9),
+        ordered(3.25, URGENT, owner_run(9)),
+        ordered(3.75, BATCH, owner_run(7, 2)),
+    ]
+    (found,) = takeovers(lines, read_histories(lines))
+    assert (found.at_s, found.epoch, found.jobs, found.urgent) == (3.0, 9, 1, 1)
+    assert found.longest_wait_s == pytest.approx(2.25)
+    assert found.mean_urgent_wait_s == pytest.approx(2.25)
+    assert found.orders_of_two_s == pytest.approx(0.5)
+
+
+def test_without_a_change_of_the_owner_there_is_no_takeover():
+    lines = [line(0.0, 'owner_ready', epoch=7), known(0.5, BATCH, 'batch'), ordered(0.6, BATCH, owner_run(7))]
+    assert not takeovers(lines, read_histories(lines))
