--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -69,6 +69,8 @@
         self.asked_s = float('inf')
         self.is_refused = False
         self.known_s: float | None = None
+        # The first owner that learnt of it.
+        self.known_by = ''
         self.cancelled_s: float | None = None
         self.shown_s: float | None = None
         self.phase = ''
@@ -150,6 +152,7 @@
         if job.known_s is not None:
             return
         job.known_s = line.at_s
+        job.known_by = line.instance
         job.asked_s = min(job.asked_s, float(line.fields['accepted_s']))
         job.queue = line.fields['queue']
         job.occurrences = int(line.fields['occurrences'])
--- a/packages/cli/dahliaarch_cli/accounting/takeovers.py
+++ b/packages/cli/dahliaarch_cli/accounting/takeovers.py
@@ -23,8 +23,8 @@
     epoch : int
         Its epoch.
     jobs, urgent : int
-        Jobs that were handed in before it was ready and began under it; those of
-        them that began as urgent work.
+        Jobs that were handed in before it was ready, that no owner before had heard
+        of and that began under it; those of them that began as urgent work.
     longest_wait_s, mean_urgent_wait_s : float
         From handing in to the first start.
     orders_of_two_s : float
@@ -68,7 +68,7 @@
     ready: LogLine, at_s: float, orders_by_epoch: Mapping[int, _Orders], jobs: Iterable[JobHistory]
 ) -> TakeOver:
     epoch = int(ready.fields['epoch'])
-    waited = [job for job in jobs if job.runs and job.asked_s < ready.at_s and _epoch(job.runs[0].number) == epoch]
+    waited = [job for job in jobs if _waited_for(job, ready, epoch)]
     waits_s = [job.runs[0].ordered_s - job.asked_s for job in waited]
     urgent_s = [job.runs[0].ordered_s - job.asked_s for job in waited if job.runs[0].rank <= RANK_URGENT]
     own = orders_by_epoch.get(epoch)
@@ -85,5 +85,12 @@
     )
 
 
+def _waited_for(job: JobHistory, ready: LogLine, epoch: int) -> bool:
+    """Tell whether a job could not begin before an owner was ready, and began under it."""
+    if not job.runs or job.known_by != ready.instance or job.asked_s >= ready.at_s:
+        return False
+    return _epoch(job.runs[0].number) == epoch
+
+
 def _epoch(run: int) -> int:
     return run // RUNS_PER_EPOCH
--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -169,14 +169,18 @@
     return (epoch << 20) + number
 
 
+def by(instance, each):
+    return each._replace(instance=instance)
+
+
 def test_a_takeover_tells_who_waited_and_whether_two_owners_gave_orders():
     lines = [
         line(0.0, 'owner_ready', epoch=7),
         known(0.5, BATCH, 'batch'),
         ordered(0.6, BATCH, owner_run(7)),
-        known(1.0, URGENT, 'urgent'),
-        line(3.0, 'owner_ready', epoch=9),
-        ordered(3.25, URGENT, owner_run(9)),
+        by('i2', known(2.75, URGENT, 'urgent')._replace(fields=known(1.0, URGENT, 'urgent').fields)),
+        by('i2', line(3.0, 'owner_ready', epoch=9)),
+        by('i2', ordered(3.25, URGENT, owner_run(9))),
         ordered(3.75, BATCH, owner_run(7, 2)),
     ]
     (found,) = takeovers(lines, read_histories(lines))
