--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -10,7 +10,7 @@
 from dahliaarch_standins.bench import run_bench
 from dahliaarch_standins.comparison import ablate as ablate_mechanisms
 from dahliaarch_standins.comparison import compare as compare_schedulers
-from dahliaarch_standins.comparison import DEPLOYMENTS, DRAWN, gap_on, plot_effects
+from dahliaarch_standins.comparison import DEPLOYMENTS, DRAWN, DRAWN_LOADED, gap_on, plot_effects
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
@@ -24,7 +24,7 @@
 Url = Annotated[str, typer.Option('--url', envvar='DAHLIAARCH_URL', help='Address of any instance, for callers.')]
 Key = Annotated[str, typer.Option('--key', envvar='DAHLIAARCH_KEY', help='Key of a client account.')]
 Queue = Annotated[str, typer.Argument(help='Path of the queue, for example /reconciliation/.')]
-Deployment = Annotated[str, typer.Option(help=f'One of: {", ".join((*DEPLOYMENTS, DRAWN))}.')]
+Deployment = Annotated[str, typer.Option(help=f'One of: {", ".join((*DEPLOYMENTS, DRAWN, DRAWN_LOADED))}.')]
 Cores = Annotated[int, typer.Option(help='Days that are played at a time.')]
 JobId = Annotated[str, typer.Argument(help='16 hexadecimal digits, chosen by the caller.')]
 
--- a/packages/standins/dahliaarch_standins/comparison/__init__.py
+++ b/packages/standins/dahliaarch_standins/comparison/__init__.py
@@ -3,7 +3,7 @@
 from .ablation import ablate, Effect
 from .core import compare, Comparison
 from .deployments import DEPLOYMENTS
-from .drawing import draw_deployment, DRAWN
+from .drawing import draw_deployment, DRAWN, DRAWN_LOADED
 from .gap import Gap, gap_on
 from .losses import Loss
 from .plotting import plot_effects
@@ -12,6 +12,7 @@
     'Comparison',
     'DEPLOYMENTS',
     'DRAWN',
+    'DRAWN_LOADED',
     'Effect',
     'Gap',
     'Loss',
--- a/packages/standins/dahliaarch_standins/comparison/days.py
+++ b/packages/standins/dahliaarch_standins/comparison/days.py
@@ -11,7 +11,7 @@
 from .scoring import DayScore, score_day
 from .shapes import Deployment
 from .simulation import Simulation
-from .troubles import draw_troubles, Troubles
+from .troubles import draw_loaded, draw_troubles, Troubles
 from .workload import draw_jobs, DrawnJob
 
 # Length of a day's traffic and of the time after it, in seconds.
@@ -67,14 +67,15 @@
 def draw_day(deployment: Deployment, seed: int, load: float = 1.0) -> Day:
     """Return a day of a deployment."""
     priorities = tuple(kind.priority for kind in deployment.kinds)
-    troubles = draw_troubles(priorities, TRAFFIC_S, seed)
+    is_loaded = deployment.is_loaded
+    troubles = draw_loaded(priorities, seed) if is_loaded else draw_troubles(priorities, TRAFFIC_S, seed)
     jobs = draw_jobs(deployment, TRAFFIC_S, load, seed, troubles.bursts, troubles.waves)
     return Day(deployment, jobs, troubles, seed)
 
 
 def play_day(day: Day, scheduler: Decider) -> Simulation:
     """Play a day and return what became of it."""
-    simulation = Simulation(day.deployment, day.jobs, day.troubles.sick, scheduler, day.seed)
+    simulation = Simulation(day.deployment, day.jobs, day.troubles, scheduler, day.seed)
     simulation.run(TRAFFIC_S + AFTER_S)
     return simulation
 
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -133,7 +133,7 @@
     return pool._replace(workers=_GROWN_WORKERS, workers_per_rack=12, accounts=10)
 
 
-DEPLOYMENTS = {
+_PLAIN = {
     'meters': Deployment(_METERS_POOL, _METERS),
     'cars': Deployment(_CARS_POOL, _CARS),
     'zones': Deployment(_ZONES_POOL, _ZONES),
@@ -157,3 +157,6 @@
         _grown_pool(_ZONES_POOL), _grown(_ZONES, ((1.04, 12.3, 60), (4.4, 5.2, 32), (1.02, 37.0, 190)))
     ),
 }
+
+# Each once more, with days on which all troubles come together.
+DEPLOYMENTS = _PLAIN | {f'{name}-loaded': deployment._replace(is_loaded=True) for name, deployment in _PLAIN.items()}
--- a/packages/standins/dahliaarch_standins/comparison/drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/drawing.py
@@ -15,6 +15,8 @@
 
 # Name of the days that are each on a deployment of their own.
 DRAWN = 'drawn'
+# The same, with all troubles together.
+DRAWN_LOADED = 'drawn-loaded'
 
 _WORKERS = (12, 20, 32, 48, 72)
 _WORKERS_PER_RACK = (4, 6, 8, 12)
@@ -37,7 +39,9 @@
 
 def deployment_named(name: str, seed: int) -> Deployment:
     """Return a deployment by its name, or the one that a seed draws."""
-    return draw_deployment(seed) if name == DRAWN else DEPLOYMENTS[name]
+    if name in DEPLOYMENTS:
+        return DEPLOYMENTS[name]
+    return draw_deployment(seed)._replace(is_loaded=name == DRAWN_LOADED)
 
 
 def draw_deployment(seed: int) -> Deployment:
--- a/packages/standins/dahliaarch_standins/comparison/ledger.py
+++ b/packages/standins/dahliaarch_standins/comparison/ledger.py
@@ -69,8 +69,10 @@
         it counts to the work that a job's objective is worked out from.
     wasted_by_cause : dict
         Weighted core-seconds that were thrown away, by why.
-    worked : float
-        Weighted core-seconds that were spent.
+    worked, done : float
+        Weighted core-seconds that were spent, and those of runs that succeeded.
+    stopped_by_cause : dict
+        Weighted core-seconds of the runs that were stopped, saved work among them, by why.
     attempts_by_step : dict
         Runs that have ended, by job and step, in the order of their ends.
     free_by_time : list of tuple
@@ -89,7 +91,9 @@
         self.failed_s_by_job = defaultdict[str, float](float)
         self.wasted_by_cause = defaultdict[str, float](float)
         self.stops_by_cause: Counter[str] = Counter()
+        self.stopped_by_cause = defaultdict[str, float](float)
         self.worked = 0.0
+        self.done = 0.0
         self.attempts_by_step: dict[tuple[str, int], list[Attempt]] = {}
         self.free_by_time: list[tuple[float, int]] = []
         self.idle_while_waiting: list[float] = []
@@ -132,6 +136,8 @@
         kept_s = spent_s if is_done else self._kept_s(unit, end, spent_s)
         self.worked += member.cores * spent_s
         stopped_why = self._why_by_run.pop(member.key, '')
+        if stopped_why and not is_done:
+            self.stopped_by_cause[stopped_why] += member.cores * spent_s
         why = '' if is_done else stopped_why or str(cause or end.kind)
         if why:
             self.wasted_by_cause[why] += member.cores * (spent_s - kept_s)
@@ -139,6 +145,7 @@
         attempt = Attempt(key.task_index, member.begun_s, now_s, unit.saved_s, kept_s, why)
         self.attempts_by_step.setdefault((key.job_id, key.step), []).append(attempt)
         if is_done:
+            self.done += member.cores * spent_s
             self._note_done(member, now_s)
         if end.kind is EndKind.FAILED and unit.fails_at_s is not None and unit.size == member.step.task_count:
             self.failed_s_by_job[key.job_id] += spent_s
--- a/packages/standins/dahliaarch_standins/comparison/shapes.py
+++ b/packages/standins/dahliaarch_standins/comparison/shapes.py
@@ -114,7 +114,18 @@
 
 
 class Deployment(NamedTuple):
-    """A pool and the jobs that it serves."""
+    """A pool and the jobs that it serves.
+
+    Parameters
+    ----------
+    pool : Pool
+        The pool.
+    kinds : tuple of JobKind
+        What it serves.
+    is_loaded : bool
+        Whether all troubles come together on each of its days.
+    """
 
     pool: Pool
     kinds: tuple[JobKind, ...]
+    is_loaded: bool = False
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -11,11 +11,12 @@
 
 from .chances import Chances
 from .decider import Decider
-from .executions import Execution, PlayedWorker, saved_work_s, Unit
+from .executions import Execution, PlayedWorker, RunKey, saved_work_s, Unit
 from .ledger import Cause, Ledger
+from .orders import Orders
 from .shapes import Deployment, Pool
 from .sickness import draw_sick_places, REPLACED_AFTER_S, SickPlace
-from .troubles import Sickness, SickWorkers
+from .troubles import Sickness, Troubles
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
 # Time from an order to what it does, in seconds: one message each way.
@@ -44,7 +45,7 @@
         The pool.
     jobs : list of DrawnJob
         The day's jobs.
-    sick : sequence of SickWorkers
+    troubles : Troubles
         What befalls workers.
     scheduler : Decider
         What decides.
@@ -61,7 +62,7 @@
         self,
         deployment: Deployment,
         jobs: list[DrawnJob],
-        sick: tuple[SickWorkers, ...],
+        troubles: Troubles,
         scheduler: Decider,
         seed: int,
     ) -> None:
@@ -73,6 +74,10 @@
         self._worker_by_place = _draw_workers(deployment, self._chances)
         self._worker_by_id = {worker.profile.worker_id: worker for worker in self._worker_by_place}
         self._unit_by_gang: dict[tuple[str, int, int, int], Unit] = {}
+        self._orders = Orders(troubles.lost_orders, self._chances)
+        # Runs that have begun, and those that were stopped before they had.
+        self._begun: set[RunKey] = set()
+        self._forbidden: set[RunKey] = set()
         # What a worker that is cut off will tell and do once it is back.
         self._later_by_worker: dict[str, list[Callable[[], None]]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -84,7 +89,7 @@
             self._at(job.at_s, partial(self._submit, job))
             if job.cancel_at_s is not None:
                 self._at(job.cancel_at_s, partial(self._cancel, job))
-        for each in draw_sick_places(deployment.pool, sick, self._chances):
+        for each in draw_sick_places(deployment.pool, troubles.sick, self._chances):
             self._at(each.span.begin_s, partial(self._fall_sick, each))
 
     def run(self, until_s: float) -> None:
@@ -116,7 +121,7 @@
             return
         for effect in self._scheduler.decide(self._moment):
             self._carry_out(effect)
-        self.ledger.note_idle(self._now_s, self._present())
+        self.ledger.note_idle(self._now_s, [worker for worker in self._worker_by_place if not worker.is_gone])
         self._ask_pass(_PASS_EVERY_S)
 
     @singledispatchmethod
@@ -125,7 +130,9 @@
 
     @_carry_out.register
     def _(self, effect: StartRun) -> None:
-        self._at(self._now_s + _ORDER_S, partial(self._start, effect))
+        order = self._orders.start(effect, self._now_s)
+        act = self._start if order.is_certain else self._never_begins
+        self._at(self._now_s + order.takes_s + _ORDER_S, partial(act, effect))
 
     @_carry_out.register
     def _(self, effect: StopRun) -> None:
@@ -133,6 +140,7 @@
         luck = self._chances.nth_about('stop', *effect.key)
         self._chances.has_come('stop', *effect.key)
         takes_s = luck.uniform(self._pool.shortest_stop_s, self._pool.largest_stop_s)
+        takes_s += self._orders.stop_takes_s(effect, self._now_s)
         self._at(self._now_s + takes_s, partial(self._stop, effect))
 
     def _submit(self, job: DrawnJob) -> None:
@@ -170,9 +178,6 @@
         lease.sent(self._now_s + self._pool.hold_s)
         self._scheduler.worker_surveyed(worker_id, running, self._now_s, self._moment)
 
-    def _present(self) -> list[PlayedWorker]:
-        return [worker for worker in self._worker_by_place if not worker.is_gone]
-
     def _fall_sick(self, sick: SickPlace) -> None:
         worker = self._worker_by_place[sick.place]
         worker.sickness = sick.kind
@@ -231,12 +236,15 @@
             # It is taken back once the worker answers again.
             self._later(worker, partial(self._refuse, start))
             return
+        if (start.key, start.run) in self._forbidden:
+            return
         execution = Execution(start, job, worker, self._now_s)
         if not worker.has_room(execution.demand):
             self._refuse(start)
             return
         unit = self._unit_of(execution)
         unit.members.append(execution)
+        self._begun.add(execution.key)
         worker.add(execution, unit)
         self.ledger.note_begin(start.key.job_id, self._now_s)
         self._scheduler.run_started(start.worker_id, start.key, start.run, self._moment)
@@ -247,6 +255,14 @@
         self._scheduler.run_ended(RunEnd(start.worker_id, start.key, start.run, EndKind.REFUSED), self._moment)
         self._ask_pass(_GATHER_S)
 
+    def _never_begins(self, order: StartRun | StopRun) -> None:
+        """Tell that a run was stopped before it began."""
+        if self._worker_by_id[order.worker_id].is_gone:
+            return
+        self._forbidden.add((order.key, order.run))
+        self._tell_end(RunEnd(order.worker_id, order.key, order.run, EndKind.STOPPED))
+        self._ask_pass(_GATHER_S)
+
     def _unit_of(self, execution: Execution) -> Unit:
         start = execution.start
         saved_s = saved_work_s(start.checkpoint)
@@ -296,6 +312,8 @@
         unit = worker.unit_by_run.get((stop.key, stop.run))
         if unit is not None:
             self._end_unit(unit, EndKind.STOPPED)
+        elif (stop.key, stop.run) not in self._begun:
+            self._never_begins(stop)
 
     def _end_unit(self, unit: Unit, kind: EndKind, lost_on: PlayedWorker | None = None) -> None:
         """End all members of a unit; one of a failed gang takes the blame."""
@@ -322,14 +340,14 @@
         member.is_over = True
         member.worker.remove(member)
         self.ledger.note_end(member, unit, end, cause, self._now_s)
-        if not is_told:
-            return
-        if member.worker.is_cut_off:
-            self._later(member.worker, partial(self._tell_end, end))
-            return
-        self._tell_end(end)
+        if is_told:
+            self._tell_end(end)
 
     def _tell_end(self, end: RunEnd) -> None:
+        worker = self._worker_by_id[end.worker_id]
+        if worker.is_cut_off:
+            self._later(worker, partial(self._tell_end, end))
+            return
         self._scheduler.run_ended(end, self._moment)
 
     def _later(self, worker: PlayedWorker, act: Callable[[], None]) -> None:
--- a/packages/standins/dahliaarch_standins/comparison/troubles.py
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -1,7 +1,7 @@
 """Troubles of a day, of the kinds that touch decisions, drawn by a seed."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -72,12 +72,21 @@
     factor: float = 1.0
 
 
+class LostOrders(NamedTuple):
+    """A share of the workers leaves a share of the orders unanswered for a while."""
+
+    span: Span
+    workers_share: float
+    orders_share: float
+
+
 class Troubles(NamedTuple):
     """All troubles of a day."""
 
     bursts: tuple[Burst, ...] = ()
     waves: tuple[Cancellations, ...] = ()
     sick: tuple[SickWorkers, ...] = ()
+    lost_orders: tuple[LostOrders, ...] = ()
 
 
 # Strengths and lengths as on the users' sheets.
@@ -97,6 +106,23 @@
 _SICK_S = (5.0, 7.0)
 # From a worker's notice until it is gone.
 _NOTICE_S = (2.0, 6.0)
+# On one of so many days orders are lost, to which share of the workers and how many.
+_DAYS_FOR_LOST_ORDERS = 4
+_DEAF_SHARE = (0.3, 1.0)
+_LOST_SHARE = (0.05, 0.5)
+_LOST_S = (5.0, 20.0)
+# A loaded day: when bursts of each priority, the most urgent first, come and how
+# strong they are, and when workers leave, are cut off and leave orders unanswered.
+_LOADED_BURSTS = ((3.0, 20.0, 2.0), (6.0, 20.0, 3.0), (1.0, 4.0, 2.0))
+_LOADED_SICK = (
+    (Sickness.LEAVING, 4.0, 4.5, 0.25),
+    (Sickness.CUT_OFF, 5.5, 7.0, 0.4),
+    (Sickness.LEAVING, 18.0, 4.5, 0.3),
+    (Sickness.CUT_OFF, 18.5, 7.0, 0.4),
+)
+_LOADED_LOST_ORDERS = (3.0, 26.0, 0.5, 0.4)
+# Largest change of a moment of a loaded day, in seconds.
+_LOADED_SHIFT_S = 2.0
 # Of three sicknesses, how many befall a day's workers.
 _MOST_SICKNESSES = 3
 
@@ -117,7 +143,39 @@
     bursts = [_draw_burst(choice, priorities, length_s) for _ in range(choice.randint(1, 2))]
     waves = [_draw_wave(choice, length_s) for _ in range(choice.randint(0, 1))]
     sick = [_draw_sick(choice, length_s) for _ in range(choice.randint(0, _MOST_SICKNESSES))]
-    return Troubles(tuple(bursts), tuple(waves), tuple(sick))
+    return Troubles(tuple(bursts), tuple(waves), tuple(sick), tuple(_draw_lost_orders(length_s, seed)))
+
+
+def draw_loaded(priorities: Sequence[int], seed: int) -> Troubles:
+    """Return the troubles of a day on which everything comes together, its moments drawn.
+
+    Bursts of each priority overlap, workers leave and are cut off, and half of them
+    leave orders unanswered.
+    """
+    choice = random.Random(f'{seed}/loaded')
+    bursts = [
+        Burst(_shifted(choice, begin_s, lasts_s), priority, factor)
+        for priority, (begin_s, lasts_s, factor) in zip(priorities, _LOADED_BURSTS, strict=False)
+    ]
+    sick = [
+        SickWorkers(_shifted(choice, begin_s, lasts_s), kind, share) for kind, begin_s, lasts_s, share in _LOADED_SICK
+    ]
+    begin_s, lasts_s, workers_share, orders_share = _LOADED_LOST_ORDERS
+    lost = LostOrders(_shifted(choice, begin_s, lasts_s), workers_share, orders_share)
+    return Troubles(tuple(bursts), (), tuple(sick), (lost,))
+
+
+def _shifted(choice: random.Random, begin_s: float, lasts_s: float) -> Span:
+    begin_s = max(0.0, begin_s + choice.uniform(-_LOADED_SHIFT_S, _LOADED_SHIFT_S))
+    return Span(begin_s, begin_s + lasts_s)
+
+
+def _draw_lost_orders(length_s: float, seed: int) -> Iterator[LostOrders]:
+    """Yield times of lost orders, from a source of their own: days without any stay as they were."""
+    choice = random.Random(f'{seed}/orders')
+    if choice.randrange(_DAYS_FOR_LOST_ORDERS) == 0:
+        span = _draw_span(choice, length_s, _LOST_S)
+        yield LostOrders(span, choice.uniform(*_DEAF_SHARE), choice.uniform(*_LOST_SHARE))
 
 
 def _draw_burst(choice: random.Random, priorities: Sequence[int], length_s: float) -> Burst:
