--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -1,6 +1,5 @@
 """State of one job: what is done, what runs and what may start."""
 
-from collections import Counter
 from collections.abc import Iterator
 from enum import StrEnum
 
@@ -52,8 +51,6 @@
         self.alone_until_s: float | None = None
         self.failed_on: set[str] = set()
         self.checkpoint_by_index: dict[int, str] = {}
-        # How often this owner threw the work of each task away to make room; a gang counts as its first one.
-        self._stops_by_index = Counter[int]()
         self.refused_until_s = 0.0
         # Whether a pass has tried to place it, and looked for victims.
         self.was_considered = False
@@ -90,15 +87,6 @@
         failed.add(run)
         return len(failed)
 
-    def count_stop(self, index: int) -> None:
-        """Record that a task, or its gang, is stopped to make room, unless its work is saved."""
-        if not self.spec.checkpoints:
-            self._stops_by_index[0 if self.spec.gang else index] += 1
-
-    def stops(self, index: int) -> int:
-        """Return how often the work of a task, or of its gang, was thrown away to make room."""
-        return self._stops_by_index[0 if self.spec.gang else index]
-
     def count_crash(self, index: int, crash: Crash) -> None:
         """Record a crash of a worker under a task, once."""
         crashes = self.crashes_by_index.setdefault(index, [])
--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -22,7 +22,5 @@
     NEAR_FIRST = 'near_first'
     #: The cheapest runs are stopped for urgent work.
     CHEAP_VICTIMS = 'cheap_victims'
-    #: What a task can't save is thrown away a few times at most for urgent work beyond its guarantee.
-    FEW_STOPS = 'few_stops'
     #: Full workers are filled first.
     PACKING = 'packing'
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -258,7 +258,7 @@
             self._reserve(request, count)
             return
         for victim in plan.victims:
-            self._state.make_room(victim, step.job.spec.job_id)
+            self._state.stop_unit(victim, f'makes room for {step.job.spec.job_id}')
         self._claim(request, plan)
 
     def _plan(self, request: Request, wanted: int) -> Plan | None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -8,7 +8,7 @@
 from .job_state import StepState
 from .mechanisms import Mechanism
 from .placement import allowed_workers
-from .ranks import RANK_GUARANTEED, RANK_ORDINARY
+from .ranks import RANK_ORDINARY
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
@@ -27,9 +27,6 @@
 # that waits for stops and then runs 1.3 times as long is nearly all that is late.
 _SLOW_FACTOR = 3.0
 _SLOW_COST = 100.0
-# How often a task that can't be saved is stopped for work beyond a guarantee:
-# one owner is not served by never letting another's work end.
-_MOST_STOPS = 3
 # A run with less than this left is cheaper to wait for than to stop.
 _NEARLY_DONE_S = 0.4
 
@@ -201,7 +198,7 @@
         found = [
             run
             for run in worker.run_by_key.values()
-            if run.rank > rank and run.phase is not RunPhase.STOPPING and self._may_be_stopped(run, rank)
+            if run.rank > rank and run.phase is not RunPhase.STOPPING and not self._is_lasting(run)
         ]
         return sorted(found, key=lambda run: self._price(run, worker.profile.capacity))
 
@@ -211,12 +208,9 @@
             return 0.0
         return self.cost(run) / share
 
-    def _may_be_stopped(self, run: Run, rank: int) -> bool:
+    def _is_lasting(self, run: Run) -> bool:
         step = self._step_of(run)
-        if step is None:
-            return True
-        is_limited = rank != RANK_GUARANTEED and self._settings.has(Mechanism.FEW_STOPS)
-        return not (step.spec.lasting or is_limited and step.stops(run.key.task_index) >= _MOST_STOPS)
+        return step is not None and step.spec.lasting
 
 
 def _as_plan(chosen: dict[str, _Offer], count: int) -> Plan:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -154,13 +154,6 @@
         run.phase = RunPhase.STOPPING
         self.effects.append(StopRun(run.worker_id, run.key, run.number, reason))
 
-    def make_room(self, run: Run, job_id: str) -> None:
-        """Stop a run and its whole gang for another job, and count it once."""
-        step = self.step_of(run.key)
-        if step is not None and run.phase is not RunPhase.STOPPING:
-            step.count_stop(run.key.task_index)
-        self.stop_unit(run, f'makes room for {job_id}')
-
     def stop_unit(self, run: Run, reason: str) -> None:
         """Order a stop of a run and of its whole gang."""
         step = self.step_of(run.key)
