--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -7,8 +7,6 @@
 it has outlived its earlier runs. A worker that dies meanwhile counts against it alone.
 Workers that die together die of something else, unless one step had tasks on them: a
 task that had run there for a while is not suspected of it.
-Placed as any other work, 16 of 600 innocent jobs were given up beside guilty ones in
-drawn minutes; tried so, none.
 """
 
 from collections.abc import Iterable, Sequence
@@ -36,8 +34,7 @@
 # Crashes that one task is excused for: it may be guilty of some of them all the same.
 _MOST_EXCUSED = 2
 # How long a suspect waits for a worker without other work, in seconds: its job must
-# not be held up by a pool that is never empty. Without the wait 903 runs beside guilty
-# tasks were lost in 30 drawn minutes, with it 751.
+# not be held up by a pool that is never empty.
 _ALONE_WAIT_S = 2.0
 # Tasks that last are suspected only of deaths within this time of their start, in
 # seconds: in days of work they see many workers die.
--- a/packages/kernel/dahliaarch_kernel/scheduler/pace.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/pace.py
@@ -1,7 +1,7 @@
 """How fast a worker is against the others."""
 
 # Weight of the belief that a worker is like the others, in observations: tasks
-# of a step were seen to differ by up to 0.3 and workers by 1.3 times.
+# of a step differ by up to 0.3 and workers by 1.3 times.
 _PRIOR_OBSERVATIONS = 1.5
 # Share of what was known before that stays with each observation, so that a
 # worker that was slow for some seconds is trusted again.
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -28,7 +28,7 @@
 REFUSED_PAUSE_S = 0.3
 
 # Guaranteed work waits this long for a place near its data or in one rack, in
-# seconds: under half of the shortest bound on its beginning that was seen.
+# seconds: under half of the shortest bound on its beginning.
 _GUARANTEED_NEAR_S = 1.2
 
 # How often steps that found no room are considered again though nothing has
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -23,8 +23,8 @@
 # Cost of any stop, in seconds of the run's work: its restart elsewhere.
 _RESTART_S = 0.5
 # A plan with slow workers counts as this many times as dear, and so many
-# weighted core-seconds more: in the comparison under a fake clock urgent work
-# that waits for stops and then runs 1.3 times as long is nearly all that is late.
+# weighted core-seconds more: urgent work that waits for stops and then runs longer
+# ends late.
 _SLOW_FACTOR = 3.0
 _SLOW_COST = 100.0
 # A run with less than this left is cheaper to wait for than to stop.
--- a/packages/node/dahliaarch_node/front/acceptance.py
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -14,9 +14,8 @@
 from ..logs import log_event
 from ..records import cancel_key, job_key
 
-# Longest time that a request is held for the store, in seconds. A slow store
-# was seen to take 0.25 s; holding for 1.3 s, or asking a store again that had
-# refused, cost more than it saved (docs/design/measurements.md).
+# Longest time that a request is held for the store, in seconds: three times what
+# a slow one takes.
 HOLD_S = 0.8
 
 
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -42,8 +42,7 @@
 _ASK_OWNER_S = 0.4
 # How long a question for a state waits for an end that is near, in seconds.
 # Callers ask as their last task ends, some 40 ms before that end is kept, and
-# come again 0.26 s later. Urgent jobs shown late fell by this from 302 to 220
-# of 2,203 (15 days with trouble on each of three deployments of 24 workers).
+# come again 0.26 s later, when an urgent job may be late.
 _END_WAIT_S = 0.25
 # Longest try at an own write before the owner is asked to make it, in seconds.
 _OWN_TRY_S = 0.35
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -36,7 +36,7 @@
 from .unserved import UnservedWorkers
 
 # Starts under way at one time, urgent ones and others: over a link of 1 Mbit/s the last of them is answered
-# in 0.2 s. 1,400 at once were given up before they had been sent.
+# in 0.2 s, and none is given up before it has been sent.
 _MOST_STARTS = 32
 # Longest time between two passes, in seconds: leases end and jobs fall due.
 _PASS_EVERY_S = 0.25
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -34,8 +34,7 @@
 
 # Ends of tasks that come within this time share a transaction, in seconds; they
 # are owed their acknowledgement 0.1 s after they were listed. The end of a job is
-# waited for by its owner and kept at once: mean worth rose by 0.010 to 0.016 on
-# three deployments of 24 workers (15 days each), with no more calls of the store.
+# waited for by its owner and kept at once.
 _GATHER_S = 0.03
 # Writes of one transaction: each brings a condition on its own key, beside the
 # one on the owner's key.
