Stand-in of a worker: nobody gets its address while it is down

A fault of the stand-in, not of the product.

Change: a socket that does not listen holds the address until the worker listens again; callers are refused as before. The test fails without it.

--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -1,5 +1,6 @@
 """The worker's stand-in keeps what a worker has to keep."""
 
+import socket
 import time
 
 import anyio
@@ -94,6 +95,30 @@
     assert [[row[0] for row in each['Finished']] for each in (earlier, later)] == [[1], []]
 
 
+def test_nobody_gets_the_address_of_a_worker_that_is_down():
+    """Another process had it as the port of a call: the worker could not come back, and all ended."""
+
+    async def scenario():
+        worker = WorkerStandIn('w0', 'svc', 'r0', StoreStandIn())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(worker.run)
+            while not worker.address.port:
+                await anyio.sleep(0.01)
+            tasks.start_soon(worker.start_again, 0.2)
+            await anyio.sleep(0.1)
+            with socket.socket() as other, pytest.raises(ConnectionRefusedError):
+                other.connect(worker.address)
+            with socket.socket() as other, pytest.raises(OSError, match='in use'):
+                other.bind(worker.address)
+            await anyio.sleep(0.2)
+            listed = await call(worker, '/hold', {'Fence': 1, 'AckedUpto': 0})
+            tasks.cancel_scope.cancel()
+        worker.server.close()
+        return listed
+
+    assert anyio.run(scenario)['Running'] == []
+
+
 async def call(worker, path, body, life=''):
     headers = {'Expected-Instance': life}
     encoded = msgspec.json.encode(body)
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -1,6 +1,9 @@
 """A worker in memory: runs tasks under leases and refuses older owners."""
 
+import socket
 import time
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
 import anyio
@@ -325,14 +328,10 @@
         """
         if self._is_down:
             return
-        self._must_crash = False
-        self._is_down = True
-        self.server.close()
-        self._lose_everything()
-        await anyio.sleep(down_s)
-        self._life = _Life(time.monotonic())
-        self._is_down = False
-        await self.server.listen(self.address)
+        async with self._down():
+            self._lose_everything()
+            await anyio.sleep(down_s)
+            self._life = _Life(time.monotonic())
         self.publish()
 
     async def _crash_and_return(self) -> None:
@@ -340,14 +339,23 @@
         if self.keeps_id:
             await self.start_again()
             return
+        async with self._down():
+            self._crashes += 1
+            self.crash(f'{self.worker_id.partition("-")[0]}-c{self._crashes}')
+            await anyio.sleep(_DOWN_S)
+
+    @asynccontextmanager
+    async def _down(self) -> AsyncGenerator[None, None]:
+        """Take no connections for a while; nobody else gets the address meanwhile."""
         self._must_crash = False
         self._is_down = True
         self.server.close()
-        self._crashes += 1
-        self.crash(f'{self.worker_id.partition("-")[0]}-c{self._crashes}')
-        await anyio.sleep(_DOWN_S)
-        self._is_down = False
-        await self.server.listen(self.address)
+        with socket.socket() as kept:
+            kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            kept.bind(self.address)
+            yield
+            self._is_down = False
+            await self.server.listen(self.address)
 
     def _start(self, body: dict[str, Any]) -> Response:
         life, now_s = self._life, time.monotonic()
