A life rests for acknowledgements that were sent, not for such as never were

Cause: a survey with an acknowledgement that failed counted as one that may be carried out late. One that fails because another life answers was never sent: each new connection is asked first who answers. So a life that had an end kept and not yet acknowledged when it crashed let the next one rest from the moment at which that was found. Ruled out: connections that could not be made; they never counted.

Change: what is answered by another life sets nothing. Acknowledgements on a connection that ended without an answer count as before, which is where a late one can come from.

--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -136,7 +136,8 @@
             return
         except WORKER_FAILURES as error:
             self._lease.sent(until_s or 0.0)
-            if self._to_acknowledge:
+            # Another life that answers has got no acknowledgement: it was asked for its name first.
+            if self._to_acknowledge and not isinstance(error, WorkerReplacedError):
                 self.unanswered_at_s = begun_s
             await self._survey_failed(error)
             return
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -55,6 +55,8 @@
     draw_settings(7002)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
     # A late acknowledgement was carried out by a worker's next life, which forgot ends that nobody had read.
     draw_settings(8001)._replace(kinds=_FOURTH_KINDS),
+    # Lives rested for acknowledgements that were never sent, so that jobs did not end in time.
+    draw_settings(9039)._replace(kinds=_FOURTH_KINDS),
 )
 NEW = draw_settings(1)
 # Each is 3 daemons.
