An acknowledgement that is under way when its link is closed counts as one without an answer

Callers may see a task run again that had ended well: the next life of its worker gets work at once, and the late acknowledgement hides its ends.

Cause: it was noted when the survey failed; a start that met the next life closed the link, which cancels the survey, and nothing was noted.

Change: noted when it is sent, taken back when it is answered or was never sent.

--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -136,9 +136,6 @@
             return
         except WORKER_FAILURES as error:
             self._lease.sent(until_s or 0.0)
-            # Another life that answers has got no acknowledgement: it was asked for its name first.
-            if self._to_acknowledge and not isinstance(error, WorkerReplacedError):
-                self.unanswered_at_s = begun_s
             await self._survey_failed(error)
             return
         self._lease.sent(until_s or 0.0)
@@ -178,16 +175,27 @@
         loop = asyncio.get_running_loop()
         timer = loop.call_later(late_s, self._answer_is_late)
         self._given_up = loop.create_future()
+        acknowledged = self._to_acknowledge
+        earlier_s = self.unanswered_at_s
+        if acknowledged:
+            # Other calls may close this link before it is answered.
+            self.unanswered_at_s = context.clock()
         try:
-            return await self._session.survey(
-                acknowledged=self._to_acknowledge,
+            survey = await self._session.survey(
+                acknowledged=acknowledged,
                 lease_until_s=until_s,
                 wait_s=wait_s,
                 timeout_s=wait_s + self._answer_s(),
                 given_up=self._given_up,
             )
+        except (WorkerUnreachableError, WorkerReplacedError):
+            # It was never sent: a worker is asked first which life it is.
+            self.unanswered_at_s = earlier_s
+            raise
         finally:
             timer.cancel()
+        self.unanswered_at_s = earlier_s
+        return survey
 
     def _answer_is_late(self) -> None:
         if self._contact.failures:
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lives.py
@@ -54,8 +54,9 @@
         # How long it takes to tell what runs there, and until when it is cut off.
         self.list_s = 0.0
         self.silent_until_s = 0.0
-        # What comes of acknowledgements, if they fail.
+        # What comes of acknowledgements, if they fail, and how long that takes.
         self.acknowledging_fails = None
+        self.acknowledging_s = 0.0
 
     def start_again(self, life, running=()):
         self.life, self.running, self.ends, self.counted = life, running, [], 0
@@ -72,6 +73,8 @@
         self._meet(worker_id)
         self.fences.append((worker_id, fence))
         self.acknowledged.append((worker_id, acknowledged))
+        if acknowledged:
+            await anyio.sleep(self.acknowledging_s)
         if acknowledged and self.acknowledging_fails:
             raise self.acknowledging_fails
         self.ends = [each for each in self.ends if each.number > acknowledged]
@@ -217,6 +220,27 @@
     assert (time.monotonic() - begun_s > 1.0) is is_doubtful
 
 
+def test_a_life_rests_for_an_acknowledgement_that_is_under_way_when_another_call_meets_it(monkeypatch):
+    """The link was closed with the call, which did not count as one without an answer."""
+    monkeypatch.setattr(registry, '_LATEST_S', 1.0)
+    worker = RestartingWorker()
+    worker.acknowledging_s = 60.0
+    begun_s = time.monotonic()
+
+    def start_again(owner):
+        worker.start_again(SECOND)
+        owner.post(job())
+
+    play(
+        worker,
+        (lambda owner: owner.post(job(NEW)), started(worker, 1)),
+        (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
+        (start_again, knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), started(worker, 2)),
+    )
+    assert time.monotonic() - begun_s > 1.0
+
+
 def test_what_ran_in_an_earlier_life_is_over_at_once():
     """No lease is waited for: nothing of it can run on."""
     worker = RestartingWorker()
