Tasks whose start a life did not answer wait for the list of the next life

Cause: run was ordered on a life of w3, not answered, and carried out by its next life under the same id. The owner took the earlier life for over at the first answer of the next, 0.4 s before its link had read what runs there, and started the task elsewhere. Ruled out: a later carrying out (from its answer to the new link on, whose fence is higher, a life refuses it), a fence that did not rise.

Change: such tasks start only once the next life has been surveyed, which adopts the run if it is there; the life after the next likewise; without any list until a late start can't run any more (12 s and the longest lease). Tasks whose start was answered start at once as before.

Evidence: test_successors.py; with the wait off three of its six fail.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -20,6 +20,7 @@
 from .runs import RunPhase
 from .settings import SchedulerSettings
 from .state import SchedulerState
+from .successors import note_successor
 from .surveys import take_in_survey
 from .workers import WorkerProfile, WorkerState
 
@@ -177,6 +178,18 @@
         if worker is not None:
             worker.is_silent = True
 
+    def worker_replaced(self, worker_id: str, successor_id: str, late_until_s: float) -> None:
+        """Record, before a life of a worker is over, that another one has answered.
+
+        Parameters
+        ----------
+        worker_id, successor_id : str
+            The two lives.
+        late_until_s : float
+            Until when the later one may run what the earlier one was sent, if it is not heard again, steady clock.
+        """
+        note_successor(self._state, worker_id, successor_id, late_until_s)
+
     def worker_over(self, worker_id: str, now: Moment) -> None:
         """Record that this life of a worker has ended for certain."""
         worker = self._state.worker_by_id.pop(worker_id, None)
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -20,6 +20,7 @@
 from .runs import Run
 from .standing import DatedStanding, Standing
 from .state import SchedulerState
+from .successors import awaits_list
 from .variables import job_variables
 
 # A claim whose room did not come free by then is made anew, in seconds.
@@ -85,7 +86,7 @@
                 continue
             rank = ranks.get(job.spec.job_id, RANK_ORDINARY)
             for step in job.ready_steps():
-                if step.refused_until_s <= self._now.steady_s:
+                if step.refused_until_s <= self._now.steady_s and not awaits_list(self._state, step, self._now):
                     yield from self._requests_of(step, rank)
 
     def _requests_of(self, step: StepState, rank: int) -> Iterator[Request]:
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -0,0 +1,48 @@
+"""Tasks that the next life of a worker may have begun, by a start that the life before did not answer.
+
+They wait until that life has said what runs there: only then is it known, and only
+from its first answer on does it refuse what was meant for the life before.
+"""
+
+from collections.abc import Iterator
+
+from .clock import Moment
+from .job_state import StepState
+from .state import SchedulerState
+
+
+def note_successor(state: SchedulerState, worker_id: str, successor_id: str, until_s: float) -> None:
+    """Record that another life of a worker has answered.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        What is believed.
+    worker_id, successor_id : str
+        The life that is over, its runs still known, and the one that answered.
+    until_s : float
+        Until when a late start may run there if nothing is heard, steady clock.
+    """
+    for step in tuple(_in_doubt(state, worker_id)):
+        step.awaited_until_by_worker.pop(worker_id, None)
+        step.awaited_until_by_worker[successor_id] = until_s
+
+
+def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
+    """Tell whether tasks of a step may run on a life of a worker that has not said what runs there."""
+    for worker_id, until_s in tuple(step.awaited_until_by_worker.items()):
+        worker = state.worker_by_id.get(worker_id)
+        if until_s <= now.steady_s or (worker is not None and worker.is_surveyed):
+            del step.awaited_until_by_worker[worker_id]
+    return bool(step.awaited_until_by_worker)
+
+
+def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
+    """Yield the steps with a start that a life did not answer, and those that wait for it themselves."""
+    worker = state.worker_by_id.get(worker_id)
+    for run in worker.run_by_key.values() if worker is not None else ():
+        step = state.step_of(run.key)
+        if step is not None and not run.is_confirmed:
+            yield step
+    for job in state.active_jobs():
+        yield from (step for step in job.step_by_key.values() if worker_id in step.awaited_until_by_worker)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -0,0 +1,80 @@
+"""Starts that a life of a worker did not answer may be carried out by its next life, before that has answered.
+
+The task was started elsewhere as soon as the earlier life was over, 0.4 s before the list of the next: two runs.
+"""
+
+import pytest
+
+from dahliaarch_kernel.scheduler import StartRun
+from dahliaarch_kernel.scheduler.events import RunSeen
+
+from .pool import Pool, task
+
+A = 'a' * 16
+LATE_S = 20.0
+
+
+def replaced_in_doubt(pool):
+    """Return a start that got no answer, to a life that another one has replaced since."""
+    pool.submit(A, task())
+    (start,) = pool.step()
+    pool.scheduler.worker_by_id[start.worker_id].run_by_key[start.key].is_confirmed = False
+    replace(pool, start.worker_id)
+    del pool.running[start.worker_id, start.key]
+    return start
+
+
+def replace(pool, worker_id):
+    pool.scheduler.worker_replaced(worker_id, f'{worker_id}+', pool.now_s + LATE_S)
+    pool.scheduler.worker_over(worker_id, pool.now)
+    pool.keep_progress()
+
+
+def starts(pool, after_s):
+    pool.step(after_s)
+    return [effect for effect in pool.step(0.3) if isinstance(effect, StartRun)] or pool.starts[1:]
+
+
+def test_its_task_waits_for_the_next_list_and_starts_if_that_is_empty():
+    pool = Pool(workers=2)
+    start = replaced_in_doubt(pool)
+    assert not starts(pool, 5.0)
+    pool.add_worker(f'{start.worker_id}+', 'r0')
+    assert [each.key for each in starts(pool, 0.0)] == [start.key]
+
+
+def test_its_task_runs_on_where_the_next_list_has_it():
+    pool = Pool(workers=2)
+    start = replaced_in_doubt(pool)
+    successor = f'{start.worker_id}+'
+    pool.add_worker(successor, 'r0')
+    seen = RunSeen(start.key, start.run, '', 10.0)
+    pool.scheduler.worker_surveyed(successor, (seen,), pool.now_s, pool.now)
+    assert not starts(pool, 1.0)
+    assert start.key in pool.scheduler.worker_by_id[successor].run_by_key
+
+
+@pytest.mark.parametrize(('after_s', 'count'), [(LATE_S - 1.0, 0), (LATE_S, 1)])
+def test_its_task_waits_no_longer_than_a_late_start_may_run(after_s, count):
+    pool = Pool(workers=2)
+    replaced_in_doubt(pool)
+    assert len(starts(pool, after_s)) == count
+
+
+def test_it_waits_for_the_life_after_the_next_one_too():
+    pool = Pool(workers=2)
+    start = replaced_in_doubt(pool)
+    replace(pool, f'{start.worker_id}+')
+    pool.add_worker(f'{start.worker_id}+', 'r0')
+    assert not starts(pool, 0.0)
+    pool.add_worker(f'{start.worker_id}++', 'r0')
+    assert len(starts(pool, 0.0)) == 1
+
+
+def test_a_start_that_was_answered_is_over_with_its_life():
+    pool = Pool(workers=2)
+    pool.submit(A, task())
+    (start,) = pool.step()
+    replace(pool, start.worker_id)
+    del pool.running[start.worker_id, start.key]
+    assert len(starts(pool, 0.0)) == 1
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -226,6 +226,9 @@
         link = self._links.get(message.worker_id)
         if former is not None and link is not None:
             self._earlier.replaced(message.successor.worker_id)
+            # Its tasks in doubt are not started elsewhere before the successor has told what runs there.
+            late_until_s = self._now().steady_s + self._links.longest_late_s
+            self._scheduler.worker_replaced(message.worker_id, message.successor.worker_id, late_until_s)
         self.handle(WorkerOver(message.worker_id))
         if former is not None and link is not None:
             self._expect(former.profile, message.successor, link.address)
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -101,6 +101,11 @@
         if entry is not None and entry.life != link.life:
             self._context.post(entry)
 
+    @property
+    def longest_late_s(self) -> float:
+        """How long a late start may run after it was sent: it comes late and has the longest lease."""
+        return _LATEST_S + self._context.settings.hold_s
+
     def doubtful_s(self, name: str, now_s: float) -> float:
         """Return for how long a worker may yet be told to forget ends that an earlier life of it had."""
         return max(0.0, self._doubtful_until_by_name.get(name, now_s) - now_s)
