A life that is over without another is waited for no longer

A task whose start was in doubt waited out the whole time of a late start (up to 22 s) if the next life was over before its list was read, and again if that had been heard and crashed later. A life that is over runs nothing; one that is replaced hands the wait on, unless it had told what it runs.

--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -30,13 +30,21 @@
 
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
     """Tell whether tasks of a step may run on a life of a worker that has not said what runs there."""
-    for worker_id, until_s in tuple(step.awaited_until_by_worker.items()):
-        worker = state.worker_by_id.get(worker_id)
-        if until_s <= now.steady_s or (worker is not None and worker.is_surveyed):
-            del step.awaited_until_by_worker[worker_id]
+    awaited = step.awaited_until_by_worker
+    step.awaited_until_by_worker = {
+        worker_id: until_s
+        for worker_id, until_s in awaited.items()
+        if until_s > now.steady_s and _has_yet_to_tell(state, worker_id)
+    }
     return bool(step.awaited_until_by_worker)
 
 
+def _has_yet_to_tell(state: SchedulerState, worker_id: str) -> bool:
+    """Tell whether a life goes on, as far as is known, and has not said what runs there."""
+    worker = state.worker_by_id.get(worker_id)
+    return worker is not None and not worker.is_surveyed
+
+
 def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
     """Yield the steps with a start that a life did not answer, and those that wait for it themselves."""
     worker = state.worker_by_id.get(worker_id)
@@ -44,5 +52,6 @@
         step = state.step_of(run.key)
         if step is not None and not run.is_confirmed:
             yield step
-    for job in state.active_jobs():
-        yield from (step for step in job.step_by_key.values() if worker_id in step.awaited_until_by_worker)
+    if _has_yet_to_tell(state, worker_id):
+        for job in state.active_jobs():
+            yield from (step for step in job.step_by_key.values() if worker_id in step.awaited_until_by_worker)
