Tests, red: ready work stands beside idle capacity

What callers saw: an accepted job had nothing running although a task of it could run and less than half of the pool was in use.

--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -0,0 +1,217 @@
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dahliaarch_kernel.scheduler import EndKind, StartRun
+from dahliaarch_kernel.scheduler.events import RunEnd
+
+from .pool import ORDINARY, PATIENT, Pool, run_all, START_S, task, URGENT
+
+JOB = 'a' * 16
+# Users count a job as lost that has nothing running for so long beside idle capacity.
+LONGEST_STALL_S = 3.0
+TICK_S = 0.25
+
+
+class AnsweringPool(Pool):
+    """A pool whose workers end their runs by themselves.
+
+    Some refuse every start, and some take far longer than estimated.
+    """
+
+    def __init__(self, workers, refusing=(), late=()):
+        super().__init__(workers)
+        self.refusing = frozenset(refusing)
+        self.late = frozenset(late)
+        self.ends_at_by_run = {}
+
+    def tick(self, seconds=TICK_S):
+        """Let time pass, end what is due, decide and carry out."""
+        self.now_s += seconds
+        for (worker_id, key), at_s in sorted(self.ends_at_by_run.items()):
+            if at_s <= self.now_s:
+                del self.ends_at_by_run[worker_id, key]
+                if (worker_id, key) in self.running:
+                    self.end_unit(key, EndKind.DONE)
+        for effect in self.scheduler.decide(self.now):
+            if not isinstance(effect, StartRun):
+                self.stops.append(effect)
+                self.stopping.add((effect.worker_id, effect.key, effect.run))
+            elif effect.worker_id in self.refusing:
+                end = RunEnd(effect.worker_id, effect.key, effect.run, EndKind.REFUSED)
+                self.scheduler.run_ended(end, self.now)
+            else:
+                self._start(effect)
+                work_s = self.spec_by_id[effect.key.job_id].steps[effect.key.step].estimate_s
+                late_s = 60.0 if effect.worker_id in self.late else 0.0
+                self.ends_at_by_run[effect.worker_id, effect.key] = self.now_s + work_s + late_s
+        self.finish_stops()
+
+    def tick_until_begun(self, job_id, longest_s):
+        """Return how long a job takes to begin; infinity when it has not by then."""
+        since_s = self.now_s
+        while self.now_s - since_s < longest_s:
+            self.tick()
+            if self.runs_of(job_id):
+                return self.now_s - since_s
+        return math.inf
+
+    def runs_of(self, job_id):
+        return [key for _, key in self.running if key.job_id == job_id]
+
+
+def occupy(pool, workers, work_s=60.0):
+    """Fill so many whole workers with one job, those of the first racks first."""
+    pool.submit('f' * 16, task(workers, accelerators=8, work_s=work_s, max_per_worker=1))
+    pool.tick()
+    assert len(pool.running) == workers
+
+
+def test_gangs_whose_reservations_overlap_do_not_wait_for_each_other():
+    # Each of three gangs was kept out by what was reserved for the other two, with three quarters of the pool idle.
+    pool = AnsweringPool(16, late=('w0', 'w2', 'w5', 'w9'))
+    occupy(pool, 16, work_s=4.0)
+    gangs = [f'{number:016x}' for number in range(3)]
+    for job_id, width in zip(gangs, (7, 4, 4), strict=True):
+        pool.submit(job_id, task(width, accelerators=8, work_s=30.0, gang=True))
+        pool.tick(0.1)
+    begun_s = pool.now_s
+    while len(pool.running) == 16 and pool.now_s < begun_s + 10.0:
+        pool.tick()
+    for job_id in gangs[:2]:
+        assert pool.runs_of(job_id) or pool.tick_until_begun(job_id, 10.0) <= LONGEST_STALL_S
+
+
+def test_small_work_is_not_held_up_by_a_reservation_beside_idle_capacity():
+    # Workers that were reserved for a gang as wide as the pool stood empty until the last of them was free.
+    pool = AnsweringPool(10)
+    occupy(pool, 1, work_s=30.0)
+    pool.submit('b' * 16, task(10, accelerators=8, work_s=8.0, gang=True))
+    for _ in range(4):
+        pool.tick()
+    pool.submit(JOB, task(1, work_s=60.0))
+    assert pool.tick_until_begun(JOB, 10.0) <= LONGEST_STALL_S
+
+
+def test_work_does_not_wait_for_the_rack_of_its_data_beside_idle_capacity():
+    # It waited for 1.5 times its own work time however idle the other racks were.
+    pool = AnsweringPool(40)
+    pool.submit('b' * 16, task(8, accelerators=8, work_s=60.0, data_rack='r0'))
+    pool.tick()
+    pool.submit(JOB, task(1, work_s=20.0, data_rack='r0'))
+    assert pool.tick_until_begun(JOB, 35.0) <= LONGEST_STALL_S
+
+
+def test_work_does_not_wait_for_a_rack_that_is_gone():
+    pool = AnsweringPool(16)
+    pool.submit(JOB, task(1, work_s=20.0, data_rack='r9'))
+    assert pool.tick_until_begun(JOB, 35.0) <= TICK_S
+
+
+def test_a_gang_that_no_rack_can_hold_does_not_wait_for_one():
+    pool = AnsweringPool(40)
+    pool.submit(JOB, task(9, accelerators=8, work_s=20.0, gang=True, same_rack=True))
+    assert pool.tick_until_begun(JOB, 35.0) <= TICK_S
+
+
+def test_a_gang_does_not_wait_for_one_rack_beside_idle_capacity():
+    pool = AnsweringPool(40)
+    for rack in range(5):
+        pool.submit(f'{rack:016x}', task(1, accelerators=8, work_s=60.0, data_rack=f'r{rack}'))
+    pool.tick()
+    pool.submit(JOB, task(8, accelerators=8, work_s=20.0, gang=True, same_rack=True))
+    assert pool.tick_until_begun(JOB, 35.0) <= LONGEST_STALL_S
+
+
+def test_a_task_that_a_worker_refuses_goes_to_another():
+    # The worker that refused it stayed the best choice and was asked again and again.
+    for queue in (URGENT, ORDINARY, PATIENT):
+        pool = AnsweringPool(10, refusing=('w0',))
+        pool.submit(JOB, task(1), queue=queue)
+        assert pool.tick_until_begun(JOB, 20.0) <= LONGEST_STALL_S
+
+
+def test_a_gang_of_which_a_worker_refuses_a_member_goes_to_others():
+    pool = AnsweringPool(40, refusing=('w0', 'w9'))
+    pool.submit(JOB, task(8, accelerators=8, gang=True))
+    assert pool.tick_until_begun(JOB, 20.0) <= LONGEST_STALL_S
+    assert len(pool.runs_of(JOB)) == 8
+
+
+STEPS = st.builds(
+    task,
+    count=st.integers(1, 10),
+    accelerators=st.sampled_from((1, 2, 4, 8, 8)),
+    work_s=st.floats(0.5, 20.0),
+    gang=st.booleans(),
+    same_rack=st.booleans(),
+    max_per_worker=st.sampled_from((0, 0, 0, 1)),
+    data_rack=st.sampled_from(('', '', 'r0', 'r1', 'r9')),
+)
+ARRIVALS = st.lists(
+    st.tuples(
+        st.sampled_from((0.0, 0.0, 0.25, 1.0, 4.0)), st.sampled_from((URGENT, ORDINARY, ORDINARY, PATIENT)), STEPS
+    ),
+    min_size=2,
+    max_size=10,
+)
+
+
+class StallCheck:
+    """Follows for how long jobs have nothing running though the pool has room for them twice over."""
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.since_by_job = {}
+
+    def look(self):
+        stalled = {job_id for job_id in self.pool.spec_by_id if self._could_run(job_id)}
+        self.since_by_job = {job_id: self.since_by_job.get(job_id, self.pool.now_s) for job_id in stalled}
+        for job_id, since_s in self.since_by_job.items():
+            assert self.pool.now_s - since_s < LONGEST_STALL_S, (job_id, since_s - START_S, self.pool.now_s - START_S)
+
+    def _could_run(self, job_id):
+        pool = self.pool
+        step = pool.spec_by_id[job_id].steps[0]
+        if pool.scheduler.job_by_id[job_id].has_ended or pool.runs_of(job_id):
+            return False
+        free = [profile.capacity.minus(pool.used(worker)) for worker, profile in pool.profiles.items()]
+        whole = sum(profile.capacity.accelerators for profile in pool.profiles.values())
+        if 2 * sum(each.accelerators for each in free) <= whole:
+            return False
+        room = sum(min(each.accelerators // step.demand.accelerators, step.max_per_worker or 99) for each in free)
+        return room >= 2 * (step.task_count if step.gang else 1)
+
+
+@given(
+    arrivals=ARRIVALS,
+    refusing=st.sets(st.sampled_from(('w0', 'w3', 'w9')), max_size=1),
+    late=st.sets(st.sampled_from(('w1', 'w4', 'w8', 'w12')), max_size=3),
+)
+@settings(max_examples=60)
+def test_no_ready_step_stands_for_long_beside_twice_its_room(arrivals, refusing, late):
+    pool = AnsweringPool(16, refusing, late)
+    check = StallCheck(pool)
+    for number, (after_s, queue, step) in enumerate(arrivals):
+        for _ in range(int(after_s / TICK_S)):
+            pool.tick()
+            check.look()
+        pool.submit(f'{number:016x}', step, queue=queue)
+    for _ in range(100):
+        pool.tick()
+        check.look()
+
+
+def test_a_wide_gang_starts_beside_a_stream_of_small_work():
+    # Small work that came later must not starve a gang of half of the pool.
+    pool = AnsweringPool(20)
+    for number in range(240):
+        pool.submit(f'{number:016x}', task(2, accelerators=2, work_s=6.0), queue=PATIENT)
+        pool.tick()
+        if number == 40:
+            pool.submit(JOB, task(10, accelerators=8, work_s=5.0, gang=True))
+        if pool.runs_of(JOB):
+            break
+    assert len(pool.runs_of(JOB)) == 10
+    run_all(pool, JOB)
