Report why a ready step waits: step_waiting, dahliaarch_waiting_steps

The code that decides now names one typed reason for each such step (previous owner, crash review, crashes not saved, refused, unknown start, gang ending, isolation, advice, reserved, locality, no capacity). Decisions are unchanged.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -19,6 +19,7 @@
 from .progress import JobProgress
 from .runs import RunPhase
 from .settings import SchedulerSettings
+from .stalls import Load
 from .state import SchedulerState
 from .successors import note_successor
 from .surveys import take_in_survey
@@ -53,9 +54,9 @@
         return self._state.worker_by_id
 
     @property
-    def active_jobs(self) -> int:
-        """Number of jobs that have not ended."""
-        return len(self._state.active_job_by_id)
+    def load(self) -> Load:
+        """What is to be done, and what keeps it from being done."""
+        return Load(len(self._state.active_job_by_id), self._state.stalls.count_by_reason())
 
     def set_guarantees(self, guaranteed_by_account: dict[str, int]) -> None:
         """Replace the accelerators that accounts are guaranteed."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ..workload import TaskKey
+from ..workload import StepKey, TaskKey
 
 
 class EndKind(StrEnum):
@@ -92,7 +92,63 @@
     worker_ids: tuple[str, ...]
 
 
-Note = RunLost | TaskGivenUp
+class WaitReason(StrEnum):
+    """What keeps a ready step from being started."""
+
+    #: A previous owner may have started it on a worker that has not answered.
+    PREVIOUS_OWNER = 'previous owner'
+    #: Whether its job is failed by the crash limit is about to be decided.
+    CRASH_REVIEW = 'crash review'
+    #: Crashes of workers under its tasks are not saved yet.
+    CRASHES_NOT_SAVED = 'crashes not saved'
+    #: A worker refused it a moment ago.
+    REFUSED = 'refused'
+    #: A restarted worker may have begun it and has not listed its runs.
+    UNKNOWN_START = 'unknown start'
+    #: Members of its gang's previous run have not ended.
+    GANG_ENDING = 'gang ending'
+    #: It must run alone, and no worker is empty.
+    ISOLATION = 'isolation'
+    #: The outside policy has consented to no worker with room.
+    ADVICE = 'advice'
+    #: There is room, which is reserved for other steps.
+    RESERVED = 'reserved'
+    #: There is room, but not near its data or in one rack.
+    LOCALITY = 'locality'
+    #: There is no room.
+    NO_CAPACITY = 'no capacity'
+    #: Not worked out yet.
+    UNKNOWN = 'unknown'
+
+
+class StepWaiting(NamedTuple):
+    """A ready step whose job has nothing running, for the log.
+
+    Parameters
+    ----------
+    step : StepKey
+        The step.
+    reason : WaitReason
+        What keeps it from being started.
+    waited_s : float
+        How long its job has had nothing running, in seconds.
+    task_count : int
+        Tasks that must find room together.
+    has_room_twice : bool
+        Whether free room, reserved or not, holds them twice.
+    used_share : float
+        Share of the pool's capacity that is in use.
+    """
+
+    step: StepKey
+    reason: WaitReason
+    waited_s: float
+    task_count: int
+    has_room_twice: bool
+    used_share: float
+
+
+Note = RunLost | TaskGivenUp | StepWaiting
 
 
 class RunSeen(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -4,10 +4,11 @@
 from operator import itemgetter
 
 from .advice import Advice
-from .claims import Claim
+from .claims import Claim, Claims
 from .clock import Moment
 from .crashes import suspects, trial_s, waits_for_own_place
 from .effects import AskAdvice
+from .events import StepWaiting, WaitReason
 from .job_state import JobState, StepState
 from .mechanisms import Mechanism
 from .memory import Signature
@@ -16,8 +17,9 @@
 from .preemption import Plan, Preemption
 from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
 from .reservation import earliest_claim
-from .room import effective_demand, fits, Room
+from .room import effective_demand, fits, fitting, per_worker_limit, Room
 from .runs import Run
+from .stalls import used_share
 from .standing import DatedStanding, Standing
 from .state import SchedulerState
 from .successors import awaits_list
@@ -68,8 +70,11 @@
         self._memory.renew(self._room.free_by_id, self._claims.take_freed())
         if self._is_full:
             self._memory.begin_full(self._now.steady_s)
+            self._state.stalls.renew(self._state.active_jobs(), self._now.steady_s)
         for _, request in self._ordered_requests():
             self._consider(request)
+        if self._is_full:
+            self._explain_stalls()
 
     def _ordered_requests(self) -> list[tuple[Standing, Request]]:
         """Return what asks for room and may find it now, in order of standing."""
@@ -82,11 +87,11 @@
         """Yield what asks for room."""
         ranks = rank_by_job(self._state.active_jobs(), self._state.guaranteed_by_account)
         for job in self._state.active_jobs():
-            if not self._may_start(job):
+            if self._held_back(job) is not None:
                 continue
             rank = ranks.get(job.spec.job_id, RANK_ORDINARY)
             for step in job.ready_steps():
-                if step.refused_until_s <= self._now.steady_s and not awaits_list(self._state, step, self._now):
+                if self._step_held_back(step) is None:
                     yield from self._requests_of(step, rank)
 
     def _requests_of(self, step: StepState, rank: int) -> Iterator[Request]:
@@ -101,8 +106,6 @@
     def _may_find_room(self, request: Request) -> bool:
         """Tell whether a step is worth considering in this pass."""
         step = request.step
-        if step.spec.gang and step.run_by_index:
-            return False
         if request.trial_s:
             return True
         if self._is_full or not step.was_considered or self._claims.has(step):
@@ -126,11 +129,21 @@
         variables = job_variables(step, order, self._state.times, self._now.wall_s)
         return order._replace(preference=-policy.priority(variables))
 
-    def _may_start(self, job: JobState) -> bool:
-        """Tell whether no task of a job can run on a worker not heard yet, and a next owner knows of its crashes."""
+    def _held_back(self, job: JobState) -> WaitReason | None:
+        """Return why no task of a job may start now, if none may."""
         if job.judged_at_s is not None:
-            return False
-        return job.known_since_s <= self._now.steady_s and not job.has_unkept_crashes
+            return WaitReason.CRASH_REVIEW
+        if job.known_since_s > self._now.steady_s:
+            return WaitReason.PREVIOUS_OWNER
+        return WaitReason.CRASHES_NOT_SAVED if job.has_unkept_crashes else None
+
+    def _step_held_back(self, step: StepState) -> WaitReason | None:
+        """Return why no task of a step may start now, whatever room there is, if none may."""
+        if step.refused_until_s > self._now.steady_s:
+            return WaitReason.REFUSED
+        if awaits_list(self._state, step, self._now):
+            return WaitReason.UNKNOWN_START
+        return WaitReason.GANG_ENDING if step.spec.gang and step.run_by_index else None
 
     def _consider(self, request: Request) -> None:
         """Start what finds room; else stop others for it, or keep room."""
@@ -297,6 +310,39 @@
         if claim is not None:
             self._claims.add(claim)
 
+    def _explain_stalls(self) -> None:
+        """Report why steps wait whose jobs have had nothing running for a while."""
+        now_s = self._now.steady_s
+        ranks = rank_by_job(self._state.active_jobs(), self._state.guaranteed_by_account)
+        for step in self._state.stalls.due(now_s):
+            for request in self._requests_of(step, ranks.get(step.job.spec.job_id, RANK_ORDINARY)):
+                reason = self._held_back(step.job) or self._step_held_back(step) or self._lacks(request)
+                if self._state.stalls.note(step, reason, now_s):
+                    self._state.notes.append(self._waiting(request, reason))
+
+    def _lacks(self, request: Request) -> WaitReason:
+        """Return what a step that may start found no place for."""
+        step = request.step
+        if request.trial_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
+            return WaitReason.ISOLATION
+        unreserved = Room(self._workers, Claims())
+        if place(request, unreserved).task_count:
+            return WaitReason.RESERVED
+        if place(request._replace(may_go_far=True), unreserved).task_count:
+            return WaitReason.LOCALITY
+        return WaitReason.NO_CAPACITY if step.advice is None else WaitReason.ADVICE
+
+    def _waiting(self, request: Request, reason: WaitReason) -> StepWaiting:
+        step = request.step
+        waited_s = self._state.stalls.waited_s(step, self._now.steady_s)
+        wanted = _wanted(request)
+        rooms = (
+            min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
+            for worker in Room(self._workers, Claims()).admissible(step)
+        )
+        share = used_share(self._state.worker_by_id.values())
+        return StepWaiting(step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, share)
+
     def _forget_claim(self, step: StepState) -> None:
         self._claims.drop_of(step)
 
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
@@ -0,0 +1,108 @@
+"""Why ready steps are not started, and for how long their jobs have had nothing running."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from heapq import nsmallest
+from typing import NamedTuple
+
+from ..workload import weighted_cores
+from .events import WaitReason
+from .job_state import JobState, StepState
+from .workers import WorkerState
+
+# A step whose job has had nothing running for so long is reported, in seconds.
+_REPORT_AFTER_S = 1.0
+# How often the reason of a step that waits is worked out anew, in seconds.
+_EXPLAIN_EVERY_S = 1.0
+# Steps explained at most in one pass: each takes as long as a few placements.
+_EXPLAINED_IN_A_PASS = 4
+
+
+class Load(NamedTuple):
+    """What is to be done.
+
+    Parameters
+    ----------
+    active_jobs : int
+        Jobs that have not ended.
+    waiting_by_reason : mapping
+        Ready steps of jobs that have nothing running, by what keeps them from being started.
+    """
+
+    active_jobs: int
+    waiting_by_reason: Mapping[WaitReason, int]
+
+
+class Stall(NamedTuple):
+    """A ready step whose job has nothing running.
+
+    Parameters
+    ----------
+    since_s : float
+        Since when, steady clock.
+    reason : WaitReason
+        What keeps it from being started, as far as known.
+    explained_s : float
+        When that was worked out, steady clock.
+    """
+
+    since_s: float
+    reason: WaitReason = WaitReason.UNKNOWN
+    explained_s: float = float('-inf')
+
+
+class Stalls:
+    """The ready steps of jobs that have nothing running."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._stall_by_step: dict[StepState, Stall] = {}
+
+    def renew(self, jobs: Iterable[JobState], now_s: float) -> None:
+        """Find the steps that are stalled at this moment, and for how long they have been."""
+        earlier = self._stall_by_step
+        self._stall_by_step = {step: earlier.get(step) or Stall(now_s) for step in _stalled_steps(jobs)}
+
+    def waited_s(self, step: StepState, now_s: float) -> float:
+        """Return for how long a step has been stalled, in seconds; 0 for others."""
+        stall = self._stall_by_step.get(step)
+        return 0.0 if stall is None else now_s - stall.since_s
+
+    def note(self, step: StepState, reason: WaitReason, now_s: float) -> bool:
+        """Record why a step waits; tell whether that is to be reported."""
+        stall = self._stall_by_step.get(step)
+        if stall is None:
+            return False
+        self._stall_by_step[step] = stall._replace(reason=reason, explained_s=now_s)
+        return stall.reason is not reason
+
+    def due(self, now_s: float) -> list[StepState]:
+        """Return the steps that are to be explained now, those first that were longest ago."""
+        late = {
+            step: stall.explained_s
+            for step, stall in self._stall_by_step.items()
+            if now_s - stall.since_s >= _REPORT_AFTER_S and now_s - stall.explained_s >= _EXPLAIN_EVERY_S
+        }
+        return nsmallest(_EXPLAINED_IN_A_PASS, late, key=late.__getitem__)
+
+    def count_by_reason(self) -> Mapping[WaitReason, int]:
+        """Return how many steps wait for each reason."""
+        return Counter(stall.reason for stall in self._stall_by_step.values())
+
+
+def used_share(workers: Iterable[WorkerState]) -> float:
+    """Return the share of the listed workers' capacity that runs hold; 1 without workers."""
+    listed = [worker for worker in workers if worker.is_listed]
+    capacity = sum(weighted_cores(worker.profile.capacity) for worker in listed)
+    used = sum(weighted_cores(worker.used) for worker in listed)
+    return used / capacity if capacity else 1.0
+
+
+def _stalled_steps(jobs: Iterable[JobState]) -> Iterator[StepState]:
+    for job in jobs:
+        if not _has_runs(job):
+            yield from job.ready_steps()
+
+
+def _has_runs(job: JobState) -> bool:
+    return any(True for _ in job.runs())
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -15,6 +15,7 @@
 from .progress import Crash
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
+from .stalls import Stalls
 from .workers import WorkerState
 
 # Runs of one owner count up below its epoch, so that numbers rise over owners.
@@ -88,6 +89,7 @@
         self.workers_heard_s = float('-inf')
         self.surveyed_workers: set[str] = set()
         self.memory = PassMemory()
+        self.stalls = Stalls()
         self._runs_started = 0
 
     def step_of(self, key: TaskKey) -> StepState | None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from dahliaarch_kernel.scheduler import EndKind, StartRun
-from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.scheduler.events import RunEnd, StepWaiting, WaitReason
+from dahliaarch_kernel.workload import JobSpec
 
 from .pool import ORDINARY, PATIENT, Pool, run_all, START_S, task, URGENT
 
@@ -215,3 +216,32 @@
             break
     assert len(pool.runs_of(JOB)) == 10
     run_all(pool, JOB)
+
+
+def reasons_of(pool, ticks):
+    found = []
+    for _ in range(ticks):
+        pool.tick()
+        found.extend(note for note in pool.scheduler.take_notes() if isinstance(note, StepWaiting))
+    return found
+
+
+def test_a_step_that_waits_for_capacity_says_so_once():
+    pool = AnsweringPool(2)
+    occupy(pool, 2)
+    pool.submit(JOB, task(1))
+    notes = reasons_of(pool, 20)
+    assert [note.reason for note in notes] == [WaitReason.NO_CAPACITY]
+    assert notes[0].used_share > 0.5
+    assert not notes[0].has_room_twice
+    assert 1.0 <= notes[0].waited_s < 1.5
+    assert pool.scheduler.load.waiting_by_reason == {WaitReason.NO_CAPACITY: 1}
+
+
+def test_a_step_of_a_previous_owner_says_that_it_waits_for_that():
+    pool = AnsweringPool(4)
+    spec = JobSpec(JOB, 'acc', 'ordinary', 'payload', (task(1),), accepted_s=pool.now.wall_s)
+    pool.spec_by_id[JOB] = spec
+    pool.scheduler.add_job(spec, ORDINARY, pool.now, not_before_s=pool.now_s + 8.0)
+    notes = reasons_of(pool, 20)
+    assert [(note.reason, note.has_room_twice) for note in notes] == [(WaitReason.PREVIOUS_OWNER, True)]
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -75,6 +75,12 @@
             'Version of the configuration in force',
             registry=self.registry,
         )
+        self.waiting_steps = Gauge(
+            'dahliaarch_waiting_steps',
+            'Ready steps of jobs that have nothing running, by what keeps them from being started',
+            ['reason'],
+            registry=self.registry,
+        )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
     def observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -14,6 +14,7 @@
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import Moment, Scheduler
+from dahliaarch_kernel.scheduler.events import WaitReason
 from dahliaarch_platform.sessions import WorkerClient
 from dahliaarch_platform.store import StoreClient
 
@@ -243,7 +244,10 @@
         for effect in effects:
             self._effects.carry_out(effect)
         self._links.close_all_but(self.scheduler.worker_by_id)
-        self._metrics.active_jobs.set(self.scheduler.active_jobs)
+        load = self.scheduler.load
+        self._metrics.active_jobs.set(load.active_jobs)
+        for reason in WaitReason:
+            self._metrics.waiting_steps.labels(reason.value).set(load.waiting_by_reason.get(reason, 0))
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
 
     def _note_roster(self) -> None:
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 
 from dahliaarch_kernel.scheduler import AskAdvice, Scheduler, StartRun, StopRun
-from dahliaarch_kernel.scheduler.events import RunLost, TaskGivenUp
+from dahliaarch_kernel.scheduler.events import RunLost, StepWaiting, TaskGivenUp
 
 from ..logs import log_event
 from ..metrics import Metrics
@@ -100,3 +100,16 @@
     @tell.register
     def _(self, note: TaskGivenUp) -> None:
         log_event('task_given_up', task=note.key, workers=note.worker_ids)
+
+    @tell.register
+    def _(self, note: StepWaiting) -> None:
+        log_event(
+            'step_waiting',
+            job=note.step.job_id,
+            step=note.step,
+            reason=note.reason,
+            waited_s=round(note.waited_s, 2),
+            tasks=note.task_count,
+            has_room_twice=note.has_room_twice,
+            used_share=round(note.used_share, 2),
+        )
