Reservations keep room only from what stands behind them

What callers saw: a job had nothing running although the pool had room for it twice over and was under half used.

Cause: each of up to four waiting gangs reserves named workers, and each reservation kept its workers from every other step of the same rank, whether that stood before or behind it. So a gang that could start was kept out by the reservation of a later one, which was kept out by the former's: hold and wait, in a circle, until something else changed.

Why it holds: standings are a total order (rank, preference, time, step). A reservation that stops nothing keeps its room only from steps of a later standing, so that waiting is along the order and can't close a circle.

--- a/packages/kernel/dahliaarch_kernel/scheduler/claims.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/claims.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .job_state import StepState
-from .ranks import RANK_ORDINARY
+from .standing import Standing
 
 
 class Claim(NamedTuple):
@@ -24,23 +24,23 @@
         from time to time.
     made_s : float
         When it was made, steady clock.
-    rank : int
-        Rank of the step: more urgent work may use the room of a claim that
-        stops nothing, as it may stop what runs.
+    standing : Standing
+        Where the step stands: a claim that stops nothing keeps its room only from
+        what stands behind it, so that no two steps wait for each other's room.
     """
 
     step: StepState
     count_by_worker: dict[str, int]
     ready_s: float
+    standing: Standing
     is_firm: bool = False
     made_s: float = 0.0
-    rank: int = RANK_ORDINARY
 
-    def keeps_from(self, step: StepState, rank: int) -> bool:
-        """Tell whether a step of a rank must leave the room alone."""
+    def keeps_from(self, step: StepState, standing: Standing) -> bool:
+        """Tell whether a step of a standing must leave the room alone."""
         if self.step is step:
             return False
-        return self.is_firm or rank >= self.rank
+        return self.is_firm or self.standing < standing
 
 
 class Claims:
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,7 +1,7 @@
 """One pass over all steps that have tasks to start."""
 
 from collections.abc import Iterator
-from operator import itemgetter
+from operator import attrgetter
 
 from .advice import Advice
 from .claims import Claim, Claims
@@ -71,17 +71,17 @@
         if self._is_full:
             self._memory.begin_full(self._now.steady_s)
             self._state.stalls.renew(self._state.active_jobs(), self._now.steady_s)
-        for _, request in self._ordered_requests():
+        for request in self._ordered_requests():
             self._consider(request)
         if self._is_full:
             self._explain_stalls()
 
-    def _ordered_requests(self) -> list[tuple[Standing, Request]]:
+    def _ordered_requests(self) -> list[Request]:
         """Return what asks for room and may find it now, in order of standing."""
-        asking = [request for request in self._requests() if self._may_find_room(request)]
-        found = [(self._standing(request.step, request.rank), request) for request in asking]
-        found.sort(key=itemgetter(0))
-        return found
+        return sorted(
+            (request for request in self._requests() if self._may_find_room(request)),
+            key=attrgetter('standing'),
+        )
 
     def _requests(self) -> Iterator[Request]:
         """Yield what asks for room."""
@@ -122,7 +122,7 @@
         return found
 
     def _work_out_standing(self, step: StepState, rank: int) -> Standing:
-        order = Standing(rank, 0.0, begin_s(step.job.spec, step.occurrence))
+        order = Standing(rank, 0.0, begin_s(step.job.spec, step.occurrence), step.identity)
         policy = self._state.policy
         if not policy.has_priority:
             return order
@@ -188,7 +188,7 @@
             waited_s > near_s or not settings.has(Mechanism.NEAR_FIRST),
             settings,
             self._state.policy,
-            rank,
+            self._standing(step, rank),
             tuple(sorted(tasks)),
         )
 
@@ -283,7 +283,7 @@
         since_s = self._now.steady_s - _VICTIMS_AGAIN_S
         if self._memory.lacks_victims(signature, rank, wanted, since_s):
             return None
-        plan = self._preemption.plan(step, wanted, self._room, rank, may_go_far=request.may_go_far)
+        plan = self._preemption.plan(step, wanted, self._room, request.standing, may_go_far=request.may_go_far)
         if plan is None:
             self._memory.note_no_victims(signature, rank, wanted, self._now.steady_s)
         return plan
@@ -292,7 +292,7 @@
         """Keep the room that comes free once what was stopped is gone."""
         now_s = self._now.steady_s
         ready_s = now_s + self._state.settings.stop_timeout_s
-        claim = Claim(request.step, plan.count_by_worker, ready_s, is_firm=True, made_s=now_s, rank=request.rank)
+        claim = Claim(request.step, plan.count_by_worker, ready_s, request.standing, is_firm=True, made_s=now_s)
         self._claims.add(claim)
 
     def _reserve(self, request: Request, count: int) -> None:
@@ -305,8 +305,10 @@
             return
         if self._now.wall_s - begin_s(step.job.spec, step.occurrence) < settings.reserve_after_s:
             return
-        rank = request.rank if settings.has(Mechanism.CLAIM_RANKS) else RANK_GUARANTEED
-        claim = earliest_claim(step, count, rank, self._room, self._claims, self._now.steady_s)
+        standing = request.standing
+        if not settings.has(Mechanism.CLAIM_RANKS):
+            standing = standing._replace(rank=RANK_GUARANTEED)
+        claim = earliest_claim(step, count, standing, self._room, self._claims, self._now.steady_s)
         if claim is not None:
             self._claims.add(claim)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -10,6 +10,7 @@
 from .mechanisms import Mechanism
 from .room import effective_demand, fits, fitting, is_near, per_worker_limit, Room
 from .settings import SchedulerSettings
+from .standing import Standing
 from .variables import candidate_variables, is_slow, is_suspect
 from .workers import WorkerState
 
@@ -60,8 +61,8 @@
         Limits, and how many times as long tasks take there.
     policy : Policy
         The operators' programs.
-    rank : int
-        Rank of the step.
+    standing : Standing
+        Where the step stands, its rank included.
     indices : tuple of int
         The tasks, the first first.
     trial_s : float
@@ -76,10 +77,15 @@
     may_go_far: bool
     settings: SchedulerSettings
     policy: Policy
-    rank: int
+    standing: Standing
     indices: tuple[int, ...] = ()
     trial_s: float = 0.0
 
+    @property
+    def rank(self) -> int:
+        """Rank of the step."""
+        return self.standing.rank
+
 
 NOWHERE = Placement(())
 
@@ -164,7 +170,7 @@
     end_s = request.now_s + work_s
     found = []
     for worker in _with_room(_candidates(step, room, request.now_s, near=near), room.free_by_id, demand):
-        free = room.free_for(worker, step, request.rank, end_s)
+        free = room.free_for(worker, step, request.standing, end_s)
         count = min(fitting(free, demand), per_worker_limit(worker, step))
         if count:
             found.append(Spot(worker, count))
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -9,6 +9,7 @@
 from .job_state import StepState
 from .placement import allowed_workers
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
+from .standing import Standing
 from .workers import WorkerState
 
 
@@ -23,13 +24,13 @@
 def earliest_claim(
     step: StepState,
     count: int,
-    rank: int,
+    standing: Standing,
     room: Room,
     claims: Claims,
     now_s: float,
 ) -> Claim | None:
     """Return a claim on the room that is expected to be free first."""
-    kept_by_id = _kept_by_worker(claim for claim in claims if claim.keeps_from(step, rank))
+    kept_by_id = _kept_by_worker(claim for claim in claims if claim.keeps_from(step, standing))
     openings: list[_Opening] = []
     for worker in allowed_workers(step, room):
         if is_near(worker, step):
@@ -41,7 +42,7 @@
         counts = counts_by_rack[opening.rack]
         counts[opening.worker_id] += 1
         if counts.total() >= count:
-            return Claim(step, dict(counts), now_s + opening.after_s, made_s=now_s, rank=rank)
+            return Claim(step, dict(counts), now_s + opening.after_s, standing, made_s=now_s)
     return None
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -4,6 +4,7 @@
 from .claims import Claim, Claims
 from .job_state import StepState
 from .runs import Run
+from .standing import Standing
 from .workers import WorkerState
 
 # Used where a demand has no part in a resource.
@@ -59,13 +60,13 @@
             self._admissible_by_need[need] = known
         return known
 
-    def free_for(self, worker: WorkerState, step: StepState, rank: int, end_s: float) -> Resources:
-        """Return the room that a step of a rank may use until ``end_s``."""
+    def free_for(self, worker: WorkerState, step: StepState, standing: Standing, end_s: float) -> Resources:
+        """Return the room that a step of a standing may use until ``end_s``."""
         free = self.free_by_id.get(worker.worker_id, NO_RESOURCES)
         if self._indexed_version != self._claims.version:
             self._index_claims()
         for claim, kept in self._kept_by_worker.get(worker.worker_id, ()):
-            if end_s > claim.ready_s and claim.keeps_from(step, rank):
+            if end_s > claim.ready_s and claim.keeps_from(step, standing):
                 free = free.minus(kept)
         return free
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/standing.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/standing.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ..workload import StepKey
+
 
 class Standing(NamedTuple):
     """Where a step stands in the order; smaller goes first.
@@ -14,13 +16,15 @@
         Negative priority by the operators' program; 0 where there is none.
     begun_s : float
         When its occurrence came up, seconds since 1970: what came first goes
-        first. On 45 played days an order by worth for the room taken was worth
-        nothing to users (-0.001 +- 0.008 of net worth).
+        first.
+    step : StepKey
+        The step: no two have the same standing.
     """
 
     rank: int
     preference: float
     begun_s: float
+    step: StepKey
 
 
 class DatedStanding(NamedTuple):
--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -11,11 +11,13 @@
 from dahliaarch_kernel.scheduler.claims import Claims
 from dahliaarch_kernel.scheduler.job_state import StepState
 from dahliaarch_kernel.scheduler.leaving import expire_leases
+from dahliaarch_kernel.scheduler.objectives import begin_s
 from dahliaarch_kernel.scheduler.placement import place, Request
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.scheduler.reservation import earliest_claim
 from dahliaarch_kernel.scheduler.room import effective_demand, Room
 from dahliaarch_kernel.scheduler.runs import Run
+from dahliaarch_kernel.scheduler.standing import Standing
 
 
 class BestFit(Scheduler):
@@ -57,13 +59,13 @@
             False,
             settings,
             self._policy,
-            RANK_ORDINARY,
+            Standing(RANK_ORDINARY, 0.0, begin_s(step.job.spec, step.occurrence), step.identity),
         )
         placement = place(request, room)
         if placement.task_count:
             self._start(step, request, now, room)
         elif not claims.open_ones():
-            claim = earliest_claim(step, len(step.pending), RANK_ORDINARY, room, claims, now.steady_s)
+            claim = earliest_claim(step, len(step.pending), request.standing, room, claims, now.steady_s)
             if claim is not None:
                 claims.add(claim)
 
