Work does not wait for a near place that no worker can give

What callers saw: a job whose data lie on a rack without workers, or a gang that must be in one rack and is wider than any, had nothing running for 1.5 times its work time beside an idle pool.

Cause: the wait for a near place went by time alone, not by whether such a place could ever come free.

Whether a place exists is looked at once a second for a step, from the capacity of listed workers that do not leave.

--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -59,6 +59,9 @@
         # Logarithms of the times that its tasks take on a worker like the others.
         self.log_times: list[float] = []
         self.standing: DatedStanding | None = None
+        # Whether any place near its data, or any rack, could hold it, and when that was looked at, steady clock.
+        self.has_near_place = True
+        self.near_place_seen_s = float('-inf')
         self.advice = Advice() if job.queue.advice else None
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -13,7 +13,7 @@
 from .mechanisms import Mechanism
 from .memory import Signature
 from .objectives import begin_s
-from .placement import place, Placement, Request, without_failed
+from .placement import has_near_place, place, Placement, Request, without_failed
 from .preemption import Plan, Preemption
 from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
 from .reservation import earliest_claim
@@ -37,6 +37,9 @@
 # How often steps that found no room are considered again though nothing has
 # changed for them, in seconds: claims are made anew and victims looked for.
 _FULL_EVERY_S = 0.25
+# How often it is looked at whether a step has any place near its data, in seconds:
+# workers come and go.
+_NEAR_PLACE_EVERY_S = 1.0
 # A search for victims that failed is not repeated within this time, in seconds.
 _VICTIMS_AGAIN_S = 0.1
 
@@ -185,13 +188,27 @@
             len(tasks),
             work_s,
             self._now.steady_s,
-            waited_s > near_s or not settings.has(Mechanism.NEAR_FIRST),
+            self._may_go_far(step, len(tasks), has_waited=waited_s > near_s),
             settings,
             self._state.policy,
             self._standing(step, rank),
             tuple(sorted(tasks)),
         )
 
+    def _may_go_far(self, step: StepState, count: int, *, has_waited: bool) -> bool:
+        """Tell whether a step may start away from its data, or spread over racks."""
+        if has_waited or not self._state.settings.has(Mechanism.NEAR_FIRST):
+            return True
+        if not step.spec.data_rack and not (step.spec.gang and step.spec.same_rack):
+            return False
+        now_s = self._now.steady_s
+        if now_s - step.near_place_seen_s >= _NEAR_PLACE_EVERY_S:
+            workers = self._state.worker_by_id.values()
+            staying = (worker for worker in workers if worker.is_listed and not worker.profile.draining)
+            step.has_near_place = has_near_place(step, count if step.spec.gang else 1, staying)
+            step.near_place_seen_s = now_s
+        return not step.has_near_place
+
     def _ask_advice(self, request: Request, advice: Advice) -> None:
         """Ask the outside policy: at first about all workers, then again once one it consents to has room."""
         step = request.step
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -1,14 +1,14 @@
 """Where the tasks of a step go."""
 
-from collections import defaultdict
-from collections.abc import Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from ..policies import Policy
 from ..workload import Resources
 from .job_state import StepState
 from .mechanisms import Mechanism
-from .room import effective_demand, fits, fitting, is_near, per_worker_limit, Room
+from .room import effective_demand, fits, fitting, is_admissible, is_near, per_worker_limit, Room
 from .settings import SchedulerSettings
 from .standing import Standing
 from .variables import candidate_variables, is_slow, is_suspect
@@ -122,6 +122,28 @@
     return others if len(others) * 2 >= len(able) else able
 
 
+def has_near_place(step: StepState, count: int, workers: Iterable[WorkerState]) -> bool:
+    """Tell whether so many tasks of a step would fit near its data, or in one rack, if nothing else ran.
+
+    Parameters
+    ----------
+    step : StepState
+        The step.
+    count : int
+        Tasks that must fit together.
+    workers : iterable of WorkerState
+        Workers that stay.
+    """
+    demand = effective_demand(step)
+    count_by_rack: Counter[str] = Counter()
+    for worker in workers:
+        if is_admissible(worker, step) and is_near(worker, step):
+            limit = step.spec.max_per_worker or _UNLIMITED
+            rack = worker.rack if step.spec.gang and step.spec.same_rack else ''
+            count_by_rack[rack] += min(fitting(worker.profile.capacity, demand), limit)
+    return max(count_by_rack.values(), default=0) >= count
+
+
 def by_rack(spots: list[Spot]) -> dict[str, list[Spot]]:
     """Group spots by rack."""
     spots_by_rack: dict[str, list[Spot]] = defaultdict(list)
