A worker that refuses starts is left alone for a while

What callers saw: a job never began although nine of ten workers were empty.

Cause: a refused start paused its step for 0.3 s and left no trace on the worker, which stayed the best choice. A worker that answers each survey and refuses each start was so asked again and again, by every step.

Evidence: test_a_task_that_a_worker_refuses_goes_to_another and test_a_gang_of_which_a_worker_refuses_a_member_goes_to_others failed before (no start in 20 s, 40 orders to the same worker) and start within 3 s now.

Why it holds: a worker that refused a start gets none for 1 s, doubled with each refusal in a row up to 4 s; an acknowledged start ends that. Refusals for want of a ticket don't count.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -15,7 +15,7 @@
 from .learning import update_slowdowns
 from .leaving import empty_leaving, expire_leases
 from .mechanisms import Mechanism
-from .passes import Pass, REFUSED_PAUSE_S
+from .passes import Pass
 from .progress import JobProgress
 from .runs import RunPhase
 from .settings import SchedulerSettings
@@ -207,8 +207,9 @@
         """Record that a worker acknowledged a start."""
         worker = self._state.worker_by_id.get(worker_id)
         found = None if worker is None else worker.run_by_key.get(key)
-        if found is None or found.number != run:
+        if worker is None or found is None or found.number != run:
             return
+        worker.refusal_backoff.started()
         found.is_confirmed = True
         found.seen_s = max(found.seen_s, now.steady_s)
         if found.phase is RunPhase.STARTING:
@@ -217,12 +218,6 @@
 
     def run_ended(self, end: RunEnd, now: Moment) -> None:
         """Take in the end of a run; the same report again changes nothing."""
-        if end.kind is EndKind.REFUSED:
-            step = self._state.step_of(end.key)
-            if step is not None:
-                step.refused_until_s = now.steady_s + REFUSED_PAUSE_S
-                if step.advice is not None:
-                    step.advice.ticket_rejected(end.worker_id)
         take_in_end(self._state, end, now)
 
     def advice_given(self, key: StepKey, asked: Sequence[str], tickets: Mapping[str, str], until_s: float) -> None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -15,6 +15,8 @@
 
 # A job that failed on this many workers without a success is at fault itself.
 _WORKERS_THAT_CONVICT_A_JOB = 2
+# A step that a worker refused waits this long, in seconds.
+_REFUSED_PAUSE_S = 0.3
 
 
 def take_in_end(state: SchedulerState, end: RunEnd, now: Moment) -> None:
@@ -93,7 +95,14 @@
 
 
 def _on_refused(state: SchedulerState, step: StepState, end: RunEnd, run: Run | None, now: Moment) -> None:
-    """Give up the rest of a gang: it can't come together without this run."""
+    """Leave the worker alone for a while, and give up the rest of a gang: it can't come together without this run."""
+    step.refused_until_s = now.steady_s + _REFUSED_PAUSE_S
+    worker = state.worker_by_id.get(end.worker_id)
+    if step.advice is not None:
+        # The ticket is at fault more often than the worker.
+        step.advice.ticket_rejected(end.worker_id)
+    elif worker is not None:
+        worker.refusal_backoff.refused(now.steady_s)
     if not step.spec.gang or run is None:
         return
     for member in tuple(step.run_by_index.values()):
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -28,8 +28,6 @@
 
 # A claim whose room did not come free by then is made anew, in seconds.
 _CLAIM_SLACK_S = 1.0
-# A step that a worker refused waits this long, in seconds.
-REFUSED_PAUSE_S = 0.3
 
 # Guaranteed work waits this long for a place near its data or in one rack, in
 # seconds: under half of the shortest bound on its beginning.
@@ -64,7 +62,11 @@
         self._now = now
         self._claims = state.claims
         takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
-        self._workers = [worker for worker in takers if state.knows_room(worker, now.steady_s)]
+        self._workers = [
+            worker
+            for worker in takers
+            if state.knows_room(worker, now.steady_s) and worker.refusal_backoff.is_over(now.steady_s)
+        ]
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
         self._memory = state.memory
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -8,6 +8,10 @@
 
 # A worker's steady clock may be 2% slow; the rest covers rounding.
 _SLOWEST_CLOCK = 1.03
+# How long a worker gets no starts after it has refused one, in seconds, and the
+# longest such time: it doubles with each refusal in a row.
+_FIRST_BACKOFF_S = 1.0
+_LONGEST_BACKOFF_S = 4.0
 
 
 class WorkerProfile(NamedTuple):
@@ -87,6 +91,32 @@
         return max(self._floor_s, self._read_at_s + left_s * _SLOWEST_CLOCK)
 
 
+class RefusalBackoff:
+    """Keeps starts away from a worker that refuses them, for longer after each refusal in a row."""
+
+    def __init__(self) -> None:
+        """Start without a refusal."""
+        self._refusals = 0
+        self._until_s = float('-inf')
+
+    def refused(self, now_s: float) -> None:
+        """Record that the worker refused a start."""
+        if now_s < self._until_s:
+            # Starts that were on their way together are refused together.
+            return
+        self._refusals += 1
+        self._until_s = now_s + min(_FIRST_BACKOFF_S * (1 << (self._refusals - 1)), _LONGEST_BACKOFF_S)
+
+    def started(self) -> None:
+        """Record that the worker acknowledged a start."""
+        self._refusals = 0
+        self._until_s = float('-inf')
+
+    def is_over(self, now_s: float) -> bool:
+        """Tell whether the worker may be asked again."""
+        return now_s >= self._until_s
+
+
 class WorkerState:
     """One life of a worker.
 
@@ -121,6 +151,7 @@
         self.failed_jobs: set[str] = set()
         self.slowness = 1.0
         self.pace = Pace()
+        self.refusal_backoff = RefusalBackoff()
         # Times as long as tasks take here as on a sound worker, as far as known.
         self.slowdown = 1.0
 
