Reservations follow the order of standings beside idle capacity only

Idle capacity counts from the moment on from which less than half of the pool is in use, for scheduler.idle_wait_s (2.5 s now).

The total order of reservations cost urgent work in busy pools: room that gangs kept from each other had served it without stops. No circle can last beside idle capacity, which is where callers count a job as lost.

--- a/packages/kernel/dahliaarch_kernel/scheduler/claims.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/claims.py
@@ -25,8 +25,7 @@
     made_s : float
         When it was made, steady clock.
     standing : Standing
-        Where the step stands: a claim that stops nothing keeps its room only from
-        what stands behind it, so that no two steps wait for each other's room.
+        Where the step stands.
     """
 
     step: StepState
@@ -36,12 +35,6 @@
     is_firm: bool = False
     made_s: float = 0.0
 
-    def keeps_from(self, step: StepState, standing: Standing) -> bool:
-        """Tell whether a step of a standing must leave the room alone."""
-        if self.step is step:
-            return False
-        return self.is_firm or self.standing < standing
-
 
 class Claims:
     """All claims, in the order in which they were made.
@@ -50,6 +43,11 @@
     ----------
     version : int
         Grows with every change, for those who keep an index.
+    is_in_order : bool
+        Whether claims that stop nothing keep their room only from what stands behind
+        them, so that no two steps wait for each other's. In a pool without idle
+        capacity they keep it from all of their rank: what stays free there serves
+        urgent work, which then stops others less often.
     """
 
     def __init__(self) -> None:
@@ -59,11 +57,22 @@
         self._count_by_step: Counter[StepState] = Counter()
         self._freed: set[str] = set()
         self.version = 0
+        self.is_in_order = True
 
     def __iter__(self) -> Iterator[Claim]:
         """Yield each claim."""
         return iter(self._claims)
 
+    def keeps(self, claim: Claim, step: StepState, standing: Standing) -> bool:
+        """Tell whether a step of a standing must leave the room of a claim alone."""
+        if claim.step is step:
+            return False
+        if claim.is_firm or claim.standing.rank < standing.rank:
+            return True
+        if self.is_in_order:
+            return claim.standing < standing
+        return claim.standing.rank == standing.rank
+
     def add(self, claim: Claim) -> None:
         """Keep room."""
         self._claims.append(claim)
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,7 +1,6 @@
 """One pass over all steps that have tasks to start."""
 
 from collections.abc import Iterator
-from functools import cached_property
 from operator import attrgetter
 
 from .advice import Advice
@@ -39,8 +38,6 @@
 # How often it is looked at whether a step has any place near its data, in seconds:
 # workers come and go.
 _NEAR_PLACE_EVERY_S = 1.0
-# A pool of whose capacity a smaller share is in use has idle capacity.
-_IDLE_SHARE = 0.5
 # A search for victims that failed is not repeated within this time, in seconds.
 _VICTIMS_AGAIN_S = 0.1
 
@@ -78,7 +75,9 @@
         self._memory.renew(self._room.free_by_id, self._claims.take_freed())
         if self._is_full:
             self._memory.begin_full(self._now.steady_s)
-            self._state.stalls.renew(self._state.active_jobs(), self._now.steady_s)
+            share = used_share(self._state.worker_by_id.values())
+            self._state.stalls.renew(self._state.active_jobs(), share, self._now.steady_s)
+            self._claims.is_in_order = self._state.stalls.has_idle_capacity
         for request in self._ordered_requests():
             self._consider(request)
         if self._is_full:
@@ -188,7 +187,7 @@
         waited_s = self._now.wall_s - begin_s(step.job.spec, step.occurrence)
         settings = self._state.settings
         near_s = _GUARANTEED_NEAR_S if rank == RANK_GUARANTEED else settings.far_after_share * work_s
-        is_overdue = self._is_overdue(step)
+        is_overdue = self._state.stalls.waited_beside_idle_s(step, self._now.steady_s) >= settings.idle_wait_s
         return Request(
             step,
             len(tasks),
@@ -202,16 +201,6 @@
             is_overdue=is_overdue,
         )
 
-    def _is_overdue(self, step: StepState) -> bool:
-        """Tell whether a step's job has had nothing running for too long beside idle capacity."""
-        waited_s = self._state.stalls.waited_s(step, self._now.steady_s)
-        return waited_s >= self._state.settings.idle_wait_s and self._used_share < _IDLE_SHARE
-
-    @cached_property
-    def _used_share(self) -> float:
-        """Share of the pool's capacity that was in use when it was first asked for."""
-        return used_share(self._state.worker_by_id.values())
-
     def _may_go_far(self, step: StepState, count: int, *, has_waited: bool) -> bool:
         """Tell whether a step may start away from its data, or spread over racks."""
         if has_waited or not self._state.settings.has(Mechanism.NEAR_FIRST):
@@ -377,7 +366,9 @@
             min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
             for worker in Room(self._workers, Claims()).admissible(step)
         )
-        return StepWaiting(step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, self._used_share)
+        return StepWaiting(
+            step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, self._state.stalls.used_share
+        )
 
     def _forget_claim(self, step: StepState) -> None:
         self._claims.drop_of(step)
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
@@ -30,7 +30,7 @@
     now_s: float,
 ) -> Claim | None:
     """Return a claim on the room that is expected to be free first."""
-    kept_by_id = _kept_by_worker(claim for claim in claims if claim.keeps_from(step, standing))
+    kept_by_id = _kept_by_worker(claim for claim in claims if claims.keeps(claim, step, standing))
     openings: list[_Opening] = []
     for worker in allowed_workers(step, room):
         if is_near(worker, step):
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -66,7 +66,7 @@
         if self._indexed_version != self._claims.version:
             self._index_claims()
         for claim, kept in self._kept_by_worker.get(worker.worker_id, ()):
-            if end_s > claim.ready_s and claim.keeps_from(step, standing):
+            if end_s > claim.ready_s and self._claims.keeps(claim, step, standing):
                 free = free.minus(kept)
         return free
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -40,7 +40,7 @@
     reserve_after_s: float = 0.5
     far_after_share: float = 1.5
     reservations: int = 4
-    idle_wait_s: float = 2.0
+    idle_wait_s: float = 2.5
     without: frozenset[Mechanism] = frozenset()
 
     def has(self, mechanism: Mechanism) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
@@ -14,6 +14,8 @@
 _REPORT_AFTER_S = 1.0
 # How often the reason of a step that waits is worked out anew, in seconds.
 _EXPLAIN_EVERY_S = 1.0
+# A pool of whose capacity a smaller share is in use has idle capacity.
+_IDLE_SHARE = 0.5
 # Steps explained at most in one pass: each takes as long as a few placements.
 _EXPLAINED_IN_A_PASS = 4
 
@@ -52,14 +54,35 @@
 
 
 class Stalls:
-    """The ready steps of jobs that have nothing running."""
+    """The ready steps of jobs that have nothing running.
+
+    Attributes
+    ----------
+    used_share : float
+        Share of the pool's capacity that was in use when they were last found.
+    """
 
     def __init__(self) -> None:
         """Start with none."""
+        self.used_share = 1.0
         self._stall_by_step: dict[StepState, Stall] = {}
-
-    def renew(self, jobs: Iterable[JobState], now_s: float) -> None:
-        """Find the steps that are stalled at this moment, and for how long they have been."""
+        # Since when less than half of the pool has been in use, steady clock.
+        self._idle_since_s = float('inf')
+
+    def renew(self, jobs: Iterable[JobState], used: float, now_s: float) -> None:
+        """Find the steps that are stalled at this moment, and for how long they have been.
+
+        Parameters
+        ----------
+        jobs : iterable of JobState
+            Jobs that have not ended.
+        used : float
+            Share of the pool's capacity that is in use.
+        now_s : float
+            The present, steady clock.
+        """
+        self.used_share = used
+        self._idle_since_s = min(self._idle_since_s, now_s) if self.has_idle_capacity else float('inf')
         earlier = self._stall_by_step
         self._stall_by_step = {step: earlier.get(step) or Stall(now_s) for step in _stalled_steps(jobs)}
 
@@ -68,6 +91,15 @@
         stall = self._stall_by_step.get(step)
         return 0.0 if stall is None else now_s - stall.since_s
 
+    def waited_beside_idle_s(self, step: StepState, now_s: float) -> float:
+        """Return for how long a step has been stalled while less than half of the pool was in use, in seconds."""
+        return max(0.0, min(self.waited_s(step, now_s), now_s - self._idle_since_s))
+
+    @property
+    def has_idle_capacity(self) -> bool:
+        """Whether less than half of the pool was in use when they were last found."""
+        return self.used_share < _IDLE_SHARE
+
     def note(self, step: StepState, reason: WaitReason, now_s: float) -> bool:
         """Record why a step waits; tell whether that is to be reported."""
         stall = self._stall_by_step.get(step)
