The soak keeps logs and a report of every violation

make test once reported two runs of a task at a time in a soak, and nothing was left to trace it: logs lay in a temporary folder that went with the soak.

The failing test and the printed result name report.json there: settings with the seed, faults with their times, violations, and for each job or task that these name its starts, ends and notes on every worker, with times, fences and incarnations. Workers' stand-ins number their incarnations and note when ends were noted for that.

Changed test: the control arm without news writes to a folder of the test, since it reports violations by design. Checks are what they were.

--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -155,9 +155,12 @@
     instances: int = 3,
     workers: int = 5,
     without: Annotated[str, typer.Option(help=f'Control arm, one of: {", ".join(PROTECTIONS)}.')] = '',
-    logs: Annotated[Path | None, typer.Option(help='Folder for the logs of the daemons.')] = None,
+    logs: Annotated[Path | None, typer.Option(help='Folder that keeps the logs of every soak.')] = None,
 ) -> None:
-    """Run real daemons under random faults and check what callers and workers were promised."""
+    """Run real daemons under random faults and check what callers and workers were promised.
+
+    A soak that finds a violation keeps its logs and a report, in results/soak unless a folder is named.
+    """
     broken = 0
     for seed in range(first, first + seeds):
         settings = control_arm(seed, without) if without else draw_settings(seed, instances, workers)
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -29,8 +29,10 @@
 class Noted(NamedTuple):
     """An end that was acknowledged to a worker whose lease had not ended since."""
 
+    worker: str
     task: str
     run: int
+    incarnation: int
 
 
 class _Run:
@@ -63,6 +65,7 @@
     run: int
     fence: int
     at_s: float
+    incarnation: int = 0
 
 
 class Ended(NamedTuple):
@@ -73,6 +76,7 @@
     run: int
     how: str
     at_s: float
+    incarnation: int = 0
 
 
 class _Life:
@@ -82,10 +86,13 @@
     ----------
     now_s : float
         When it starts, by the clock of the whole machine.
+    incarnation : int
+        Number of the life among those of its worker.
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(self, now_s: float, incarnation: int = 0) -> None:
         """Start with nothing."""
+        self.incarnation = incarnation
         self.born_s = now_s
         self.born_ms = int(time.time() * _MS)
         self.run_by_task: dict[str, _Run] = {}
@@ -143,7 +150,8 @@
         self.policy: PolicyStandIn | None = None
         # Where it says that it takes orders: a proxy, where one stands before it.
         self.published_address: Address | None = None
-        self.noted: set[Noted] = set()
+        # Ends that were noted, and when.
+        self.noted: dict[Noted, float] = {}
         self.starts: list[Started] = []
         self.ends: list[Ended] = []
         # Starts that were left unanswered, to be carried out late.
@@ -239,7 +247,7 @@
         life.run_by_task.pop(run.task, None)
         life.ends += 1
         life.finished.append([life.ends, run.task, run.number, how, ''])
-        self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s))
+        self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s, life.incarnation))
         self._forget(life.acknowledged)
         news, self._news = self._news, anyio.Event()
         news.set()
@@ -301,11 +309,15 @@
         """Forget the ends that are acknowledged, also those that are yet to come under such numbers."""
         life = self._life
         life.acknowledged = max(life.acknowledged, acknowledged)
-        now = {Noted(row[1], row[2]) for row in life.finished if row[0] <= life.acknowledged}
+        now = {self._noted(row[1], row[2]) for row in life.finished if row[0] <= life.acknowledged}
         # An end counts as noted unless the lease has ended between the two.
-        self.noted.update(now - {Noted(end.task, end.run) for end in self.ends if end.at_s <= life.lapsed_at_s})
+        lapsed = {self._noted(end.task, end.run) for end in self.ends if end.at_s <= life.lapsed_at_s}
+        self.noted.update(dict.fromkeys(now - lapsed, time.monotonic()))
         life.finished = [row for row in life.finished if row[0] > life.acknowledged]
 
+    def _noted(self, task: str, run: int) -> Noted:
+        return Noted(self.worker_id, task, run, self._life.incarnation)
+
     def crash(self, worker_id: str) -> None:
         """Lose everything and come back as another life at the same address."""
         self._lose_everything()
@@ -317,8 +329,11 @@
     def _lose_everything(self) -> None:
         now_s = time.monotonic()
         for run in self._life.run_by_task.values():
-            self.ends.append(Ended(self.worker_id, run.task, run.number, 'crashed', now_s))
-        self._life = _Life(now_s)
+            self.ends.append(Ended(self.worker_id, run.task, run.number, 'crashed', now_s, self._life.incarnation))
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        self._life = _Life(time.monotonic(), self._life.incarnation + 1)
 
     async def start_again(self, down_s: float = _DOWN_S) -> None:
         """Crash and come back under the same id, with the entry written again before it has lapsed.
@@ -331,7 +346,7 @@
         async with self._down():
             self._lose_everything()
             await anyio.sleep(down_s)
-            self._life = _Life(time.monotonic())
+            self._begin_life()
         self.publish()
 
     async def _crash_and_return(self) -> None:
@@ -375,7 +390,7 @@
         work_s = -1.0 if payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
         self._must_crash = self._must_crash or payload.startswith(_CRASHING)
         life.run_by_task[task] = _Run(task, number, work_s, now_s)
-        self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s))
+        self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s, life.incarnation))
         return self._reply({})
 
     def _has_ticket(self, task: str, body: dict[str, Any]) -> bool:
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -1,7 +1,7 @@
 """Runs one soak: callers hand jobs in while faults come and go."""
 
 import random
-import tempfile
+import shutil
 import time
 from collections import Counter
 from pathlib import Path
@@ -16,6 +16,7 @@
 from .following import APPLY_S, FollowingCheck, SLOW_APPLY_S
 from .plans import draw_plan, Fault, inject
 from .probing import probe_forever
+from .reports import KEPT_FOLDER, new_folder, origin_now, write_report
 from .settings import SoakSettings
 from .system import System
 from .versions import OTHER_KEY
@@ -75,6 +76,8 @@
         How often this process lagged, which hides what instances do.
     violations : tuple of Violation
         Promises that were not kept.
+    report : str
+        What traces these, beside the logs of the daemons; empty when there are none.
     """
 
     seed: int
@@ -86,15 +89,34 @@
     judged: int
     lags: int
     violations: tuple[Violation, ...]
+    report: str = ''
 
 
-def run_soak(settings: SoakSettings, folder: Path | None = None) -> SoakResult:
-    """Run one soak; logs of the daemons stay in ``folder`` when one is given."""
+def run_soak(settings: SoakSettings, folder: Path | None = None, kept: Path = KEPT_FOLDER) -> SoakResult:
+    """Run one soak.
+
+    Parameters
+    ----------
+    settings : SoakSettings
+        What it is run with.
+    folder : Path or None
+        Where the logs of the daemons stay; by default they stay only where
+        something went wrong, in a folder of their own.
+    kept : Path
+        Where such folders are, the latest of them.
+    """
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
         return anyio.run(_run, settings, folder)
-    with tempfile.TemporaryDirectory() as temporary:
-        return anyio.run(_run, settings, Path(temporary))
+    folder = new_folder(settings.seed, kept)
+    try:
+        result = anyio.run(_run, settings, folder)
+    except BaseException as error:
+        error.add_note(f'The logs of the daemons are in {folder}.')
+        raise
+    if not result.violations:
+        shutil.rmtree(folder)
+    return result
 
 
 async def _run(settings: SoakSettings, folder: Path) -> SoakResult:
@@ -108,7 +130,7 @@
         try:
             await system.start(tasks)
             _watch(system, check, tasks)
-            result = await _play(system, settings, check)
+            result = await _play(system, settings, check, folder)
         finally:
             system.close()
             tasks.cancel_scope.cancel()
@@ -123,8 +145,9 @@
         tasks.start_soon(probe_forever, system, check, name)
 
 
-async def _play(system: System, settings: SoakSettings, check: FollowingCheck) -> SoakResult:
+async def _play(system: System, settings: SoakSettings, check: FollowingCheck, folder: Path) -> SoakResult:
     plan = draw_plan(settings)
+    origin = origin_now()
     submissions: list[Submission] = []
     async with anyio.create_task_group() as tasks:
         for fault in plan:
@@ -146,6 +169,7 @@
         *check.violations,
         *await _wrong_keys(system),
     ]
+    report = write_report(folder, settings, plan, violations, system.deployment.workers, origin) if violations else ''
     return SoakResult(
         settings.seed,
         tuple(plan),
@@ -156,6 +180,7 @@
         check.judged,
         system.lags,
         tuple(violations),
+        str(report),
     )
 
 
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/reports.py
@@ -0,0 +1,118 @@
+"""What is kept of a soak that found a violation, or did not come to its end."""
+
+import json
+import re
+import shutil
+import tempfile
+import time
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import suppress
+from operator import itemgetter
+from pathlib import Path
+from typing import NamedTuple
+
+from ..platform import WorkerStandIn
+from .plans import Fault
+from .settings import SoakSettings
+from .violations import Violation
+
+REPORT_NAME = 'report.json'
+# Where logs and reports are kept unless a folder is named, below the working directory.
+KEPT_FOLDER = Path('results', 'soak')
+# Soaks that are kept there: the latest.
+_MOST_KEPT = 20
+# A job, or a task of it.
+_NAME = re.compile(r'\b[0-9a-f]{16}(?:\.\d+\.\d+\.\d+)?\b')
+# Digits after the point of times in a timeline.
+_DIGITS = 3
+
+
+class Origin(NamedTuple):
+    """When a soak began: by the steady clock, and seconds since 1970 as daemons log it."""
+
+    steady_s: float
+    wall_s: float
+
+
+def origin_now() -> Origin:
+    """Return the present as the origin of a timeline."""
+    return Origin(time.monotonic(), time.time())
+
+
+def new_folder(seed: int, kept: Path = KEPT_FOLDER) -> Path:
+    """Make a folder for a soak, and remove the oldest of those that are kept."""
+    kept.mkdir(parents=True, exist_ok=True)
+    by_age = sorted(filter(Path.is_dir, kept.iterdir()), key=_changed_s)
+    for path in by_age[: max(0, len(by_age) + 1 - _MOST_KEPT)]:
+        shutil.rmtree(path, ignore_errors=True)
+    return Path(tempfile.mkdtemp(prefix=f'{seed}-', dir=kept))
+
+
+def _changed_s(path: Path) -> float:
+    # Soaks that run beside this one remove theirs.
+    with suppress(FileNotFoundError):
+        return path.stat().st_mtime
+    return 0.0
+
+
+def write_report(
+    folder: Path,
+    settings: SoakSettings,
+    plan: Sequence[Fault],
+    violations: Sequence[Violation],
+    workers: Sequence[WorkerStandIn],
+    origin: Origin,
+) -> Path:
+    """Write what traces violations: what was injected, and what became of the tasks that they name.
+
+    Parameters
+    ----------
+    folder : Path
+        Where the logs of the daemons are.
+    settings : SoakSettings
+        What the soak was run with.
+    plan : sequence of Fault
+        What was injected; times from the origin.
+    violations : sequence of Violation
+        What was found.
+    workers : sequence of WorkerStandIn
+        Where tasks ran.
+    origin : Origin
+        When faults began to be injected.
+    """
+    names = {name for each in violations for name in _NAME.findall(each.detail)}
+    report = {
+        'settings': settings._asdict(),
+        'begun_wall_s': origin.wall_s,
+        'faults': [fault._asdict() for fault in plan],
+        'violations': [each._asdict() for each in violations],
+        'timeline': list(timeline(names, workers, origin)),
+    }
+    path = folder / REPORT_NAME
+    path.write_text(json.dumps(report, indent=2), encoding='utf-8')
+    return path
+
+
+def timeline(names: Iterable[str], workers: Iterable[WorkerStandIn], origin: Origin) -> Iterator[str]:
+    """Yield starts, ends and notes of ends of some jobs or tasks on every worker, by time."""
+    wanted = frozenset(names)
+    found = [each for worker in workers for each in _happened(worker)]
+    for at_s, task, text in sorted(found, key=itemgetter(0)):
+        if wanted & {task, task.partition('.')[0]}:
+            since_s = at_s - origin.steady_s
+            yield f'{since_s:.{_DIGITS}f} s ({origin.wall_s + since_s:.{_DIGITS}f}) {text}'
+
+
+def _happened(worker: WorkerStandIn) -> Iterator[tuple[float, str, str]]:
+    for start in worker.starts:
+        where = _where(start.worker, start.incarnation, start.task, start.run)
+        yield start.at_s, start.task, f'{where} started, fence {start.fence}'
+    for end in worker.ends:
+        yield end.at_s, end.task, f'{_where(end.worker, end.incarnation, end.task, end.run)} ended, {end.how}'
+    for noted, at_s in worker.noted.items():
+        where = _where(noted.worker, noted.incarnation, noted.task, noted.run)
+        yield at_s, noted.task, f'{where} noted as ended'
+
+
+def _where(worker: str, incarnation: int, task: str, run: int) -> str:
+    return f'{worker} incarnation {incarnation}: {task} run {run}'
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -74,11 +74,11 @@
     result = soaks[settings].result()
     assert result.accepted
     assert result.judged
-    assert not result.violations, result
+    assert not result.violations, f'{result.report} traces {result.violations}'
 
 
-def test_instances_that_hear_nothing_of_a_configuration_are_found():
-    result = run_soak(control_arm(1, 'news'))
+def test_instances_that_hear_nothing_of_a_configuration_are_found(tmp_path):
+    result = run_soak(control_arm(1, 'news'), tmp_path)
     assert 'a configuration is in force in time' in {each.promise for each in result.violations}
 
 
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from ..platform import WorkerStandIn
-from ..platform.workers import Noted
 
 # States of a job of which nothing may run.
 ENDED_STATES = frozenset(('succeeded', 'failed', 'cancelled'))
@@ -70,13 +69,13 @@
 
 def doubled_runs(workers: Sequence[WorkerStandIn]) -> Iterator[Violation]:
     """Yield tasks that ran twice at a time, or again after a success that was noted."""
-    noted = {each for worker in workers for each in worker.noted}
+    noted = {(each.task, each.run) for worker in workers for each in worker.noted}
     for task, spans in _spans_by_task(workers).items():
         for earlier, later in pairwise(sorted(spans)):
             runs = f'{task}: {earlier.run}, then {later.run}'
             if later.begin_s < earlier.end_s:
                 yield Violation('never two runs of a task at a time', runs)
-            elif earlier.how == 'done' and Noted(task, earlier.run) in noted:
+            elif earlier.how == 'done' and (task, earlier.run) in noted:
                 yield Violation('no run after a success that was noted', runs)
 
 
