The soak's checker gives each run the end of its own incarnation

The checker's fault: it found the end of a run by worker, task and number, and kept the last. A number is ordered on one worker only, and that refuses it a second time within one incarnation; but one that starts again under its id may carry out a late repetition of a start that the incarnation before had begun already. Both starts then got the end of the later one, so that the earlier, over with the crash, seemed to last beyond the later's begin. Two incarnations of one worker are never up at a time.

The check is as strict as before: ends and notes are matched by incarnation as well; a run without an end of its own incarnation lasts for good, as before, and a success counts as noted where the note is of its own incarnation. Two starts of one number within one incarnation are still reported. The same in Running.doubled of the scenarios, which had the same key.

--- a/packages/standins/dahliaarch_standins/deployment/tests/running.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/running.py
@@ -87,9 +87,9 @@
     def doubled(self):
         """Return tasks that ran twice at a time, or again after a success."""
         spans = {}
-        end_by_run = {(end.worker, end.task, end.run): end for end in self.ends()}
+        end_by_run = {(end.worker, end.task, end.run, end.incarnation): end for end in self.ends()}
         for start in self.starts():
-            end = end_by_run.get((start.worker, start.task, start.run))
+            end = end_by_run.get((start.worker, start.task, start.run, start.incarnation))
             spans.setdefault(start.task, []).append((start.at_s, end.at_s if end else None, end.how if end else ''))
         wrong = []
         for task, runs in spans.items():
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from dahliaarch_standins.platform.workers import Ended
+from dahliaarch_standins.platform import StoreStandIn, WorkerStandIn
+from dahliaarch_standins.platform.workers import Ended, Noted, Started
 from dahliaarch_standins.soak import control_arm, draw_settings, run_soak, SoakSettings
 from dahliaarch_standins.soak.violations import doubled_runs, false_ends, may_be_given_up, still_running, Submission
 
@@ -59,6 +60,7 @@
     draw_settings(9039)._replace(kinds=_FOURTH_KINDS),
 )
 NEW = draw_settings(1)
+TASK = f'{"a" * 16}.0.0.0'
 # Each is 3 daemons.
 _AT_A_TIME = 3
 
@@ -117,6 +119,36 @@
     assert not list(doubled_runs([]))
 
 
+def worker_with(starts, ends, noted=()):
+    """Return a worker whose incarnations ran one task under one number."""
+    worker = WorkerStandIn('w', 'svc', 'r0', StoreStandIn())
+    worker.starts = [Started('w', TASK, 1, 9, at_s, incarnation) for incarnation, at_s in starts]
+    worker.ends = [Ended('w', TASK, 1, how, at_s, incarnation) for incarnation, how, at_s in ends]
+    worker.noted = {Noted('w', TASK, 1, incarnation): 99.0 for incarnation in noted}
+    return worker
+
+
+TWICE_AT_A_TIME = 'never two runs of a task at a time'
+AFTER_A_NOTE = 'no run after a success that was noted'
+
+
+@pytest.mark.parametrize(
+    ('ends', 'noted', 'promises'),
+    [
+        # A late start, carried out again by the next incarnation, ended with its own end: taken for that of both.
+        ([(0, 'crashed', 2.0), (1, 'done', 4.0)], [1], []),
+        ([(0, 'crashed', 2.0), (1, 'done', 4.0)], [], []),
+        ([(0, 'crashed', 3.5), (1, 'done', 4.0)], [], [TWICE_AT_A_TIME]),
+        ([(1, 'done', 4.0)], [], [TWICE_AT_A_TIME]),
+        ([(0, 'done', 2.0), (1, 'done', 4.0)], [0], [AFTER_A_NOTE]),
+        ([(0, 'done', 2.0), (1, 'done', 4.0)], [1], []),
+    ],
+)
+def test_each_run_has_the_end_of_its_own_incarnation(ends, noted, promises):
+    worker = worker_with([(0, 1.0), (1, 3.0)], ends, noted)
+    assert [found.promise for found in doubled_runs([worker])] == promises
+
+
 class Busy:
     """A worker that runs a task of each of two jobs."""
 
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..platform import WorkerStandIn
+from ..platform.workers import Noted
 
 # States of a job of which nothing may run.
 ENDED_STATES = frozenset(('succeeded', 'failed', 'cancelled'))
@@ -59,34 +60,37 @@
 
 
 class _Span(NamedTuple):
-    """One run of a task, from its start to its end."""
+    """One run of a task, from its start to its end, and the note that its worker would have of that."""
 
     begin_s: float
     end_s: float
     run: int
     how: str
+    noted: Noted
 
 
 def doubled_runs(workers: Sequence[WorkerStandIn]) -> Iterator[Violation]:
     """Yield tasks that ran twice at a time, or again after a success that was noted."""
-    noted = {(each.task, each.run) for worker in workers for each in worker.noted}
+    noted = {each for worker in workers for each in worker.noted}
     for task, spans in _spans_by_task(workers).items():
         for earlier, later in pairwise(sorted(spans)):
             runs = f'{task}: {earlier.run}, then {later.run}'
             if later.begin_s < earlier.end_s:
                 yield Violation('never two runs of a task at a time', runs)
-            elif earlier.how == 'done' and (task, earlier.run) in noted:
+            elif earlier.how == 'done' and earlier.noted in noted:
                 yield Violation('no run after a success that was noted', runs)
 
 
 def _spans_by_task(workers: Sequence[WorkerStandIn]) -> dict[str, list[_Span]]:
     spans: dict[str, list[_Span]] = defaultdict(list)
     for worker in workers:
-        end_by_run = {(end.worker, end.task, end.run): end for end in worker.ends}
+        # The next incarnation may carry out a start again, under its number.
+        end_by_run = {Noted(end.worker, end.task, end.run, end.incarnation): end for end in worker.ends}
         for start in worker.starts:
-            end = end_by_run.get((start.worker, start.task, start.run))
+            noted = Noted(start.worker, start.task, start.run, start.incarnation)
+            end = end_by_run.get(noted)
             ended_s, how = (end.at_s, end.how) if end else (float('inf'), 'running')
-            spans[start.task].append(_Span(start.at_s, ended_s, start.run, how))
+            spans[start.task].append(_Span(start.at_s, ended_s, start.run, how, noted))
     return spans
 
 
