A worker that may hold back ends is tried before it gets work

The life before had been sent an acknowledgement that got no answer. The next life carried it out before its own first answer, and held on to it: its ends up to that number were never listed. The rest of 12 s could not help. From its first answer to a link of its own on, a life has seen a higher fence and refuses such an acknowledgement; what may have come before that stays.

So the rest is gone, and the life is tried: it gets one start at a time, no member of a gang and nothing that lasts, and each is stopped as soon as it has begun, until any end is listed: numbers rise, so all later ones are listed too. A late start that it lists is stopped as well. It is tried only where the life before was not heard 12 s after the acknowledgement.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -237,11 +237,22 @@
         if step is not None and step.advice is not None:
             step.advice.failed(now.steady_s)
 
-    def worker_surveyed(self, worker_id: str, running: Sequence[RunSeen], begun_s: float, now: Moment) -> None:
-        """Take in a worker's list of what runs."""
+    def worker_surveyed(
+        self,
+        worker_id: str,
+        running: Sequence[RunSeen],
+        begun_s: float,
+        now: Moment,
+        *,
+        lists_ends: bool = False,
+    ) -> None:
+        """Take in a worker's list of what runs; one that lists ends lists those that come after, too."""
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
             worker_lives(self._state, worker_id)
+            if lists_ends and worker.may_hide_ends:
+                worker.may_hide_ends = False
+                self._state.memory.grown_workers.add(worker_id)
             take_in_survey(self._state, worker, running, begun_s, now)
 
     def decide(self, now: Moment) -> list[Effect]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -113,6 +113,8 @@
 
 def per_worker_limit(worker: WorkerState, step: StepState) -> int:
     """Return how many more tasks of a step a worker may take."""
+    if worker.may_hide_ends:
+        return 0 if worker.run_by_key or step.spec.gang or step.spec.lasting else 1
     if not step.spec.max_per_worker:
         return _UNLIMITED
     return max(0, step.spec.max_per_worker - sum(_is_of(run, step) for run in worker.run_by_key.values()))
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -95,6 +95,8 @@
     run.seen_s = now.steady_s
     state.add_run(step, run)
     step.job.mark_begun()
+    if worker.may_hide_ends:
+        state.stop(run, 'its worker may not list its end')
     return run
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dahliaarch_kernel.scheduler import StartRun
+from dahliaarch_kernel.scheduler import EndKind, StartRun
 from dahliaarch_kernel.scheduler.events import RunSeen
 
 from .pool import Pool, task
@@ -86,3 +86,51 @@
     replace(pool, start.worker_id)
     del pool.running[start.worker_id, start.key]
     assert len(starts(pool, 0.0)) == 1
+
+
+def doubted(pool, worker_id):
+    """Let a worker be one that may never list its ends."""
+    pool.scheduler.worker_by_id[worker_id].may_hide_ends = True
+
+
+def test_a_late_start_is_stopped_on_a_life_that_may_hide_its_end():
+    """Its end was never listed, and the task ran again."""
+    pool = Pool(workers=2)
+    start = replaced_in_doubt(pool)
+    successor = f'{start.worker_id}+'
+    pool.add_worker(successor, 'r0')
+    doubted(pool, successor)
+    pool.scheduler.worker_surveyed(successor, (RunSeen(start.key, start.run, '', 10.0),), pool.now_s, pool.now)
+    pool.running[successor, start.key] = start.run
+    pool.step()
+    assert [(stop.worker_id, stop.run) for stop in pool.stops] == [(successor, start.run)]
+
+
+@pytest.mark.parametrize(
+    ('step', 'count'),
+    [(task(3), 1), (task(2, gang=True), 0), (task(1, lasting=True), 0)],
+    ids=['tasks', 'gang', 'lasting'],
+)
+def test_a_life_that_may_hide_ends_gets_one_start_at_a_time(step, count):
+    pool = Pool(workers=1)
+    doubted(pool, 'w0')
+    pool.submit(A, step)
+    assert len(pool.step()) == count
+    assert not pool.step(0.3)
+
+
+def test_a_life_that_has_listed_an_end_gets_work():
+    pool = Pool(workers=1)
+    doubted(pool, 'w0')
+    pool.submit(A, task(3))
+    (start,) = pool.step()
+    pool.end('w0', start.key, start.run, EndKind.STOPPED)
+    pool.scheduler.worker_surveyed('w0', (), pool.now_s, pool.now, lists_ends=True)
+    assert len(pool.step(0.01)) == 3
+
+
+def test_work_goes_to_other_workers_first():
+    pool = Pool(workers=2)
+    doubted(pool, 'w0')
+    pool.submit(A, task(3))
+    assert [start.worker_id for start in pool.step()] == ['w1'] * 3
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -116,6 +116,8 @@
         # False while its entry is another writer's and names no worker.
         self.has_readable_entry = True
         self.is_surveyed = False
+        # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
+        self.may_hide_ends = False
         self.is_silent = False
         self.leaves_at_s: float | None = None
         self.failed_jobs: set[str] = set()
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -37,6 +37,8 @@
         Whether the worker has said that it leaves.
     is_overfull : bool
         Whether it holds more than it says it has: its room has shrunk.
+    may_hide_ends : bool
+        Whether ends may never be listed; until one is, a run is stopped as soon as it has started.
     scope : CancelScope
         Ends all that is under way with this life.
     """
@@ -50,6 +52,7 @@
         self.failures = 0
         self.is_draining = False
         self.is_overfull = False
+        self.may_hide_ends = False
         self.heard = anyio.Event()
         self.scope = anyio.CancelScope()
 
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -4,7 +4,6 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-import anyio
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.scheduler import JobProgress, Moment, Scheduler, WorkerProfile
@@ -150,8 +149,6 @@
             self._scheduler.unlist_worker(known.life.worker_id)
             known.look_again()
             return
-        if self._must_rest(message):
-            return
         if known is not None:
             message = message.of(known.life)
         profile = message.profile
@@ -196,7 +193,9 @@
         now = self._now()
         for end in message.ended:
             self._take_in_end(end, now)
-        self._scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now)
+        self._scheduler.worker_surveyed(
+            message.worker_id, message.running, message.begun_s, now, lists_ends=bool(message.last_end)
+        )
         link = self._links.get(message.worker_id)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
@@ -252,7 +251,17 @@
     def _keep_in_touch(self, profile: WorkerProfile, life: WorkerLife, address: Address) -> WorkerLink:
         """Take in what a worker publishes; return the link to it."""
         self._scheduler.update_worker(profile, self._now())
-        return self._links.open(self._scheduler.worker_by_id[profile.worker_id], life, address, self._tasks)
+        return self._open(life, address)
+
+    def _open(self, life: WorkerLife, address: Address) -> WorkerLink:
+        """Return the link to a life of a worker that the scheduler knows."""
+        worker = self._scheduler.worker_by_id[life.worker_id]
+        is_new = self._links.get(life.worker_id) is None
+        link = self._links.open(worker, life, address, self._tasks)
+        if is_new and link.may_hide_ends:
+            log_event('worker_doubted', worker=life.worker_id)
+            worker.may_hide_ends = True
+        return link
 
     def _expect(self, former: WorkerProfile, life: WorkerLife, address: Address) -> None:
         """Ask a life what runs there whose entry has not been read.
@@ -261,21 +270,7 @@
         """
         profile = former._replace(worker_id=life.worker_id, draining=False, leaves_in_s=None)
         self._scheduler.expect_worker(profile, self._now())
-        self._links.open(self._scheduler.worker_by_id[life.worker_id], life, address, self._tasks)
-
-    def _must_rest(self, entry: WorkerListed) -> bool:
-        """Tell whether a life must get nothing yet, since it may be told to forget ends that it has never listed."""
-        rest_s = self._links.doubtful_s(entry.life.name, self._now().steady_s)
-        worker = self._scheduler.worker_by_id.get(self._worker_id(entry.life.name))
-        if not rest_s or (worker is not None and worker.is_described):
-            return False
-        log_event('worker_rests', worker=entry.life.worker_id, for_s=round(rest_s, 2))
-        self._tasks.start_soon(self._take_in_later, entry, rest_s)
-        return True
-
-    async def _take_in_later(self, entry: WorkerListed, after_s: float) -> None:
-        await anyio.sleep(after_s)
-        self._links.take_in_again(entry)
+        self._open(life, address)
 
     def _worker_id(self, name: str) -> str:
         """Return the life that is known under a worker's name."""
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -50,6 +50,8 @@
         self.processed = 0
         # When the last acknowledgement was sent that got no answer; it may be carried out late.
         self.unanswered_at_s = -math.inf
+        # When a survey was answered last.
+        self.heard_at_s = -math.inf
         # The ends that the latest answer listed.
         self._numbers: tuple[int, ...] = ()
         self.acknowledged_more = anyio.Event()
@@ -82,6 +84,15 @@
     def is_overfull(self, is_overfull: bool) -> None:
         self._contact.is_overfull = is_overfull
 
+    @property
+    def may_hide_ends(self) -> bool:
+        """Whether the worker may never list ends that are yet to come."""
+        return self._contact.may_hide_ends
+
+    @may_hide_ends.setter
+    def may_hide_ends(self, may_hide_ends: bool) -> None:
+        self._contact.may_hide_ends = may_hide_ends
+
     async def run(self) -> None:
         """Survey until closed."""
         try:
@@ -143,6 +154,7 @@
             await self._survey_refused(survey)
             return
         self._contact.answered()
+        self.heard_at_s = context.clock()
         if not self._lease.has_reading:
             # Until this answer an earlier owner may have given the longest lease.
             self._lease.assume_held(settings.hold_s, context.clock())
@@ -221,6 +233,8 @@
         if self._orders.has_unresolved_stops:
             return _STOP_POLL_S
         settings = self._context.settings
+        if self._contact.may_hide_ends:
+            return _HIDDEN_END_POLL_S
         return settings.idle_wait_s if self._is_idle else settings.wait_s
 
     async def _pause(self, survey: Survey) -> None:
@@ -237,6 +251,8 @@
             self._context.metrics.run_ends.labels(end.kind.value).inc()
         self._numbers = tuple(listed.number for listed in survey.ended)
         last_end = max(self._numbers, default=0)
+        if self._numbers:
+            self._contact.may_hide_ends = False
         self._is_idle = not survey.running
         self._orders.resolve_stopped(survey, begun_s)
         self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s))
@@ -274,3 +290,5 @@
 # answered at once when that ends. Asked as often without waiting, workers told of the
 # end 0.08 s later in the mean, and urgent work that waited for it began that late.
 _STOP_POLL_S = 0.15
+# The same where an end may come of which the worker does not tell, in seconds.
+_HIDDEN_END_POLL_S = 0.4
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -61,6 +61,9 @@
             if self._is_needless(effect):
                 return
             is_doubtful = await self._try_starts(effect, payload)
+        if self._contact.may_hide_ends and not is_doubtful:
+            log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
+            await self.stop(effect.key, effect.run)
         if is_doubtful:
             log_event('start_in_doubt', worker=self._contact.worker_id, task=effect.key, run=effect.run)
             self._contact.context.metrics.orders.labels('start', 'in_doubt').inc()
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -57,8 +57,8 @@
         self._link_by_name: dict[str, WorkerLink] = {}
         self._lives_by_name: Counter[str] = Counter()
         self._entry_by_name: dict[str, WorkerListed] = {}
-        # Until when an acknowledgement to an earlier life may still be carried out.
-        self._doubtful_until_by_name: dict[str, float] = {}
+        # Until when an acknowledgement to an earlier life may be carried out, where the next one may have begun before.
+        self._unanswered_until_by_name: dict[str, float] = {}
         self._given_up_by_address: dict[Address, str] = {}
 
     def get(self, worker_id: str) -> WorkerLink | None:
@@ -81,6 +81,7 @@
             self._lives_by_name[life.name] += 1
             fence = fence_of(self._context.epoch, self._lives_by_name[life.name])
             link = WorkerLink(life, address, worker.lease, self._context, fence)
+            link.may_hide_ends = life.name in self._unanswered_until_by_name
             self._link_by_id[worker.worker_id] = link
             self._link_by_name[life.name] = link
             tasks.start_soon(link.run)
@@ -92,9 +93,7 @@
         if link is None:
             return
         link.close()
-        self._doubtful_until_by_name[link.life.name] = max(
-            self._doubtful_until_by_name.get(link.life.name, -math.inf), link.unanswered_at_s + _LATEST_S
-        )
+        self._note_unanswered(link)
         if self._link_by_name.get(link.life.name) is link:
             del self._link_by_name[link.life.name]
         entry = self._entry_by_name.get(link.life.name)
@@ -106,19 +105,10 @@
         """How long a late start may run after it was sent: it comes late and has the longest lease."""
         return _LATEST_S + self._context.settings.hold_s
 
-    def doubtful_s(self, name: str, now_s: float) -> float:
-        """Return for how long a worker may yet be told to forget ends that an earlier life of it had."""
-        return max(0.0, self._doubtful_until_by_name.get(name, now_s) - now_s)
-
     def keep_entry(self, entry: WorkerListed) -> None:
         """Keep the entry that was read last under a worker's name."""
         self._entry_by_name[entry.life.name] = entry
 
-    def take_in_again(self, entry: WorkerListed) -> None:
-        """Have an entry taken in that was put off, if no other has come since."""
-        if self._entry_by_name.get(entry.life.name) is entry:
-            self._context.post(entry)
-
     def forget_entry(self, name: str) -> None:
         """Forget an entry that is gone, or can't be read any more."""
         self._entry_by_name.pop(name, None)
@@ -159,3 +149,10 @@
             link = self._link_by_id.get(worker_id)
             if link is not None:
                 link.acknowledge(number)
+
+    def _note_unanswered(self, link: WorkerLink) -> None:
+        """Note until when the next life of a worker may carry out an acknowledgement that was meant for this one."""
+        name = link.life.name
+        until_s = max(self._unanswered_until_by_name.pop(name, -math.inf), link.unanswered_at_s + _LATEST_S)
+        if link.heard_at_s < until_s:
+            self._unanswered_until_by_name[name] = until_s
