explain, status: name what a step that is not started waits for

From the logs of a job that had nothing running, explain said only that nothing of it was started, with no hint of the gate that held it. A step_waiting line is now a sentence (reason, time, tasks, whether there was room twice, share in use), the last reason closes what was not started, and status on the owner counts waiting steps by reason.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -33,6 +33,10 @@
     'job_known': 'the owner learnt of the job on queue {queue} (store revision {revision})',
     'job_ended': 'the end of the job was kept and is shown from now on: {phase}',
     'job_cancelled': 'the owner cancelled the job',
+    'step_waiting': (
+        'step {step} of {tasks} tasks waits, nothing of its job has run for {waited_s} s: {reason}'
+        ' (room for it twice: {has_room_twice}, share of the pool in use: {used_share})'
+    ),
     'run_ordered': 'task {task} was ordered to start on {worker} as run {run}',
     'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
     'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
@@ -101,8 +105,17 @@
     if 'job_known' not in events:
         yield 'not known: whether an owner learnt of the job; it was refused, or the log of the owner is missing'
     if 'job_known' in events and 'run_ordered' not in events:
-        yield 'nothing of it was started in this time: see its queue in the status, and what else ran'
+        yield f'nothing of it was started in this time: {_last_reason(lines)}'
     ordered = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event == 'run_ordered'}
     ended = {(tuple(line.fields['task']), line.fields['run']) for line in lines if line.event in _ENDS}
     for task, run in sorted(ordered - ended):
         yield f'not known: how run {run} of task {list(task)} ended'
+
+
+def _last_reason(lines: list[LogLine]) -> str:
+    """Return what last kept a step of a job from being started, as far as the lines tell."""
+    waiting = [line for line in lines if line.event == 'step_waiting']
+    if not waiting:
+        return 'see its queue in the status, and what else ran'
+    last = waiting[-1]
+    return f'the last reason known is "{last.fields["reason"]}" (step {last.fields["step"]}, {last.at_s:.3f})'
--- a/packages/cli/dahliaarch_cli/tests/test_explaining.py
+++ b/packages/cli/dahliaarch_cli/tests/test_explaining.py
@@ -41,3 +41,33 @@
     told = list(explain_job(A, lines(tmp_path, ordered, lost)))
     assert 'was lost with w (worker over) after 0.02 s beside 3 others' in told[1]
     assert not any('not known: how run' in line for line in told)
+
+
+def waiting(at_s, reason):
+    counts = {'waited_s': at_s, 'tasks': 4, 'has_room_twice': True, 'used_share': 0.31}
+    return {
+        'at': at_s,
+        'instance': 'i1',
+        'event': 'step_waiting',
+        'job': A,
+        'step': [A, 0, 1],
+        'reason': reason,
+        **counts,
+    }
+
+
+def test_what_a_step_waits_for_is_told_with_the_room_that_there_was(tmp_path):
+    told = list(explain_job(A, lines(tmp_path, waiting(1.2, 'reserved'))))
+    assert f"step ['{A}', 0, 1] of 4 tasks waits, nothing of its job has run for 1.2 s: reserved" in told[0]
+    assert '(room for it twice: True, share of the pool in use: 0.31)' in told[0]
+
+
+def test_the_last_reason_is_named_of_a_job_of_which_nothing_was_started(tmp_path):
+    known = {'at': 0.0, 'instance': 'i1', 'event': 'job_known', 'job': A, 'queue': 'q', 'revision': 5}
+    told = list(explain_job(A, lines(tmp_path, waiting(3.4, 'locality'), waiting(1.2, 'reserved'), known)))
+    assert told[-1].endswith(f"""the last reason known is "locality" (step ['{A}', 0, 1], 3.400)""")
+
+
+def test_a_job_of_which_nothing_was_started_for_no_known_reason_is_told_as_such(tmp_path):
+    known = {'at': 0.0, 'instance': 'i1', 'event': 'job_known', 'job': A, 'queue': 'q', 'revision': 5}
+    assert 'see its queue in the status' in list(explain_job(A, lines(tmp_path, known)))[-1]
--- a/packages/node/dahliaarch_node/status.py
+++ b/packages/node/dahliaarch_node/status.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from dahliaarch_kernel.scheduler import JobState, WorkerState
+from dahliaarch_kernel.scheduler.stalls import Load
 from dahliaarch_platform.store import StoreClient
 
 from .configuration import ConfigurationFollower
@@ -31,6 +32,7 @@
     if owner is not None:
         jobs = [job for job in owner.scheduler.job_by_id.values() if not job.has_ended]
         found['waiting'] = _waiting(jobs)
+        found['waiting_steps'] = _waiting_steps(owner.scheduler.load)
         found['accounts'] = _accounts(jobs)
         found['workers'] = [_worker(worker) for worker in owner.scheduler.worker_by_id.values()]
     return found
@@ -42,6 +44,10 @@
     return [{'queue': name, 'waiting': waiting[name], 'begun': begun[name]} for name in sorted(waiting | begun)]
 
 
+def _waiting_steps(load: Load) -> list[dict[str, Any]]:
+    return [{'reason': reason.value, 'steps': count} for reason, count in sorted(load.waiting_by_reason.items())]
+
+
 def _accounts(jobs: list[JobState]) -> list[dict[str, Any]]:
     used: Counter[str] = Counter()
     for job in jobs:
