Show starts that wait for their turn, and runs without an answer

A job with a start that waits behind unanswered ones (32 at a time, 1.5 s each), or that nobody acknowledged, counts as one with a run: step_waiting says nothing of it. The wait for a turn is now a histogram and a gauge, and a line start_turn_late once a second for each worker; unconfirmed runs are counted, with the age of the oldest. The gauges of the load are set each 0.25 s instead of in each pass, and are zero on an instance that has been replaced: they kept their last figures there.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -42,6 +42,7 @@
     'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
     'run_lost': 'run {run} of task {task} was lost with {worker} ({why}) after {ran_s} s beside {beside} others',
     'task_given_up': 'task {task} was given up and its job failed: workers crashed under it: {workers}',
+    'start_turn_late': 'the start of run {run} of task {task} on {worker} waited {waited_s} s behind other starts',
     'start_refused': '{worker} refused run {run} of task {task}: {status}',
     'start_in_doubt': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
     'write_unanswered': 'the store did not answer a write: {why}',
--- a/packages/cli/dahliaarch_cli/tests/test_explaining.py
+++ b/packages/cli/dahliaarch_cli/tests/test_explaining.py
@@ -71,3 +71,10 @@
 def test_a_job_of_which_nothing_was_started_for_no_known_reason_is_told_as_such(tmp_path):
     known = {'at': 0.0, 'instance': 'i1', 'event': 'job_known', 'job': A, 'queue': 'q', 'revision': 5}
     assert 'see its queue in the status' in list(explain_job(A, lines(tmp_path, known)))[-1]
+
+
+def test_a_start_that_waited_behind_others_is_told(tmp_path):
+    late = {'at': 3.0, 'instance': 'i1', 'event': 'start_turn_late', 'task': [A, 0, 0, 0], 'worker': 'w', 'run': 9}
+    told = list(explain_job(A, lines(tmp_path, late | {'waited_s': 1.7, 'late_starts': 4})))
+    assert 'run 9' in told[0]
+    assert 'waited 1.7 s behind other starts' in told[0]
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -56,6 +56,29 @@
             ['order', 'outcome'],
             registry=self.registry,
         )
+        self.start_turn_s = Histogram(
+            'dahliaarch_start_turn_seconds',
+            'Time that a start waited for its turn among those under way',
+            ['queue'],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waiting_starts = Gauge(
+            'dahliaarch_waiting_starts',
+            'Starts that wait for their turn among those under way',
+            ['queue'],
+            registry=self.registry,
+        )
+        self.unconfirmed_runs = Gauge(
+            'dahliaarch_unconfirmed_runs',
+            'Runs whose start was ordered and that no worker has acknowledged or listed',
+            registry=self.registry,
+        )
+        self.unconfirmed_run_s = Gauge(
+            'dahliaarch_oldest_unconfirmed_run_seconds',
+            'Time since the first of these starts was ordered',
+            registry=self.registry,
+        )
         self.run_ends = Counter('dahliaarch_run_ends', 'Ends of runs', ['kind'], registry=self.registry)
         self.runs_lost = Counter(
             'dahliaarch_runs_lost',
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -14,7 +14,6 @@
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
 from dahliaarch_kernel.scheduler import Moment, Scheduler
-from dahliaarch_kernel.scheduler.events import WaitReason
 from dahliaarch_platform.sessions import WorkerClient
 from dahliaarch_platform.store import StoreClient
 
@@ -29,6 +28,7 @@
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
+from .load_gauges import LoadGauges
 from .messages import OwnerMessage, WorkerInherited, WorkersHeard
 from .recorder import Recorder
 from .registry import Links
@@ -90,6 +90,7 @@
         self._settings = settings
         self._store = store
         self._metrics = metrics
+        self._load_gauges = LoadGauges(self.scheduler, metrics)
         self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](math.inf)
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
@@ -154,7 +155,7 @@
 
     async def run(self) -> None:
         """Take the pool over and decide until deposed or cancelled."""
-        with self._scope:
+        with self._scope, self._load_gauges:
             async with anyio.create_task_group() as tasks:
                 parts = IntakeParts(self.scheduler, self._links, self._earlier, self._unserved, self.depose, _now)
                 intake = Intake(parts, self.epoch, tasks)
@@ -244,10 +245,7 @@
         for effect in effects:
             self._effects.carry_out(effect)
         self._links.close_all_but(self.scheduler.worker_by_id)
-        load = self.scheduler.load
-        self._metrics.active_jobs.set(load.active_jobs)
-        for reason in WaitReason:
-            self._metrics.waiting_steps.labels(reason.value).set(load.waiting_by_reason.get(reason, 0))
+        self._load_gauges.update(steady_s())
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
 
     def _note_roster(self) -> None:
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -0,0 +1,61 @@
+"""Shows as metrics what the owner has to do, and what keeps it from being done."""
+
+from collections.abc import Iterator
+from typing import Self
+
+from dahliaarch_kernel.scheduler import Scheduler
+from dahliaarch_kernel.scheduler.events import WaitReason
+from dahliaarch_kernel.scheduler.runs import Run
+
+from ..metrics import Metrics
+
+# Shortest time between two updates, in seconds.
+_UPDATE_EVERY_S = 0.25
+
+
+class LoadGauges:
+    """The gauges that only the owner sets.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Whose load it is.
+    metrics : Metrics
+        Where it is shown.
+    """
+
+    def __init__(self, scheduler: Scheduler, metrics: Metrics) -> None:
+        """Show nothing yet."""
+        self._scheduler = scheduler
+        self._metrics = metrics
+        self._updated_s = float('-inf')
+
+    def update(self, now_s: float) -> None:
+        """Show the present load, unless it was shown a moment ago."""
+        if now_s - self._updated_s < _UPDATE_EVERY_S:
+            return
+        self._updated_s = now_s
+        load = self._scheduler.load
+        self._metrics.active_jobs.set(load.active_jobs)
+        for reason in WaitReason:
+            self._metrics.waiting_steps.labels(reason.value).set(load.waiting_by_reason.get(reason, 0))
+        ages_s = [now_s - run.started_s for run in self._unconfirmed()]
+        self._metrics.unconfirmed_runs.set(len(ages_s))
+        self._metrics.unconfirmed_run_s.set(max(ages_s, default=0.0))
+
+    def __enter__(self) -> Self:
+        """Begin to show the load."""
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Show no load: another instance owns the pool."""
+        self._metrics.active_jobs.set(0)
+        for reason in WaitReason:
+            self._metrics.waiting_steps.labels(reason.value).set(0)
+        self._metrics.unconfirmed_runs.set(0)
+        self._metrics.unconfirmed_run_s.set(0)
+
+    def _unconfirmed(self) -> Iterator[Run]:
+        """Yield the runs whose start no worker has acknowledged or listed."""
+        for worker in self._scheduler.worker_by_id.values():
+            yield from (run for run in worker.run_by_key.values() if not run.is_confirmed)
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -3,7 +3,6 @@
 import anyio
 
 from dahliaarch_kernel.scheduler import EndKind, StartRun
-from dahliaarch_kernel.scheduler.ranks import RANK_URGENT
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.workers import (
     OrderStatus,
@@ -17,6 +16,7 @@
 from ..logs import log_event
 from .contact import Contact
 from .messages import RunNever, StartAcknowledged
+from .start_turns import TurnQueue
 
 
 class WorkerOrders:
@@ -31,6 +31,7 @@
     def __init__(self, contact: Contact) -> None:
         """Start without orders."""
         self._contact = contact
+        self._queue = TurnQueue(contact)
         # Runs whose stop was acknowledged, by the time of that: once a later
         # survey does not list them they are certainly not there.
         self._stopped_at_by_run: dict[tuple[TaskKey, int], float] = {}
@@ -56,8 +57,7 @@
 
     async def start(self, effect: StartRun, payload: str) -> None:
         """Order a start until it is answered; take it back when it stays in doubt."""
-        turns = self._contact.context.turns
-        async with turns.urgent if effect.rank <= RANK_URGENT else turns.other:
+        async with self._queue.turn(effect):
             if self._is_needless(effect):
                 return
             is_doubtful = await self._try_starts(effect, payload)
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_start_turns.py
@@ -0,0 +1,122 @@
+"""What an operator sees of starts that wait for their turn, and of those without an answer."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import Moment, Scheduler, SchedulerSettings, StartRun, WorkerProfile
+from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY, RANK_URGENT
+from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_node.metrics import Metrics
+
+from .. import start_turns
+from ..link_settings import StartTurns
+from ..load_gauges import LoadGauges
+from ..start_turns import TurnQueue
+
+KEY = TaskKey('a' * 16, 0, 0, 0)
+
+
+class Waiting:
+    """Starts to one worker of which one may be under way at a time, under a clock that is set."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.metrics = Metrics()
+        self.turns = StartTurns(anyio.Semaphore(1), anyio.Semaphore(1))
+        context = SimpleNamespace(metrics=self.metrics, turns=self.turns, clock=lambda: self.now_s)
+        self.queue = TurnQueue(SimpleNamespace(worker_id='w', context=context))
+
+    def shown(self, name, **labels):
+        return self.metrics.registry.get_sample_value(f'dahliaarch_{name}', labels)
+
+    async def take_turn(self, rank):
+        async with self.queue.turn(StartRun('w', KEY, 1, '', rank, 1.0, '')):
+            pass
+
+    async def play(self, waited_s, starts=3, rank=RANK_ORDINARY):
+        """Let starts wait for so long behind another; return how many waited."""
+        turn = self.turns.urgent if rank == RANK_URGENT else self.turns.other
+        queue = 'urgent' if rank == RANK_URGENT else 'other'
+        await turn.acquire()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(starts):
+                tasks.start_soon(self.take_turn, rank)
+            await anyio.wait_all_tasks_blocked()
+            waiting = self.shown('waiting_starts', queue=queue)
+            self.now_s += waited_s
+            turn.release()
+        return waiting
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    found = []
+    monkeypatch.setattr(start_turns, 'log_event', lambda event, **fields: found.append((event, fields)))
+    return found
+
+
+@pytest.mark.parametrize(('rank', 'queue'), [(RANK_URGENT, 'urgent'), (RANK_ORDINARY, 'other')])
+def test_starts_that_wait_for_their_turn_are_counted_with_their_time(rank, queue, lines):
+    waiting = Waiting()
+    assert anyio.run(waiting.play, 0.4, 3, rank) == 3
+    assert waiting.shown('waiting_starts', queue=queue) == 0
+    assert waiting.shown('start_turn_seconds_count', queue=queue) == 3
+    assert waiting.shown('start_turn_seconds_sum', queue=queue) == pytest.approx(1.2)
+    assert not lines
+
+
+def test_starts_that_waited_for_more_than_a_second_are_logged_once_a_second(lines):
+    waiting = Waiting()
+
+    async def run():
+        await waiting.play(1.5)
+        await waiting.play(1.2)
+
+    anyio.run(run)
+    assert [(event, fields['waited_s'], fields['late_starts']) for event, fields in lines] == [
+        ('start_turn_late', 1.5, 1),
+        ('start_turn_late', 1.2, 3),
+    ]
+
+
+def test_a_start_that_is_given_up_while_it_waits_leaves_no_turn_taken():
+    waiting = Waiting()
+
+    async def run():
+        await waiting.turns.other.acquire()
+        with anyio.move_on_after(0.05):
+            await waiting.take_turn(RANK_ORDINARY)
+        waiting.turns.other.release()
+        return waiting.turns.other.value
+
+    assert anyio.run(run) == 1
+    assert waiting.shown('waiting_starts', queue='other') == 0
+
+
+def test_runs_without_an_answer_are_shown_until_they_are_confirmed_or_the_owner_is_replaced():
+    now = Moment(1000.0, 0.0)
+    scheduler = Scheduler(SchedulerSettings(), 7)
+    scheduler.update_worker(WorkerProfile('w', 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0')), now)
+    scheduler.worker_surveyed('w', (), now.steady_s, now)
+    step = StepSpec(2, Resources(4000, 16_000, 1), 1.0)
+    scheduler.add_job(JobSpec('a' * 16, 'acc', 'q', 'payload', (step,)), Queue('q', 'h', '/o/', 'svc'), now)
+    starts = scheduler.decide(now)
+    assert len(starts) == 2
+
+    waiting = Waiting()
+    gauges = LoadGauges(scheduler, waiting.metrics)
+    with gauges:
+        gauges.update(1001.5)
+        assert waiting.shown('unconfirmed_runs') == 2
+        assert waiting.shown('oldest_unconfirmed_run_seconds') == 1.5
+        scheduler.run_started('w', starts[0].key, starts[0].run, now)
+        gauges.update(1001.6)
+        assert waiting.shown('unconfirmed_runs') == 2
+        gauges.update(1002.0)
+        assert waiting.shown('unconfirmed_runs') == 1
+        assert waiting.shown('active_jobs') == 1
+    assert waiting.shown('unconfirmed_runs') == 0
+    assert waiting.shown('active_jobs') == 0
