Soak: a ready job does not wait for 3 s beside idle capacity

No soak looked at whether work that could run does run: only that all of it ends in time. In calm times, 3 s after the last fault, crash or exit, the workers are looked at each 0.1 s; a job that has nothing running while a task's turn has come, its room is there twice and under half of the capacity is in use, for 3 s on end, is a violation, with the times and the owner's last step_waiting line.

--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -139,6 +139,14 @@
         """Names of the instances."""
         return sorted(self._ports_by_name)
 
+    @property
+    def log_paths(self) -> list[Path]:
+        """Logs of the instances, over all lives of their daemons."""
+        return [self._log_path(name) for name in self.names]
+
+    def _log_path(self, name: str) -> Path:
+        return self._folder / f'{name}.log'
+
     def peer_address(self, name: str) -> Address:
         """Return where an instance takes its peers' messages."""
         return Address(self.host_by_name.get(name, HOST), self._ports_by_name[name][2])
@@ -198,7 +206,7 @@
         """Start a daemon."""
         path = self._folder / f'{name}.conf'
         path.write_text(self._settings(name), encoding='utf-8')
-        log = (self._folder / f'{name}.log').open('ab')
+        log = self._log_path(name).open('ab')
         self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - a module of this project
             [sys.executable, '-m', self.program],
             env={**os.environ, PATH_VARIABLE: str(path)},
--- a/packages/standins/dahliaarch_standins/deployment/jobs.py
+++ b/packages/standins/dahliaarch_standins/deployment/jobs.py
@@ -1,8 +1,11 @@
 """Steps of small random jobs, in the form in which callers submit them."""
 
 import random
+from collections.abc import Iterable
 from typing import Any
 
+from dahliaarch_kernel.workload import Resources, StepSpec
+
 _TWO_STEP_SHARE = 0.3
 _MOST_TASKS = 4
 
@@ -20,3 +23,16 @@
     if choice.random() < _TWO_STEP_SHARE:
         return [first, {**first, 'After': [0]}]
     return [first]
+
+
+def step_specs(steps: Iterable[dict[str, Any]]) -> tuple[StepSpec, ...]:
+    """Return what such steps ask for."""
+    return tuple(
+        StepSpec(
+            step['Count'],
+            Resources(step['Cpu'], step['MemMb'], step['Gpu']),
+            after=tuple(step.get('After', ())),
+            gang=step.get('Gang', False),
+        )
+        for step in steps
+    )
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -12,10 +12,11 @@
 
 from ..deployment import Caller
 from ..deployment.core import KEY, PREFIX_BY_QUEUE
-from ..deployment.jobs import draw_steps
+from ..deployment.jobs import draw_steps, step_specs
 from .following import APPLY_S, FollowingCheck, SLOW_APPLY_S
 from .plans import draw_plan, Fault, inject
 from .probing import probe_forever
+from .ready_work import watch_ready_work
 from .settings import SoakSettings
 from .system import System
 from .versions import OTHER_KEY
@@ -132,9 +133,10 @@
         for number in range(settings.callers):
             choice = random.Random(f'{settings.seed} {number}')
             tasks.start_soon(_call, system, submissions, choice, settings)
-    unready = [name for name in system.deployment.names if not await _becomes_ready(system, name)]
-    await anyio.sleep(_CALM_S)
-    states = await _settle(system, submissions, settings.settle_s)
+    async with watch_ready_work(system, submissions) as ready_work:
+        unready = [name for name in system.deployment.names if not await _becomes_ready(system, name)]
+        await anyio.sleep(_CALM_S)
+        states = await _settle(system, submissions, settings.settle_s)
     violations = [
         *(Violation('no process ends by itself', name) for name in system.exits),
         *(Violation('an instance becomes ready', name) for name in unready),
@@ -144,6 +146,7 @@
         *refused_that_ran(submissions, system.deployment.workers),
         *false_ends(states, submissions, _done_tasks(system), may_be_given_up(system.deployment.workers)),
         *check.violations,
+        *ready_work.violations(system.deployment.log_paths),
         *await _wrong_keys(system),
     ]
     return SoakResult(
@@ -205,7 +208,7 @@
     if is_cancelled:
         await anyio.sleep(choice.uniform(0.0, 1.0))
         await _cancel(caller, path)
-    return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled, bool(payload))
+    return Submission(job_id, queue, tasks, tuple(statuses), is_cancelled, bool(payload), step_specs(steps))
 
 
 async def _cancel(caller: Caller, path: str) -> None:
--- /dev/null
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_ready_work.py
@@ -0,0 +1,169 @@
+"""The check of ready work blames jobs that wait beside idle capacity, and nothing else."""
+
+import json
+import time
+
+import pytest
+
+from dahliaarch_kernel.workload import Resources, StepSpec
+from dahliaarch_standins.platform.workers import Ended, Started
+from dahliaarch_standins.soak.contact import CONTACT_S
+from dahliaarch_standins.soak.ready_work import READY_S, ReadyWorkCheck
+from dahliaarch_standins.soak.violations import Submission
+
+CALM_S = 100.0
+BOUND_S = CONTACT_S + READY_S
+STEP = StepSpec(2, Resources(4000, 16_000, 4))
+PROMISE = 'a ready job does not wait beside idle capacity'
+
+
+def job(job_id='a', *steps, statuses=(200,), **fields):
+    return Submission(job_id, 'urgent', 2, statuses, steps=steps or (STEP,), **fields)
+
+
+class Worker:
+    """A worker with what it saw."""
+
+    def __init__(self, *running):
+        self.capacity = Resources(64_000, 262_144, 8)
+        self.running = dict.fromkeys(running, 1)
+        self.starts = []
+        self.ends = []
+
+    def ended(self, *tasks, how='done', at_s=0.0):
+        self.ends.extend(Ended('w', task, 1, how, at_s) for task in tasks)
+
+
+class Pool:
+    """Two workers, the check, and the time at which it last looked."""
+
+    def __init__(self, *submissions, workers=2):
+        self.workers = [Worker() for _ in range(workers)]
+        self.check = ReadyWorkCheck(submissions, self.workers, CALM_S)
+        self.now_s = CALM_S
+
+    def look_for(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.now_s += 0.1
+            self.check.look(self.now_s)
+
+    def found(self, *logs):
+        return list(self.check.violations(logs))
+
+    @property
+    def is_blamed(self):
+        return [each.promise for each in self.found()] == [PROMISE]
+
+
+def test_a_ready_job_that_waits_beside_idle_capacity_is_blamed_after_the_bound():
+    pool = Pool(job())
+    pool.look_for(BOUND_S - 0.2)
+    assert not pool.found()
+    pool.look_for(0.5)
+    assert pool.is_blamed
+
+
+def test_a_wait_is_blamed_when_it_has_ended():
+    pool = Pool(job())
+    pool.look_for(BOUND_S + 0.3)
+    pool.workers[0].running['a.0.0.0'] = 1
+    pool.look_for(1.0)
+    assert pool.is_blamed
+
+
+@pytest.mark.parametrize(
+    'submission',
+    [job(statuses=(503, 504)), job(is_cancelled=True), job('b')],
+    ids=['not accepted', 'cancelled', 'crashed twice'],
+)
+def test_a_job_that_need_not_run_is_not_blamed(submission):
+    pool = Pool(submission)
+    pool.workers[0].ended('b.0.0.0', 'b.0.0.0', how='crashed')
+    pool.look_for(2 * BOUND_S)
+    assert not pool.found()
+
+
+def test_a_job_of_which_a_task_runs_or_that_is_done_is_not_blamed():
+    pool = Pool(job('a'), job('b'))
+    pool.workers[0].running['a.0.0.0'] = 1
+    pool.workers[1].ended('b.0.0.0', 'b.0.0.1')
+    pool.look_for(2 * BOUND_S)
+    assert not pool.found()
+
+
+def test_a_run_between_two_looks_ends_a_wait():
+    pool = Pool(job())
+    pool.look_for(BOUND_S - 1.0)
+    pool.workers[0].starts.append(Started('w', 'a.0.0.0', 1, 0, pool.now_s + 0.05))
+    pool.look_for(2.0)
+    assert not pool.found()
+
+
+@pytest.mark.parametrize(('done', 'is_blamed'), [(['a.0.0.0'], False), (['a.0.0.0', 'a.0.0.1'], True)])
+def test_a_step_is_ready_once_all_tasks_before_it_are_done(done, is_blamed):
+    wide = STEP._replace(demand=Resources(4000, 16_000, 9))
+    pool = Pool(job('a', wide, STEP._replace(after=(0,))))
+    pool.workers[0].ended(*done)
+    pool.look_for(2 * BOUND_S)
+    assert pool.is_blamed is is_blamed
+
+
+@pytest.mark.parametrize(('task_count', 'is_blamed'), [(2, True), (3, False)])
+def test_a_gang_needs_room_for_all_of_it_twice(task_count, is_blamed):
+    pool = Pool(job('a', STEP._replace(task_count=task_count, gang=True)))
+    pool.look_for(2 * BOUND_S)
+    assert pool.is_blamed is is_blamed
+
+
+@pytest.mark.parametrize(('accelerators', 'is_blamed'), [(1, True), (4, True), (5, False)])
+def test_room_for_one_more_is_not_enough(accelerators, is_blamed):
+    pool = Pool(job('a', STEP._replace(demand=Resources(4000, 16_000, accelerators))), workers=1)
+    pool.look_for(2 * BOUND_S)
+    assert pool.is_blamed is is_blamed
+
+
+@pytest.mark.parametrize(('cores', 'is_blamed'), [(60, True), (64, False)])
+def test_capacity_of_which_half_is_in_use_is_not_idle(cores, is_blamed):
+    small = STEP._replace(demand=Resources(0, 16_000, 1))
+    pool = Pool(job('a', small), job('b', StepSpec(1, Resources(1000 * cores, 0, 0))), workers=1)
+    pool.workers[0].running['b.0.0.0'] = 1
+    pool.look_for(2 * BOUND_S)
+    assert pool.is_blamed is is_blamed
+
+
+def crash(pool):
+    pool.workers[0].ended('c.0.0.0', how='crashed', at_s=pool.now_s)
+
+
+def exit_of_a_daemon(pool):
+    pool.check.disturb(pool.now_s)
+
+
+def late_look(pool):
+    pool.now_s += 1.0
+
+
+@pytest.mark.parametrize('disturb', [crash, exit_of_a_daemon, late_look])
+def test_a_disturbance_ends_a_wait(disturb):
+    pool = Pool(job())
+    pool.look_for(BOUND_S - 0.5)
+    disturb(pool)
+    pool.look_for(BOUND_S - 0.2)
+    assert not pool.found()
+    pool.look_for(0.6)
+    assert pool.is_blamed
+
+
+def test_the_last_reason_that_an_owner_logged_of_the_job_is_told(tmp_path):
+    log = tmp_path / 'i0.log'
+    now_s = time.time()
+    wall_s = now_s - time.monotonic()
+    rows = [('a', 'locality', 101.0), ('a', 'reserved', 102.0), ('b', 'refused', 103.0), ('a', 'advice', 300.0)]
+    written = ({'at': at + wall_s, 'event': 'step_waiting', 'job': name, 'reason': why} for name, why, at in rows)
+    log.write_text('a trace\n' + ''.join(json.dumps(row, separators=(',', ':')) + '\n' for row in written))
+    pool = Pool(job())
+    pool.look_for(BOUND_S + 1.0)
+    detail = pool.found(log)[0].detail
+    assert detail.startswith('a: nothing ran from ')
+    assert '"reason": "reserved"' in detail
+    assert pool.found()[0].detail.endswith('no step_waiting line')
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -5,6 +5,8 @@
 from itertools import pairwise
 from typing import NamedTuple
 
+from dahliaarch_kernel.workload import StepSpec
+
 from ..platform import WorkerStandIn
 from ..platform.workers import Noted
 
@@ -39,6 +41,8 @@
         Whether its cancellation was acknowledged.
     crashes_workers : bool
         Whether its task crashes each worker that starts it.
+    steps : tuple of StepSpec
+        Its steps.
     """
 
     job_id: str
@@ -47,6 +51,7 @@
     statuses: tuple[int, ...]
     is_cancelled: bool = False
     crashes_workers: bool = False
+    steps: tuple[StepSpec, ...] = ()
 
     @property
     def is_accepted(self) -> bool:
