Tasks that last count as stalled one by one; explanations share one view of the room

What callers saw: none seen; found by looking for the cause of jobs that stand beside idle capacity elsewhere. A task that lasts, and had ended, waited for the rack of its data while others of its step ran, for 1.5 times its (long) time, however much room other racks had.

Evidence: test_a_lasting_task_that_ended_is_started_again_beside_others_of_its_step failed before (no start in 60 s) and passes now. What a policy's filter refuses for a while was remembered as a failed search for good in a pool to which nothing happens; since overdue steps search for themselves that is bounded as well (test_a_failed_search_is_repeated_though_no_room_has_grown).

--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,6 +1,7 @@
 """One pass over all steps that have tasks to start."""
 
 from collections.abc import Iterator
+from functools import cached_property
 from operator import attrgetter
 
 from .advice import Advice
@@ -67,6 +68,7 @@
         self._room = Room(self._workers, state.claims)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
         self._memory = state.memory
+        self._ranks = rank_by_job(state.active_jobs(), state.guaranteed_by_account)
         self._is_full = now.steady_s - self._memory.full_at_s >= _FULL_EVERY_S
 
     def run(self) -> None:
@@ -92,11 +94,10 @@
 
     def _requests(self) -> Iterator[Request]:
         """Yield what asks for room."""
-        ranks = rank_by_job(self._state.active_jobs(), self._state.guaranteed_by_account)
         for job in self._state.active_jobs():
             if self._held_back(job) is not None:
                 continue
-            rank = ranks.get(job.spec.job_id, RANK_ORDINARY)
+            rank = self._ranks.get(job.spec.job_id, RANK_ORDINARY)
             for step in job.ready_steps():
                 if self._step_held_back(step) is None:
                     yield from self._requests_of(step, rank)
@@ -339,22 +340,25 @@
     def _explain_stalls(self) -> None:
         """Report why steps wait whose jobs have had nothing running for a while."""
         now_s = self._now.steady_s
-        ranks = rank_by_job(self._state.active_jobs(), self._state.guaranteed_by_account)
         for step in self._state.stalls.due(now_s):
-            for request in self._requests_of(step, ranks.get(step.job.spec.job_id, RANK_ORDINARY)):
+            for request in self._requests_of(step, self._ranks.get(step.job.spec.job_id, RANK_ORDINARY)):
                 reason = self._held_back(step.job) or self._step_held_back(step) or self._lacks(request)
                 if self._state.stalls.note(step, reason, now_s):
                     self._state.notes.append(self._waiting(request, reason))
 
+    @cached_property
+    def _unreserved_room(self) -> Room:
+        """What was free once the pass had started what it could, reserved or not."""
+        return Room(self._workers, Claims())
+
     def _lacks(self, request: Request) -> WaitReason:
         """Return what a step that may start found no place for."""
         step = request.step
         if request.trial_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
             return WaitReason.ISOLATION
-        unreserved = Room(self._workers, Claims())
-        if place(request, unreserved).task_count:
+        if place(request, self._unreserved_room).task_count:
             return WaitReason.RESERVED
-        if place(request._replace(may_go_far=True), unreserved).task_count:
+        if place(request._replace(may_go_far=True), self._unreserved_room).task_count:
             return WaitReason.LOCALITY
         return WaitReason.NO_CAPACITY if step.advice is None else WaitReason.ADVICE
 
@@ -364,7 +368,7 @@
         wanted = _wanted(request)
         rooms = (
             min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
-            for worker in Room(self._workers, Claims()).admissible(step)
+            for worker in self._unreserved_room.admissible(step)
         )
         return StepWaiting(
             step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, self._state.stalls.used_share
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -146,14 +146,16 @@
     workers : iterable of WorkerState
         Workers that stay.
     """
+    spec = step.spec
     demand = effective_demand(step)
+    limit = spec.max_per_worker or _UNLIMITED
     count_by_rack: Counter[str] = Counter()
-    for worker in workers:
-        if is_admissible(worker, step) and is_near(worker, step):
-            limit = step.spec.max_per_worker or _UNLIMITED
-            rack = worker.rack if step.spec.gang and step.spec.same_rack else ''
-            count_by_rack[rack] += min(fitting(worker.profile.capacity, demand), limit)
-    return max(count_by_rack.values(), default=0) >= count
+    for worker in (each for each in workers if is_admissible(each, step) and is_near(each, step)):
+        rack = worker.rack if spec.gang and spec.same_rack else ''
+        count_by_rack[rack] += min(fitting(worker.profile.capacity, demand), limit)
+        if count_by_rack[rack] >= count:
+            return True
+    return False
 
 
 def by_rack(spots: list[Spot]) -> dict[str, list[Spot]]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
@@ -36,7 +36,7 @@
 
 
 class Stall(NamedTuple):
-    """A ready step whose job has nothing running.
+    """A ready step whose job has nothing running, or whose tasks last.
 
     Parameters
     ----------
@@ -54,7 +54,7 @@
 
 
 class Stalls:
-    """The ready steps of jobs that have nothing running.
+    """The ready steps of jobs that have nothing running, and those whose tasks last.
 
     Attributes
     ----------
@@ -92,8 +92,12 @@
         return 0.0 if stall is None else now_s - stall.since_s
 
     def waited_beside_idle_s(self, step: StepState, now_s: float) -> float:
-        """Return for how long a step has been stalled while less than half of the pool was in use, in seconds."""
-        return max(0.0, min(self.waited_s(step, now_s), now_s - self._idle_since_s))
+        """Return for how long a step has been stalled while less than half of the pool was in use, in seconds.
+
+        A task that lasts serves nobody while it waits, however busy the pool is.
+        """
+        waited_s = self.waited_s(step, now_s)
+        return waited_s if step.spec.lasting else max(0.0, min(waited_s, now_s - self._idle_since_s))
 
     @property
     def has_idle_capacity(self) -> bool:
@@ -142,8 +146,8 @@
 
 def _stalled_steps(jobs: Iterable[JobState]) -> Iterator[StepState]:
     for job in jobs:
-        if not _has_runs(job):
-            yield from job.ready_steps()
+        has_runs = _has_runs(job)
+        yield from (step for step in job.ready_steps() if step.spec.lasting or not has_runs)
 
 
 def _has_runs(job: JobState) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -3,7 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dahliaarch_kernel.scheduler import EndKind, StartRun
+from dahliaarch_kernel.policies import compile_policy, PolicySettings
+from dahliaarch_kernel.scheduler import EndKind, Scheduler, StartRun
 from dahliaarch_kernel.scheduler.events import RunEnd, StepWaiting, WaitReason
 from dahliaarch_kernel.workload import JobSpec
 
@@ -21,8 +22,12 @@
     Some refuse every start, and some take far longer than estimated.
     """
 
-    def __init__(self, workers, refusing=(), late=()):
-        super().__init__(workers)
+    def __init__(self, workers, refusing=(), late=(), policy=None):
+        super().__init__(0)
+        if policy is not None:
+            self.scheduler = Scheduler(self.settings, self.epoch, compile_policy(policy))
+        for number in range(workers):
+            self.add_worker(f'w{number}', f'r{number // 8}')
         self.refusing = frozenset(refusing)
         self.late = frozenset(late)
         self.ends_at_by_run = {}
@@ -253,3 +258,26 @@
     pool.scheduler.add_job(spec, ORDINARY, pool.now, not_before_s=pool.now_s + 8.0)
     notes = reasons_of(pool, 20)
     assert [(note.reason, note.has_room_twice) for note in notes] == [(WaitReason.PREVIOUS_OWNER, True)]
+
+
+def test_a_failed_search_is_repeated_though_no_room_has_grown():
+    # What a policy admits may change while nothing runs: the search was remembered as failed for good.
+    pool = AnsweringPool(1, policy=PolicySettings('mine', placement_filter='!suspect'))
+    worker = pool.scheduler.worker_by_id['w0']
+    pool.tick()
+    worker.slowness = 5.0
+    pool.submit(JOB, task(1))
+    for _ in range(4):
+        pool.tick()
+    assert not pool.running
+    worker.slowness = 1.0
+    assert pool.tick_until_begun(JOB, 20.0) <= LONGEST_STALL_S
+
+
+def test_a_lasting_task_that_ended_is_started_again_beside_others_of_its_step():
+    # Its step had tasks running, so that it did not count as stalled and waited for the rack of its data.
+    pool = AnsweringPool(16)
+    pool.submit(JOB, task(9, accelerators=8, work_s=600.0, data_rack='r0', lasting=True))
+    pool.submit('b' * 16, task(4, accelerators=8, work_s=600.0, data_rack='r1'))
+    assert pool.tick_until_whole(JOB, 8, 5.0) <= LONGEST_STALL_S
+    assert pool.tick_until_whole(JOB, 9, 60.0) <= LONGEST_STALL_S
