Tell workers that get no starts from a pool without capacity; gates and reports of stalls in modules of their own

"no capacity" was reported also where room stood on workers that were silent, had just started again or had refused starts, which is another cause with another remedy.

--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -115,6 +115,8 @@
     RESERVED = 'reserved'
     #: There is room, but not near its data or in one rack.
     LOCALITY = 'locality'
+    #: There is room, but on workers that get no starts now: silent, restarted or refusing ones.
+    UNAVAILABLE = 'workers unavailable'
     #: There is no room.
     NO_CAPACITY = 'no capacity'
     #: Not worked out yet.
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/gates.py
@@ -0,0 +1,25 @@
+"""What keeps a ready step from being started, whatever room there is."""
+
+from .clock import Moment
+from .events import WaitReason
+from .job_state import JobState, StepState
+from .state import SchedulerState
+from .successors import awaits_list
+
+
+def job_gate(job: JobState, now: Moment) -> WaitReason | None:
+    """Return why no task of a job may start now, if none may."""
+    if job.judged_at_s is not None:
+        return WaitReason.CRASH_REVIEW
+    if job.known_since_s > now.steady_s:
+        return WaitReason.PREVIOUS_OWNER
+    return WaitReason.CRASHES_NOT_SAVED if job.has_unkept_crashes else None
+
+
+def step_gate(state: SchedulerState, step: StepState, now: Moment) -> WaitReason | None:
+    """Return why no task of a step may start now, if none may."""
+    if step.refused_until_s > now.steady_s:
+        return WaitReason.REFUSED
+    if awaits_list(state, step, now):
+        return WaitReason.UNKNOWN_START
+    return WaitReason.GANG_ENDING if step.spec.gang and step.run_by_index else None
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,16 +1,15 @@
 """One pass over all steps that have tasks to start."""
 
 from collections.abc import Iterator
-from functools import cached_property
 from operator import attrgetter
 
 from .advice import Advice
-from .claims import Claim, Claims
+from .claims import Claim
 from .clock import Moment
 from .crashes import suspects, trial_s, waits_for_own_place
 from .effects import AskAdvice
-from .events import StepWaiting, WaitReason
-from .job_state import JobState, StepState
+from .gates import job_gate, step_gate
+from .job_state import StepState
 from .mechanisms import Mechanism
 from .memory import Signature
 from .objectives import begin_s
@@ -18,12 +17,12 @@
 from .preemption import Plan, Preemption
 from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
 from .reservation import earliest_claim
-from .room import effective_demand, fits, fitting, per_worker_limit, Room
+from .room import effective_demand, fits, Room
 from .runs import Run
+from .stall_reports import StallReports
 from .stalls import used_share
 from .standing import DatedStanding, Standing
 from .state import SchedulerState
-from .successors import awaits_list
 from .variables import job_variables
 
 # A claim whose room did not come free by then is made anew, in seconds.
@@ -95,11 +94,11 @@
     def _requests(self) -> Iterator[Request]:
         """Yield what asks for room."""
         for job in self._state.active_jobs():
-            if self._held_back(job) is not None:
+            if job_gate(job, self._now) is not None:
                 continue
             rank = self._ranks.get(job.spec.job_id, RANK_ORDINARY)
             for step in job.ready_steps():
-                if self._step_held_back(step) is None:
+                if step_gate(self._state, step, self._now) is None:
                     yield from self._requests_of(step, rank)
 
     def _requests_of(self, step: StepState, rank: int) -> Iterator[Request]:
@@ -118,7 +117,7 @@
             return True
         if self._is_full or not step.was_considered or self._claims.has(step):
             return True
-        return not self._memory.is_blocked(self._signature(request), _wanted(request))
+        return not self._memory.is_blocked(self._signature(request), request.wanted_together)
 
     def _standing(self, step: StepState, rank: int) -> Standing:
         """Return a step's place in the order, worked out anew from time to time."""
@@ -137,22 +136,6 @@
         variables = job_variables(step, order, self._state.times, self._now.wall_s)
         return order._replace(preference=-policy.priority(variables))
 
-    def _held_back(self, job: JobState) -> WaitReason | None:
-        """Return why no task of a job may start now, if none may."""
-        if job.judged_at_s is not None:
-            return WaitReason.CRASH_REVIEW
-        if job.known_since_s > self._now.steady_s:
-            return WaitReason.PREVIOUS_OWNER
-        return WaitReason.CRASHES_NOT_SAVED if job.has_unkept_crashes else None
-
-    def _step_held_back(self, step: StepState) -> WaitReason | None:
-        """Return why no task of a step may start now, whatever room there is, if none may."""
-        if step.refused_until_s > self._now.steady_s:
-            return WaitReason.REFUSED
-        if awaits_list(self._state, step, self._now):
-            return WaitReason.UNKNOWN_START
-        return WaitReason.GANG_ENDING if step.spec.gang and step.run_by_index else None
-
     def _consider(self, request: Request) -> None:
         """Start what finds room; else stop others for it, or keep room."""
         step = request.step
@@ -232,7 +215,7 @@
 
     def _place(self, request: Request, signature: Signature) -> Placement:
         """Try a placement unless a like request found no room since some has grown."""
-        wanted = _wanted(request)
+        wanted = request.wanted_together
         if self._memory.is_blocked(signature, wanted):
             return Placement(())
         placement = place(request, self._room)
@@ -339,40 +322,10 @@
 
     def _explain_stalls(self) -> None:
         """Report why steps wait whose jobs have had nothing running for a while."""
-        now_s = self._now.steady_s
-        for step in self._state.stalls.due(now_s):
+        reports = StallReports(self._state, self._workers, self._now)
+        for step in self._state.stalls.due(self._now.steady_s):
             for request in self._requests_of(step, self._ranks.get(step.job.spec.job_id, RANK_ORDINARY)):
-                reason = self._held_back(step.job) or self._step_held_back(step) or self._lacks(request)
-                if self._state.stalls.note(step, reason, now_s):
-                    self._state.notes.append(self._waiting(request, reason))
-
-    @cached_property
-    def _unreserved_room(self) -> Room:
-        """What was free once the pass had started what it could, reserved or not."""
-        return Room(self._workers, Claims())
-
-    def _lacks(self, request: Request) -> WaitReason:
-        """Return what a step that may start found no place for."""
-        step = request.step
-        if request.trial_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
-            return WaitReason.ISOLATION
-        if place(request, self._unreserved_room).task_count:
-            return WaitReason.RESERVED
-        if place(request._replace(may_go_far=True), self._unreserved_room).task_count:
-            return WaitReason.LOCALITY
-        return WaitReason.NO_CAPACITY if step.advice is None else WaitReason.ADVICE
-
-    def _waiting(self, request: Request, reason: WaitReason) -> StepWaiting:
-        step = request.step
-        waited_s = self._state.stalls.waited_s(step, self._now.steady_s)
-        wanted = _wanted(request)
-        rooms = (
-            min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
-            for worker in self._unreserved_room.admissible(step)
-        )
-        return StepWaiting(
-            step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, self._state.stalls.used_share
-        )
+                reports.add(request)
 
     def _forget_claim(self, step: StepState) -> None:
         self._claims.drop_of(step)
@@ -396,8 +349,3 @@
             return not claim.step.run_by_index
         late_s = self._now.steady_s - claim.ready_s
         return late_s < _CLAIM_SLACK_S and known.issuperset(claim.count_by_worker)
-
-
-def _wanted(request: Request) -> int:
-    """Return how many tasks must find room for a step to start any."""
-    return request.task_count if request.step.spec.gang else 1
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -85,6 +85,11 @@
     trial_s: float = 0.0
     is_overdue: bool = False
 
+    @property
+    def wanted_together(self) -> int:
+        """How many tasks must find room for any to start."""
+        return self.task_count if self.step.spec.gang else 1
+
     @property
     def room_standing(self) -> Standing:
         """Standing against which reservations are held."""
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -0,0 +1,77 @@
+"""Reports of why steps wait whose jobs have had nothing running for a while."""
+
+from collections.abc import Sequence
+from functools import cached_property
+
+from .claims import Claims
+from .clock import Moment
+from .events import StepWaiting, WaitReason
+from .gates import job_gate, step_gate
+from .placement import place, Request
+from .room import effective_demand, fitting, per_worker_limit, Room
+from .state import SchedulerState
+from .workers import WorkerState
+
+
+class StallReports:
+    """Tells, once a pass has started what it could, why the rest waits.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        What is believed; reports are noted there.
+    workers : sequence of WorkerState
+        Workers that take starts.
+    now : Moment
+        The present.
+    """
+
+    def __init__(self, state: SchedulerState, workers: Sequence[WorkerState], now: Moment) -> None:
+        """Start without a report."""
+        self._state = state
+        self._workers = workers
+        self._now = now
+
+    def add(self, request: Request) -> None:
+        """Report why a request was not granted, unless that was reported."""
+        step = request.step
+        reason = job_gate(step.job, self._now) or step_gate(self._state, step, self._now) or self._lacks(request)
+        if self._state.stalls.note(step, reason, self._now.steady_s):
+            self._state.notes.append(self._report(request, reason))
+
+    def _lacks(self, request: Request) -> WaitReason:
+        """Return what a step that may start found no place for."""
+        step = request.step
+        if request.trial_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
+            return WaitReason.ISOLATION
+        if place(request, self._unreserved_room).task_count:
+            return WaitReason.RESERVED
+        if place(request._replace(may_go_far=True), self._unreserved_room).task_count:
+            return WaitReason.LOCALITY
+        if step.advice is not None:
+            return WaitReason.ADVICE
+        if place(request._replace(may_go_far=True), self._listed_room).task_count:
+            return WaitReason.UNAVAILABLE
+        return WaitReason.NO_CAPACITY
+
+    @cached_property
+    def _unreserved_room(self) -> Room:
+        """What is free, reserved or not."""
+        return Room(list(self._workers), Claims())
+
+    @cached_property
+    def _listed_room(self) -> Room:
+        """What would be free if every worker took starts that is listed and does not leave."""
+        workers = self._state.worker_by_id.values()
+        return Room([worker for worker in workers if worker.is_listed and not worker.profile.draining], Claims())
+
+    def _report(self, request: Request, reason: WaitReason) -> StepWaiting:
+        step = request.step
+        stalls = self._state.stalls
+        wanted = request.wanted_together
+        rooms = (
+            min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
+            for worker in self._unreserved_room.admissible(step)
+        )
+        waited_s = stalls.waited_s(step, self._now.steady_s)
+        return StepWaiting(step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, stalls.used_share)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -281,3 +281,14 @@
     pool.submit('b' * 16, task(4, accelerators=8, work_s=600.0, data_rack='r1'))
     assert pool.tick_until_whole(JOB, 8, 5.0) <= LONGEST_STALL_S
     assert pool.tick_until_whole(JOB, 9, 60.0) <= LONGEST_STALL_S
+
+
+def test_a_step_that_waits_for_workers_that_get_no_starts_says_so():
+    pool = AnsweringPool(2)
+    occupy(pool, 1)
+    for worker_id in sorted(pool.profiles):
+        if not any(worker == worker_id for worker, _ in pool.running):
+            pool.scheduler.worker_silent(worker_id)
+            pool.scheduler.worker_by_id[worker_id].lease.assume(pool.now_s + 60.0)
+    pool.submit(JOB, task(1))
+    assert [note.reason for note in reasons_of(pool, 12)] == [WaitReason.UNAVAILABLE]
