After a takeover nothing waits for workers whose leases had ended before

What callers saw (and most likely what was reported): after the owner was lost, dozens of jobs of an account had nothing running beside an idle pool, and went on seconds later, all at once.

Cause: a new owner waits with all jobs of earlier owners until every worker has said what runs there, or the longest lease that an earlier owner may have given has ended, 8.2 s. That counted workers as well that the owner before had given up because their leases had ended in silence: it knew that nothing ran there, and did not tell. With some workers that refuse every call, each change of the owner cost 8.2 s.

Fix: the roster in the store says of a worker that it is lapsed. It gets no start before the store holds a roster in which it is not, and neither does another life under its name; so that what the next owner reads holds whenever it is read. A write of the roster that got no answer is written over, even by the same list as before: it may be carried out late. A worker that was never heard has no lease that could have ended, and is not lapsed.

Evidence: test_lapsed_workers.py (fails before; the second and the third test guard against two runs of a task at a time), and in the recorder's tests test_a_roster_that_got_no_answer_is_written_over_by_the_one_before, which fails without the rewriting.

Left: a worker that falls silent within its lease before the takeover is waited for as before.

--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -149,6 +149,9 @@
         # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
         self.may_hide_ends = False
         self.is_silent = False
+        # Whether its last lease has ended in silence, so that nothing runs there. The next owner may
+        # have been told so: it gets no starts until that is taken back.
+        self.is_lapsed = False
         self.leaves_at_s: float | None = None
         self.failed_jobs: set[str] = set()
         self.slowness = 1.0
@@ -201,7 +204,8 @@
         """
         if not self.is_described or not self.has_readable_entry or self.profile.draining:
             return False
-        return self.is_surveyed and not self.is_silent and not self.has_trial
+        is_in_touch = self.is_surveyed and not self.is_silent
+        return is_in_touch and not self.is_lapsed and not self.has_trial
 
     @property
     def has_trial(self) -> bool:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -195,7 +195,7 @@
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
         """Yield the workers that the owner before knew, then those that have an entry."""
         for entry in workers.roster:
-            yield WorkerInherited(entry.profile, entry.address, entry.known_life)
+            yield WorkerInherited(entry.profile, entry.address, entry.known_life, entry.is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
         yield WorkersHeard()
 
@@ -254,6 +254,8 @@
         if roster != self._recorder.roster:
             self._recorder.roster = roster
             self._recorder.needed.set()
+        elif self._recorder.has_kept_roster:
+            self._links.readmit(self.scheduler.worker_by_id)
 
     def _drain_inbox(self, intake: Intake) -> None:
         while True:
--- a/packages/node/dahliaarch_node/owner/earlier_work.py
+++ b/packages/node/dahliaarch_node/owner/earlier_work.py
@@ -49,9 +49,9 @@
         return self._until_s
 
     def expect_workers(self) -> None:
-        """Wait for every worker that has not been heard yet."""
+        """Wait for every worker that has not been heard yet and may run something."""
         workers = self._scheduler.worker_by_id.values()
-        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed}
+        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed and not worker.is_lapsed}
 
     def go_on(self) -> None:
         """Let jobs of earlier owners start, or have them wait for the workers that are silent."""
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -172,6 +172,8 @@
     def _(self, message: WorkerInherited) -> None:
         link = self._keep_in_touch(message.profile, message.life, message.address)
         link.is_draining = message.profile.draining
+        if message.is_lapsed:
+            self._links.inherit_lapsed(self._scheduler.worker_by_id[message.profile.worker_id])
         self._scheduler.unlist_worker(message.profile.worker_id)
 
     @handle.register
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -56,6 +56,7 @@
     profile: WorkerProfile
     address: Address
     life: WorkerLife
+    is_lapsed: bool = False
 
 
 class WorkersHeard(NamedTuple):
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -96,6 +96,7 @@
         # a newer one of the same owner, fails on them.
         self.revision_by_key: dict[str, int] = {}
         self._encoded_roster: list[RosterEntry] = []
+        self._kept_roster: list[RosterEntry] | None = None
         self._part_by_key: dict[str, bytes] = {}
         self._kept_part_by_key: dict[str, bytes] = {}
         self._store = store
@@ -107,6 +108,11 @@
         self._shown = shown
         self._deposed = deposed
 
+    @property
+    def has_kept_roster(self) -> bool:
+        """Whether the store surely holds the roster as it is."""
+        return self._kept_roster is self.roster
+
     async def run(self) -> None:
         """Keep what has changed, again and again, until cancelled."""
         while True:
@@ -132,6 +138,7 @@
         mark = self._mark()
         job_ids = self._scheduler.take_dirty_jobs()
         writes = self._roster_writes()
+        roster = self._encoded_roster
         writes.extend(self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id)
         try:
             for first in range(0, len(writes), _MOST_WRITES):
@@ -142,17 +149,25 @@
                 job_ids.difference_update(self._note_kept(batch))
         except ProgressMovedError as error:
             log_event('progress_moved', why=str(error), jobs=len(job_ids))
+            self._forget_kept_parts(writes)
             self._scheduler.mark_dirty(job_ids)
             self.needed.set()
             return
         except STORE_FAILURES as error:
             log_event('progress_not_kept', why=str(error), jobs=len(job_ids))
+            self._forget_kept_parts(writes)
             self._scheduler.mark_dirty(job_ids)
             await anyio.sleep(self._timing.retry_pause_s())
             self.needed.set()
             return
+        self._kept_roster = roster
         self._kept(mark)
 
+    def _forget_kept_parts(self, writes: list[Write]) -> None:
+        """Have parts of the roster written again: a write without an answer may yet be carried out."""
+        for write in writes:
+            self._kept_part_by_key.pop(write.key, None)
+
     def _note_kept(self, batch: list[Write]) -> list[str]:
         """Note what is kept now; return its jobs, whose ends may be shown."""
         self._kept_part_by_key.update(
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -60,6 +60,8 @@
         # Until when an acknowledgement to an earlier life may be carried out, where the next one may have begun before.
         self._unanswered_until_by_name: dict[str, float] = {}
         self._given_up_by_address: dict[Address, str] = {}
+        # Workers of which the store may hold that nothing runs there, whichever life of them it names.
+        self._lapsed_names: set[str] = set()
 
     def get(self, worker_id: str) -> WorkerLink | None:
         """Return the link to a life of a worker, if there is one."""
@@ -82,6 +84,7 @@
             fence = fence_of(self._context.epoch, self._lives_by_name[life.name])
             link = WorkerLink(life, address, worker.lease, self._context, fence)
             link.may_hide_ends = life.name in self._unanswered_until_by_name
+            worker.is_lapsed = worker.is_lapsed or life.name in self._lapsed_names
             self._link_by_id[worker.worker_id] = link
             self._link_by_name[life.name] = link
             tasks.start_soon(link.run)
@@ -129,11 +132,25 @@
     def roster(self, known: Mapping[str, WorkerState]) -> list[RosterEntry]:
         """Return the workers that the next owner must ask."""
         return [
-            RosterEntry(known[worker_id].profile._replace(leaves_in_s=None), link.address, link.life)
+            self._roster_entry(known[worker_id], link)
             for worker_id, link in sorted(self._link_by_id.items())
             if worker_id in known
         ]
 
+    def inherit_lapsed(self, worker: WorkerState) -> None:
+        """Take in that the store holds that nothing runs on a worker."""
+        worker.is_lapsed = True
+        self._lapsed_names.add(self.name_of(worker.worker_id))
+
+    def readmit(self, known: Mapping[str, WorkerState]) -> None:
+        """Let workers that have answered get starts again, once the store holds the roster as it is."""
+        self._lapsed_names.clear()
+        for worker in known.values():
+            if worker.is_lapsed and worker.is_silent:
+                self._lapsed_names.add(self.name_of(worker.worker_id))
+            else:
+                worker.is_lapsed = False
+
     @property
     def has_unkept_ends(self) -> bool:
         """Whether ends were taken in that are not acknowledged yet."""
@@ -150,6 +167,12 @@
             if link is not None:
                 link.acknowledge(number)
 
+    def _roster_entry(self, worker: WorkerState, link: WorkerLink) -> RosterEntry:
+        is_lapsed = worker.is_lapsed and worker.is_silent
+        if is_lapsed:
+            self._lapsed_names.add(link.life.name)
+        return RosterEntry(worker.profile._replace(leaves_in_s=None), link.address, link.life, is_lapsed)
+
     def _note_unanswered(self, link: WorkerLink) -> None:
         """Note until when the next life of a worker may carry out an acknowledgement that was meant for this one."""
         name = link.life.name
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -0,0 +1,107 @@
+"""Workers whose leases had ended in silence before a takeover, or end after it."""
+
+import time
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.codec import decode, encode
+from dahliaarch_kernel.scheduler import WorkerProfile
+from dahliaarch_kernel.workload import Resources, TaskKey
+from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
+
+from ...records import roster_key, ROSTER_PREFIX, RosterEntry
+from .test_takeover import (
+    decode_job_record,
+    EPOCH,
+    kept_job,
+    KeptStore,
+    LAST,
+    LONGEST_LEASE_S,
+    NEW,
+    submitted,
+    take_over,
+    worker_entry,
+    Workers,
+)
+
+TASK = TaskKey(LAST, 0, 0, 0)
+NEW_TASK = TaskKey(NEW, 0, 0, 0)
+
+
+class WatchedStore(KeptStore):
+    """A store that notes whether a worker is lapsed by each roster that it takes, and can fall silent."""
+
+    def __init__(self, items, workers):
+        super().__init__(items)
+        self.workers = workers
+        self.is_silent = False
+        # Whether w0 is lapsed by the roster, and how many starts had been ordered by then.
+        self.noted = []
+
+    async def commit(self, conditions, writes, removals=(), *, timeout_s):
+        if self.is_silent:
+            raise StoreUnansweredError('silent')
+        for write in writes:
+            if write.key.startswith(ROSTER_PREFIX):
+                for entry in decode(write.value, list[RosterEntry], 'roster'):
+                    if entry.profile.worker_id == 'w0':
+                        self.noted.append((entry.is_lapsed, len(self.workers.starts)))
+        return CommitResult(CommitStatus.DONE, EPOCH + 1)
+
+
+def roster(worker_id, *, is_lapsed):
+    profile = WorkerProfile(worker_id, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerLife(worker_id), is_lapsed)
+    return Item(roster_key(0), encode([entry]), 2)
+
+
+@pytest.mark.parametrize('is_lapsed', [True, False])
+def test_jobs_of_the_owner_before_wait_for_a_silent_worker_only_if_it_may_run_them(is_lapsed):
+    # After a takeover every such job stood for 8.2 s beside an idle pool, though the worker had long been given up.
+    workers = Workers()
+    workers.silent_until_s['w0'] = float('inf')
+    items = [kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1'), roster('w0', is_lapsed=is_lapsed)]
+    anyio.run(take_over, KeptStore(items), workers, lambda owner: workers.starts, LONGEST_LEASE_S - 1.0)
+    assert workers.starts == ([('w1', TASK)] if is_lapsed else [])
+
+
+def test_a_lapsed_worker_gets_no_start_before_the_store_holds_that_it_may():
+    # Else a next owner would start its tasks elsewhere while they run there.
+    workers = Workers()
+    store = WatchedStore([kept_job(LAST, time.time()), worker_entry('w0'), roster('w0', is_lapsed=True)], workers)
+    store.is_silent = True
+    starts_while_silent = []
+
+    def holds(owner):
+        if owner.is_ready and workers.surveys['w0'] > 1 and store.is_silent:
+            starts_while_silent.append(len(workers.starts))
+            store.is_silent = len(starts_while_silent) < 30
+        return workers.starts
+
+    anyio.run(take_over, store, workers, holds, 5.0)
+    assert not any(starts_while_silent)
+    assert workers.starts == [('w0', TASK)]
+    assert store.noted[-1] == (False, 0)
+
+
+def test_a_worker_that_answers_after_its_lease_ended_gets_starts_once_the_store_holds_that():
+    workers = Workers()
+    store = WatchedStore([worker_entry('w0')], workers)
+    news = decode_job_record(kept_job(NEW, time.time()))
+
+    def holds(owner):
+        worker = owner.scheduler.worker_by_id.get('w0')
+        if worker is not None and worker.is_surveyed and 'w0' not in workers.silent_until_s:
+            workers.silent_until_s['w0'] = time.monotonic() + 2.0 * LONGEST_LEASE_S
+        if any(is_lapsed for is_lapsed, _ in store.noted):
+            workers.silent_until_s['w0'] = 0.0
+            submitted(owner, news)
+        return workers.starts
+
+    anyio.run(take_over, store, workers, holds, 3.0 * LONGEST_LEASE_S)
+    assert workers.starts == [('w0', NEW_TASK)]
+    assert [is_lapsed for is_lapsed, _ in store.noted] == [False, True, False]
+    assert store.noted[-1] == (False, 0)
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -6,9 +6,11 @@
 
 from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.configuration import Queue
-from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings
+from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import (
     CommitResult,
     CommitStatus,
@@ -18,7 +20,7 @@
     StoreUnansweredError,
 )
 
-from ...records import OWNER_KEY, progress_key
+from ...records import OWNER_KEY, progress_key, RosterEntry
 from ...timing import StoreTiming
 from ..recorder import Recorder
 
@@ -64,6 +66,11 @@
     scheduler.run_ended(RunEnd('w', TaskKey(JOB, 0, 0, index), index + 1, EndKind.DONE), Moment(1.0, 1.0))
 
 
+def roster_of(*, is_lapsed):
+    profile = WorkerProfile('w', 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    return [RosterEntry(profile, Address('127.0.0.1', 1), WorkerLife('w'), is_lapsed)]
+
+
 def recorder_of(store, scheduler, deposed, kept=lambda mark: None):
     timing = StoreTiming(retry_s=0.01)
     return Recorder(
@@ -187,3 +194,24 @@
     for index in (1, 2):
         end(scheduler, index)
     assert anyio.run(time_to_keep, scheduler, 3) < 0.02
+
+
+def test_a_roster_that_got_no_answer_is_written_over_by_the_one_before():
+    # The late write would tell the next owner of a worker what holds no more.
+    store = LateStore()
+    recorder = recorder_of(store, Scheduler(SchedulerSettings(), EPOCH), [])
+    first, second = roster_of(is_lapsed=False), roster_of(is_lapsed=True)
+
+    async def scenario():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(recorder.run)
+            for roster in (first, second, list(first)):
+                recorder.roster = roster
+                store.commits = 0 if roster is second else 1
+                recorder.needed.set()
+                await anyio.sleep(0.05 if roster is second else 0.5)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    assert recorder.has_kept_roster
+    assert store.apply(*store.late).status is CommitStatus.CONDITION_FAILED
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -55,11 +55,15 @@
     life : WorkerLife or None
         Which life of it is meant; none in what earlier versions wrote, which knew
         a life by the worker's name.
+    is_lapsed : bool
+        Whether its last lease has ended in silence: nothing runs there, and nothing
+        is sent there before this is taken back.
     """
 
     profile: WorkerProfile
     address: Address
     life: WorkerLife | None = None
+    is_lapsed: bool = False
 
     @property
     def known_life(self) -> WorkerLife:
