A start without an answer is waited for though its worker was given up

By the report and the logs: 8.317 s w3 incarnation 4 starts run, 8.549 s it is done; the start had been meant for incarnation 0, got no answer (start_in_doubt), and nobody could reach w3 meanwhile. At 9.656 s run_lost says 'lease ended', at 9.98 s w4-c2 starts run, and 0.19 s after that order the list of w3's new incarnation tells of the end.

The lease that a start carries is a time of its worker's own clock, which starts anew with an incarnation: it bounds nothing in the next one. Where that one answers, tasks in doubt wait for its list already; where it is not heard before the lease of the earlier one ends, they were taken for over. Now they wait there too: until the worker at that address has told what runs there, else until a late start can't run any more, 12 s and the longest lease. That holds only for workers that tell when they were born; others refuse by their ids what was meant for earlier ones. The cost is that time for tasks whose start a worker that is gone for good did not answer; they show 'unknown start' meanwhile.

--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -5,6 +5,7 @@
 from .events import LossCause
 from .runs import RunPhase
 from .state import SchedulerState
+from .successors import note_given_up
 from .workers import WorkerState
 
 # Time kept free at the end of a leaving worker's life, in seconds.
@@ -28,6 +29,7 @@
 def _give_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     state.note_losses(worker, LossCause.LEASE_ENDED)
     worker_given_up(state, worker, now)
+    note_given_up(state, worker, now)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
     if not worker.is_listed:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -81,6 +81,8 @@
         self.dirty_jobs: set[str] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
+        # Lives given up in silence with starts that got no answer, until something is heard at their addresses.
+        self.given_up_in_doubt: set[str] = set()
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -1,7 +1,8 @@
 """Tasks that the next life of a worker may have begun, by a start that the life before did not answer.
 
 They wait until that life has said what runs there: only then is it known, and only
-from its first answer on does it refuse what was meant for the life before.
+from its first answer on does it refuse what was meant for the life before. Where the
+life before was given up in silence, a next one may have begun without being heard.
 """
 
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 from .clock import Moment
 from .job_state import StepState
 from .state import SchedulerState
+from .workers import WorkerState
 
 
 def note_successor(state: SchedulerState, worker_id: str, successor_id: str, until_s: float) -> None:
@@ -28,6 +30,15 @@
         step.awaited_until_by_worker[successor_id] = until_s
 
 
+def note_given_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
+    """Record that a life was given up in silence, its runs still known."""
+    if not worker.late_order_s or worker.worker_id in state.given_up_in_doubt:
+        return
+    for step in tuple(_in_doubt(state, worker.worker_id)):
+        step.awaited_until_by_worker.setdefault(worker.worker_id, now.steady_s + worker.late_order_s)
+        state.given_up_in_doubt.add(worker.worker_id)
+
+
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
     """Tell whether tasks of a step may run on a life of a worker that has not said what runs there."""
     awaited = step.awaited_until_by_worker
@@ -42,7 +53,7 @@
 def _has_yet_to_tell(state: SchedulerState, worker_id: str) -> bool:
     """Tell whether a life goes on, as far as is known, and has not said what runs there."""
     worker = state.worker_by_id.get(worker_id)
-    return worker is not None and not worker.is_surveyed
+    return worker_id in state.given_up_in_doubt or (worker is not None and not worker.is_surveyed)
 
 
 def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -88,6 +88,59 @@
     assert len(starts(pool, 0.0)) == 1
 
 
+def given_up_in_doubt(pool, is_listed):
+    """Return a start that got no answer, to a life that was given up in silence since; another may have begun."""
+    pool.submit(A, task())
+    (start,) = pool.step()
+    worker = pool.scheduler.worker_by_id[start.worker_id]
+    worker.run_by_key[start.key].is_confirmed = False
+    worker.late_order_s = LATE_S
+    if not is_listed:
+        pool.scheduler.unlist_worker(start.worker_id)
+    pool.scheduler.worker_silent(start.worker_id)
+    pool.silent.add(start.worker_id)
+    del pool.running[start.worker_id, start.key]
+    return start
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+@pytest.mark.parametrize(('after_s', 'count'), [(LATE_S - 1.0, 0), (LATE_S + 0.1, 1)])
+def test_its_task_waits_when_the_life_was_given_up_in_silence(is_listed, after_s, count):
+    """The next life had done the task before anybody could ask it; it ran again 1.4 s later."""
+    pool = Pool(workers=2)
+    given_up_in_doubt(pool, is_listed)
+    assert not pool.step(0.1)
+    assert len(starts(pool, after_s)) == count
+
+
+def test_its_task_starts_once_the_life_at_that_address_has_told_what_runs_there():
+    pool = Pool(workers=2)
+    start = given_up_in_doubt(pool, is_listed=False)
+    assert not pool.step(0.1)
+    pool.add_worker(f'{start.worker_id}+', 'r0')
+    pool.scheduler.worker_over(start.worker_id, pool.now)
+    pool.keep_progress()
+    assert len(starts(pool, 0.0)) == 1
+
+
+def test_its_task_starts_once_the_same_life_has_told_what_runs_there():
+    """It was cut off, and remembers the stop."""
+    pool = Pool(workers=2)
+    start = given_up_in_doubt(pool, is_listed=False)
+    assert not pool.step(0.1)
+    pool.silent.clear()
+    pool.add_worker(start.worker_id, 'r0')
+    assert len(starts(pool, 0.0)) == 1
+
+
+def test_its_task_starts_at_once_where_a_later_life_has_another_name():
+    pool = Pool(workers=2)
+    start = given_up_in_doubt(pool, is_listed=False)
+    pool.scheduler.worker_by_id[start.worker_id].late_order_s = 0.0
+    pool.step(0.1)
+    assert len(starts(pool, 0.0)) == 1
+
+
 def doubted(pool, worker_id):
     """Let a worker be one that may never list its ends."""
     pool.scheduler.worker_by_id[worker_id].may_hide_ends = True
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -148,6 +148,9 @@
         self.is_surveyed = False
         # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
         self.may_hide_ends = False
+        # How long from now a start that got no answer may still run on a later life under its name, in seconds;
+        # 0 where later lives have other names, and refuse it.
+        self.late_order_s = 0.0
         self.is_silent = False
         self.leaves_at_s: float | None = None
         self.failed_jobs: set[str] = set()
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -256,6 +256,7 @@
     def _open(self, life: WorkerLife, address: Address) -> WorkerLink:
         """Return the link to a life of a worker that the scheduler knows."""
         worker = self._scheduler.worker_by_id[life.worker_id]
+        worker.late_order_s = self._links.longest_late_s if life.born_ms else 0.0
         is_new = self._links.get(life.worker_id) is None
         link = self._links.open(worker, life, address, self._tasks)
         if is_new and link.may_hide_ends:
