Tries of a start without an answer are waited for, whatever became of others

Where the first try got no answer and the second did, or a list of runs named the run, the run counted as certain. But the first try may still be carried out, and by the next incarnation, which knows of neither: the task, over with the incarnation before, started elsewhere at once and ran there a second time. The same of a start that was taken back, once its stop was acknowledged.

The time of the last try without an answer is kept by task for each incarnation, and where another one answers, or the lease ends in silence, tasks that are to start again wait for its list if such a try may still run. Tasks that have ended or run elsewhere wait for nothing.

--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -28,6 +28,8 @@
     for step in tuple(_in_doubt(state, worker_id)):
         step.awaited_until_by_worker.pop(worker_id, None)
         step.awaited_until_by_worker[successor_id] = until_s
+    for tried, late_until_s in _with_unanswered_tries(state, worker_id):
+        tried.awaited_until_by_worker.setdefault(successor_id, late_until_s)
 
 
 def note_given_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
@@ -37,6 +39,9 @@
     for step in tuple(_in_doubt(state, worker.worker_id)):
         step.awaited_until_by_worker.setdefault(worker.worker_id, now.steady_s + worker.late_order_s)
         state.given_up_in_doubt.add(worker.worker_id)
+    for tried, late_until_s in _with_unanswered_tries(state, worker.worker_id):
+        tried.awaited_until_by_worker.setdefault(worker.worker_id, late_until_s)
+        state.given_up_in_doubt.add(worker.worker_id)
 
 
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
@@ -66,3 +71,21 @@
     if _has_yet_to_tell(state, worker_id):
         for job in state.active_jobs():
             yield from (step for step in job.step_by_key.values() if worker_id in step.awaited_until_by_worker)
+
+
+def _with_unanswered_tries(state: SchedulerState, worker_id: str) -> Iterator[tuple[StepState, float]]:
+    """Yield the steps whose tasks wait, or run on a life that is over, with tries of a start that it did not answer.
+
+    What became of other tries does not matter. Each comes with the time until when such a try may still run.
+    """
+    worker = state.worker_by_id.get(worker_id)
+    if worker is None:
+        return
+    for key, sent_s in worker.unanswered_starts.items():
+        step = state.step_of(key)
+        if step is None:
+            continue
+        run = step.run_by_index.get(key.task_index)
+        is_here = run is not None and run.worker_id == worker_id
+        if is_here or key.task_index in step.pending:
+            yield step, sent_s + worker.late_order_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -88,6 +88,61 @@
     assert len(starts(pool, 0.0)) == 1
 
 
+def started_in_two_tries(pool, sent_ago_s):
+    """Return a start whose first try got no answer, so long ago, and whose second did."""
+    pool.submit(A, task())
+    (start,) = pool.step()
+    worker = pool.scheduler.worker_by_id[start.worker_id]
+    worker.late_order_s = LATE_S
+    worker.unanswered_starts[start.key] = pool.now_s - sent_ago_s
+    return start
+
+
+def test_a_try_without_an_answer_is_waited_for_though_another_was_answered():
+    """The next life carried the first try out while the task, over with the life before, had started elsewhere."""
+    pool = Pool(workers=2)
+    start = started_in_two_tries(pool, 1.0)
+    replace(pool, start.worker_id)
+    del pool.running[start.worker_id, start.key]
+    assert not starts(pool, 1.0)
+    pool.add_worker(f'{start.worker_id}+', 'r0')
+    assert len(starts(pool, 0.0)) == 1
+
+
+def test_a_start_that_was_taken_back_is_waited_for_if_its_task_has_not_started_elsewhere():
+    """The next life knows nothing of the stop that the life before had acknowledged."""
+    pool = Pool(workers=1)
+    start = started_in_two_tries(pool, 1.0)
+    pool.end(start.worker_id, start.key, start.run, EndKind.STOPPED)
+    replace(pool, start.worker_id)
+    pool.add_worker('w1', 'r0')
+    assert not starts(pool, 1.0)
+    pool.add_worker(f'{start.worker_id}+', 'r0')
+    assert len(starts(pool, 0.0)) == 1
+
+
+@pytest.mark.parametrize(('sent_ago_s', 'count'), [(LATE_S - 2.0, 0), (LATE_S, 1)])
+def test_a_try_without_an_answer_is_waited_for_no_longer_than_it_may_run(sent_ago_s, count):
+    pool = Pool(workers=2)
+    start = started_in_two_tries(pool, sent_ago_s)
+    replace(pool, start.worker_id)
+    del pool.running[start.worker_id, start.key]
+    assert len(starts(pool, 0.0)) == count
+
+
+def test_other_tasks_do_not_wait_for_a_try_whose_task_is_done():
+    pool = Pool(workers=1)
+    pool.submit(A, task(2, accelerators=8))
+    (start,) = pool.step()
+    worker = pool.scheduler.worker_by_id[start.worker_id]
+    worker.late_order_s = LATE_S
+    worker.unanswered_starts[start.key] = pool.now_s
+    pool.end(start.worker_id, start.key, start.run, EndKind.DONE)
+    replace(pool, start.worker_id)
+    pool.add_worker('w1', 'r0')
+    assert len(starts(pool, 0.0)) == 1
+
+
 def given_up_in_doubt(pool, is_listed):
     """Return a start that got no answer, to a life that was given up in silence since; another may have begun."""
     pool.submit(A, task())
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -151,6 +151,8 @@
         # How long from now a start that got no answer may still run on a later life under its name, in seconds;
         # 0 where later lives have other names, and refuse it.
         self.late_order_s = 0.0
+        # When the last try of a start was sent that got no answer, whatever became of others; steady clock.
+        self.unanswered_starts: dict[TaskKey, float] = {}
         self.is_silent = False
         self.leaves_at_s: float | None = None
         self.failed_jobs: set[str] = set()
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -3,6 +3,7 @@
 import anyio
 
 from dahliaarch_kernel.scheduler import Lease
+from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.sessions import WorkerSession
 from dahliaarch_platform.workers import WorkerReplacedError
 
@@ -39,6 +40,8 @@
         Whether it holds more than it says it has: its room has shrunk.
     may_hide_ends : bool
         Whether ends may never be listed; until one is, a run is stopped as soon as it has started.
+    unanswered_starts : dict
+        When the last try of a start was sent that got no answer, by task, whatever became of others.
     scope : CancelScope
         Ends all that is under way with this life.
     """
@@ -53,6 +56,7 @@
         self.is_draining = False
         self.is_overfull = False
         self.may_hide_ends = False
+        self.unanswered_starts: dict[TaskKey, float] = {}
         self.heard = anyio.Event()
         self.scope = anyio.CancelScope()
 
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -259,6 +259,7 @@
         worker.late_order_s = self._links.longest_late_s if life.born_ms else 0.0
         is_new = self._links.get(life.worker_id) is None
         link = self._links.open(worker, life, address, self._tasks)
+        worker.unanswered_starts = link.unanswered_starts
         if is_new and link.may_hide_ends:
             log_event('worker_doubted', worker=life.worker_id)
             worker.may_hide_ends = True
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.scheduler import Lease, StartRun, StopRun
+from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.lives import WorkerLife
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import (
@@ -93,6 +94,11 @@
     def may_hide_ends(self, may_hide_ends: bool) -> None:
         self._contact.may_hide_ends = may_hide_ends
 
+    @property
+    def unanswered_starts(self) -> dict[TaskKey, float]:
+        """When the last try of a start was sent that got no answer, by task."""
+        return self._contact.unanswered_starts
+
     async def run(self) -> None:
         """Survey until closed."""
         try:
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -76,7 +76,7 @@
         for number in range(settings.order_tries):
             if not self._contact.context.may_order():
                 return self._withhold(effect, is_doubtful=is_doubtful)
-            status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
+            status = await self._note_try(effect, payload, settings.answer_s if number else settings.order_s)
             if status is not None:
                 self._start_answered(effect, status, is_doubtful=is_doubtful)
                 return is_doubtful and status is not OrderStatus.DONE
@@ -98,6 +98,19 @@
         self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run, kind))
         return True
 
+    async def _note_try(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus | None:
+        """Order a start once, and note if it got no answer: the next life of the worker may carry it out."""
+        unanswered = self._contact.unanswered_starts
+        earlier_s = unanswered.get(effect.key)
+        # Other calls may close this link before it is answered.
+        unanswered[effect.key] = self._contact.context.clock()
+        status = await self._try_start(effect, payload, timeout_s)
+        if status is not None:
+            del unanswered[effect.key]
+            if earlier_s is not None:
+                unanswered[effect.key] = earlier_s
+        return status
+
     async def _try_start(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus | None:
         """Order a start once; return nothing when it is not known what became of it."""
         try:
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lives.py
@@ -57,6 +57,8 @@
         # What comes of acknowledgements, if they fail, and how long that takes.
         self.acknowledging_fails = None
         self.acknowledging_s = 0.0
+        # Tries of starts that get no answer, and are not carried out at once.
+        self.unanswered_tries = 0
         # The acknowledgement that it holds on to: ends up to it are never listed.
         self.held = 0
         self.done = []
@@ -96,6 +98,9 @@
 
     async def start(self, address, worker_id, order, **options):
         self._meet(worker_id)
+        if self.unanswered_tries:
+            self.unanswered_tries -= 1
+            raise WorkerUnansweredError('silence')
         self.starts.append((worker_id, order.key))
         self.started_at_s = time.monotonic()
         self.running += (RunSeen(order.key, order.run, '', 1.0),)
@@ -339,6 +344,32 @@
     assert worker.done.count(TASK) == 1
 
 
+@pytest.mark.parametrize(('unanswered', 'is_awaited'), [(1, True), (0, False)])
+def test_a_task_whose_first_try_got_no_answer_waits_for_the_list_of_the_next_life(unanswered, is_awaited):
+    """The second was answered; the next life may carry out the first, and the task had started elsewhere."""
+    worker, idle = RestartingWorker(), RestartingWorker()
+    worker.unanswered_tries = unanswered
+    idle.life = WorkerLife('x', 1_000)
+
+    class Both(Sessions):
+        def session(self, address, life, fence):
+            return (worker if life.name == 'w' else idle).session(address, life, fence)
+
+    def start_again(owner):
+        (run,) = worker.running
+        worker.start_again(SECOND, (run,))
+        worker.list_s = 0.6
+        owner.post(listed(idle.life))
+
+    play(
+        Both(),
+        (lambda owner: owner.post(job()), started(worker, 1)),
+        (start_again, runs_one(SECOND) if is_awaited else started(idle, 1)),
+        (lambda owner: None, heard_for(1.0)),
+    )
+    assert bool(idle.starts) is not is_awaited
+
+
 def test_what_ran_in_an_earlier_life_is_over_at_once():
     """No lease is waited for: nothing of it can run on."""
     worker = RestartingWorker()
