Lives that begin around a takeover are tried as well

An acknowledgement of the owner before that got no answer may be carried out by a worker's next life just as one of this owner, which does not know what was sent. Two tests with a worker in memory failed before: its ends were hidden and its task never ended, or it was not tried.

An owner that is still trying a life tells the next owner the life before, so that it is tried on.

--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -172,6 +172,7 @@
     def _(self, message: WorkerInherited) -> None:
         link = self._keep_in_touch(message.profile, message.life, message.address)
         link.is_draining = message.profile.draining
+        link.inherited_at_s = self._now().steady_s
         self._scheduler.unlist_worker(message.profile.worker_id)
 
     @handle.register
@@ -193,10 +194,9 @@
         now = self._now()
         for end in message.ended:
             self._take_in_end(end, now)
-        self._scheduler.worker_surveyed(
-            message.worker_id, message.running, message.begun_s, now, lists_ends=bool(message.last_end)
-        )
         link = self._links.get(message.worker_id)
+        lists_ends = link is not None and not link.may_hide_ends
+        self._scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now, lists_ends=lists_ends)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
         worker = self._scheduler.worker_by_id.get(message.worker_id)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -51,6 +51,10 @@
         self.processed = 0
         # When the last acknowledgement was sent that got no answer; it may be carried out late.
         self.unanswered_at_s = -math.inf
+        # When it was taken over from the owner before, which may have sent it an acknowledgement without an answer.
+        self.inherited_at_s = -math.inf
+        # Whether ends are taken to be listed where something runs: the owner before had tried the worker then.
+        self.is_trusted_at_work = False
         # When a survey was answered last.
         self.heard_at_s = -math.inf
         # The ends that the latest answer listed.
@@ -257,7 +261,7 @@
             self._context.metrics.run_ends.labels(end.kind.value).inc()
         self._numbers = tuple(listed.number for listed in survey.ended)
         last_end = max(self._numbers, default=0)
-        if self._numbers:
+        if self._numbers or (self.is_trusted_at_work and survey.running):
             self._contact.may_hide_ends = False
         self._is_idle = not survey.running
         self._orders.resolve_stopped(survey, begun_s)
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -1,8 +1,9 @@
 """Links to all known workers, and what is acknowledged to each."""
 
-import math
 from collections import Counter
 from collections.abc import Mapping
+from operator import attrgetter
+from typing import NamedTuple
 
 from anyio.abc import TaskGroup
 
@@ -57,8 +58,8 @@
         self._link_by_name: dict[str, WorkerLink] = {}
         self._lives_by_name: Counter[str] = Counter()
         self._entry_by_name: dict[str, WorkerListed] = {}
-        # Until when an acknowledgement to an earlier life may be carried out, where the next one may have begun before.
-        self._unanswered_until_by_name: dict[str, float] = {}
+        # Earlier lives to which an acknowledgement was sent that their next ones may have carried out.
+        self._unanswered_by_name: dict[str, _Unanswered] = {}
         self._given_up_by_address: dict[Address, str] = {}
 
     def get(self, worker_id: str) -> WorkerLink | None:
@@ -81,7 +82,9 @@
             self._lives_by_name[life.name] += 1
             fence = fence_of(self._context.epoch, self._lives_by_name[life.name])
             link = WorkerLink(life, address, worker.lease, self._context, fence)
-            link.may_hide_ends = life.name in self._unanswered_until_by_name
+            earlier = self._unanswered_by_name.get(life.name)
+            link.may_hide_ends = earlier is not None
+            link.is_trusted_at_work = earlier is not None and not earlier.is_known
             self._link_by_id[worker.worker_id] = link
             self._link_by_name[life.name] = link
             tasks.start_soon(link.run)
@@ -129,11 +132,16 @@
     def roster(self, known: Mapping[str, WorkerState]) -> list[RosterEntry]:
         """Return the workers that the next owner must ask."""
         return [
-            RosterEntry(known[worker_id].profile._replace(leaves_in_s=None), link.address, link.life)
+            _roster_entry(known[worker_id], link, self._told_life(link))
             for worker_id, link in sorted(self._link_by_id.items())
             if worker_id in known
         ]
 
+    def _told_life(self, link: WorkerLink) -> WorkerLife:
+        """Return the life that the next owner is told: it doubts one that follows another as long as this one does."""
+        earlier = self._unanswered_by_name.get(link.life.name)
+        return earlier.life if earlier is not None and link.may_hide_ends else link.life
+
     @property
     def has_unkept_ends(self) -> bool:
         """Whether ends were taken in that are not acknowledged yet."""
@@ -151,8 +159,38 @@
                 link.acknowledge(number)
 
     def _note_unanswered(self, link: WorkerLink) -> None:
-        """Note until when the next life of a worker may carry out an acknowledgement that was meant for this one."""
+        """Note a life whose next one may carry out an acknowledgement that was meant for it, or an earlier one."""
         name = link.life.name
-        until_s = max(self._unanswered_until_by_name.pop(name, -math.inf), link.unanswered_at_s + _LATEST_S)
-        if link.heard_at_s < until_s:
-            self._unanswered_until_by_name[name] = until_s
+        earlier = self._unanswered_by_name.pop(name, None)
+        sent = [
+            _Unanswered(link.unanswered_at_s + _LATEST_S, is_known=True, life=link.life),
+            _Unanswered(link.inherited_at_s + _LATEST_S, is_known=False, life=link.life),
+        ]
+        if earlier is not None:
+            sent.append(earlier._replace(life=link.life))
+        late = [each for each in sent if link.heard_at_s < each.until_s]
+        if late:
+            self._unanswered_by_name[name] = max(late, key=attrgetter('is_known', 'until_s'))
+
+
+class _Unanswered(NamedTuple):
+    """Until when an acknowledgement to a life of a worker may be carried out, after its end too.
+
+    Parameters
+    ----------
+    until_s : float
+        Until when, steady clock.
+    is_known : bool
+        Whether this owner sent it; else the one before may have.
+    life : WorkerLife
+        The last life that has ended.
+    """
+
+    until_s: float
+    is_known: bool
+    life: WorkerLife
+
+
+def _roster_entry(worker: WorkerState, link: WorkerLink, life: WorkerLife) -> RosterEntry:
+    profile = worker.profile._replace(worker_id=life.worker_id, leaves_in_s=None)
+    return RosterEntry(profile, link.address, life)
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lives.py
@@ -497,6 +497,46 @@
     assert not idle.starts
 
 
+@pytest.mark.parametrize('held', [0, 2])
+def test_a_life_that_began_before_a_takeover_may_hold_on_to_an_acknowledgement_of_the_owner_before(held):
+    """The new owner does not know what the one before acknowledged without an answer."""
+    worker = RestartingWorker()
+    worker.start_again(SECOND, held=held)
+    play(
+        worker,
+        (lambda owner: None, knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), lambda owner: True),
+        (lambda owner: owner.post(job()), runs_on(worker)),
+        (lambda owner: worker.end(EndKind.DONE), phase_is('succeeded')),
+        items=[roster(FIRST), entry_of(SECOND)],
+        within_s=8.0,
+    )
+    assert worker.done.count(TASK) == 1
+    assert len(worker.stopped) == held + 1
+
+
+def test_a_life_that_has_not_listed_an_end_yet_is_told_to_the_next_owner_as_one_that_follows_another():
+    worker = RestartingWorker()
+    worker.acknowledging_fails = WorkerUnansweredError('silence')
+    told = []
+
+    def note_roster(owner):
+        told.append([entry.known_life for entry in owner._recorder.roster])
+        return True
+
+    play(
+        worker,
+        (lambda owner: owner.post(job(NEW)), started(worker, 1)),
+        (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
+        (lambda owner: worker.start_again(SECOND), knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), heard_for(0.5)),
+        (lambda owner: None, note_roster),
+        (lambda owner: owner.post(job()), runs_on(worker)),
+        (lambda owner: None, note_roster),
+    )
+    assert told == [[FIRST], [SECOND]]
+
+
 def test_the_list_of_an_earlier_version_names_workers_alone():
     profile = listed(WorkerLife('w')).profile
     earlier = Item(f'{ROSTER_PREFIX}/0', encode([(profile, Address('127.0.0.1', 1))]), 1)
