A start that is refused while a worker is tried is not stopped

A try of a worker that may hold back ends stopped each start that was not in doubt, refused ones too: a needless call, and a log line that a run was tried. The new test counts the stops that are ordered; what became of a start is an enumeration now.

--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -1,5 +1,7 @@
 """Orders to one worker: starts and stops."""
 
+from enum import auto, Enum
+
 import anyio
 
 from dahliaarch_kernel.scheduler import EndKind, StartRun
@@ -19,6 +21,14 @@
 from .start_turns import TurnQueue
 
 
+class _Outcome(Enum):
+    """What became of a start."""
+
+    BEGUN = auto()
+    NEVER = auto()
+    IN_DOUBT = auto()
+
+
 class WorkerOrders:
     """Gives orders until it is certain what became of them.
 
@@ -60,17 +70,17 @@
         async with self._queue.turn(effect):
             if self._is_needless(effect):
                 return
-            is_doubtful = await self._try_starts(effect, payload)
-        if self._contact.may_hide_ends and not is_doubtful:
+            outcome = await self._try_starts(effect, payload)
+        if outcome is _Outcome.BEGUN and self._contact.may_hide_ends:
             log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
             await self.stop(effect.key, effect.run)
-        if is_doubtful:
+        if outcome is _Outcome.IN_DOUBT:
             log_event('start_in_doubt', worker=self._contact.worker_id, task=effect.key, run=effect.run)
             self._contact.context.metrics.orders.labels('start', 'in_doubt').inc()
             await self.stop(effect.key, effect.run)
 
-    async def _try_starts(self, effect: StartRun, payload: str) -> bool:
-        """Order a start until it is answered; tell whether it stays in doubt."""
+    async def _try_starts(self, effect: StartRun, payload: str) -> '_Outcome':
+        """Order a start until it is answered; tell what became of it."""
         settings = self._contact.context.settings
         is_doubtful = False
         for number in range(settings.order_tries):
@@ -79,15 +89,18 @@
             status = await self._note_try(effect, payload, settings.answer_s if number else settings.order_s)
             if status is not None:
                 self._start_answered(effect, status, is_doubtful=is_doubtful)
-                return is_doubtful and status is not OrderStatus.DONE
+                if status is OrderStatus.DONE:
+                    return _Outcome.BEGUN
+                return _Outcome.IN_DOUBT if is_doubtful else _Outcome.NEVER
             is_doubtful = True
-        return True
+        return _Outcome.IN_DOUBT
 
-    def _withhold(self, effect: StartRun, *, is_doubtful: bool) -> bool:
-        """Send a start no more, since another instance may own the pool; tell whether it stays in doubt."""
-        if not is_doubtful:
-            self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
-        return is_doubtful
+    def _withhold(self, effect: StartRun, *, is_doubtful: bool) -> '_Outcome':
+        """Send a start no more, since another instance may own the pool; tell what became of it."""
+        if is_doubtful:
+            return _Outcome.IN_DOUBT
+        self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
+        return _Outcome.NEVER
 
     def _is_needless(self, effect: StartRun) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lives.py
@@ -59,10 +59,13 @@
         self.acknowledging_s = 0.0
         # Tries of starts that get no answer, and are not carried out at once.
         self.unanswered_tries = 0
+        # Starts that are refused for want of room.
+        self.refusals = 0
         # The acknowledgement that it holds on to: ends up to it are never listed.
         self.held = 0
         self.done = []
         self.stopped = []
+        self.stop_orders = 0
         # Most runs at a time in a life that was told to stop one.
         self.most_before_a_stop = 0
         self.started_at_s = 0.0
@@ -101,6 +104,9 @@
         if self.unanswered_tries:
             self.unanswered_tries -= 1
             raise WorkerUnansweredError('silence')
+        if self.refusals:
+            self.refusals -= 1
+            return OrderReply(OrderStatus.NO_ROOM, time.monotonic())
         self.starts.append((worker_id, order.key))
         self.started_at_s = time.monotonic()
         self.running += (RunSeen(order.key, order.run, '', 1.0),)
@@ -108,6 +114,7 @@
 
     async def stop(self, address, worker_id, key, run, fence, *, timeout_s):
         self._meet(worker_id)
+        self.stop_orders += 1
         for each in self.running:
             if each.run == run:
                 self.stopped.append(key)
@@ -296,6 +303,26 @@
     assert len(worker.stopped) == is_doubtful
 
 
+def test_a_start_that_a_life_refuses_while_it_is_tried_is_not_stopped():
+    worker = RestartingWorker()
+    worker.acknowledging_fails = WorkerUnansweredError('silence')
+
+    def start_again(owner):
+        worker.start_again(SECOND)
+        worker.refusals = 1
+        owner.post(job())
+
+    play(
+        worker,
+        (lambda owner: owner.post(job(NEW)), started(worker, 1)),
+        (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
+        (start_again, knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), runs_on(worker)),
+    )
+    assert not worker.refusals
+    assert worker.stop_orders == len(worker.stopped) == 1
+
+
 def test_a_life_gets_one_start_at_a_time_and_no_gang_member_before_it_lists_an_end():
     worker = RestartingWorker()
     worker.acknowledging_fails = WorkerUnansweredError('silence')
