The wait for a late start ends with the time in which it may run

A task whose start a worker did not answer waited for 12 s and the longest lease from when that worker was given up, some 6 to 10 s after the start: later than a late start can run, and for starts that were never sent as well. It waits until that time after the last try without an answer now. A step that waits for the list of a life that is given up goes on to wait until the time that was set.

--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -29,7 +29,7 @@
 def _give_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     state.note_losses(worker, LossCause.LEASE_ENDED)
     worker_given_up(state, worker, now)
-    note_given_up(state, worker, now)
+    note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
     if not worker.is_listed:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -81,7 +81,9 @@
         self.dirty_jobs: set[str] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
-        # Lives given up in silence with starts that got no answer, until something is heard at their addresses.
+        # Lives whose lists some step waits for, or did, and those that were given up in silence since, until
+        # something is heard at their addresses.
+        self.awaited_lives: set[str] = set()
         self.given_up_in_doubt: set[str] = set()
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -27,21 +27,26 @@
     """
     for step in tuple(_in_doubt(state, worker_id)):
         step.awaited_until_by_worker.pop(worker_id, None)
-        step.awaited_until_by_worker[successor_id] = until_s
+        _await(state, step, successor_id, until_s)
     for tried, late_until_s in _with_unanswered_tries(state, worker_id):
-        tried.awaited_until_by_worker.setdefault(successor_id, late_until_s)
+        _await(state, tried, successor_id, late_until_s)
 
 
-def note_given_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
-    """Record that a life was given up in silence, its runs still known."""
-    if not worker.late_order_s or worker.worker_id in state.given_up_in_doubt:
+def note_given_up(state: SchedulerState, worker: WorkerState) -> None:
+    """Record that a life was given up in silence, its runs still known; what already waits for its list waits on."""
+    worker_id = worker.worker_id
+    if not worker.late_order_s or worker_id in state.given_up_in_doubt:
         return
-    for step in tuple(_in_doubt(state, worker.worker_id)):
-        step.awaited_until_by_worker.setdefault(worker.worker_id, now.steady_s + worker.late_order_s)
-        state.given_up_in_doubt.add(worker.worker_id)
-    for tried, late_until_s in _with_unanswered_tries(state, worker.worker_id):
-        tried.awaited_until_by_worker.setdefault(worker.worker_id, late_until_s)
-        state.given_up_in_doubt.add(worker.worker_id)
+    for step, until_s in _with_unanswered_tries(state, worker_id):
+        _await(state, step, worker_id, until_s)
+    if worker_id in state.awaited_lives:
+        state.given_up_in_doubt.add(worker_id)
+
+
+def _await(state: SchedulerState, step: StepState, worker_id: str, until_s: float) -> None:
+    """Let tasks of a step wait for the list of a life; what waits already does so until the time that was set."""
+    step.awaited_until_by_worker.setdefault(worker_id, until_s)
+    state.awaited_lives.add(worker_id)
 
 
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
