--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -1,7 +1,8 @@
 """Tasks that the next life of a worker may have begun, by a start that the life before did not answer.
 
 They wait until that life has said what runs there: only then is it known, and only
-from its first answer on does it refuse what was meant for the life before.
+from its first answer on does it refuse what was meant for the life before. Where the
+life before was given up in silence, a next one may have begun without being heard.
 """
 
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 from .clock import Moment
 from .job_state import StepState
 from .state import SchedulerState
+from .workers import WorkerState
 
 
 def note_successor(state: SchedulerState, worker_id: str, successor_id: str, until_s: float) -> None:
@@ -25,7 +27,26 @@
     """
     for step in tuple(_in_doubt(state, worker_id)):
         step.awaited_until_by_worker.pop(worker_id, None)
-        step.awaited_until_by_worker[successor_id] = until_s
+        _await(state, step, successor_id, until_s)
+    for tried, late_until_s in _with_unanswered_tries(state, worker_id):
+        _await(state, tried, successor_id, late_until_s)
+
+
+def note_given_up(state: SchedulerState, worker: WorkerState) -> None:
+    """Record that a life was given up in silence, its runs still known; what already waits for its list waits on."""
+    worker_id = worker.worker_id
+    if not worker.late_order_s or worker_id in state.given_up_in_doubt:
+        return
+    for step, until_s in _with_unanswered_tries(state, worker_id):
+        _await(state, step, worker_id, until_s)
+    if worker_id in state.awaited_lives:
+        state.given_up_in_doubt.add(worker_id)
+
+
+def _await(state: SchedulerState, step: StepState, worker_id: str, until_s: float) -> None:
+    """Let tasks of a step wait for the list of a life; what waits already does so until the time that was set."""
+    step.awaited_until_by_worker.setdefault(worker_id, until_s)
+    state.awaited_lives.add(worker_id)
 
 
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
@@ -42,7 +63,7 @@
 def _has_yet_to_tell(state: SchedulerState, worker_id: str) -> bool:
     """Tell whether a life goes on, as far as is known, and has not said what runs there."""
     worker = state.worker_by_id.get(worker_id)
-    return worker is not None and not worker.is_surveyed
+    return worker_id in state.given_up_in_doubt or (worker is not None and not worker.is_surveyed)
 
 
 def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
@@ -55,3 +76,21 @@
     if _has_yet_to_tell(state, worker_id):
         for job in state.active_jobs():
             yield from (step for step in job.step_by_key.values() if worker_id in step.awaited_until_by_worker)
+
+
+def _with_unanswered_tries(state: SchedulerState, worker_id: str) -> Iterator[tuple[StepState, float]]:
+    """Yield the steps whose tasks wait, or run on a life that is over, with tries of a start that it did not answer.
+
+    What became of other tries does not matter. Each comes with the time until when such a try may still run.
+    """
+    worker = state.worker_by_id.get(worker_id)
+    if worker is None:
+        return
+    for key, sent_s in worker.unanswered_starts.items():
+        step = state.step_of(key)
+        if step is None:
+            continue
+        run = step.run_by_index.get(key.task_index)
+        is_here = run is not None and run.worker_id == worker_id
+        if is_here or key.task_index in step.pending:
+            yield step, sent_s + worker.late_order_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -148,6 +148,11 @@
         self.is_surveyed = False
         # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
         self.may_hide_ends = False
+        # How long from now a start that got no answer may still run on a later life under its name, in seconds;
+        # 0 where later lives have other names, and refuse it.
+        self.late_order_s = 0.0
+        # When the last try of a start was sent that got no answer, whatever became of others; steady clock.
+        self.unanswered_starts: dict[TaskKey, float] = {}
         self.is_silent = False
         # Whether its last lease has ended in silence, so that nothing runs there. The next owner may
         # have been told so: it gets no starts until that is taken back.
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -174,6 +174,7 @@
         link.is_draining = message.profile.draining
         if message.is_lapsed:
             self._links.inherit_lapsed(self._scheduler.worker_by_id[message.profile.worker_id])
+        link.inherited_at_s = self._now().steady_s
         self._scheduler.unlist_worker(message.profile.worker_id)
 
     @handle.register
@@ -195,10 +196,9 @@
         now = self._now()
         for end in message.ended:
             self._take_in_end(end, now)
-        self._scheduler.worker_surveyed(
-            message.worker_id, message.running, message.begun_s, now, lists_ends=bool(message.last_end)
-        )
         link = self._links.get(message.worker_id)
+        lists_ends = link is not None and not link.may_hide_ends
+        self._scheduler.worker_surveyed(message.worker_id, message.running, message.begun_s, now, lists_ends=lists_ends)
         if link is not None:
             link.processed = max(link.processed, message.last_end)
         worker = self._scheduler.worker_by_id.get(message.worker_id)
@@ -258,8 +258,10 @@
     def _open(self, life: WorkerLife, address: Address) -> WorkerLink:
         """Return the link to a life of a worker that the scheduler knows."""
         worker = self._scheduler.worker_by_id[life.worker_id]
+        worker.late_order_s = self._links.longest_late_s if life.born_ms else 0.0
         is_new = self._links.get(life.worker_id) is None
         link = self._links.open(worker, life, address, self._tasks)
+        worker.unanswered_starts = link.unanswered_starts
         if is_new and link.may_hide_ends:
             log_event('worker_doubted', worker=life.worker_id)
             worker.may_hide_ends = True
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lives.py
@@ -57,10 +57,15 @@
         # What comes of acknowledgements, if they fail, and how long that takes.
         self.acknowledging_fails = None
         self.acknowledging_s = 0.0
+        # Tries of starts that get no answer, and are not carried out at once.
+        self.unanswered_tries = 0
+        # Starts that are refused for want of room.
+        self.refusals = 0
         # The acknowledgement that it holds on to: ends up to it are never listed.
         self.held = 0
         self.done = []
         self.stopped = []
+        self.stop_orders = 0
         # Most runs at a time in a life that was told to stop one.
         self.most_before_a_stop = 0
         self.started_at_s = 0.0
@@ -96,6 +101,12 @@
 
     async def start(self, address, worker_id, order, **options):
         self._meet(worker_id)
+        if self.unanswered_tries:
+            self.unanswered_tries -= 1
+            raise WorkerUnansweredError('silence')
+        if self.refusals:
+            self.refusals -= 1
+            return OrderReply(OrderStatus.NO_ROOM, time.monotonic())
         self.starts.append((worker_id, order.key))
         self.started_at_s = time.monotonic()
         self.running += (RunSeen(order.key, order.run, '', 1.0),)
@@ -103,6 +114,7 @@
 
     async def stop(self, address, worker_id, key, run, fence, *, timeout_s):
         self._meet(worker_id)
+        self.stop_orders += 1
         for each in self.running:
             if each.run == run:
                 self.stopped.append(key)
@@ -291,6 +303,26 @@
     assert len(worker.stopped) == is_doubtful
 
 
+def test_a_start_that_a_life_refuses_while_it_is_tried_is_not_stopped():
+    worker = RestartingWorker()
+    worker.acknowledging_fails = WorkerUnansweredError('silence')
+
+    def start_again(owner):
+        worker.start_again(SECOND)
+        worker.refusals = 1
+        owner.post(job())
+
+    play(
+        worker,
+        (lambda owner: owner.post(job(NEW)), started(worker, 1)),
+        (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
+        (start_again, knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), runs_on(worker)),
+    )
+    assert not worker.refusals
+    assert worker.stop_orders == len(worker.stopped) == 1
+
+
 def test_a_life_gets_one_start_at_a_time_and_no_gang_member_before_it_lists_an_end():
     worker = RestartingWorker()
     worker.acknowledging_fails = WorkerUnansweredError('silence')
@@ -339,6 +371,32 @@
     assert worker.done.count(TASK) == 1
 
 
+@pytest.mark.parametrize(('unanswered', 'is_awaited'), [(1, True), (0, False)])
+def test_a_task_whose_first_try_got_no_answer_waits_for_the_list_of_the_next_life(unanswered, is_awaited):
+    """The second was answered; the next life may carry out the first, and the task had started elsewhere."""
+    worker, idle = RestartingWorker(), RestartingWorker()
+    worker.unanswered_tries = unanswered
+    idle.life = WorkerLife('x', 1_000)
+
+    class Both(Sessions):
+        def session(self, address, life, fence):
+            return (worker if life.name == 'w' else idle).session(address, life, fence)
+
+    def start_again(owner):
+        (run,) = worker.running
+        worker.start_again(SECOND, (run,))
+        worker.list_s = 0.6
+        owner.post(listed(idle.life))
+
+    play(
+        Both(),
+        (lambda owner: owner.post(job()), started(worker, 1)),
+        (start_again, runs_one(SECOND) if is_awaited else started(idle, 1)),
+        (lambda owner: None, heard_for(1.0)),
+    )
+    assert bool(idle.starts) is not is_awaited
+
+
 def test_what_ran_in_an_earlier_life_is_over_at_once():
     """No lease is waited for: nothing of it can run on."""
     worker = RestartingWorker()
@@ -466,6 +524,46 @@
     assert not idle.starts
 
 
+@pytest.mark.parametrize('held', [0, 2])
+def test_a_life_that_began_before_a_takeover_may_hold_on_to_an_acknowledgement_of_the_owner_before(held):
+    """The new owner does not know what the one before acknowledged without an answer."""
+    worker = RestartingWorker()
+    worker.start_again(SECOND, held=held)
+    play(
+        worker,
+        (lambda owner: None, knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), lambda owner: True),
+        (lambda owner: owner.post(job()), runs_on(worker)),
+        (lambda owner: worker.end(EndKind.DONE), phase_is('succeeded')),
+        items=[roster(FIRST), entry_of(SECOND)],
+        within_s=8.0,
+    )
+    assert worker.done.count(TASK) == 1
+    assert len(worker.stopped) == held + 1
+
+
+def test_a_life_that_has_not_listed_an_end_yet_is_told_to_the_next_owner_as_one_that_follows_another():
+    worker = RestartingWorker()
+    worker.acknowledging_fails = WorkerUnansweredError('silence')
+    told = []
+
+    def note_roster(owner):
+        told.append([entry.known_life for entry in owner._recorder.roster])
+        return True
+
+    play(
+        worker,
+        (lambda owner: owner.post(job(NEW)), started(worker, 1)),
+        (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
+        (lambda owner: worker.start_again(SECOND), knows(SECOND)),
+        (lambda owner: owner.post(listed(SECOND)), heard_for(0.5)),
+        (lambda owner: None, note_roster),
+        (lambda owner: owner.post(job()), runs_on(worker)),
+        (lambda owner: None, note_roster),
+    )
+    assert told == [[FIRST], [SECOND]]
+
+
 def test_the_list_of_an_earlier_version_names_workers_alone():
     profile = listed(WorkerLife('w')).profile
     earlier = Item(f'{ROSTER_PREFIX}/0', encode([(profile, Address('127.0.0.1', 1))]), 1)
