Tests, red: jobs wait for workers that carry out no start

On real daemons with four workers, the one that a job gets in the idle pool refuses every start, fails each task, or answers no start (or no order at all) and carries it out after its lease. Surveys are answered well throughout. The stand-in of a worker can now be told which calls it refuses or leaves unanswered.

--- /dev/null
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_failing_starts.py
@@ -0,0 +1,69 @@
+"""Workers that answer surveys well and carry out no start, beside idle healthy ones, against real daemons."""
+
+import time
+
+import pytest
+
+from .running import PARALLEL
+
+# A ready task must run within this time where the pool has room for it.
+LONGEST_STALL_S = 3.0
+# Runs take longer than is watched, in seconds.
+WORK_S = '20'
+WATCHED_S = 10.0
+ONE_TASK = [{**PARALLEL[0], 'Count': 1}]
+GANG = [{**PARALLEL[0], 'Count': 2, 'Gpu': 8, 'Gang': True}]
+
+
+def refuse(worker):
+    """Refuse every start."""
+    worker.faults.refused_paths = frozenset({'/run-start'})
+
+
+def fail(worker):
+    """Fail every task at once."""
+    worker.fails_tasks = True
+
+
+def leave_unanswered(worker):
+    """Answer no start, and carry it out when its lease has ended."""
+    worker.faults.lost_paths, worker.faults.late_s = frozenset({'/run-start'}), 4.0
+
+
+def leave_all_orders_unanswered(worker):
+    """Answer neither starts nor stops, and carry them out when their lease has ended."""
+    worker.faults.lost_paths, worker.faults.late_s = frozenset({'/run-start', '/run-stop'}), 4.0
+
+
+def chosen_workers(running, steps):
+    """Return the workers that a job gets in the idle pool."""
+    job_id = running.submit(steps, '0.1')
+    running.wait_for(job_id, 'succeeded')
+    chosen = {start.worker for start in running.starts() if start.task.startswith(job_id)}
+    return [worker for worker in running.workers if worker.worker_id in chosen]
+
+
+def stands_for_s(running, steps):
+    """Return how long a job has nothing running, or not all of a gang."""
+    begun_s = time.monotonic()
+    job_id = running.submit(steps, WORK_S)
+    width = steps[0]['Count']
+
+    def runs():
+        started = [task for worker in running.workers for task in worker.running if task.startswith(job_id)]
+        return len(started) == width
+
+    running.wait_until(runs, timeout_s=WATCHED_S)
+    return time.monotonic() - begun_s
+
+
+@pytest.mark.parametrize('failing', [refuse, fail, leave_unanswered, leave_all_orders_unanswered])
+def test_a_task_does_not_wait_for_a_worker_that_carries_out_no_start(running, failing):
+    failing(chosen_workers(running, ONE_TASK)[0])
+    assert stands_for_s(running, ONE_TASK) < LONGEST_STALL_S
+
+
+@pytest.mark.parametrize('failing', [refuse, fail, leave_unanswered, leave_all_orders_unanswered])
+def test_a_gang_does_not_wait_for_a_worker_that_carries_out_no_start(running, failing):
+    failing(chosen_workers(running, GANG)[0])
+    assert stands_for_s(running, GANG) < LONGEST_STALL_S
--- a/packages/standins/dahliaarch_standins/platform/faults.py
+++ b/packages/standins/dahliaarch_standins/platform/faults.py
@@ -30,6 +30,9 @@
         self.delay_s = 0.0
         self.lost_share = 0.0
         self.refused_share = 0.0
+        # Calls of these paths are all refused, or carried out without an answer.
+        self.refused_paths: frozenset[str] = frozenset()
+        self.lost_paths: frozenset[str] = frozenset()
         self.late_s = 0.0
         # Owners with a higher epoch are not answered, as across a cut; 0 for none.
         self.highest_fence = 0
@@ -41,7 +44,8 @@
             await anyio.sleep(self.delay_s)
         if self.is_silent:
             await anyio.sleep(_SILENCE_S)
-        if self.is_refusing or self.is_silent or self._refuses():
+        is_refused = request.path in self.refused_paths or self._refuses()
+        if self.is_refusing or self.is_silent or is_refused:
             return Response(503)
         return None
 
@@ -54,9 +58,9 @@
         if self.observer is not None:
             self.observer(step, is_done)
 
-    def loses(self) -> bool:
+    def loses(self, path: str = '') -> bool:
         """Tell whether the answer to a write is lost."""
-        return self._random.random() < self.lost_share
+        return path in self.lost_paths or self._random.random() < self.lost_share
 
     async def lose(self) -> Response:
         """Say nothing for longer than any client waits."""
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -156,6 +156,8 @@
         self.ends: list[Ended] = []
         # Starts that were left unanswered, to be carried out late.
         self.late_starts: list[str] = []
+        # Whether every task that it starts fails at once.
+        self.fails_tasks = False
         self.is_draining = False
         self.is_cut_off = False
         self.capacity = Resources(64_000, 262_144, 8)
@@ -264,7 +266,7 @@
         if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
         self._life.fence = body.get('Fence', 0)
-        is_lost = self.faults.loses()
+        is_lost = self.faults.loses(request.path)
         if is_lost and self.faults.late_s:
             if request.path == '/run-start':
                 self.late_starts.append(body['Task'])
@@ -387,7 +389,7 @@
         self._extend(body)
         life.highest_by_task[task] = number
         payload = body['Spec']
-        work_s = -1.0 if payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
+        work_s = -1.0 if self.fails_tasks or payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
         self._must_crash = self._must_crash or payload.startswith(_CRASHING)
         life.run_by_task[task] = _Run(task, number, work_s, now_s)
         self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s, life.incarnation))
