Tests, red: starts without an answer hold up others and hold their tasks for good

Where stops get no answer either, the run is never given up, though its start carried a lease of 2 s.

--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
@@ -0,0 +1,182 @@
+"""Starts that get no answer hold up neither other workers' starts nor their own tasks for long."""
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun
+from dahliaarch_kernel.scheduler.events import RunSeen
+from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
+from dahliaarch_kernel.workload import TaskKey
+from dahliaarch_node.metrics import Metrics
+from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.settings import Address
+from dahliaarch_platform.workers import OrderReply, OrderStatus, Survey, WorkerUnansweredError
+
+from ..link_settings import LinkContext, LinkSettings, StartTurns
+from ..links import WorkerLink
+from ..messages import RunNever, StartAcknowledged
+from .sessions import Sessions
+
+TURNS = 32
+# Accelerators of a worker, each of which gets a task.
+ACCELERATORS = 8
+# A ready task must run within this time where the pool has room for it.
+LONGEST_STALL_S = 3.0
+# Of that, what is left to a start on another worker.
+SECOND_START_S = 0.5
+# Workers that leave starts unanswered, of 176 in all.
+UNANSWERING = 22
+JOB_ID = 'a' * 16
+
+
+class Worker(Sessions):
+    """A worker that answers surveys, and orders if told so; it carries out late starts while their lease lasts."""
+
+    def __init__(self, *, answers_starts=False, answers_stops=False, late_s=None):
+        self.answers_starts = answers_starts
+        self.answers_stops = answers_stops
+        self.late_s = late_s
+        self.running = {}
+        self.stopped = set()
+        self.tasks = None
+
+    async def survey(self, *_, wait_s, **options):
+        await anyio.sleep(wait_s + 0.001)
+        running = tuple(RunSeen(key, run, '', 0.0) for key, run in self.running.items())
+        return Survey(anyio.current_time(), running, ())
+
+    async def start(self, address, worker_id, order, *, fence, timeout_s):
+        if self.answers_starts:
+            await anyio.sleep(0.002)
+            self.running[order.key] = order.run
+            return OrderReply(OrderStatus.DONE, anyio.current_time())
+        if self.late_s is not None:
+            self.tasks.start_soon(self._start_late, order)
+        await anyio.sleep(timeout_s)
+        raise WorkerUnansweredError('silent')
+
+    async def _start_late(self, order):
+        await anyio.sleep(self.late_s)
+        is_stopped = (order.key, order.run) in self.stopped
+        if anyio.current_time() < order.lease_until_s and not is_stopped:
+            self.running[order.key] = order.run
+
+    async def stop(self, address, worker_id, key, run, fence, *, timeout_s):
+        if not self.answers_stops:
+            await anyio.sleep(timeout_s)
+            raise WorkerUnansweredError('silent')
+        self.stopped.add((key, run))
+        self.running.pop(key, None)
+        return OrderReply(OrderStatus.DONE, anyio.current_time())
+
+
+def start_of(worker_id, number):
+    key = TaskKey(JOB_ID, 0, 0, number)
+    return StartRun(worker_id, key, number + 1, '', RANK_ORDINARY, 1.0, '')
+
+
+class Pool:
+    """Links to workers, and what they tell."""
+
+    def __init__(self, workers):
+        self.workers = workers
+        self.told_at_s = {}
+        self._turns = StartTurns(anyio.Semaphore(TURNS), anyio.Semaphore(TURNS))
+        self.links = [self._link(number, worker) for number, worker in enumerate(workers)]
+
+    def run_in(self, tasks):
+        for worker, link in zip(self.workers, self.links, strict=True):
+            worker.tasks = tasks
+            tasks.start_soon(link.run)
+
+    async def wait_told(self, message, timeout_s):
+        """Return when a message was told."""
+        with anyio.move_on_after(timeout_s):
+            while message not in self.told_at_s:
+                await anyio.sleep(0.005)
+        return self.told_at_s.get(message)
+
+    def _post(self, message):
+        if isinstance(message, RunNever | StartAcknowledged):
+            self.told_at_s.setdefault(message, anyio.current_time())
+
+    def _link(self, number, worker):
+        settings = LinkSettings(hold_s=6.0)
+        context = LinkContext(worker, 1, settings, Metrics(), self._post, lambda: None, anyio.current_time, self._turns)
+        return WorkerLink(WorkerLife(f'w{number}'), Address('h', 1), Lease(), context)
+
+
+def play(workers, scenario):
+    async def run():
+        pool = Pool(workers)
+        async with anyio.create_task_group() as tasks:
+            pool.run_in(tasks)
+            await anyio.sleep(0.1)
+            await scenario(pool)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_starts_do_not_wait_for_their_turn_behind_those_of_workers_that_answer_none():
+    workers = [Worker(answers_stops=True) for _ in range(UNANSWERING)]
+    workers.append(Worker(answers_starts=True))
+
+    async def scenario(pool):
+        begun_s = anyio.current_time()
+        for number, link in enumerate(pool.links):
+            for index in range(ACCELERATORS):
+                link.start(start_of(f'w{number}', number * ACCELERATORS + index), '')
+        last = start_of(f'w{UNANSWERING}', UNANSWERING * ACCELERATORS + ACCELERATORS - 1)
+        told_s = await pool.wait_told(StartAcknowledged(last.worker_id, last.key, last.run), 10.0)
+        assert told_s is not None
+        assert told_s - begun_s < 1.0
+
+    play(workers, scenario)
+
+
+def test_starts_that_wait_behind_unanswered_ones_of_their_worker_are_given_back_in_time():
+    """Their tasks may run on any other worker meanwhile."""
+
+    async def scenario(pool):
+        begun_s = anyio.current_time()
+        starts = [start_of('w0', index) for index in range(3 * ACCELERATORS)]
+        for start in starts:
+            pool.links[0].start(start, '')
+        for start in starts:
+            never = RunNever('w0', start.key, start.run)
+            told_s = await pool.wait_told(never, LONGEST_STALL_S)
+            assert told_s is not None
+            assert told_s - begun_s < LONGEST_STALL_S - SECOND_START_S
+
+    play([Worker(answers_stops=True)], scenario)
+
+
+@pytest.mark.parametrize('answers_stops', [True, False])
+def test_a_run_whose_start_got_no_answer_is_given_up_once_it_can_not_start_any_more(answers_stops):
+    """It held its task and room for good where stops got no answer either."""
+
+    async def scenario(pool):
+        begun_s, start = anyio.current_time(), start_of('w0', 0)
+        pool.links[0].start(start, '')
+        told_s = await pool.wait_told(RunNever('w0', start.key, start.run, EndKind.REFUSED), 2 * LONGEST_STALL_S)
+        assert told_s is not None
+        assert told_s - begun_s < LONGEST_STALL_S - SECOND_START_S
+
+    play([Worker(answers_stops=answers_stops)], scenario)
+
+
+@pytest.mark.parametrize('late_s', [0.5, 1.4, 1.9, 2.5])
+def test_a_run_that_started_late_is_not_given_up(late_s):
+    """Nothing but an acknowledged stop or the end of its lease rules a late start out."""
+    worker = Worker(late_s=late_s)
+
+    async def scenario(pool):
+        start = start_of('w0', 0)
+        pool.links[0].start(start, '')
+        await anyio.sleep(4.0)
+        has_started = start.key in worker.running
+        is_given_up = any(isinstance(message, RunNever) for message in pool.told_at_s)
+        assert has_started is not is_given_up
+
+    play([worker], scenario)
