Starts to sound workers do not wait behind those of workers that answer none

What callers saw: jobs with nothing running though the pool had room (rule LOST), and several at once. The owner believed that their tasks were starting.

Cause: 32 starts may be under way at a time, and one without an answer held its turn for all of its tries, 1.5 s. Some workers that answer surveys and no starts take all turns, again and again, and every start to a sound worker queues behind them, with no bound.

Fix: each try takes a turn of its own, and keeps it for as long as a link needs to carry it (0.3 s) rather than until its answer is given up. One worker has four turns at most, and one while its last try got no answer. A start that has waited for 1 s at such a worker is given back: it was never sent, so its task may start elsewhere at once. No more tries than before are sent in any 0.3 s.

--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -40,6 +40,9 @@
         answers in milliseconds, and the same start may be ordered again.
     order_tries : int
         Tries of a start before it is taken back.
+    turn_wait_s : float
+        Longest wait of a start for its turn at a worker that leaves starts
+        unanswered: its task may start elsewhere meanwhile.
     retry_s : float
         Pause after a survey that failed.
     unacknowledged_s : float
@@ -59,21 +62,22 @@
     longest_answer_s: float = 2.4
     order_s: float = 0.3
     order_tries: int = 3
+    turn_wait_s: float = 1.0
     retry_s: float = 0.25
     unacknowledged_s: float = 0.4
     listed_again_s: float = 0.04
 
 
 class StartTurns(NamedTuple):
-    """Starts that may be under way at one time.
-
-    A worker that answers nothing holds a turn for all tries of a start, 1.5 s:
-    urgent starts wait for none but their like.
-    """
+    """Tries of starts that may be under way at one time: urgent ones wait for none but their like."""
 
     urgent: anyio.Semaphore
     other: anyio.Semaphore
 
+    def of(self, *, is_urgent: bool) -> anyio.Semaphore:
+        """Return what bounds tries of a rank."""
+        return self.urgent if is_urgent else self.other
+
 
 def _always() -> bool:
     return True
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -57,10 +57,7 @@
 
     async def start(self, effect: StartRun, payload: str) -> None:
         """Order a start until it is answered; take it back when it stays in doubt."""
-        async with self._queue.turn(effect):
-            if self._is_needless(effect):
-                return
-            is_doubtful = await self._try_starts(effect, payload)
+        is_doubtful = await self._try_starts(effect, payload)
         if self._contact.may_hide_ends and not is_doubtful:
             log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
             await self.stop(effect.key, effect.run)
@@ -71,12 +68,18 @@
 
     async def _try_starts(self, effect: StartRun, payload: str) -> bool:
         """Order a start until it is answered; tell whether it stays in doubt."""
-        settings = self._contact.context.settings
+        context = self._contact.context
+        settings = context.settings
         is_doubtful = False
+        ordered_s = context.clock()
         for number in range(settings.order_tries):
-            if not self._contact.context.may_order():
-                return self._withhold(effect, is_doubtful=is_doubtful)
-            status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
+            async with self._queue.turn(effect):
+                if not number and self._is_needless(effect, context.clock() - ordered_s):
+                    return False
+                if not context.may_order():
+                    return self._withhold(effect, is_doubtful=is_doubtful)
+                status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
+            self._queue.leaves_unanswered = status is None
             if status is not None:
                 self._start_answered(effect, status, is_doubtful=is_doubtful)
                 return is_doubtful and status is not OrderStatus.DONE
@@ -89,9 +92,11 @@
             self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
         return is_doubtful
 
-    def _is_needless(self, effect: StartRun) -> bool:
+    def _is_needless(self, effect: StartRun, waited_s: float) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
         takes_none = self._contact.is_silent or self._contact.is_draining or self._contact.is_overfull
+        if self._queue.leaves_unanswered and waited_s > self._contact.context.settings.turn_wait_s:
+            takes_none = True
         if not takes_none and (effect.key, effect.run) not in self._stops_under_way:
             return False
         kind = EndKind.REFUSED if takes_none else EndKind.STOPPED
--- a/packages/node/dahliaarch_node/owner/start_turns.py
+++ b/packages/node/dahliaarch_node/owner/start_turns.py
@@ -1,14 +1,24 @@
 """How starts wait for their turns, and for how long they did."""
 
+import asyncio
 from collections.abc import AsyncGenerator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, ExitStack
+
+import anyio
 
 from dahliaarch_kernel.scheduler import StartRun
 from dahliaarch_kernel.scheduler.ranks import RANK_URGENT
 
 from ..logs import log_event
 from .contact import Contact
+from .link_settings import StartTurns
 
+# Tries under way at one worker: with more of them a few workers that answer
+# nothing would take the turns of all others.
+_MOST_PER_WORKER = 4
+# How long a try counts as under way, in seconds: a link has carried it by then,
+# whether it is answered or not.
+_UNDER_WAY_S = 0.3
 # A start that waits longer for its turn is logged, in seconds.
 _LATE_S = 1.0
 # Shortest time between two such lines about one worker, in seconds.
@@ -22,29 +32,46 @@
     ----------
     contact : Contact
         The worker.
+
+    Attributes
+    ----------
+    leaves_unanswered : bool
+        Whether the last try got no answer: one at a time is sent then.
     """
 
     def __init__(self, contact: Contact) -> None:
         """Start empty."""
+        self.leaves_unanswered = False
         self._contact = contact
+        self._own = StartTurns(anyio.Semaphore(_MOST_PER_WORKER), anyio.Semaphore(_MOST_PER_WORKER))
+        self._alone = anyio.Semaphore(1)
         self._logged_s = float('-inf')
         self._late_starts = 0
 
     @asynccontextmanager
     async def turn(self, effect: StartRun) -> AsyncGenerator[None, None]:
-        """Wait for the turn of a start, and hold it."""
+        """Wait for the turn of a try, and hold it until the block ends or the try no longer counts as under way."""
         context = self._contact.context
         is_urgent = effect.rank <= RANK_URGENT
         queue = 'urgent' if is_urgent else 'other'
         asked_s = context.clock()
-        with context.metrics.waiting_starts.labels(queue).track_inprogress():
-            turns = context.turns.urgent if is_urgent else context.turns.other
-            await turns.acquire()
-        try:
+        with ExitStack() as held:
+            with context.metrics.waiting_starts.labels(queue).track_inprogress():
+                await self._take(held, is_urgent=is_urgent)
+            timer = asyncio.get_running_loop().call_later(_UNDER_WAY_S, held.close)
+            held.callback(timer.cancel)
             self._note_wait(effect, queue, asked_s, context.clock())
             yield
-        finally:
-            turns.release()
+
+    async def _take(self, held: ExitStack, *, is_urgent: bool) -> None:
+        shared = self._contact.context.turns.of(is_urgent=is_urgent)
+        await _acquire(held, self._own.of(is_urgent=is_urgent))
+        await shared.acquire()
+        if self.leaves_unanswered:
+            shared.release()
+            await _acquire(held, self._alone)
+            await shared.acquire()
+        held.callback(shared.release)
 
     def _note_wait(self, effect: StartRun, queue: str, asked_s: float, now_s: float) -> None:
         waited_s = now_s - asked_s
@@ -64,3 +91,8 @@
         )
         self._logged_s = now_s
         self._late_starts = 0
+
+
+async def _acquire(held: ExitStack, semaphore: anyio.Semaphore) -> None:
+    await semaphore.acquire()
+    held.callback(semaphore.release)
