A start without an answer is in doubt until its lease has ended, and no longer

What callers saw: a task that the owner believed to be starting ran nowhere, for good, on a worker that answers surveys (rule LOST where its job has nothing else running).

Cause: after three tries without an answer a start is stopped, and only an acknowledged stop let a later survey tell that the run is not there. On a worker that answers no orders, or refuses stops, no stop is ever acknowledged. The lease that each start carries, after which the worker refuses it, was not used to tell. Where stops are answered, the run was told as stopped, so that the worker was chosen again at once, each time for 2 s.

Fix: all tries of a start carry the lease of the first. A survey that was begun once the worker's clock had passed its end (known from an answer before) and lists neither the run nor its end rules it out; the stop is repeated no more. While a start has no answer, surveys wait no longer at the worker than until then, and 0.5 s at most. A start that a survey lists meanwhile is known to run and is neither tried again nor stopped. What is ruled out is told as refused, no longer as stopped, so that the scheduler does as after a refusal: the worker is left alone for a while, and the rest of a gang, which can't come together, is given up. Starts at a worker that leaves some unanswered wait for their turn for 0.4 s instead of 1 s before they are given back, so that both together remain below 3 s.

--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -1,5 +1,7 @@
 """What is known of the contact with one life of a worker."""
 
+import math
+
 import anyio
 
 from dahliaarch_kernel.scheduler import Lease
@@ -29,6 +31,8 @@
 
     Attributes
     ----------
+    clock_s : float
+        Latest reading of its clock.
     failures : int
         Surveys in a row that failed.
     heard : Event
@@ -49,6 +53,7 @@
         self.worker_id = worker_id
         self.lease = lease
         self.context = context
+        self.clock_s = -math.inf
         self.failures = 0
         self.is_draining = False
         self.is_overfull = False
@@ -84,4 +89,5 @@
     def read_clock(self, clock_s: float | None) -> None:
         """Take a reading of the worker's clock from an answer."""
         if clock_s is not None:
+            self.clock_s = clock_s
             self.lease.read(clock_s, self.context.clock())
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -62,7 +62,7 @@
     longest_answer_s: float = 2.4
     order_s: float = 0.3
     order_tries: int = 3
-    turn_wait_s: float = 1.0
+    turn_wait_s: float = 0.4
     retry_s: float = 0.25
     unacknowledged_s: float = 0.4
     listed_again_s: float = 0.04
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -21,7 +21,7 @@
 from .contact import Contact, FAILURES_THAT_TELL
 from .link_settings import LinkContext
 from .messages import WorkerSilent, WorkerSurveyed
-from .orders import WorkerOrders
+from .orders import Asked, WorkerOrders
 
 
 class WorkerLink:
@@ -134,7 +134,7 @@
     async def _survey_once(self) -> None:
         context = self._context
         settings = context.settings
-        begun_s = context.clock()
+        begun = Asked(context.clock(), self._contact.clock_s)
         wait_s = self._wait_s()
         # A worker that does not answer is not given more time: its lease must end
         # at some point for its runs to start elsewhere.
@@ -158,8 +158,8 @@
         if not self._lease.has_reading:
             # Until this answer an earlier owner may have given the longest lease.
             self._lease.assume_held(settings.hold_s, context.clock())
-        self._lease.read(survey.clock_s, context.clock())
-        self._take_in(survey, begun_s)
+        self._contact.read_clock(survey.clock_s)
+        self._take_in(survey, begun)
         if until_s is not None or not context.may_order():
             # One that renewed no lease, the first and any after a failure, is followed
             # at once by one that does.
@@ -233,9 +233,10 @@
         if self._orders.has_unresolved_stops:
             return _STOP_POLL_S
         settings = self._context.settings
+        longest_s = settings.idle_wait_s if self._is_idle else settings.wait_s
         if self._contact.may_hide_ends:
-            return _HIDDEN_END_POLL_S
-        return settings.idle_wait_s if self._is_idle else settings.wait_s
+            longest_s = _HIDDEN_END_POLL_S
+        return min(longest_s, self._orders.settles_in_s())
 
     async def _pause(self, survey: Survey) -> None:
         """Wait until ends are kept: a survey before that lists them again at once."""
@@ -245,7 +246,7 @@
             with anyio.move_on_after(min(pause_s, self._hold_s / _SURVEYS_IN_A_LEASE)):
                 await self.acknowledged_more.wait()
 
-    def _take_in(self, survey: Survey, begun_s: float) -> None:
+    def _take_in(self, survey: Survey, begun: Asked) -> None:
         ended = tuple(listed.end for listed in survey.ended if listed.number > self.listed)
         for end in ended:
             self._context.metrics.run_ends.labels(end.kind.value).inc()
@@ -254,8 +255,8 @@
         if self._numbers:
             self._contact.may_hide_ends = False
         self._is_idle = not survey.running
-        self._orders.resolve_stopped(survey, begun_s)
-        self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun_s))
+        self._orders.settle(survey, begun)
+        self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, begun.at_s))
         self.listed = max(self.listed, last_end)
 
     async def _survey_failed(self, error: Exception) -> None:
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -1,5 +1,8 @@
 """Orders to one worker: starts and stops."""
 
+import math
+from typing import NamedTuple
+
 import anyio
 
 from dahliaarch_kernel.scheduler import EndKind, StartRun
@@ -17,6 +20,27 @@
 from .contact import Contact
 from .messages import RunNever, StartAcknowledged
 from .start_turns import TurnQueue
+from .unanswered import RunId, UnansweredStarts
+
+# How long a survey waits at a worker at most while a start has no answer, in seconds.
+_LONGEST_POLL_S = 0.5
+# The same at least, and how much later than the end of a lease it is answered.
+_SHORTEST_POLL_S = 0.02
+
+
+class Asked(NamedTuple):
+    """When a survey was begun.
+
+    Parameters
+    ----------
+    at_s : float
+        By the steady clock here.
+    clock_s : float
+        A time that the worker's clock had reached by then.
+    """
+
+    at_s: float
+    clock_s: float
 
 
 class WorkerOrders:
@@ -32,65 +56,97 @@
         """Start without orders."""
         self._contact = contact
         self._queue = TurnQueue(contact)
+        self._unanswered = UnansweredStarts()
         # Runs whose stop was acknowledged, by the time of that: once a later
         # survey does not list them they are certainly not there.
-        self._stopped_at_by_run: dict[tuple[TaskKey, int], float] = {}
-        self._stops_under_way: set[tuple[TaskKey, int]] = set()
+        self._stopped_at_by_run: dict[RunId, float] = {}
+        self._stops_under_way: dict[RunId, anyio.CancelScope] = {}
 
     @property
     def has_unresolved_stops(self) -> bool:
         """Whether a survey has to tell what became of a run that was stopped."""
         return bool(self._stopped_at_by_run)
 
-    def resolve_stopped(self, survey: Survey, begun_s: float) -> None:
-        """Tell of stopped runs that a survey begun after their stop does not list: they never are there."""
+    def settles_in_s(self) -> float:
+        """Return how long the next survey should wait at most, to tell soon what became of unanswered starts."""
+        clock_s = self._contact.lease_until(0.0) or 0.0
+        until_s = self._unanswered.first_until_s
+        if until_s == math.inf:
+            return until_s
+        return min(max(until_s - clock_s, 0.0) + _SHORTEST_POLL_S, _LONGEST_POLL_S)
+
+    def settle(self, survey: Survey, begun: Asked) -> None:
+        """Tell of runs that a survey rules out: they never are there.
+
+        Those are runs whose stop was acknowledged before, and starts without an
+        answer whose lease had ended.
+        """
         listed = {(run.key, run.run) for run in survey.running}
         over = {(each.end.key, each.end.run) for each in survey.ended}
         for stopped, at_s in tuple(self._stopped_at_by_run.items()):
-            if at_s > begun_s:
-                continue
-            if stopped in listed:
+            if at_s > begun.at_s or stopped in listed:
                 continue
             del self._stopped_at_by_run[stopped]
             if stopped not in over:
-                self._contact.context.post(RunNever(self._contact.worker_id, *stopped, EndKind.STOPPED))
+                was_unanswered = self._unanswered.discard(stopped)
+                self._tell_never(stopped, EndKind.REFUSED if was_unanswered else EndKind.STOPPED)
+        # Another life of which it is not known begins with a lower reading.
+        asked_at_s = min(begun.clock_s, survey.clock_s)
+        for run in self._unanswered.settle(listed | over, asked_at_s):
+            self._tell_never(run, EndKind.REFUSED)
+
+    def _tell_never(self, run: RunId, kind: EndKind) -> None:
+        under_way = self._stops_under_way.get(run)
+        if under_way is not None:
+            under_way.cancel()
+        self._contact.context.post(RunNever(self._contact.worker_id, *run, kind))
 
     async def start(self, effect: StartRun, payload: str) -> None:
         """Order a start until it is answered; take it back when it stays in doubt."""
-        is_doubtful = await self._try_starts(effect, payload)
-        if self._contact.may_hide_ends and not is_doubtful:
-            log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
-            await self.stop(effect.key, effect.run)
-        if is_doubtful:
+        was_sent = await self._try_starts(effect, payload)
+        if (effect.key, effect.run) in self._unanswered:
             log_event('start_in_doubt', worker=self._contact.worker_id, task=effect.key, run=effect.run)
             self._contact.context.metrics.orders.labels('start', 'in_doubt').inc()
             await self.stop(effect.key, effect.run)
+        elif was_sent and self._contact.may_hide_ends:
+            log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
+            await self.stop(effect.key, effect.run)
 
     async def _try_starts(self, effect: StartRun, payload: str) -> bool:
-        """Order a start until it is answered; tell whether it stays in doubt."""
-        context = self._contact.context
-        settings = context.settings
-        is_doubtful = False
-        ordered_s = context.clock()
+        """Order a start until it is answered or known from a survey; tell whether it was sent at all."""
+        settings = self._contact.context.settings
+        run = effect.key, effect.run
+        ordered_s = self._contact.context.clock()
+        until_s = 0.0
         for number in range(settings.order_tries):
             async with self._queue.turn(effect):
-                if not number and self._is_needless(effect, context.clock() - ordered_s):
-                    return False
-                if not context.may_order():
-                    return self._withhold(effect, is_doubtful=is_doubtful)
-                status = await self._try_start(effect, payload, settings.answer_s if number else settings.order_s)
+                if not self._may_send(effect, ordered_s, is_retry=number > 0):
+                    return number > 0
+                # Later tries carry no later end: a survey after it rules all of them out.
+                until_s = until_s or self._contact.lease_until(settings.start_hold_s) or 0.0
+                if not number:
+                    self._unanswered.add(run, until_s)
+                order = StartOrder(effect.key, effect.run, payload, until_s, effect.checkpoint, effect.ticket)
+                status = await self._try_start(order, settings.answer_s if number else settings.order_s)
             self._queue.leaves_unanswered = status is None
             if status is not None:
-                self._start_answered(effect, status, is_doubtful=is_doubtful)
-                return is_doubtful and status is not OrderStatus.DONE
-            is_doubtful = True
+                self._start_answered(effect, status, is_retry=number > 0)
+                return True
+            self._unanswered.note_late(run)
         return True
 
-    def _withhold(self, effect: StartRun, *, is_doubtful: bool) -> bool:
-        """Send a start no more, since another instance may own the pool; tell whether it stays in doubt."""
-        if not is_doubtful:
-            self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
-        return is_doubtful
+    def _may_send(self, effect: StartRun, ordered_s: float, *, is_retry: bool) -> bool:
+        """Tell whether a try of a start may be sent, now that its turn has come."""
+        context = self._contact.context
+        if is_retry:
+            return (effect.key, effect.run) in self._unanswered and context.may_order()
+        if self._is_needless(effect, context.clock() - ordered_s):
+            return False
+        if not context.may_order():
+            # Another instance may own the pool.
+            context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
+            return False
+        return True
 
     def _is_needless(self, effect: StartRun, waited_s: float) -> bool:
         """Tell whether a start need not be sent any more since it waited for its turn: it never runs then."""
@@ -103,10 +159,10 @@
         self._contact.context.post(RunNever(self._contact.worker_id, effect.key, effect.run, kind))
         return True
 
-    async def _try_start(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus | None:
+    async def _try_start(self, order: StartOrder, timeout_s: float) -> OrderStatus | None:
         """Order a start once; return nothing when it is not known what became of it."""
         try:
-            return await self._start_once(effect, payload, timeout_s)
+            return await self._start_once(order, timeout_s)
         except WorkerReplacedError as error:
             self._contact.over(error)
             return OrderStatus.UNHEALTHY
@@ -115,23 +171,22 @@
         except WORKER_FAILURES:
             return None
 
-    def _start_answered(self, effect: StartRun, status: OrderStatus, *, is_doubtful: bool) -> None:
+    def _start_answered(self, effect: StartRun, status: OrderStatus, *, is_retry: bool) -> None:
         context = self._contact.context
         context.metrics.orders.labels('start', status.value).inc()
+        if status is OrderStatus.DONE or not is_retry:
+            self._unanswered.discard((effect.key, effect.run))
         if status is OrderStatus.DONE:
             context.post(StartAcknowledged(self._contact.worker_id, effect.key, effect.run))
             return
         log_event('start_refused', worker=self._contact.worker_id, task=effect.key, run=effect.run, status=status)
         if status is OrderStatus.FENCED:
             context.fenced()
-        if not is_doubtful:
+        if not is_retry:
             context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
 
-    async def _start_once(self, effect: StartRun, payload: str, timeout_s: float) -> OrderStatus:
-        context = self._contact.context
-        until_s = self._contact.lease_until(context.settings.start_hold_s) or 0.0
-        self._contact.lease.sent(until_s)
-        order = StartOrder(effect.key, effect.run, payload, until_s, effect.checkpoint, effect.ticket)
+    async def _start_once(self, order: StartOrder, timeout_s: float) -> OrderStatus:
+        self._contact.lease.sent(order.lease_until_s)
         reply = await self._contact.session.start(order, timeout_s=timeout_s)
         self._contact.read_clock(reply.clock_s)
         return reply.status
@@ -140,17 +195,21 @@
         """Order a stop until it is acknowledged; the run can't start there after."""
         if (key, run) in self._stops_under_way:
             return
-        self._stops_under_way.add((key, run))
-        try:
-            while not await self._try_stop(key, run):
-                heard = self._contact.heard
-                await anyio.sleep(self._contact.context.settings.retry_s)
-                if self._contact.failures:
-                    # Surveys tell when it answers again: hundreds of stops that are
-                    # repeated meanwhile would fill a slow link for good.
-                    await heard.wait()
-        finally:
-            self._stops_under_way.discard((key, run))
+        with anyio.CancelScope() as scope:
+            self._stops_under_way[key, run] = scope
+            try:
+                await self._stop_until_acknowledged(key, run)
+            finally:
+                del self._stops_under_way[key, run]
+
+    async def _stop_until_acknowledged(self, key: TaskKey, run: int) -> None:
+        while not await self._try_stop(key, run):
+            heard = self._contact.heard
+            await anyio.sleep(self._contact.context.settings.retry_s)
+            if self._contact.failures:
+                # Surveys tell when it answers again: hundreds of stops that are
+                # repeated meanwhile would fill a slow link for good.
+                await heard.wait()
 
     async def _try_stop(self, key: TaskKey, run: int) -> bool:
         """Order a stop once; tell whether it was acknowledged or has no object any more."""
