Test corrected: a gang of which a member fails is ended on its other workers too

Known as failing: the gang with a worker that fails all tasks did not run in 10 s. The trace of a play shows that it was not the scheduler that waited: w0 failed its member 16 ms after its start, and the member on w1 ran on for its 20 s. Workers end the other members of such a gang themselves (how it ended: broken); the stand-in does not know them. The test now ends them as workers do.

--- a/packages/standins/dahliaarch_standins/deployment/tests/test_failing_starts.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_failing_starts.py
@@ -43,6 +43,13 @@
     return [worker for worker in running.workers if worker.worker_id in chosen]
 
 
+def break_gangs(running):
+    """End all members of gangs of which one has failed, as workers do."""
+    failed = {end.run for end in running.ends() if end.how == 'failed'}
+    for worker in running.workers:
+        worker.break_off(failed)
+
+
 def stands_for_s(running, steps):
     """Return how long a job has nothing running, or not all of a gang."""
     begun_s = time.monotonic()
@@ -50,6 +57,7 @@
     width = steps[0]['Count']
 
     def runs():
+        break_gangs(running)
         started = [task for worker in running.workers for task in worker.running if task.startswith(job_id)]
         return len(started) == width
 
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -2,7 +2,7 @@
 
 import socket
 import time
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Collection
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -234,6 +234,12 @@
             entry['RemainingMs'] = 4000
         self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
 
+    def break_off(self, numbers: Collection[int]) -> None:
+        """End the runs of gangs, by number, of which a member has failed elsewhere."""
+        for run in tuple(self._life.run_by_task.values()):
+            if run.number in numbers:
+                self._end(run, 'broken', time.monotonic())
+
     def _work(self, now_s: float) -> None:
         life = self._life
         lapsed = life.until_s and life.clock_s() > life.until_s
