--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -2,7 +2,7 @@
 
 import socket
 import time
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Collection
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -156,6 +156,8 @@
         self.ends: list[Ended] = []
         # Starts that were left unanswered, to be carried out late.
         self.late_starts: list[str] = []
+        # Whether every task that it starts fails at once.
+        self.fails_tasks = False
         self.is_draining = False
         self.is_cut_off = False
         self.capacity = Resources(64_000, 262_144, 8)
@@ -232,6 +234,12 @@
             entry['RemainingMs'] = 4000
         self._store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
 
+    def break_off(self, numbers: Collection[int]) -> None:
+        """End the runs of gangs, by number, of which a member has failed elsewhere."""
+        for run in tuple(self._life.run_by_task.values()):
+            if run.number in numbers:
+                self._end(run, 'broken', time.monotonic())
+
     def _work(self, now_s: float) -> None:
         life = self._life
         lapsed = life.until_s and life.clock_s() > life.until_s
@@ -264,7 +272,7 @@
         if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
         self._life.fence = body.get('Fence', 0)
-        is_lost = self.faults.loses()
+        is_lost = self.faults.loses(request.path)
         if is_lost and self.faults.late_s:
             if request.path == '/run-start':
                 self.late_starts.append(body['Task'])
@@ -387,7 +395,7 @@
         self._extend(body)
         life.highest_by_task[task] = number
         payload = body['Spec']
-        work_s = -1.0 if payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
+        work_s = -1.0 if self.fails_tasks or payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
         self._must_crash = self._must_crash or payload.startswith(_CRASHING)
         life.run_by_task[task] = _Run(task, number, work_s, now_s)
         self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s, life.incarnation))
