Soak: a crash excuses its worker and its jobs from the check of ready work, not all others

Now the capacity of a worker that crashed counts as used for 3 s, and a job under which one crashed may wait as long.

--- a/packages/standins/dahliaarch_standins/soak/ready_work.py
+++ b/packages/standins/dahliaarch_standins/soak/ready_work.py
@@ -3,25 +3,27 @@
 A job counts while all of these hold, from look to look:
 
 - it was accepted and not cancelled, and may not be shown as failed;
-- nothing of it runs, and a task's turn has come;
+- nothing of it runs, nothing of it has crashed a worker of late, and a task's turn
+  has come;
 - free capacity holds that task, or its whole gang, twice;
-- less than half of the capacity is in use;
+- less than half of the capacity is in use, that of workers which crashed of late
+  counted as used;
 - nothing has disturbed the system for a while: faults, daemons that ended by
-  themselves, workers that crashed, and looks that came late, which hide what ran
-  meanwhile.
+  themselves, and looks that came late, which hide what ran meanwhile.
 """
 
 import json
 import time
 from collections.abc import AsyncGenerator, Iterable, Iterator, Sequence, Set
 from contextlib import asynccontextmanager
-from operator import itemgetter
+from itertools import chain
+from operator import attrgetter, itemgetter
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import anyio
 
-from dahliaarch_kernel.workload import Resources, StepSpec, weighted_cores
+from dahliaarch_kernel.workload import NO_RESOURCES, Resources, StepSpec, weighted_cores
 
 from ..platform import WorkerStandIn
 from .contact import CONTACT_S
@@ -35,6 +37,8 @@
 # Pause between two looks, and the longest after which they still tell what was between, in seconds.
 _LOOK_EVERY_S = 0.1
 _LONGEST_GAP_S = 0.5
+# Waits that are told of at most: one cause holds up many jobs.
+_MOST_TOLD = 5
 
 
 class _Wait(NamedTuple):
@@ -44,6 +48,11 @@
     begin_s: float
     end_s: float
 
+    @property
+    def length_s(self) -> float:
+        """How long it lasted, in seconds."""
+        return self.end_s - self.begin_s
+
 
 class ReadyWorkCheck:
     """Looks at the workers again and again.
@@ -79,10 +88,8 @@
         """Take in what runs at this moment."""
         if now_s - self._looked_s > _LONGEST_GAP_S:
             self.disturb(now_s)
-        for worker in self._workers:
-            self.disturb(max((end.at_s for end in worker.ends if end.how == 'crashed'), default=0.0))
         is_calm = now_s - self._calm_since_s > CONTACT_S
-        waiting = set(self._waiting()) if is_calm else set()
+        waiting = set(self._waiting(now_s)) if is_calm else set()
         earlier = self._wait_by_job
         self._wait_by_job = {job_id: _Wait(job_id, now_s, now_s) for job_id in waiting}
         for job_id, wait in earlier.items():
@@ -93,36 +100,41 @@
         self._looked_s = now_s
 
     def violations(self, logs: Iterable[Path]) -> Iterator[Violation]:
-        """Yield the jobs that waited for too long, with the last that an owner logged of it.
+        """Yield the jobs that waited for too long, the longest first, with the last that an owner logged of it.
 
         Parameters
         ----------
         logs : iterable of Path
             Logs of the daemons.
         """
-        wall_s = time.time() - time.monotonic()
-        waits = [wait for wait in (*self._waits, *self._wait_by_job.values()) if wait.end_s - wait.begin_s >= READY_S]
+        waits = [wait for wait in (*self._waits, *self._wait_by_job.values()) if wait.length_s >= READY_S]
         if not waits:
             return
+        longest = sorted(waits, key=attrgetter('length_s'), reverse=True)[:_MOST_TOLD]
         lines = list(_waiting_lines(logs))
-        for wait in waits:
+        wall_s = time.time() - time.monotonic()
+        for wait in longest:
             begin_s, end_s = wait.begin_s + wall_s, wait.end_s + wall_s
             about = [line for line in lines if line['job'] == wait.job_id and line['at'] <= end_s]
             last = json.dumps(max(about, key=itemgetter('at'))) if about else 'no step_waiting line'
-            detail = f'{wait.job_id}: nothing ran from {begin_s:.3f} to {end_s:.3f}; {last}'
+            detail = f'{wait.job_id}: nothing ran from {begin_s:.3f} to {end_s:.3f} (one of {len(waits)}); {last}'
             yield Violation('a ready job does not wait beside idle capacity', detail)
 
-    def _waiting(self) -> Iterator[str]:
+    def _waiting(self, now_s: float) -> Iterator[str]:
         """Yield the jobs that are ready and have nothing running beside idle capacity."""
+        crashed = {
+            worker: {end.task for end in worker.ends if end.how == 'crashed' and now_s - end.at_s <= CONTACT_S}
+            for worker in self._workers
+        }
+        free = [NO_RESOURCES if crashed[worker] else self._free(worker) for worker in self._workers]
         capacity = sum(weighted_cores(worker.capacity) for worker in self._workers)
-        used = [self._demand_by_task[task] for worker in self._workers for task in worker.running]
-        if sum(weighted_cores(demand) for demand in used) >= _IDLE_SHARE * capacity:
+        if sum(map(weighted_cores, free)) <= (1 - _IDLE_SHARE) * capacity:
             return
         begun = (start.task for worker in self._workers for start in worker.starts if start.at_s >= self._looked_s)
         running = (task for worker in self._workers for task in worker.running)
-        passed_over = {task.partition('.')[0] for task in (*begun, *running)} | may_be_given_up(self._workers)
+        of_late = {task.partition('.')[0] for task in (*begun, *running, *chain.from_iterable(crashed.values()))}
+        passed_over = of_late | may_be_given_up(self._workers)
         done = {end.task for worker in self._workers for end in worker.ends if end.how == 'done'}
-        free = [self._free(worker) for worker in self._workers]
         for submission in self._submissions:
             if submission.is_accepted and not submission.is_cancelled and submission.job_id not in passed_over:
                 if _has_room_twice(submission, done, free):
@@ -165,7 +177,7 @@
 
 def _fitting(free: Resources, demand: Resources) -> int:
     """Return how many tasks of a demand find room."""
-    return min(has // wants for has, wants in zip(free, demand, strict=True) if wants)
+    return max(0, min(has // wants for has, wants in zip(free, demand, strict=True) if wants))
 
 
 def _ready_steps(submission: Submission, done: Set[str]) -> Iterator[StepSpec]:
--- a/packages/standins/dahliaarch_standins/soak/tests/test_ready_work.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_ready_work.py
@@ -131,10 +131,6 @@
     assert pool.is_blamed is is_blamed
 
 
-def crash(pool):
-    pool.workers[0].ended('c.0.0.0', how='crashed', at_s=pool.now_s)
-
-
 def exit_of_a_daemon(pool):
     pool.check.disturb(pool.now_s)
 
@@ -143,7 +139,7 @@
     pool.now_s += 1.0
 
 
-@pytest.mark.parametrize('disturb', [crash, exit_of_a_daemon, late_look])
+@pytest.mark.parametrize('disturb', [exit_of_a_daemon, late_look])
 def test_a_disturbance_ends_a_wait(disturb):
     pool = Pool(job())
     pool.look_for(BOUND_S - 0.5)
@@ -154,6 +150,35 @@
     assert pool.is_blamed
 
 
+def test_a_job_under_which_a_worker_crashed_may_wait_anew():
+    pool = Pool(job(), workers=3)
+    pool.look_for(BOUND_S - 0.5)
+    pool.workers[0].ended('a.0.0.0', how='crashed', at_s=pool.now_s)
+    pool.look_for(BOUND_S - 0.2)
+    assert not pool.found()
+    pool.look_for(0.6)
+    assert pool.is_blamed
+
+
+@pytest.mark.parametrize(('workers', 'is_blamed'), [(2, False), (3, True)])
+def test_capacity_of_a_worker_that_crashed_of_late_is_not_idle(workers, is_blamed):
+    pool = Pool(job(), workers=workers)
+    pool.look_for(CONTACT_S - 0.5)
+    pool.workers[0].ended('c.0.0.0', how='crashed', at_s=pool.now_s)
+    pool.look_for(READY_S + 1.0)
+    assert pool.is_blamed is is_blamed
+
+
+def test_of_many_jobs_that_waited_the_longest_five_are_told_and_the_rest_counted():
+    pool = Pool(*(job(name) for name in 'abcdefgh'))
+    pool.look_for(BOUND_S + 0.5)
+    pool.workers[0].running['a.0.0.0'] = 1
+    pool.look_for(1.0)
+    found = pool.found()
+    assert len(found) == 5
+    assert all('(one of 8)' in each.detail and not each.detail.startswith('a:') for each in found)
+
+
 def test_the_last_reason_that_an_owner_logged_of_the_job_is_told(tmp_path):
     log = tmp_path / 'i0.log'
     now_s = time.time()
