Tries of two runs of a task at one worker may overlap

A run whose lease has ended is ruled out while a try of it waits for its answer, and the task may be tried at the same worker again. The answer to either try removed the note that the other had not been answered; the second answer then raised KeyError in the link's task group, which would have ended the owner.

A try removes only its own note now, and puts back the one that it replaced.

--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -172,9 +172,11 @@
         unanswered = self._contact.unanswered_starts
         earlier_s = unanswered.get(order.key)
         # Other calls may close this link before it is answered.
-        unanswered[order.key] = self._contact.context.clock()
+        sent_s = self._contact.context.clock()
+        unanswered[order.key] = sent_s
         status = await self._try_start(order, timeout_s)
-        if status is not None:
+        # A later run of the task may have been tried meanwhile.
+        if status is not None and unanswered.get(order.key) == sent_s:
             del unanswered[order.key]
             if earlier_s is not None:
                 unanswered[order.key] = earlier_s
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/tests/test_overlapping_tries.py
@@ -0,0 +1,48 @@
+"""Two runs of a task may be tried at one worker at a time: the first is ruled out while a try of it is under way."""
+
+import anyio
+import pytest
+
+from dahliaarch_kernel.scheduler import StartRun
+from dahliaarch_platform.workers import OrderReply, OrderStatus, StartOrder, WorkerUnansweredError
+
+from .test_repeated_orders import KEY, link_to, Worker
+
+
+class Gates(Worker):
+    """A worker that answers the start of each run when it is told to, or lets it go unanswered."""
+
+    def __init__(self, unanswered):
+        super().__init__()
+        self.gate_by_run = {1: anyio.Event(), 2: anyio.Event()}
+        self.unanswered = unanswered
+
+    async def start(self, address, worker_id, order, **options):
+        await self.gate_by_run[order.run].wait()
+        if order.run in self.unanswered:
+            raise WorkerUnansweredError('silent')
+        return OrderReply(OrderStatus.DONE, anyio.current_time())
+
+
+@pytest.mark.parametrize('order', [(1, 2), (2, 1)])
+@pytest.mark.parametrize('unanswered', [{1}, {2}, {1, 2}, set()])
+def test_tries_that_overlap_are_noted_if_one_got_no_answer(order, unanswered):
+    """The answer to the one removed the note of the other, whose own answer then found none."""
+
+    async def scenario():
+        worker = Gates(unanswered)
+        link = link_to(worker)
+        async with anyio.create_task_group() as tasks:
+            for run in (1, 2):
+                effect = StartRun('w', KEY, run, '')
+                start = StartOrder(effect.key, effect.run, '', 9.0)
+                tasks.start_soon(link._orders._note_try, start, 1.0)
+                await anyio.sleep(0.01)
+            for run in order:
+                worker.gate_by_run[run].set()
+                await anyio.sleep(0.01)
+        return link.unanswered_starts
+
+    noted = anyio.run(scenario)
+    if unanswered:
+        assert KEY in noted
