--- a/packages/kernel/dahliaarch_kernel/policies/core.py
+++ b/packages/kernel/dahliaarch_kernel/policies/core.py
@@ -123,8 +123,8 @@
     return Policy(settings, lambda name, error: None)
 
 
-# The interpreter of programs is imported by the first program only: it costs
-# 16 MB and 0.2 s, and most instances never own the pool.
+# The interpreter of programs is imported by the first program only: it is large, and
+# most instances never own the pool.
 def _compile(text: str, name: str, samples: _Samples, wanted: type) -> Any:
     if not text:
         return None
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -16,8 +16,7 @@
 from .state import SchedulerState
 from .workers import WorkerState
 
-# A worker this many times slower than expected is avoided: those of the users'
-# sheets are 6 and more, and sound ones differ by up to 1.3.
+# A worker this many times slower than expected is avoided; sound ones differ by less.
 _SLOW_FACTOR = 2.0
 # How certain that must be, in standard deviations.
 _CERTAINTY = 2.5
@@ -31,8 +30,7 @@
 # Bounds of what one run tells, in logarithms.
 _FASTEST = math.log(0.5)
 _SLOWEST = math.log(20.0)
-# How much longer a worker that is slow or still is expected to be so, in seconds:
-# on the users' sheets such times last 5 to 7 s.
+# How much longer a worker that is slow or still is expected to be so, in seconds.
 _SICK_FOR_S = 4.0
 # A run that is so far behind is moved though its job ends in time without, in
 # seconds: most workers have recovered by then.
@@ -120,8 +118,7 @@
 def _move(state: SchedulerState, step: StepState, run: Run, slowness: float, now: Moment) -> None:
     """Stop a run that stands still, if its job gains by that.
 
-    One that crawls stays: moving those too was worth nothing to users on 45
-    played days (0.001 +- 0.008 of net worth).
+    One that crawls stays: its restart costs about what its job would gain.
     """
     if run.report_gain or not state.settings.has(Mechanism.MOVES_OF_STILL):
         return
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -18,8 +18,7 @@
 
 # Room that others have claimed is taken, however short the work that asks.
 _FOR_GOOD = float('inf')
-# Urgent work that is stopped ends late: its worth in time is five times that
-# late, and its slack a fraction of other work's.
+# Urgent work that is stopped ends late: it has little slack, and is worth little late.
 _URGENT_WEIGHT = 6.0
 # Cost of any stop, in seconds of the run's work: its restart elsewhere.
 _RESTART_S = 0.5
--- a/packages/kernel/dahliaarch_kernel/workload/demand.py
+++ b/packages/kernel/dahliaarch_kernel/workload/demand.py
@@ -4,7 +4,7 @@
 
 NO_RESOURCES = Resources()
 
-# The users' prices count an accelerator as this many cores.
+# Cores that an accelerator counts as.
 _CORES_PER_ACCELERATOR = 8.0
 _MILLIS_PER_CORE = 1000.0
 
--- a/packages/kernel/dahliaarch_kernel/workload/validation.py
+++ b/packages/kernel/dahliaarch_kernel/workload/validation.py
@@ -5,7 +5,7 @@
 
 # A job's progress must fit one value of the store (1 MB) with room to spare.
 MAX_TASKS = 20_000
-# Longest payload that the interface promises to carry, in bytes.
+# Longest payload that the interface carries, in bytes.
 MAX_PAYLOAD_BYTES = 4_000
 _MAX_STEPS = 256
 _MAX_OCCURRENCES = 10_000
--- a/packages/node/dahliaarch_node/configuration/peer_feed.py
+++ b/packages/node/dahliaarch_node/configuration/peer_feed.py
@@ -19,7 +19,7 @@
 from .follower import ConfigurationFollower
 from .updates import decode_update
 
-# Longest wait for a part, in seconds: a link of 0.5 Mbit/s carries it in time.
+# Longest wait for a part, in seconds: a slow link carries it in time.
 _PART_S = 1.0
 # Tries of one part before the next announcement is waited for.
 _PART_TRIES = 2
--- a/packages/node/dahliaarch_node/configuration/updates.py
+++ b/packages/node/dahliaarch_node/configuration/updates.py
@@ -16,7 +16,7 @@
 
 from ..peers import AskConfiguration, ConfigurationPart
 
-# Bytes of a part: a link of 1 Mbit/s carries one in 0.26 s.
+# Bytes of a part: a slow link carries one well within the wait for it.
 PART_BYTES = 32_768
 # Changes that are kept: a peer that is further behind gets all of it.
 _KEPT_CHANGES = 16
@@ -25,7 +25,7 @@
 # Largest update before compression, in bytes: a megabyte in the store's form,
 # with room to spare.
 _LARGEST_UPDATE_BYTES = 8 * 1024 * 1024
-# Compression that takes least time: 4,200 queues take 8 ms.
+# The level of compression that takes least time.
 _COMPRESSION_LEVEL = 1
 
 
--- a/packages/node/dahliaarch_node/front/acceptance.py
+++ b/packages/node/dahliaarch_node/front/acceptance.py
@@ -14,8 +14,7 @@
 from ..logs import log_event
 from ..records import cancel_key, job_key
 
-# Longest time that a request is held for the store, in seconds: three times what
-# a slow one takes.
+# Longest time that a request is held for the store, in seconds.
 HOLD_S = 0.8
 
 
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -41,8 +41,8 @@
 # within it, and the store can still be asked after.
 _ASK_OWNER_S = 0.4
 # How long a question for a state waits for an end that is near, in seconds.
-# Callers ask as their last task ends, some 40 ms before that end is kept, and
-# come again 0.26 s later, when an urgent job may be late.
+# Callers ask as their last task ends, shortly before that end is kept, and an urgent
+# job may be late by the time they ask again.
 _END_WAIT_S = 0.25
 # Longest try at an own write before the owner is asked to make it, in seconds.
 _OWN_TRY_S = 0.35
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -1,8 +1,4 @@
-"""Shapes of the users' jobs and workers, from their sheets and from played days.
-
-Times, spreads, rates and worths stand on the sheets; widths, shares of marks and
-times of stops were read off the logs of played days.
-"""
+"""Shapes of jobs and workers, by deployment."""
 
 from dahliaarch_kernel.workload import Resources
 
@@ -10,7 +6,7 @@
 
 # Accelerators of a gang's tasks, each as often as the others.
 GANG_ACCELERATORS = (1, 2, 4, 8, 8)
-# Some of the users' workers take longer than the rest.
+# Some workers take longer than others.
 _UNEQUAL = (1.0, 1.0, 1.3)
 # Workers of a grown pool that are there on an ordinary day with trouble.
 _GROWN_WORKERS = 160
--- a/packages/standins/dahliaarch_standins/comparison/scoring.py
+++ b/packages/standins/dahliaarch_standins/comparison/scoring.py
@@ -12,15 +12,15 @@
 from .shapes import Deployment, JobKind
 from .workload import DrawnJob
 
-# The users' formula: a fixed part of a job's worth and one by its size.
+# A fixed part of a job's worth and one by its size.
 _FIXED_PART = 0.3
 _LARGEST_SIZE_FACTOR = 4.0
 # A job is late up to this multiple of its objective.
 LATE_FACTOR = 3.0
-# From a job's end until its owner has been shown it, in seconds, as played.
+# From a job's end until its owner has been shown it, in seconds.
 SHOWN_AFTER_S = 0.03
-# What counts on most of the users' sheets: the whole day, the worst windows, the
-# worst kind of request and the worst tenth of accounts.
+# Weights of the whole day, the worst windows, the worst kind of request and the
+# worst tenth of accounts.
 _WEIGHT_OF_DAY = 0.7
 _WEIGHT_OF_WINDOWS = 0.15
 _WEIGHT_OF_KIND = 0.15
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -151,8 +151,6 @@
         self._scheduler.cancel(job.spec.job_id, self._moment)
         self._ask_pass(_GATHER_S)
 
-    # Workers and what befalls them.
-
     def _join(self, worker: PlayedWorker) -> None:
         self._scheduler.update_worker(worker.profile, self._moment)
         first_s = self._chances.about('survey', worker.profile.worker_id).uniform(0.0, _SURVEY_S)
@@ -225,8 +223,6 @@
         for unit in worker.units():
             self._plan(unit)
 
-    # Runs.
-
     def _start(self, start: StartRun) -> None:
         worker = self._worker_by_id[start.worker_id]
         job = self._job_by_id[start.key.job_id]
--- a/packages/standins/dahliaarch_standins/comparison/troubles.py
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -89,7 +89,6 @@
     lost_orders: tuple[LostOrders, ...] = ()
 
 
-# Strengths and lengths as on the users' sheets.
 _BURST_FACTOR = (1.9, 2.7)
 _BURST_S = (3.5, 6.0)
 _LEAVERS_SHARE = (0.2, 0.4)
