--- a/packages/kernel/dahliaarch_kernel/configuration/core.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/core.py
@@ -112,7 +112,7 @@
     header_timeout_s : float
         Longest wait for a header section that has begun.
     idle_timeout_s : float
-        Longest life of an idle connection.
+        How long an idle connection is kept.
     """
 
     header_bytes: int = 16_384
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -6,7 +6,7 @@
 from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, StepKey, TaskKey
 from .clock import Moment
-from .crashes import judge, judge_kept, silent_worker_crashed, worker_crashed, worker_lives
+from .crashes import judge, judge_kept, silent_worker_crashed, worker_answered, worker_crashed
 from .effects import Effect
 from .ends import take_in_end
 from .events import EndKind, LossCause, Note, RunEnd, RunSeen
@@ -141,12 +141,12 @@
         return is_new
 
     def expect_worker(self, profile: WorkerProfile, now: Moment) -> None:
-        """Take in a life of a worker that answers and has published nothing: it gets nothing new before.
+        """Take in an incarnation of a worker that answers and has published nothing: it gets nothing new before.
 
         Parameters
         ----------
         profile : WorkerProfile
-            What the life before it published.
+            What the incarnation before it published.
         now : Moment
             The present.
         """
@@ -180,19 +180,19 @@
             worker.is_silent = True
 
     def worker_replaced(self, worker_id: str, successor_id: str, late_until_s: float) -> None:
-        """Record, before a life of a worker is over, that another one has answered.
+        """Record, before an incarnation of a worker is over, that another one has answered.
 
         Parameters
         ----------
         worker_id, successor_id : str
-            The two lives.
+            The two incarnations.
         late_until_s : float
             Until when the later one may run what the earlier one was sent, if it is not heard again, steady clock.
         """
         note_successor(self._state, worker_id, successor_id, late_until_s)
 
     def worker_over(self, worker_id: str, now: Moment) -> None:
-        """Record that this life of a worker has ended for certain."""
+        """Record that this incarnation of a worker has ended for certain."""
         self._state.given_up_in_doubt.discard(worker_id)
         worker = self._state.worker_by_id.pop(worker_id, None)
         if worker is None:
@@ -245,7 +245,7 @@
         """Take in a worker's list of what runs; one that lists ends lists those that come after, too."""
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
-            worker_lives(self._state, worker_id)
+            worker_answered(self._state, worker_id)
             self._state.given_up_in_doubt.discard(worker_id)
             if lists_ends and worker.may_hide_ends:
                 worker.may_hide_ends = False
--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -40,7 +40,7 @@
 # seconds: in days of work they see many workers die.
 _LASTING_TELLS_S = 10.0
 # How long it is remembered what ran on a worker that fell silent for good, in
-# seconds: by then another life answers at its address, or none ever will.
+# seconds: by then another incarnation answers at its address, or none ever will.
 _SILENCE_REMEMBERED_S = 120.0
 
 
@@ -55,7 +55,7 @@
 
 
 def silent_worker_crashed(state: SchedulerState, worker_id: str, now: Moment) -> None:
-    """Note that a worker that was given up had crashed: another life answers at its address."""
+    """Note that a worker that was given up had crashed: another incarnation answers at its address."""
     silent = state.silent_loss_by_worker.pop(worker_id, None)
     if silent is not None:
         _note(state, silent.crash_by_task, now)
@@ -74,7 +74,7 @@
     state.silent_loss_by_worker = remembered
 
 
-def worker_lives(state: SchedulerState, worker_id: str) -> None:
+def worker_answered(state: SchedulerState, worker_id: str) -> None:
     """Forget what a worker was suspected of: it was only out of touch."""
     state.silent_loss_by_worker.pop(worker_id, None)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -56,7 +56,7 @@
     Parameters
     ----------
     worker_id : str
-        Life of the worker.
+        Incarnation of the worker.
     key : TaskKey
         Its task.
     run : int
@@ -85,7 +85,7 @@
     key : TaskKey
         The task.
     worker_ids : tuple of str
-        Lives of the workers, in the order of their crashes.
+        Incarnations of the workers, in the order of their crashes.
     """
 
     key: TaskKey
--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -8,7 +8,7 @@
 from .successors import note_given_up
 from .workers import WorkerState
 
-# Time kept free at the end of a leaving worker's life, in seconds.
+# Time kept free when a leaving worker ends, in seconds.
 _LEAVE_MARGIN_S = 0.3
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -17,7 +17,7 @@
     run : int
         Number of the run that was there.
     worker_id : str
-        Life of the worker.
+        Incarnation of the worker.
     ran_s : float
         How long the run was known to run, in seconds.
     tells_of_it : bool
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -81,9 +81,9 @@
         self.dirty_jobs: set[str] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
-        # Lives whose lists some step waits for, or did, and those that were given up in silence since, until
+        # Incarnations whose lists some step waits for, or did, and those that were given up in silence since, until
         # something is heard at their addresses.
-        self.awaited_lives: set[str] = set()
+        self.awaited_incarnations: set[str] = set()
         self.given_up_in_doubt: set[str] = set()
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -1,8 +1,8 @@
-"""Tasks that the next life of a worker may have begun, by a start that the life before did not answer.
+"""Tasks that the next incarnation of a worker may have begun, by a start that the incarnation before did not answer.
 
-They wait until that life has said what runs there: only then is it known, and only
-from its first answer on does it refuse what was meant for the life before. Where the
-life before was given up in silence, a next one may have begun without being heard.
+They wait until that incarnation has said what runs there: only then is it known, and only
+from its first answer on does it refuse what was meant for the incarnation before. Where the
+incarnation before was given up in silence, a next one may have begun without being heard.
 """
 
 from collections.abc import Iterator
@@ -14,14 +14,14 @@
 
 
 def note_successor(state: SchedulerState, worker_id: str, successor_id: str, until_s: float) -> None:
-    """Record that another life of a worker has answered.
+    """Record that another incarnation of a worker has answered.
 
     Parameters
     ----------
     state : SchedulerState
         What is believed.
     worker_id, successor_id : str
-        The life that is over, its runs still known, and the one that answered.
+        The incarnation that is over, its runs still known, and the one that answered.
     until_s : float
         Until when a late start may run there if nothing is heard, steady clock.
     """
@@ -33,24 +33,24 @@
 
 
 def note_given_up(state: SchedulerState, worker: WorkerState) -> None:
-    """Record that a life was given up in silence, its runs still known; what already waits for its list waits on."""
+    """Record that an incarnation was given up in silence, its runs known; what waits for its list already waits on."""
     worker_id = worker.worker_id
     if not worker.late_order_s or worker_id in state.given_up_in_doubt:
         return
     for step, until_s in _with_unanswered_tries(state, worker_id):
         _await(state, step, worker_id, until_s)
-    if worker_id in state.awaited_lives:
+    if worker_id in state.awaited_incarnations:
         state.given_up_in_doubt.add(worker_id)
 
 
 def _await(state: SchedulerState, step: StepState, worker_id: str, until_s: float) -> None:
-    """Let tasks of a step wait for the list of a life; what waits already does so until the time that was set."""
+    """Let tasks of a step wait for the list of an incarnation; what waits already does so until its own time."""
     step.awaited_until_by_worker.setdefault(worker_id, until_s)
-    state.awaited_lives.add(worker_id)
+    state.awaited_incarnations.add(worker_id)
 
 
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
-    """Tell whether tasks of a step may run on a life of a worker that has not said what runs there."""
+    """Tell whether tasks of a step may run on an incarnation of a worker that has not said what runs there."""
     awaited = step.awaited_until_by_worker
     step.awaited_until_by_worker = {
         worker_id: until_s
@@ -61,13 +61,13 @@
 
 
 def _has_yet_to_tell(state: SchedulerState, worker_id: str) -> bool:
-    """Tell whether a life goes on, as far as is known, and has not said what runs there."""
+    """Tell whether an incarnation goes on, as far as is known, and has not said what runs there."""
     worker = state.worker_by_id.get(worker_id)
     return worker_id in state.given_up_in_doubt or (worker is not None and not worker.is_surveyed)
 
 
 def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
-    """Yield the steps with a start that a life did not answer, and those that wait for it themselves."""
+    """Yield the steps with a start that an incarnation did not answer, and those that wait for it themselves."""
     worker = state.worker_by_id.get(worker_id)
     for run in worker.run_by_key.values() if worker is not None else ():
         step = state.step_of(run.key)
@@ -79,7 +79,7 @@
 
 
 def _with_unanswered_tries(state: SchedulerState, worker_id: str) -> Iterator[tuple[StepState, float]]:
-    """Yield the steps whose tasks wait, or run on a life that is over, with tries of a start that it did not answer.
+    """Yield the steps whose tasks wait, or run on an incarnation that is over, with tries of a start without an answer.
 
     What became of other tries does not matter. Each comes with the time until when such a try may still run.
     """
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -26,7 +26,7 @@
 
 
 class LateWorker:
-    """One life of a worker: what runs, and what it has seen of each task."""
+    """One incarnation of a worker: what runs, and what it has seen of each task."""
 
     def __init__(self, worker_id):
         self.worker_id = worker_id
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -113,7 +113,7 @@
             self.scheduler.mark_kept(job_id)
 
     def crash(self, worker_id):
-        """Let a worker die with all that runs there, and come back as another life."""
+        """Let a worker die with all that runs there, and come back as another incarnation."""
         for running_on, key in sorted(self.running):
             if running_on == worker_id:
                 run = self.running.pop((running_on, key))
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
@@ -3,7 +3,7 @@
 A task that crashed each worker that started it was started again for as long as
 its job lasted: fifteen workers in fifty seconds, each gone 10 ms after the start,
 and their neighbours' work with them. An end by the death of the worker counted
-against no task; only ends that a worker lives to report did. The owner's log held
+against no task; only ends that a worker survives to report did. The owner's log held
 `worker_over` and then `run_ordered` for the same task in the same millisecond,
 fifteen times, and no `run_ended` between them.
 """
@@ -187,7 +187,7 @@
     assert pool.running
 
 
-def test_a_worker_that_was_given_up_counts_once_another_life_answers_there():
+def test_a_worker_that_was_given_up_counts_once_another_incarnation_answers_there():
     pool = Pool(workers=12)
     pool.submit(A, task(1))
     pool.step(0.1)
@@ -209,7 +209,7 @@
     assert not pool.scheduler.job_by_id[A].step_by_key[0, 0].crashes_by_index
 
 
-def test_a_task_that_lasts_is_not_given_up_for_the_deaths_that_it_sees_in_its_life():
+def test_a_task_that_lasts_is_not_given_up_for_the_deaths_that_it_sees_while_it_runs():
     pool = Pool()
     pool.submit(A, task(1, lasting=True))
     assert crashes_under(pool, GUILTY, ran_s=60.0) == 12
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -1,6 +1,6 @@
-"""Starts that a life of a worker did not answer may be carried out by its next life, before that has answered.
+"""Starts that a worker did not answer may be carried out by its next incarnation, before that has answered.
 
-The task was started elsewhere as soon as the earlier life was over, 0.4 s before the list of the next: two runs.
+The task was started elsewhere as soon as the earlier incarnation was over, 0.4 s before the list of the next: two runs.
 """
 
 import pytest
@@ -15,7 +15,7 @@
 
 
 def replaced_in_doubt(pool):
-    """Return a start that got no answer, to a life that another one has replaced since."""
+    """Return a start that got no answer, to an incarnation that another one has replaced since."""
     pool.submit(A, task())
     (start,) = pool.step()
     pool.scheduler.worker_by_id[start.worker_id].run_by_key[start.key].is_confirmed = False
@@ -63,7 +63,7 @@
     assert len(starts(pool, after_s)) == count
 
 
-def test_it_waits_for_the_life_after_the_next_one_too():
+def test_it_waits_for_the_incarnation_after_the_next_one_too():
     pool = Pool(workers=2)
     start = replaced_in_doubt(pool)
     replace(pool, f'{start.worker_id}+')
@@ -72,14 +72,14 @@
     assert len(starts(pool, 0.0)) == 1
 
 
-def test_it_waits_no_longer_once_the_next_life_is_over_without_another():
+def test_it_waits_no_longer_once_the_next_incarnation_is_over_without_another():
     pool = Pool(workers=2)
     start = replaced_in_doubt(pool)
     pool.scheduler.worker_over(f'{start.worker_id}+', pool.now)
     assert len(starts(pool, 0.0)) == 1
 
 
-def test_a_start_that_was_answered_is_over_with_its_life():
+def test_a_start_that_was_answered_is_over_with_its_incarnation():
     pool = Pool(workers=2)
     pool.submit(A, task())
     (start,) = pool.step()
@@ -99,7 +99,7 @@
 
 
 def test_a_try_without_an_answer_is_waited_for_though_another_was_answered():
-    """The next life carried the first try out while the task, over with the life before, had started elsewhere."""
+    """The next incarnation carried the first try out while the task, over with the one before, ran elsewhere."""
     pool = Pool(workers=2)
     start = started_in_two_tries(pool, 1.0)
     replace(pool, start.worker_id)
@@ -110,7 +110,7 @@
 
 
 def test_a_start_that_was_taken_back_is_waited_for_if_its_task_has_not_started_elsewhere():
-    """The next life knows nothing of the stop that the life before had acknowledged."""
+    """The next incarnation knows nothing of the stop that the incarnation before had acknowledged."""
     pool = Pool(workers=1)
     start = started_in_two_tries(pool, 1.0)
     pool.end(start.worker_id, start.key, start.run, EndKind.STOPPED)
@@ -144,7 +144,7 @@
 
 
 def given_up_in_doubt(pool, is_listed):
-    """Return a start that got no answer, to a life that was given up in silence since; another may have begun."""
+    """Return a start without an answer, to an incarnation that was given up in silence; another may have begun."""
     pool.submit(A, task())
     (start,) = pool.step()
     worker = pool.scheduler.worker_by_id[start.worker_id]
@@ -161,15 +161,15 @@
 
 @pytest.mark.parametrize('is_listed', [False, True])
 @pytest.mark.parametrize(('after_s', 'count'), [(LATE_S - 1.0, 0), (LATE_S, 1)])
-def test_its_task_waits_when_the_life_was_given_up_in_silence(is_listed, after_s, count):
-    """The next life had done the task before anybody could ask it; it ran again 1.4 s later."""
+def test_its_task_waits_when_the_incarnation_was_given_up_in_silence(is_listed, after_s, count):
+    """The next incarnation had done the task before anybody could ask it; it ran again 1.4 s later."""
     pool = Pool(workers=2)
     given_up_in_doubt(pool, is_listed)
     assert not pool.step(0.1)
     assert len(starts(pool, after_s)) == count
 
 
-def test_it_waits_on_where_the_next_life_is_given_up_before_it_has_told():
+def test_it_waits_on_where_the_next_incarnation_is_given_up_before_it_has_told():
     pool = Pool(workers=2)
     start = replaced_in_doubt(pool)
     successor = f'{start.worker_id}+'
@@ -179,7 +179,7 @@
     assert len(starts(pool, 1.0)) == 1
 
 
-def test_its_task_starts_once_the_life_at_that_address_has_told_what_runs_there():
+def test_its_task_starts_once_the_incarnation_at_that_address_has_told_what_runs_there():
     pool = Pool(workers=2)
     start = given_up_in_doubt(pool, is_listed=False)
     assert not pool.step(0.1)
@@ -189,7 +189,7 @@
     assert len(starts(pool, 0.0)) == 1
 
 
-def test_its_task_starts_once_the_same_life_has_told_what_runs_there():
+def test_its_task_starts_once_the_same_incarnation_has_told_what_runs_there():
     """It was cut off, and remembers the stop."""
     pool = Pool(workers=2)
     start = given_up_in_doubt(pool, is_listed=False)
@@ -199,7 +199,7 @@
     assert len(starts(pool, 0.0)) == 1
 
 
-def test_its_task_starts_at_once_where_a_later_life_has_another_name():
+def test_its_task_starts_at_once_where_a_later_incarnation_has_another_name():
     pool = Pool(workers=2)
     start = given_up_in_doubt(pool, is_listed=False)
     pool.scheduler.worker_by_id[start.worker_id].late_order_s = 0.0
@@ -212,7 +212,7 @@
     pool.scheduler.worker_by_id[worker_id].may_hide_ends = True
 
 
-def test_a_late_start_is_stopped_on_a_life_that_may_hide_its_end():
+def test_a_late_start_is_stopped_on_an_incarnation_that_may_hide_its_end():
     """Its end was never listed, and the task ran again."""
     pool = Pool(workers=2)
     start = replaced_in_doubt(pool)
@@ -230,7 +230,7 @@
     [(task(3), 1), (task(2, gang=True), 0), (task(1, lasting=True), 0)],
     ids=['tasks', 'gang', 'lasting'],
 )
-def test_a_life_that_may_hide_ends_gets_one_start_at_a_time(step, count):
+def test_an_incarnation_that_may_hide_ends_gets_one_start_at_a_time(step, count):
     pool = Pool(workers=1)
     doubted(pool, 'w0')
     pool.submit(A, step)
@@ -238,7 +238,7 @@
     assert not pool.step(0.3)
 
 
-def test_a_life_that_has_listed_an_end_gets_work():
+def test_an_incarnation_that_has_listed_an_end_gets_work():
     pool = Pool(workers=1)
     doubted(pool, 'w0')
     pool.submit(A, task(3))
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -20,7 +20,7 @@
     Parameters
     ----------
     worker_id : str
-        Identifier of this life of the worker.
+        Identifier of this incarnation of the worker.
     service : str
         Service that it belongs to.
     domain : str
@@ -118,7 +118,7 @@
 
 
 class WorkerState:
-    """One life of a worker.
+    """One incarnation of a worker.
 
     Parameters
     ----------
@@ -128,7 +128,7 @@
     Attributes
     ----------
     worker_id : str
-        Identifier of this life.
+        Identifier of this incarnation.
     """
 
     def __init__(self, profile: WorkerProfile) -> None:
@@ -141,15 +141,15 @@
         # Runs of tasks under which workers crashed: most workers have none.
         self._suspects: list[Run] = []
         self.is_listed = True
-        # False until it has published what it has: another life may be of another kind.
+        # False until it has published what it has: another incarnation may be of another kind.
         self.is_described = True
         # False while its entry is another writer's and names no worker.
         self.has_readable_entry = True
         self.is_surveyed = False
         # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
         self.may_hide_ends = False
-        # How long from now a start that got no answer may still run on a later life under its name, in seconds;
-        # 0 where later lives have other names, and refuse it.
+        # How long from now a start that got no answer may still run on a later incarnation under its name, in seconds;
+        # 0 where later incarnations have other names, and refuse it.
         self.late_order_s = 0.0
         # When the last try of a start was sent that got no answer, whatever became of others; steady clock.
         self.unanswered_starts: dict[TaskKey, float] = {}
--- a/packages/node/dahliaarch_node/authority.py
+++ b/packages/node/dahliaarch_node/authority.py
@@ -13,19 +13,19 @@
 
     Parameters
     ----------
-    life_s : float
+    duration_s : float
         How long a confirmation holds from when it was asked for, in seconds: no
         longer than the lease in the store.
     """
 
-    def __init__(self, life_s: float) -> None:
+    def __init__(self, duration_s: float) -> None:
         """Start without authority."""
-        self._life_s = life_s
+        self._duration_s = duration_s
         self._until_s = -math.inf
 
     def confirm(self, asked_s: float) -> None:
         """Take in a confirmation that was asked for at a time, steady clock."""
-        self._until_s = max(self._until_s, asked_s + self._life_s)
+        self._until_s = max(self._until_s, asked_s + self._duration_s)
 
     def holds(self, now_s: float) -> bool:
         """Tell whether orders may be given now."""
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -1,4 +1,4 @@
-"""What is known of the contact with one life of a worker."""
+"""What is known of the contact with one incarnation of a worker."""
 
 import math
 
@@ -22,9 +22,9 @@
     Parameters
     ----------
     session : WorkerSession
-        Calls of this life.
+        Calls of this incarnation.
     worker_id : str
-        Identifier of this life.
+        Identifier of this incarnation.
     lease : Lease
         Its lease, shared with the scheduler.
     context : LinkContext
@@ -47,7 +47,7 @@
     unanswered_starts : dict
         When the last try of a start was sent that got no answer, by task, whatever became of others.
     scope : CancelScope
-        Ends all that is under way with this life.
+        Ends all that is under way with this incarnation.
     """
 
     def __init__(self, session: WorkerSession, worker_id: str, lease: Lease, context: LinkContext) -> None:
@@ -77,7 +77,7 @@
         heard.set()
 
     def over(self, error: WorkerReplacedError) -> None:
-        """Tell that this life of the worker has ended for certain, and who answered in its place."""
+        """Tell that this incarnation of the worker has ended for certain, and who answered in its place."""
         if error.successor is None:
             self.context.post(WorkerOver(self.worker_id))
         else:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -195,7 +195,7 @@
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
         """Yield the workers that the owner before knew, then those that have an entry."""
         for entry in workers.roster:
-            yield WorkerInherited(entry.profile, entry.address, entry.known_life, entry.is_lapsed)
+            yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, entry.is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
         yield WorkersHeard()
 
--- a/packages/node/dahliaarch_node/owner/earlier_work.py
+++ b/packages/node/dahliaarch_node/owner/earlier_work.py
@@ -63,7 +63,7 @@
             self._scheduler.worker_by_id[worker_id].lease.assume(self._until_s)
 
     def replaced(self, worker_id: str) -> None:
-        """Take in that another life of a worker has begun: it has yet to say what runs there.
+        """Take in that another incarnation of a worker has begun: it has yet to say what runs there.
 
         It knows no owner before it has answered this one, and may have taken orders of the owner before.
         """
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -152,7 +152,7 @@
             yield WorkerUnreadable(name)
             return
         self._known.add(item.key)
-        yield WorkerListed(entry.profile, entry.address, entry.life)
+        yield WorkerListed(entry.profile, entry.address, entry.incarnation)
 
     def _unlisted(self, key: str) -> WorkerUnlisted:
         self._known.discard(key)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -9,7 +9,7 @@
 from dahliaarch_kernel.scheduler import JobProgress, Moment, Scheduler, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import step_summary, weighted_cores
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 
 from ..logs import log_event
@@ -143,20 +143,22 @@
     @handle.register
     def _(self, message: WorkerListed) -> None:
         self._links.keep_entry(message)
-        known = self._links.named(message.life.name)
-        if known is not None and not message.life.may_be(known.life):
-            log_event('worker_entry_put_off', worker=known.life.worker_id, entry_of=message.life.worker_id)
-            self._scheduler.unlist_worker(known.life.worker_id)
+        known = self._links.named(message.incarnation.name)
+        if known is not None and not message.incarnation.may_be(known.incarnation):
+            log_event(
+                'worker_entry_put_off', worker=known.incarnation.worker_id, entry_of=message.incarnation.worker_id
+            )
+            self._scheduler.unlist_worker(known.incarnation.worker_id)
             known.look_again()
             return
         if known is not None:
-            message = message.of(known.life)
+            message = message.of(known.incarnation)
         profile = message.profile
         is_known = profile.worker_id in self._scheduler.worker_by_id
         if not is_known and self._unserved.sets_aside(message):
             log_event('worker_unserved', worker=profile.worker_id, service=profile.service)
             return
-        link = self._keep_in_touch(profile, message.life, message.address)
+        link = self._keep_in_touch(profile, message.incarnation, message.address)
         if not is_known or link.is_draining != profile.draining:
             log_event(
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
@@ -170,7 +172,7 @@
 
     @handle.register
     def _(self, message: WorkerInherited) -> None:
-        link = self._keep_in_touch(message.profile, message.life, message.address)
+        link = self._keep_in_touch(message.profile, message.incarnation, message.address)
         link.is_draining = message.profile.draining
         if message.is_lapsed:
             self._links.inherit_lapsed(self._scheduler.worker_by_id[message.profile.worker_id])
@@ -250,36 +252,36 @@
     def _(self, message: AdviceFailed) -> None:
         self._scheduler.advice_failed(message.step, self._now())
 
-    def _keep_in_touch(self, profile: WorkerProfile, life: WorkerLife, address: Address) -> WorkerLink:
+    def _keep_in_touch(self, profile: WorkerProfile, incarnation: WorkerIncarnation, address: Address) -> WorkerLink:
         """Take in what a worker publishes; return the link to it."""
         self._scheduler.update_worker(profile, self._now())
-        return self._open(life, address)
-
-    def _open(self, life: WorkerLife, address: Address) -> WorkerLink:
-        """Return the link to a life of a worker that the scheduler knows."""
-        worker = self._scheduler.worker_by_id[life.worker_id]
-        worker.late_order_s = self._links.longest_late_s if life.born_ms else 0.0
-        is_new = self._links.get(life.worker_id) is None
-        link = self._links.open(worker, life, address, self._tasks)
+        return self._open(incarnation, address)
+
+    def _open(self, incarnation: WorkerIncarnation, address: Address) -> WorkerLink:
+        """Return the link to an incarnation of a worker that the scheduler knows."""
+        worker = self._scheduler.worker_by_id[incarnation.worker_id]
+        worker.late_order_s = self._links.longest_late_s if incarnation.born_ms else 0.0
+        is_new = self._links.get(incarnation.worker_id) is None
+        link = self._links.open(worker, incarnation, address, self._tasks)
         worker.unanswered_starts = link.unanswered_starts
         if is_new and link.may_hide_ends:
-            log_event('worker_doubted', worker=life.worker_id)
+            log_event('worker_doubted', worker=incarnation.worker_id)
             worker.may_hide_ends = True
         return link
 
-    def _expect(self, former: WorkerProfile, life: WorkerLife, address: Address) -> None:
-        """Ask a life what runs there whose entry has not been read.
+    def _expect(self, former: WorkerProfile, incarnation: WorkerIncarnation, address: Address) -> None:
+        """Ask an incarnation what runs there whose entry has not been read.
 
-        Its room, its kind and whether it leaves may differ from those of the life before.
+        Its room, its kind and whether it leaves may differ from those of the incarnation before.
         """
-        profile = former._replace(worker_id=life.worker_id, draining=False, leaves_in_s=None)
+        profile = former._replace(worker_id=incarnation.worker_id, draining=False, leaves_in_s=None)
         self._scheduler.expect_worker(profile, self._now())
-        self._open(life, address)
+        self._open(incarnation, address)
 
     def _worker_id(self, name: str) -> str:
-        """Return the life that is known under a worker's name."""
+        """Return the incarnation that is known under a worker's name."""
         link = self._links.named(name)
-        return name if link is None else link.life.worker_id
+        return name if link is None else link.incarnation.worker_id
 
     def _take_in_end(self, end: RunEnd, now: Moment) -> None:
         log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -8,7 +8,7 @@
 
 from dahliaarch_kernel.scheduler import Lease, StartRun, StopRun
 from dahliaarch_kernel.workload import TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import (
     OrderStatus,
@@ -26,12 +26,12 @@
 
 
 class WorkerLink:
-    """Keeps in touch with one life of a worker.
+    """Keeps in touch with one incarnation of a worker.
 
     Parameters
     ----------
-    life : WorkerLife
-        Which life of the worker is meant.
+    incarnation : WorkerIncarnation
+        Which incarnation of the worker is meant.
     address : Address
         Where it takes orders.
     lease : Lease
@@ -39,12 +39,14 @@
     context : LinkContext
         What every link uses.
     fence : int
-        Number that its orders carry; above those of the lives before.
+        Number that its orders carry; above those of the incarnations before.
     """
 
-    def __init__(self, life: WorkerLife, address: Address, lease: Lease, context: LinkContext, fence: int = 0) -> None:
+    def __init__(
+        self, incarnation: WorkerIncarnation, address: Address, lease: Lease, context: LinkContext, fence: int = 0
+    ) -> None:
         """Start without having asked anything."""
-        self.life = life
+        self.incarnation = incarnation
         self.address = address
         self.acknowledged = 0
         self.listed = 0
@@ -60,13 +62,13 @@
         # The ends that the latest answer listed.
         self._numbers: tuple[int, ...] = ()
         self.acknowledged_more = anyio.Event()
-        self._worker_id = life.worker_id
+        self._worker_id = incarnation.worker_id
         self._lease = lease
         self._context = context
         self._tasks: TaskGroup | None = None
         self._is_idle = False
-        self._session = context.client.session(address, life, fence)
-        self._contact = Contact(self._session, life.worker_id, lease, context)
+        self._session = context.client.session(address, incarnation, fence)
+        self._contact = Contact(self._session, incarnation.worker_id, lease, context)
         # Ends the survey that is under way, when there is news of the worker.
         self._given_up: asyncio.Future[None] | None = None
         self._orders = WorkerOrders(self._contact)
@@ -180,7 +182,7 @@
         """Number of the last end that is kept and still listed.
 
         What was acknowledged already is not again: an acknowledgement that gets no
-        answer may be carried out late, by another life.
+        answer may be carried out late, by another incarnation.
         """
         return max((number for number in self._numbers if number <= self.acknowledged), default=0)
 
@@ -211,7 +213,7 @@
                 given_up=self._given_up,
             )
         except (WorkerUnreachableError, WorkerReplacedError):
-            # It was never sent: a worker is asked first which life it is.
+            # It was never sent: a worker is asked first which incarnation it is.
             self.unanswered_at_s = earlier_s
             raise
         finally:
@@ -295,7 +297,7 @@
 
 # Doublings of a wait after which only its bound counts.
 _MOST_DOUBLINGS = 8
-# Surveys in the life of a lease, however seldom: one or two may be lost.
+# Surveys in the duration of a lease, however seldom: one or two may be lost.
 _SURVEYS_IN_A_LEASE = 3
 # How long a survey waits at a worker while a stop there is not over, in seconds: it is
 # answered at once when that ends. Asked as often without waiting, workers told of the
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -7,7 +7,7 @@
 from dahliaarch_kernel.scheduler import EndKind, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import JobSpec, StepKey, TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 
 
@@ -39,23 +39,23 @@
 
 
 class WorkerListed(NamedTuple):
-    """A worker's entry is in the store; it may be of an earlier life than the one that answers."""
+    """A worker's entry is in the store; it may be of an earlier incarnation than the one that answers."""
 
     profile: WorkerProfile
     address: Address
-    life: WorkerLife
+    incarnation: WorkerIncarnation
 
-    def of(self, life: WorkerLife) -> 'WorkerListed':
-        """Return it as the entry of the life that is known under its name."""
-        return self._replace(life=life, profile=self.profile._replace(worker_id=life.worker_id))
+    def of(self, incarnation: WorkerIncarnation) -> 'WorkerListed':
+        """Return it as the entry of the incarnation that is known under its name."""
+        return self._replace(incarnation=incarnation, profile=self.profile._replace(worker_id=incarnation.worker_id))
 
 
 class WorkerInherited(NamedTuple):
-    """The owner before knew a life of a worker: tasks may run there, whether it has an entry or not."""
+    """The owner before knew an incarnation of a worker: tasks may run there, whether it has an entry or not."""
 
     profile: WorkerProfile
     address: Address
-    life: WorkerLife
+    incarnation: WorkerIncarnation
     is_lapsed: bool = False
 
 
@@ -106,24 +106,24 @@
 
 
 class WorkerOver(NamedTuple):
-    """A life of a worker has ended for certain."""
+    """An incarnation of a worker has ended for certain."""
 
     worker_id: str
 
 
 class WorkerReplaced(NamedTuple):
-    """A life of a worker has ended for certain: another one under its name has answered.
+    """An incarnation of a worker has ended for certain: another one under its name has answered.
 
     Parameters
     ----------
     worker_id : str
-        The life that has ended.
-    successor : WorkerLife
+        The incarnation that has ended.
+    successor : WorkerIncarnation
         The one that answered.
     """
 
     worker_id: str
-    successor: WorkerLife
+    successor: WorkerIncarnation
 
 
 class StartAcknowledged(NamedTuple):
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -99,7 +99,7 @@
             if stopped not in over:
                 was_unanswered = self._unanswered.discard(stopped)
                 self._tell_never(stopped, EndKind.REFUSED if was_unanswered else EndKind.STOPPED)
-        # Another life of which it is not known begins with a lower reading.
+        # Another incarnation of which it is not known begins with a lower reading.
         asked_at_s = min(begun.clock_s, survey.clock_s)
         for run in self._unanswered.settle(listed | over, asked_at_s):
             self._tell_never(run, EndKind.REFUSED)
@@ -168,7 +168,7 @@
         return True
 
     async def _note_try(self, order: StartOrder, timeout_s: float) -> OrderStatus | None:
-        """Order a start once, and note if it got no answer: the next life of the worker may carry it out."""
+        """Order a start once, and note if it got no answer: the next incarnation of the worker may carry it out."""
         unanswered = self._contact.unanswered_starts
         earlier_s = unanswered.get(order.key)
         # Other calls may close this link before it is answered.
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.scheduler import WorkerState
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 
 from ..logs import log_event
@@ -19,30 +19,30 @@
 
 # How late an order that got no answer may be carried out, in seconds.
 _LATEST_S = 12.0
-# Lives of one worker that an owner may meet, for the numbers that its orders carry.
-_LIVES_PER_EPOCH = 1 << 10
+# Incarnations of one worker that an owner may meet, for the numbers that its orders carry.
+_INCARNATIONS_PER_EPOCH = 1 << 10
 
 
-def fence_of(epoch: int, lives: int) -> int:
-    """Return the number that orders to a life of a worker carry.
+def fence_of(epoch: int, incarnations: int) -> int:
+    """Return the number that orders to an incarnation of a worker carry.
 
-    It grows with the owners and, under one owner, with the lives of a worker: an
-    order for an earlier life that is carried out late is refused by the later one.
+    It grows with the owners and, under one owner, with the incarnations of a worker: an
+    order for an earlier incarnation that is carried out late is refused by the later one.
     """
-    return epoch * _LIVES_PER_EPOCH + min(lives, _LIVES_PER_EPOCH - 1)
+    return epoch * _INCARNATIONS_PER_EPOCH + min(incarnations, _INCARNATIONS_PER_EPOCH - 1)
 
 
 def epoch_of(fence: int) -> int:
     """Return the epoch of the owner whose orders carry a fence."""
-    return fence // _LIVES_PER_EPOCH
+    return fence // _INCARNATIONS_PER_EPOCH
 
 
 class Links:
-    """Links by life of a worker; one at a time under each name.
+    """Links by incarnation of a worker; one at a time under each name.
 
-    A worker that starts again may keep its name. Which life answers is known from
-    its answers alone: entries come late, and those of an earlier life after those
-    of a later one. So an entry of another life than the one that is known counts
+    A worker that starts again may keep its name. Which incarnation answers is known from
+    its answers alone: entries come late, and those of an earlier incarnation after those
+    of a later one. So an entry of another incarnation than the one that is known counts
     once that one is over.
 
     Parameters
@@ -56,16 +56,16 @@
         self._context = context
         self._link_by_id: dict[str, WorkerLink] = {}
         self._link_by_name: dict[str, WorkerLink] = {}
-        self._lives_by_name: Counter[str] = Counter()
+        self._incarnations_by_name: Counter[str] = Counter()
         self._entry_by_name: dict[str, WorkerListed] = {}
-        # Earlier lives to which an acknowledgement was sent that their next ones may have carried out.
+        # Earlier incarnations to which an acknowledgement was sent that their next ones may have carried out.
         self._unanswered_by_name: dict[str, _Unanswered] = {}
         self._given_up_by_address: dict[Address, str] = {}
-        # Workers of which the store may hold that nothing runs there, whichever life of them it names.
+        # Workers of which the store may hold that nothing runs there, whichever incarnation of them it names.
         self._lapsed_names: set[str] = set()
 
     def get(self, worker_id: str) -> WorkerLink | None:
-        """Return the link to a life of a worker, if there is one."""
+        """Return the link to an incarnation of a worker, if there is one."""
         return self._link_by_id.get(worker_id)
 
     def named(self, name: str) -> WorkerLink | None:
@@ -73,37 +73,39 @@
         return self._link_by_name.get(name)
 
     def name_of(self, worker_id: str) -> str:
-        """Return the name under which a worker publishes itself, by one of its lives."""
+        """Return the name under which a worker publishes itself, by one of its incarnations."""
         link = self._link_by_id.get(worker_id)
-        return worker_id if link is None else link.life.name
+        return worker_id if link is None else link.incarnation.name
 
-    def open(self, worker: WorkerState, life: WorkerLife, address: Address, tasks: TaskGroup) -> WorkerLink:
-        """Return the link to a life of a worker, started if it is new."""
+    def open(
+        self, worker: WorkerState, incarnation: WorkerIncarnation, address: Address, tasks: TaskGroup
+    ) -> WorkerLink:
+        """Return the link to an incarnation of a worker, started if it is new."""
         link = self._link_by_id.get(worker.worker_id)
         if link is None:
-            self._lives_by_name[life.name] += 1
-            fence = fence_of(self._context.epoch, self._lives_by_name[life.name])
-            link = WorkerLink(life, address, worker.lease, self._context, fence)
-            earlier = self._unanswered_by_name.get(life.name)
+            self._incarnations_by_name[incarnation.name] += 1
+            fence = fence_of(self._context.epoch, self._incarnations_by_name[incarnation.name])
+            link = WorkerLink(incarnation, address, worker.lease, self._context, fence)
+            earlier = self._unanswered_by_name.get(incarnation.name)
             link.may_hide_ends = earlier is not None
             link.is_trusted_at_work = earlier is not None and not earlier.is_known
-            worker.is_lapsed = worker.is_lapsed or life.name in self._lapsed_names
+            worker.is_lapsed = worker.is_lapsed or incarnation.name in self._lapsed_names
             self._link_by_id[worker.worker_id] = link
-            self._link_by_name[life.name] = link
+            self._link_by_name[incarnation.name] = link
             tasks.start_soon(link.run)
         return link
 
     def close(self, worker_id: str) -> None:
-        """Close the link to a life of a worker, if there is one; an entry of another one may be taken in now."""
+        """Close the link to an incarnation of a worker, if any; an entry of another one may be taken in now."""
         link = self._link_by_id.pop(worker_id, None)
         if link is None:
             return
         link.close()
         self._note_unanswered(link)
-        if self._link_by_name.get(link.life.name) is link:
-            del self._link_by_name[link.life.name]
-        entry = self._entry_by_name.get(link.life.name)
-        if entry is not None and entry.life != link.life:
+        if self._link_by_name.get(link.incarnation.name) is link:
+            del self._link_by_name[link.incarnation.name]
+        entry = self._entry_by_name.get(link.incarnation.name)
+        if entry is not None and entry.incarnation != link.incarnation:
             self._context.post(entry)
 
     @property
@@ -113,7 +115,7 @@
 
     def keep_entry(self, entry: WorkerListed) -> None:
         """Keep the entry that was read last under a worker's name."""
-        self._entry_by_name[entry.life.name] = entry
+        self._entry_by_name[entry.incarnation.name] = entry
 
     def forget_entry(self, name: str) -> None:
         """Forget an entry that is gone, or can't be read any more."""
@@ -127,7 +129,7 @@
             self.close(worker_id)
 
     def take_predecessor(self, worker_id: str) -> str | None:
-        """Return, once, the life that was given up at the address where a worker has answered: it is over."""
+        """Return, once, the incarnation that was given up at the address where a worker has answered: it is over."""
         link = self._link_by_id.get(worker_id)
         former = None if link is None else self._given_up_by_address.pop(link.address, None)
         return None if former == worker_id else former
@@ -154,10 +156,10 @@
             else:
                 worker.is_lapsed = False
 
-    def _told_life(self, link: WorkerLink) -> WorkerLife:
-        """Return the life that the next owner is told: it doubts one that follows another as long as this one does."""
-        earlier = self._unanswered_by_name.get(link.life.name)
-        return earlier.life if earlier is not None and link.may_hide_ends else link.life
+    def _told_incarnation(self, link: WorkerLink) -> WorkerIncarnation:
+        """Return the incarnation that the next owner reads: it probes the same successors as this one does."""
+        earlier = self._unanswered_by_name.get(link.incarnation.name)
+        return earlier.incarnation if earlier is not None and link.may_hide_ends else link.incarnation
 
     @property
     def has_unkept_ends(self) -> bool:
@@ -178,28 +180,28 @@
     def _roster_entry(self, worker: WorkerState, link: WorkerLink) -> RosterEntry:
         is_lapsed = worker.is_lapsed and worker.is_silent
         if is_lapsed:
-            self._lapsed_names.add(link.life.name)
-        life = self._told_life(link)
-        profile = worker.profile._replace(worker_id=life.worker_id, leaves_in_s=None)
-        return RosterEntry(profile, link.address, life, is_lapsed)
+            self._lapsed_names.add(link.incarnation.name)
+        incarnation = self._told_incarnation(link)
+        profile = worker.profile._replace(worker_id=incarnation.worker_id, leaves_in_s=None)
+        return RosterEntry(profile, link.address, incarnation, is_lapsed)
 
     def _note_unanswered(self, link: WorkerLink) -> None:
-        """Note a life whose next one may carry out an acknowledgement that was meant for it, or an earlier one."""
-        name = link.life.name
+        """Note an incarnation whose next one may carry out an acknowledgement meant for it, or an earlier one."""
+        name = link.incarnation.name
         earlier = self._unanswered_by_name.pop(name, None)
         sent = [
-            _Unanswered(link.unanswered_at_s + _LATEST_S, is_known=True, life=link.life),
-            _Unanswered(link.inherited_at_s + _LATEST_S, is_known=False, life=link.life),
+            _Unanswered(link.unanswered_at_s + _LATEST_S, is_known=True, incarnation=link.incarnation),
+            _Unanswered(link.inherited_at_s + _LATEST_S, is_known=False, incarnation=link.incarnation),
         ]
         if earlier is not None:
-            sent.append(earlier._replace(life=link.life))
+            sent.append(earlier._replace(incarnation=link.incarnation))
         late = [each for each in sent if link.heard_at_s < each.until_s]
         if late:
             self._unanswered_by_name[name] = max(late, key=attrgetter('is_known', 'until_s'))
 
 
 class _Unanswered(NamedTuple):
-    """Until when an acknowledgement to a life of a worker may be carried out, after its end too.
+    """Until when an acknowledgement to an incarnation of a worker may be carried out, after its end too.
 
     Parameters
     ----------
@@ -207,10 +209,10 @@
         Until when, steady clock.
     is_known : bool
         Whether this owner sent it; else the one before may have.
-    life : WorkerLife
-        The last life that has ended.
+    incarnation : WorkerIncarnation
+        The last incarnation that has ended.
     """
 
     until_s: float
     is_known: bool
-    life: WorkerLife
+    incarnation: WorkerIncarnation
--- a/packages/node/dahliaarch_node/owner/tests/sessions.py
+++ b/packages/node/dahliaarch_node/owner/tests/sessions.py
@@ -2,10 +2,10 @@
 
 
 class Sessions:
-    """What a worker in memory needs for sessions with it: calls name the life and the fence."""
+    """What a worker in memory needs for sessions with it: calls name the incarnation and the fence."""
 
-    def session(self, address, life, fence):
-        return _Session(self, address, life.worker_id, fence)
+    def session(self, address, incarnation, fence):
+        return _Session(self, address, incarnation.worker_id, fence)
 
 
 class _Session:
--- a/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -16,7 +16,7 @@
 from dahliaarch_kernel.configuration import build_configuration, ConfigurationParts, ServiceSettings
 from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.workload import Resources, TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import Item, WORKERS_PREFIX
 
@@ -55,11 +55,11 @@
 
 def listed(worker_id, service):
     profile = WorkerProfile(worker_id, service, 'z', Resources(1, 1, 1), ())
-    return WorkerListed(profile, Address('127.0.0.1', 1), WorkerLife(worker_id))
+    return WorkerListed(profile, Address('127.0.0.1', 1), WorkerIncarnation(worker_id))
 
 
 def started(workers):
-    return {life for life, _ in workers.starts}
+    return {incarnation for incarnation, _ in workers.starts}
 
 
 def test_entries_that_can_not_be_read_leave_the_others():
--- a/packages/node/dahliaarch_node/owner/tests/test_lives.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -2,8 +2,8 @@
 
 A worker that crashed came back under the name that it had, before its entry lapsed. It counted its ends from one again,
 and the owner took in only those above the last number that it had read: a task that had ended ran again. What rests on
-a worker's memory (numbers of ends, orders that were taken, the highest fence, its clock) holds for a life, not for a
-name, and which life answers is told by its answers alone.
+a worker's memory (numbers of ends, orders that were taken, the highest fence, its clock) holds for an incarnation, not
+for a name, and which incarnation answers is told by its answers alone.
 """
 
 import time
@@ -16,7 +16,7 @@
 from dahliaarch_kernel.scheduler import EndKind, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import Resources, StepSpec, TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import Item
 from dahliaarch_platform.workers import (
@@ -36,15 +36,15 @@
 from .test_takeover import decode_job_record, is_ready, kept_job, KeptStore, LAST, NEW, take_over, worker_entry
 
 BIRTHS = (1_000, 2_000, 3_000)
-FIRST, SECOND, THIRD = (WorkerLife('w', born_ms) for born_ms in BIRTHS)
+FIRST, SECOND, THIRD = (WorkerIncarnation('w', born_ms) for born_ms in BIRTHS)
 TASK = TaskKey(LAST, 0, 0, 0)
 
 
 class RestartingWorker(Sessions):
-    """A worker whose lives answer one after the other; starts of a task are listed until it ends."""
+    """A worker whose incarnations answer one after the other; starts of a task are listed until it ends."""
 
     def __init__(self):
-        self.life = FIRST
+        self.incarnation = FIRST
         self.running = ()
         self.ends = []
         self.counted = 0
@@ -66,15 +66,15 @@
         self.done = []
         self.stopped = []
         self.stop_orders = 0
-        # Most runs at a time in a life that was told to stop one.
+        # Most runs at a time in an incarnation that was told to stop one.
         self.most_before_a_stop = 0
         self.started_at_s = 0.0
 
-    def start_again(self, life, running=(), held=0):
-        self.life, self.running, self.ends, self.counted, self.held = life, running, [], 0, held
+    def start_again(self, incarnation, running=(), held=0):
+        self.incarnation, self.running, self.ends, self.counted, self.held = incarnation, running, [], 0, held
 
     def end(self, kind):
-        """End what runs; ends are numbered from one in each life."""
+        """End what runs; ends are numbered from one in each incarnation."""
         for run in self.running:
             self._end(run, kind)
 
@@ -84,7 +84,7 @@
         if kind is EndKind.DONE:
             self.done.append(run.key)
         if self.counted > self.held:
-            self.ends.append(ListedEnd(self.counted, RunEnd(self.life.worker_id, run.key, run.run, kind)))
+            self.ends.append(ListedEnd(self.counted, RunEnd(self.incarnation.worker_id, run.key, run.run, kind)))
 
     async def survey(self, address, worker_id, *, fence, acknowledged, wait_s, **options):
         self._meet(worker_id)
@@ -97,7 +97,7 @@
         self.ends = [each for each in self.ends if each.number > acknowledged]
         await anyio.sleep(max(min(wait_s, 0.02), self.list_s))
         self._meet(worker_id)
-        return Survey(time.monotonic(), self.running, tuple(self.ends), self.life.born_ms)
+        return Survey(time.monotonic(), self.running, tuple(self.ends), self.incarnation.born_ms)
 
     async def start(self, address, worker_id, order, **options):
         self._meet(worker_id)
@@ -125,18 +125,18 @@
     def _meet(self, worker_id):
         if time.monotonic() < self.silent_until_s:
             raise WorkerUnreachableError('cut off')
-        if worker_id != self.life.worker_id:
-            raise WorkerReplacedError(worker_id, self.life)
+        if worker_id != self.incarnation.worker_id:
+            raise WorkerReplacedError(worker_id, self.incarnation)
 
 
-def entry_of(life, **changes):
-    fields = msgspec.json.decode(worker_entry(life.name).value) | {'born': life.born_ms} | changes
-    return worker_entry(life.name)._replace(value=msgspec.json.encode(fields))
+def entry_of(incarnation, **changes):
+    fields = msgspec.json.decode(worker_entry(incarnation.name).value) | {'born': incarnation.born_ms} | changes
+    return worker_entry(incarnation.name)._replace(value=msgspec.json.encode(fields))
 
 
-def listed(life, accelerators=8):
-    profile = WorkerProfile(life.worker_id, 'svc', 'z', Resources(64_000, 262_144, accelerators), ('a', 'r0'))
-    return WorkerListed(profile, Address('127.0.0.1', 1), life)
+def listed(incarnation, accelerators=8):
+    profile = WorkerProfile(incarnation.worker_id, 'svc', 'z', Resources(64_000, 262_144, accelerators), ('a', 'r0'))
+    return WorkerListed(profile, Address('127.0.0.1', 1), incarnation)
 
 
 def job(job_id=LAST):
@@ -176,12 +176,14 @@
     return lambda owner: owner.scheduler.job_by_id[job_id].phase == phase
 
 
-def knows(life):
-    return lambda owner: life.worker_id in owner.scheduler.worker_by_id
+def knows(incarnation):
+    return lambda owner: incarnation.worker_id in owner.scheduler.worker_by_id
 
 
-def runs_one(life):
-    return lambda owner: knows(life)(owner) and len(owner.scheduler.worker_by_id[life.worker_id].run_by_key) == 1
+def runs_one(incarnation):
+    return lambda owner: (
+        knows(incarnation)(owner) and len(owner.scheduler.worker_by_id[incarnation.worker_id].run_by_key) == 1
+    )
 
 
 def runs_on(worker):
@@ -201,7 +203,7 @@
 
 
 @pytest.mark.parametrize(('kind', 'phase'), [(EndKind.DONE, 'succeeded'), (EndKind.FAILED, 'running')])
-def test_ends_of_a_later_life_are_taken_in_once_each(kind, phase):
+def test_ends_of_a_later_incarnation_are_taken_in_once_each(kind, phase):
     worker = RestartingWorker()
     owner = play(
         worker,
@@ -217,7 +219,7 @@
     assert (step.done, len(step.failed_runs_by_index)) in [({0}, 0), (set(), 0), (set(), 1)]
 
 
-def test_nothing_is_acknowledged_to_a_life_that_it_has_not_told():
+def test_nothing_is_acknowledged_to_an_incarnation_that_it_has_not_told():
     worker = RestartingWorker()
     play(
         worker,
@@ -225,9 +227,12 @@
         (lambda owner: worker.end(EndKind.DONE), phase_is('succeeded')),
         (lambda owner: None, lambda owner: (FIRST.worker_id, 1) in worker.acknowledged),
         (lambda owner: worker.start_again(SECOND), knows(SECOND)),
-        (lambda owner: None, lambda owner: sum(life == SECOND.worker_id for life, _ in worker.acknowledged) > 5),
+        (
+            lambda owner: None,
+            lambda owner: sum(incarnation == SECOND.worker_id for incarnation, _ in worker.acknowledged) > 5,
+        ),
     )
-    assert {number for life, number in worker.acknowledged if life == SECOND.worker_id} == {0}
+    assert {number for incarnation, number in worker.acknowledged if incarnation == SECOND.worker_id} == {0}
 
 
 def test_what_was_acknowledged_is_not_acknowledged_again():
@@ -245,8 +250,8 @@
     ('failure', 'is_doubtful'),
     [(WorkerUnansweredError('silence'), True), (WorkerUnreachableError('cut off'), False), (None, False)],
 )
-def test_a_life_is_tried_while_it_may_have_been_told_to_forget_ends_of_its_own(failure, is_doubtful):
-    """An acknowledgement to the life before got no answer; one that was never sent costs the next life nothing."""
+def test_an_incarnation_is_tried_while_it_may_have_been_told_to_forget_ends_of_its_own(failure, is_doubtful):
+    """An acknowledgement to the incarnation before got no answer; one that was never sent costs the next nothing."""
     worker = RestartingWorker()
     worker.acknowledging_fails = failure
     play(
@@ -261,7 +266,7 @@
     assert len(worker.stopped) == is_doubtful
 
 
-def test_a_life_is_tried_for_an_acknowledgement_that_is_under_way_when_another_call_meets_it():
+def test_an_incarnation_is_tried_for_an_acknowledgement_that_is_under_way_when_another_call_meets_it():
     """The link was closed with the call, which did not count as one without an answer."""
     worker = RestartingWorker()
     worker.acknowledging_s = 60.0
@@ -285,7 +290,7 @@
 
 
 @pytest.mark.parametrize(('late_s', 'is_doubtful'), [(5.0, True), (0.3, False)])
-def test_a_life_is_not_tried_where_the_one_before_was_heard_until_no_acknowledgement_may_come(
+def test_an_incarnation_is_not_tried_where_the_one_before_was_heard_until_no_acknowledgement_may_come(
     late_s, is_doubtful, monkeypatch
 ):
     monkeypatch.setattr(registry, '_LATEST_S', late_s)
@@ -303,7 +308,7 @@
     assert len(worker.stopped) == is_doubtful
 
 
-def test_a_start_that_a_life_refuses_while_it_is_tried_is_not_stopped():
+def test_a_start_that_an_incarnation_refuses_while_it_is_tried_is_not_stopped():
     worker = RestartingWorker()
     worker.acknowledging_fails = WorkerUnansweredError('silence')
 
@@ -323,7 +328,7 @@
     assert worker.stop_orders == len(worker.stopped) == 1
 
 
-def test_a_life_gets_one_start_at_a_time_and_no_gang_member_before_it_lists_an_end():
+def test_an_incarnation_gets_one_start_at_a_time_and_no_gang_member_before_it_lists_an_end():
     worker = RestartingWorker()
     worker.acknowledging_fails = WorkerUnansweredError('silence')
     gang = kept_job('d' * 16, time.time(), StepSpec(2, Resources(1000, 1000, 1), 20.0, gang=True))
@@ -348,8 +353,8 @@
 
 
 @pytest.mark.parametrize('held', [0, 1, 3])
-def test_a_task_does_not_end_on_a_life_that_never_tells_of_that(held, monkeypatch):
-    """The life had carried out a late acknowledgement before it answered, and held on to it for good.
+def test_a_task_does_not_end_on_an_incarnation_that_never_tells_of_that(held, monkeypatch):
+    """The incarnation had carried out a late acknowledgement before it answered, and held on to it for good.
 
     Waiting until no such acknowledgement can come any more did not help: its ends were hidden all the same, and tasks
     that had ended well ran again.
@@ -372,21 +377,21 @@
 
 
 @pytest.mark.parametrize(('unanswered', 'is_awaited'), [(1, True), (0, False)])
-def test_a_task_whose_first_try_got_no_answer_waits_for_the_list_of_the_next_life(unanswered, is_awaited):
-    """The second was answered; the next life may carry out the first, and the task had started elsewhere."""
+def test_a_task_whose_first_try_got_no_answer_waits_for_the_list_of_the_next_incarnation(unanswered, is_awaited):
+    """The second was answered; the next incarnation may carry out the first, and the task had started elsewhere."""
     worker, idle = RestartingWorker(), RestartingWorker()
     worker.unanswered_tries = unanswered
-    idle.life = WorkerLife('x', 1_000)
+    idle.incarnation = WorkerIncarnation('x', 1_000)
 
     class Both(Sessions):
-        def session(self, address, life, fence):
-            return (worker if life.name == 'w' else idle).session(address, life, fence)
+        def session(self, address, incarnation, fence):
+            return (worker if incarnation.name == 'w' else idle).session(address, incarnation, fence)
 
     def start_again(owner):
         (run,) = worker.running
         worker.start_again(SECOND, (run,))
         worker.list_s = 0.6
-        owner.post(listed(idle.life))
+        owner.post(listed(idle.incarnation))
 
     play(
         Both(),
@@ -397,7 +402,7 @@
     assert bool(idle.starts) is not is_awaited
 
 
-def test_what_ran_in_an_earlier_life_is_over_at_once():
+def test_what_ran_in_an_earlier_incarnation_is_over_at_once():
     """No lease is waited for: nothing of it can run on."""
     worker = RestartingWorker()
     owner = play(
@@ -411,7 +416,7 @@
     assert FIRST.worker_id not in owner.scheduler.worker_by_id
 
 
-def test_a_life_gets_nothing_before_what_it_has_is_known():
+def test_an_incarnation_gets_nothing_before_what_it_has_is_known():
     """The one before had eight accelerators; this one has none."""
     worker = RestartingWorker()
     play(
@@ -424,7 +429,7 @@
     assert not worker.starts
 
 
-def test_a_late_entry_of_an_earlier_life_is_no_news_of_the_later_one():
+def test_a_late_entry_of_an_earlier_incarnation_is_no_news_of_the_later_one():
     worker = RestartingWorker()
     owner = play(
         worker,
@@ -437,10 +442,10 @@
     assert list(owner.scheduler.worker_by_id) == [SECOND.worker_id]
 
 
-def test_a_life_whose_clock_was_behind_when_it_began_is_the_later_one():
-    """What has answered last is the later life, whatever time it gives for its start."""
+def test_an_incarnation_whose_clock_was_behind_when_it_began_is_the_later_one():
+    """What has answered last is the later incarnation, whatever time it gives for its start."""
     worker = RestartingWorker()
-    worker.life = THIRD
+    worker.incarnation = THIRD
     play(
         worker,
         (lambda owner: worker.start_again(FIRST), knows(FIRST)),
@@ -451,7 +456,7 @@
     assert worker.starts == [(FIRST.worker_id, TASK)]
 
 
-def test_a_life_that_nobody_saw_changes_nothing():
+def test_an_incarnation_that_nobody_saw_changes_nothing():
     worker = RestartingWorker()
     owner = play(
         worker,
@@ -464,7 +469,7 @@
     assert list(owner.scheduler.worker_by_id) == [THIRD.worker_id]
 
 
-def test_an_entry_is_enough_where_the_life_before_answers_no_more():
+def test_an_entry_is_enough_where_the_incarnation_before_answers_no_more():
     """It fell silent and was given up; its entry is not written again once it has changed."""
     worker = RestartingWorker()
     play(
@@ -477,22 +482,22 @@
     assert worker.starts == [(SECOND.worker_id, TASK)]
 
 
-def test_orders_to_a_later_life_outrank_late_ones_to_the_earlier():
-    """A later life remembers no stop and no fence: what was meant for the one before would be carried out."""
+def test_orders_to_a_later_incarnation_outrank_late_ones_to_the_earlier():
+    """A later incarnation remembers no stop and no fence: what was meant for the one before would be carried out."""
     worker = RestartingWorker()
     play(worker, (lambda owner: worker.start_again(SECOND), lambda owner: SECOND.worker_id in dict(worker.fences)))
-    fence_by_life = dict(worker.fences)
-    assert fence_by_life[SECOND.worker_id] > fence_by_life[FIRST.worker_id]
+    fence_by_incarnation = dict(worker.fences)
+    assert fence_by_incarnation[SECOND.worker_id] > fence_by_incarnation[FIRST.worker_id]
 
 
-def roster(life):
-    entry = RosterEntry(listed(life).profile, Address('127.0.0.1', 1), life)
+def roster(incarnation):
+    entry = RosterEntry(listed(incarnation).profile, Address('127.0.0.1', 1), incarnation)
     return Item(f'{ROSTER_PREFIX}/0', encode([entry]), 1)
 
 
 @pytest.mark.parametrize('entries', [(), (entry_of(FIRST),), (entry_of(SECOND),)], ids=['none', 'earlier', 'later'])
-def test_a_new_owner_hears_the_life_that_answers_before_it_starts_earlier_work(entries):
-    """The owner before had started a task there, and knew the life before; its list of workers names that one."""
+def test_a_new_owner_hears_the_incarnation_that_answers_before_it_starts_earlier_work(entries):
+    """The owner before had started a task there, and its list of workers names the incarnation before."""
     worker = RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
     play(
@@ -505,27 +510,27 @@
     assert worker.running
 
 
-def test_earlier_work_waits_for_the_list_of_a_life_that_replaces_one():
-    """Its name was heard as soon as the life before was known to be over, and the task ran a second time elsewhere."""
+def test_earlier_work_waits_for_the_list_of_an_incarnation_that_replaces_one():
+    """Its name was heard as soon as the incarnation before was over, and the task ran a second time elsewhere."""
     worker, idle = RestartingWorker(), RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
     worker.list_s, worker.silent_until_s = 0.6, time.monotonic() + 0.8
-    idle.life = WorkerLife('x', 1_000)
+    idle.incarnation = WorkerIncarnation('x', 1_000)
 
     class Both(Sessions):
-        def session(self, address, life, fence):
-            return (worker if life.name == 'w' else idle).session(address, life, fence)
+        def session(self, address, incarnation, fence):
+            return (worker if incarnation.name == 'w' else idle).session(address, incarnation, fence)
 
     play(
         Both(),
         (lambda owner: None, runs_one(SECOND)),
-        items=[kept_job(LAST, time.time()), roster(FIRST), entry_of(idle.life)],
+        items=[kept_job(LAST, time.time()), roster(FIRST), entry_of(idle.incarnation)],
     )
     assert not idle.starts
 
 
 @pytest.mark.parametrize('held', [0, 2])
-def test_a_life_that_began_before_a_takeover_may_hold_on_to_an_acknowledgement_of_the_owner_before(held):
+def test_an_incarnation_that_began_before_a_takeover_may_hold_on_to_an_acknowledgement_of_the_owner_before(held):
     """The new owner does not know what the one before acknowledged without an answer."""
     worker = RestartingWorker()
     worker.start_again(SECOND, held=held)
@@ -542,13 +547,13 @@
     assert len(worker.stopped) == held + 1
 
 
-def test_a_life_that_has_not_listed_an_end_yet_is_told_to_the_next_owner_as_one_that_follows_another():
+def test_an_incarnation_that_has_not_listed_an_end_yet_is_told_to_the_next_owner_as_one_that_follows_another():
     worker = RestartingWorker()
     worker.acknowledging_fails = WorkerUnansweredError('silence')
     told = []
 
     def note_roster(owner):
-        told.append([entry.known_life for entry in owner._recorder.roster])
+        told.append([entry.known_incarnation for entry in owner._recorder.roster])
         return True
 
     play(
@@ -565,7 +570,7 @@
 
 
 def test_the_list_of_an_earlier_version_names_workers_alone():
-    profile = listed(WorkerLife('w')).profile
+    profile = listed(WorkerIncarnation('w')).profile
     earlier = Item(f'{ROSTER_PREFIX}/0', encode([(profile, Address('127.0.0.1', 1))]), 1)
     worker = RestartingWorker()
     play(worker, (lambda owner: owner.post(listed(FIRST)), knows(FIRST)), items=[earlier])
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -8,7 +8,7 @@
 from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.workload import Resources, TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
 
@@ -54,7 +54,7 @@
 
 def roster(worker_id, *, is_lapsed):
     profile = WorkerProfile(worker_id, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
-    entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerLife(worker_id), is_lapsed)
+    entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerIncarnation(worker_id), is_lapsed)
     return Item(roster_key(0), encode([entry]), 2)
 
 
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dahliaarch_kernel.scheduler import Lease
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import Survey, WorkerUnansweredError, WorkerUnreachableError
 
@@ -26,7 +26,7 @@
         self.failure = failure
         self.surveys = 0
 
-    async def survey(self, address, life, **order):
+    async def survey(self, address, incarnation, **order):
         self.surveys += 1
         if self.surveys == 1:
             return Survey(100.0, (), ())
@@ -63,7 +63,7 @@
             time.monotonic,
             StartTurns(anyio.Semaphore(8), anyio.Semaphore(8)),
         )
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), lease, context)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), lease, context)
         link.is_draining = is_draining
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
@@ -86,7 +86,7 @@
     after 0.30 s, `worker_unlisted`, `worker_over` 0.15 s later and `run_ordered` for
     the same tasks 1 ms after that. But it runs on until its lease ends, up to the
     longest lease after the last survey before it said that it leaves. Only that
-    end, or another life at its address, tells that nothing runs there.
+    end, or another incarnation at its address, tells that nothing runs there.
     """
     owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True)
     assert not owner.has_been_told(WorkerOver)
@@ -116,7 +116,7 @@
     def __init__(self, late_s):
         self.late_s = late_s
 
-    async def survey(self, address, life, *, wait_s, timeout_s, **order):
+    async def survey(self, address, incarnation, *, wait_s, timeout_s, **order):
         await anyio.sleep(min(wait_s + self.late_s, timeout_s))
         if wait_s + self.late_s > timeout_s:
             raise WorkerUnansweredError('late')
@@ -150,7 +150,7 @@
             time.monotonic,
             StartTurns(anyio.Semaphore(8), anyio.Semaphore(8)),
         )
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -9,7 +9,7 @@
 from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, SchedulerSettings, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import (
     CommitResult,
@@ -68,7 +68,7 @@
 
 def roster_of(*, is_lapsed):
     profile = WorkerProfile('w', 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
-    return [RosterEntry(profile, Address('127.0.0.1', 1), WorkerLife('w'), is_lapsed)]
+    return [RosterEntry(profile, Address('127.0.0.1', 1), WorkerIncarnation('w'), is_lapsed)]
 
 
 def recorder_of(store, scheduler, deposed, kept=lambda mark: None):
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -19,7 +19,7 @@
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_node.metrics import Metrics
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey, WorkerUnansweredError
 
@@ -69,7 +69,7 @@
 
 
 def link_to(worker):
-    return WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context_of(worker))
+    return WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context_of(worker))
 
 
 def play(worker, scenario, *, is_draining=False):
@@ -109,7 +109,7 @@
     async def scenario(link):
         begun_s, before = anyio.current_time(), worker.surveys
         await anyio.sleep(PLAYED_S)
-        # The lease is renewed three times in its life all the same.
+        # The lease is renewed three times in its duration all the same.
         assert (worker.surveys - before) * longest_s >= 2 * (anyio.current_time() - begun_s)
         assert worker.surveys - before <= 1 + 4 * PLAYED_S / longest_s
 
@@ -125,7 +125,7 @@
     async def run():
         turns = StartTurns(anyio.Semaphore(0), anyio.Semaphore(0))
         context = context_of(worker)._replace(turns=turns, post=told.append)
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
--- a/packages/node/dahliaarch_node/owner/tests/test_stops.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_stops.py
@@ -13,7 +13,7 @@
 from dahliaarch_kernel.scheduler import EndKind, Lease, StopRun
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey
 
@@ -37,7 +37,7 @@
         self.acknowledged = 0
         self.news = anyio.Event()
 
-    async def survey(self, address, life, *, acknowledged, wait_s, **order):
+    async def survey(self, address, incarnation, *, acknowledged, wait_s, **order):
         self.surveys += 1
         # What was acknowledged is forgotten for good.
         self.acknowledged = max(self.acknowledged, acknowledged)
@@ -52,7 +52,7 @@
         )
         return Survey(time.monotonic(), running, ends)
 
-    async def stop(self, address, life, key, run, fence, *, timeout_s):
+    async def stop(self, address, incarnation, key, run, fence, *, timeout_s):
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
     async def end(self, key):
@@ -76,7 +76,7 @@
 
     turns = StartTurns(anyio.Semaphore(8), anyio.Semaphore(8))
     context = LinkContext(worker, 7, LinkSettings(), Metrics(), post, lambda: None, time.monotonic, turns)
-    link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+    link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         await anyio.sleep(0.05)
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -45,13 +45,13 @@
         self.leases_at = []
         self.running = ()
 
-    async def survey(self, address, life, *, lease_until_s, **options):
+    async def survey(self, address, incarnation, *, lease_until_s, **options):
         if lease_until_s is not None:
             self.leases_at.append(time.monotonic())
         await anyio.sleep(0.05)
         return Survey(time.monotonic(), self.running, ())
 
-    async def start(self, address, life, order, **options):
+    async def start(self, address, incarnation, order, **options):
         self.starts.append(order.key)
         self.running += (RunSeen(order.key, order.run, '', 1.0),)
         return OrderReply(OrderStatus.DONE, time.monotonic())
@@ -203,7 +203,8 @@
 def test_an_owner_that_was_told_of_a_newer_one_is_replaced_for_good():
     """The instances that told it start again, know of no owner, and would confirm the first that they hear.
 
-    What they remembered held for a life of theirs; it did not come back. The owner had been told, and went on asking.
+    What they remembered held for an incarnation of theirs; it did not come back. The owner had been told, and went on
+    asking.
     """
     told = []
 
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -76,19 +76,19 @@
         self.starts = []
         self.silent_until_s = {}
 
-    async def survey(self, address, life, *, wait_s, **options):
-        self.surveys[life] += 1
-        if time.monotonic() < self.silent_until_s.get(life, 0.0):
+    async def survey(self, address, incarnation, *, wait_s, **options):
+        self.surveys[incarnation] += 1
+        if time.monotonic() < self.silent_until_s.get(incarnation, 0.0):
             raise WorkerUnreachableError('cut off')
-        if life not in self.running_by_id:
+        if incarnation not in self.running_by_id:
             await anyio.sleep(wait_s)
             return Survey(time.monotonic(), (), ())
-        if self.surveys[life] > 1:
+        if self.surveys[incarnation] > 1:
             raise WorkerUnreachableError('cut off')
-        return Survey(time.monotonic(), self.running_by_id[life], ())
+        return Survey(time.monotonic(), self.running_by_id[incarnation], ())
 
-    async def start(self, address, life, order, **options):
-        self.starts.append((life, order.key))
+    async def start(self, address, incarnation, order, **options):
+        self.starts.append((incarnation, order.key))
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
 
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -39,24 +39,24 @@
         self.starts = []
         self.running_by_id = {'w0': (), 'w1': ()}
 
-    async def survey(self, address, life, *, fence, wait_s, **options):
-        self._reach(life, fence)
+    async def survey(self, address, incarnation, *, fence, wait_s, **options):
+        self._reach(incarnation, fence)
         await anyio.sleep(min(wait_s, 0.05))
-        return Survey(time.monotonic(), self.running_by_id[life], ())
+        return Survey(time.monotonic(), self.running_by_id[incarnation], ())
 
-    async def start(self, address, life, order, *, fence, timeout_s):
-        self._reach(life, fence)
-        self.starts.append((life, order.key, fence))
-        self.running_by_id[life] += (RunSeen(order.key, order.run, '', 1.0),)
+    async def start(self, address, incarnation, order, *, fence, timeout_s):
+        self._reach(incarnation, fence)
+        self.starts.append((incarnation, order.key, fence))
+        self.running_by_id[incarnation] += (RunSeen(order.key, order.run, '', 1.0),)
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
-    async def stop(self, address, life, key, run, fence, *, timeout_s):
-        self._reach(life, fence)
+    async def stop(self, address, incarnation, key, run, fence, *, timeout_s):
+        self._reach(incarnation, fence)
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
     @staticmethod
-    def _reach(life, fence):
-        if life == 'w0' and fence >= fence_of(SUCCESSOR, 0):
+    def _reach(incarnation, fence):
+        if incarnation == 'w0' and fence >= fence_of(SUCCESSOR, 0):
             raise WorkerUnreachableError('cut off')
 
 
--- a/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
@@ -8,7 +8,7 @@
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_node.metrics import Metrics
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import OrderReply, OrderStatus, Survey, WorkerUnansweredError
 
@@ -103,7 +103,7 @@
     def _link(self, number, worker):
         settings = LinkSettings(hold_s=6.0)
         context = LinkContext(worker, 1, settings, Metrics(), self._post, lambda: None, anyio.current_time, self._turns)
-        return WorkerLink(WorkerLife(f'w{number}'), Address('h', 1), Lease(), context)
+        return WorkerLink(WorkerIncarnation(f'w{number}'), Address('h', 1), Lease(), context)
 
 
 def play(workers, scenario):
--- a/packages/node/dahliaarch_node/owner/unserved.py
+++ b/packages/node/dahliaarch_node/owner/unserved.py
@@ -19,7 +19,7 @@
 
     def sets_aside(self, message: WorkerListed) -> bool:
         """Set an entry aside, or tell that it is to be taken in."""
-        name = message.life.name
+        name = message.incarnation.name
         if self._services is None or message.profile.service in self._services:
             self.forget(name)
             return False
@@ -35,5 +35,5 @@
         self._services = services
         named = [message for message in self._listed_by_name.values() if message.profile.service in services]
         for message in named:
-            self.forget(message.life.name)
+            self.forget(message.incarnation.name)
         return named
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     lease_s : float
-        Life of the owner's lease: how long a dead owner goes unnoticed.
+        Duration of the owner's lease: how long a dead owner goes unnoticed.
     keep_every_s : float
         How often it is renewed; three renewals may be lost.
     claim_delay_s : float
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -10,7 +10,7 @@
 from dahliaarch_kernel.configuration import Queue
 from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.workload import JobSpec
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 
 OWNER_KEY = 'dahliaarch/owner'
@@ -41,7 +41,7 @@
 
 
 class RosterEntry(NamedTuple):
-    """A life of a worker that an owner has given orders to.
+    """An incarnation of a worker that an owner has given orders to.
 
     Workers' own entries lapse while the store is away; a new owner asks these
     what they run before it starts anything.
@@ -52,9 +52,9 @@
         What the worker published.
     address : Address
         Where it takes orders.
-    life : WorkerLife or None
-        Which life of it is meant; none in what earlier versions wrote, which knew
-        a life by the worker's name.
+    incarnation : WorkerIncarnation or None
+        Which incarnation of it is meant; none in what earlier versions wrote, which knew
+        an incarnation by the worker's name.
     is_lapsed : bool
         Whether its last lease has ended in silence: nothing runs there, and nothing
         is sent there before this is taken back.
@@ -62,13 +62,13 @@
 
     profile: WorkerProfile
     address: Address
-    life: WorkerLife | None = None
+    incarnation: WorkerIncarnation | None = None
     is_lapsed: bool = False
 
     @property
-    def known_life(self) -> WorkerLife:
-        """Which life of the worker is meant."""
-        return self.life or WorkerLife(self.profile.worker_id)
+    def known_incarnation(self) -> WorkerIncarnation:
+        """Which incarnation of the worker is meant."""
+        return self.incarnation or WorkerIncarnation(self.profile.worker_id)
 
 
 class Member(NamedTuple):
--- a/packages/node/dahliaarch_node/timing.py
+++ b/packages/node/dahliaarch_node/timing.py
@@ -14,7 +14,7 @@
         one was seen to take 60 times as long, 0.25 s, so this is well above.
     keep_s : float
         Longest wait for the renewal of a lease: two tries, and the pause before
-        them, fit into its life.
+        them, fit into its duration.
     write_s : float
         Longest wait for the owner's writes: ends wait for them, and a write
         that went unanswered is told from a lost one by its condition.
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -118,7 +118,7 @@
 
 
 class PlayedWorker:
-    """One life of a worker.
+    """One incarnation of a worker.
 
     Parameters
     ----------
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -141,7 +141,7 @@
 
     @property
     def log_paths(self) -> list[Path]:
-        """Logs of the instances, over all lives of their daemons."""
+        """Logs of the instances, over all incarnations of their daemons."""
         return [self._log_path(name) for name in self.names]
 
     def _log_path(self, name: str) -> Path:
@@ -219,8 +219,8 @@
         """Names of the instances whose daemons were launched and not killed."""
         return sorted(self._process_by_name)
 
-    def life(self, name: str) -> int:
-        """Return a number of the present life of an instance's daemon; 0 when it has none."""
+    def incarnation(self, name: str) -> int:
+        """Return a number of the present incarnation of an instance's daemon; 0 when it has none."""
         process = self._process_by_name.get(name)
         return 0 if process is None else process.pid
 
@@ -347,7 +347,7 @@
 
 
 def _keep_port(port: int) -> bool:
-    """Bind a port for as long as this process lives, unless somebody has; daemons may still bind it."""
+    """Bind a port for as long as this process runs, unless somebody has; daemons may still bind it."""
     keeper = socket.socket()
     try:
         keeper.bind((HOST, port))
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -1,10 +1,10 @@
 """Workers that crash and start again under the id that they had, against real daemons.
 
-A worker counts its ends from one in each life. The owner knew the number of the last end that it had read under the
-worker's id: it passed over ends up to it, and each of its questions told the worker to forget them. So the first ends
-of the later life were lost, and what had ended ran again. What settled it, in the owner's log of the first test on
-the code of then: the worker starts again with `ends_taken_in` 8, `ends_acknowledged` 8 and `ends_listed` [], and 2.5 s
-after `run_ordered` comes `run_lost` with `not listed`, though its worker was heard all the time.
+A worker counts its ends from one in each incarnation. The owner knew the number of the last end that it had read under
+the worker's id: it passed over ends up to it, and each of its questions told the worker to forget them. So the first
+ends of the later incarnation were lost, and what had ended ran again. What settled it, in the owner's log of the first
+test on the code of then: the worker starts again with `ends_taken_in` 8, `ends_acknowledged` 8 and `ends_listed` [],
+and 2.5 s after `run_ordered` comes `run_lost` with `not listed`, though its worker was heard all the time.
 """
 
 import time
@@ -71,8 +71,8 @@
     assert follow(running, job_id, most_starts=MOST_ATTEMPTS) == 'failed'
 
 
-def test_a_start_that_got_no_answer_is_not_carried_out_by_the_next_life(running):
-    """The next life remembers neither the stop that took the start back nor the owner that sent it."""
+def test_a_start_that_got_no_answer_is_not_carried_out_by_the_next_incarnation(running):
+    """The next incarnation remembers neither the stop that took the start back nor the owner that sent it."""
     running.submit(MANY_TASKS, '0.1')
     running.wait_for(running.job_ids[-1], 'succeeded')
     for worker in running.workers:
@@ -88,13 +88,13 @@
     assert not running.doubled()
 
 
-def test_an_acknowledgement_that_got_no_answer_does_not_cost_the_next_life_its_ends(running):
-    """It came to the next life before that had answered anybody: whatever ended there was forgotten unread.
+def test_an_acknowledgement_that_got_no_answer_does_not_cost_the_next_incarnation_its_ends(running):
+    """It came to the next incarnation before that had answered anybody: whatever ended there was forgotten unread.
 
-    Tasks that had ended well there ran again. A fence of its own protects a life only from its first answer on, so one
-    that begins while such an acknowledgement may still come gets nothing new. What settled it: in a soak (seed 8001)
-    `run_lost` with `not listed` 0.5 s after `run_ordered`, on a worker that had started again 5 s before while orders
-    to it were carried out late and answers took 0.4 s; in this test the worker passes over ends up to 8.
+    Tasks that had ended well there ran again. A fence of its own protects an incarnation only from its first answer on,
+    so one that begins while such an acknowledgement may still come gets nothing new. What settled it: in a soak (seed
+    8001) `run_lost` with `not listed` 0.5 s after `run_ordered`, on a worker that had started again 5 s before while
+    orders to it were carried out late and answers took 0.4 s; in this test the worker passes over ends up to 8.
     """
     worker = running.workers[0]
 
@@ -107,7 +107,7 @@
     running.wait_until(lambda: worker.faults.lost_share)
     running.sleep(0.2)
     worker.faults.observer, worker.faults.lost_share = None, 0.0
-    # The late acknowledgement overtakes the first question to the next life.
+    # The late acknowledgement overtakes the first question to the next incarnation.
     worker.faults.delay_s = 1.2
     running.portal.call(worker.start_again, 0.2)
     running.sleep(1.5)
@@ -129,7 +129,7 @@
 
 
 def test_the_next_owner_adopts_what_runs_on_workers_that_have_started_again(running):
-    """The list of workers that it inherits names their lives."""
+    """The list of workers that it inherits names their incarnations."""
     start_all_again(running)
     job_id = running.submit(PARALLEL, '6')
     running.wait_until(lambda: sum(start.task.startswith(job_id) for start in running.starts()) == 3)
--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -29,7 +29,7 @@
                 await anyio.sleep(0.01)
             worker.faults.lost_share, worker.faults.late_s = 1.0, 0.3
             with pytest.raises(CallUnansweredError):
-                await call(worker, '/run-start', start(fence=1), life='w0')
+                await call(worker, '/run-start', start(fence=1), incarnation='w0')
             worker.faults.lost_share = 0.0
             await meanwhile(worker)
             await anyio.sleep(0.5)
@@ -50,9 +50,9 @@
     assert starts_after(survey) == runs
 
 
-@pytest.mark.parametrize(('crashes', 'runs'), [(False, 1), (True, 0)], ids=['same life', 'another life'])
-def test_an_order_that_is_carried_out_late_is_not_by_another_life(crashes, runs):
-    """A start that was meant for a worker that had crashed began on its next life, while its task ran elsewhere."""
+@pytest.mark.parametrize(('crashes', 'runs'), [(False, 1), (True, 0)], ids=['same incarnation', 'another incarnation'])
+def test_an_order_that_is_carried_out_late_is_not_by_another_incarnation(crashes, runs):
+    """A start meant for a worker that had crashed began on its next incarnation, while its task ran elsewhere."""
 
     async def crash(worker):
         if crashes:
@@ -61,8 +61,8 @@
     assert starts_after(crash) == runs
 
 
-def test_an_order_that_is_carried_out_late_is_by_the_next_life_under_the_same_id():
-    """The id does not tell lives apart, and the later one remembers no fence."""
+def test_an_order_that_is_carried_out_late_is_by_the_next_incarnation_under_the_same_id():
+    """The id does not tell incarnations apart, and the later one remembers no fence."""
 
     async def start_again(worker):
         await call(worker, '/hold', {'Fence': 2, 'AckedUpto': 0})
@@ -119,8 +119,8 @@
     assert anyio.run(scenario)['Running'] == []
 
 
-async def call(worker, path, body, life=''):
-    headers = {'Expected-Instance': life}
+async def call(worker, path, body, incarnation=''):
+    headers = {'Expected-Instance': incarnation}
     encoded = msgspec.json.encode(body)
     reply = await HttpClient().call(worker.address, 'POST', path, encoded, timeout_s=0.1, headers=headers)
     return msgspec.json.decode(reply.body)
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -79,7 +79,7 @@
     incarnation: int = 0
 
 
-class _Life:
+class _Incarnation:
     """What a worker holds and knows since its start, and forgets when it crashes.
 
     Parameters
@@ -87,7 +87,7 @@
     now_s : float
         When it starts, by the clock of the whole machine.
     incarnation : int
-        Number of the life among those of its worker.
+        Number of the incarnation among those of its worker.
     """
 
     def __init__(self, now_s: float, incarnation: int = 0) -> None:
@@ -111,16 +111,16 @@
 
 
 class WorkerStandIn:
-    """A worker, through all of its lives.
+    """A worker, through all of its incarnations.
 
     Tasks take the time that their payload names in seconds; a payload that
     begins with ``fail`` fails, and one that begins with ``crash`` crashes the
-    worker, which is back a little later as another life.
+    worker, which is back a little later as another incarnation.
 
     Parameters
     ----------
     worker_id : str
-        Identifier that it publishes; a life may keep that of the life before.
+        Identifier that it publishes; an incarnation may keep that of the incarnation before.
     service : str
         Service that it belongs to.
     rack : str
@@ -168,7 +168,7 @@
         self._service = service
         self._rack = rack
         self._store = store
-        self._life = _Life(time.monotonic())
+        self._incarnation = _Incarnation(time.monotonic())
         self._news = anyio.Event()
         self._must_crash = False
         self._is_down = False
@@ -180,7 +180,7 @@
     @property
     def running(self) -> dict[str, int]:
         """Runs by task."""
-        return {task: run.number for task, run in self._life.run_by_task.items()}
+        return {task: run.number for task, run in self._incarnation.run_by_task.items()}
 
     async def run(self) -> None:
         """Serve, work and publish, until cancelled."""
@@ -200,7 +200,7 @@
         """Vanish without a word."""
         self._store.remove(f'servers/{self.worker_id}')
         self.server.close()
-        self._life.run_by_task.clear()
+        self._incarnation.run_by_task.clear()
 
     def cut_off(self) -> None:
         """Part it from the store and from all instances; its entry lapses and it runs on."""
@@ -226,8 +226,8 @@
             'State': 'draining' if self.is_draining else 'ready',
             'Capacity': {'Cpu': self.capacity[0], 'MemMb': self.capacity[1], 'Gpu': self.capacity[2]},
             'Labels': ['a', self._rack],
-            'ClockMs': int(self._life.clock_s() * _MS),
-            'born': self._life.born_ms,
+            'ClockMs': int(self._incarnation.clock_s() * _MS),
+            'born': self._incarnation.born_ms,
             'Seq': self._seq,
         }
         if self.is_draining:
@@ -236,27 +236,27 @@
 
     def break_off(self, numbers: Collection[int]) -> None:
         """End the runs of gangs, by number, of which a member has failed elsewhere."""
-        for run in tuple(self._life.run_by_task.values()):
+        for run in tuple(self._incarnation.run_by_task.values()):
             if run.number in numbers:
                 self._end(run, 'broken', time.monotonic())
 
     def _work(self, now_s: float) -> None:
-        life = self._life
-        lapsed = life.until_s and life.clock_s() > life.until_s
+        incarnation = self._incarnation
+        lapsed = incarnation.until_s and incarnation.clock_s() > incarnation.until_s
         if lapsed:
-            life.lapsed_at_s = now_s
-        for run in tuple(life.run_by_task.values()):
+            incarnation.lapsed_at_s = now_s
+        for run in tuple(incarnation.run_by_task.values()):
             how = 'lapsed' if lapsed else run.ended_how(now_s)
             if how:
                 self._end(run, how, now_s)
 
     def _end(self, run: _Run, how: str, now_s: float) -> None:
-        life = self._life
-        life.run_by_task.pop(run.task, None)
-        life.ends += 1
-        life.finished.append([life.ends, run.task, run.number, how, ''])
-        self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s, life.incarnation))
-        self._forget(life.acknowledged)
+        incarnation = self._incarnation
+        incarnation.run_by_task.pop(run.task, None)
+        incarnation.ends += 1
+        incarnation.finished.append([incarnation.ends, run.task, run.number, how, ''])
+        self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s, incarnation.incarnation))
+        self._forget(incarnation.acknowledged)
         news, self._news = self._news, anyio.Event()
         news.set()
 
@@ -271,7 +271,7 @@
             return await self.faults.lose()
         if self._is_fenced_off(body):
             return self._reply({'Reason': 'fence'}, 409)
-        self._life.fence = body.get('Fence', 0)
+        self._incarnation.fence = body.get('Fence', 0)
         is_lost = self.faults.loses(request.path)
         if is_lost and self.faults.late_s:
             if request.path == '/run-start':
@@ -286,12 +286,12 @@
         return await self.faults.lose() if is_lost or not self._is_meant(request) else response
 
     def _is_meant(self, request: Request) -> bool:
-        """Tell whether a call is meant for this life."""
+        """Tell whether a call is meant for this incarnation."""
         return request.header('expected-instance') in {'', self.worker_id}
 
     def _is_fenced_off(self, body: dict[str, Any]) -> bool:
         """Tell whether an order is of an older owner than another that came."""
-        return self.checks_fences and body.get('Fence', 0) < self._life.fence
+        return self.checks_fences and body.get('Fence', 0) < self._incarnation.fence
 
     async def _carry_out(self, path: str, body: dict[str, Any]) -> Response:
         if path == '/hold':
@@ -305,29 +305,31 @@
     async def _hold(self, body: dict[str, Any]) -> Response:
         self._extend(body)
         self._forget(body['AckedUpto'])
-        if not self._life.finished and body.get('WaitMs'):
+        if not self._incarnation.finished and body.get('WaitMs'):
             news = self._news
             with anyio.move_on_after(body['WaitMs'] / _MS):
                 await news.wait()
         now_s = time.monotonic()
-        running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._life.run_by_task.values()]
-        return self._reply({'born': self._life.born_ms, 'Running': running, 'Finished': self._life.finished[:500]})
+        running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._incarnation.run_by_task.values()]
+        return self._reply(
+            {'born': self._incarnation.born_ms, 'Running': running, 'Finished': self._incarnation.finished[:500]}
+        )
 
     def _forget(self, acknowledged: int) -> None:
         """Forget the ends that are acknowledged, also those that are yet to come under such numbers."""
-        life = self._life
-        life.acknowledged = max(life.acknowledged, acknowledged)
-        now = {self._noted(row[1], row[2]) for row in life.finished if row[0] <= life.acknowledged}
+        incarnation = self._incarnation
+        incarnation.acknowledged = max(incarnation.acknowledged, acknowledged)
+        now = {self._noted(row[1], row[2]) for row in incarnation.finished if row[0] <= incarnation.acknowledged}
         # An end counts as noted unless the lease has ended between the two.
-        lapsed = {self._noted(end.task, end.run) for end in self.ends if end.at_s <= life.lapsed_at_s}
+        lapsed = {self._noted(end.task, end.run) for end in self.ends if end.at_s <= incarnation.lapsed_at_s}
         self.noted.update(dict.fromkeys(now - lapsed, time.monotonic()))
-        life.finished = [row for row in life.finished if row[0] > life.acknowledged]
+        incarnation.finished = [row for row in incarnation.finished if row[0] > incarnation.acknowledged]
 
     def _noted(self, task: str, run: int) -> Noted:
-        return Noted(self.worker_id, task, run, self._life.incarnation)
+        return Noted(self.worker_id, task, run, self._incarnation.incarnation)
 
     def crash(self, worker_id: str) -> None:
-        """Lose everything and come back as another life at the same address."""
+        """Lose everything and come back as another incarnation at the same address."""
         self._lose_everything()
         if worker_id != self.worker_id:
             self._store.remove(f'servers/{self.worker_id}')
@@ -336,17 +338,19 @@
 
     def _lose_everything(self) -> None:
         now_s = time.monotonic()
-        for run in self._life.run_by_task.values():
-            self.ends.append(Ended(self.worker_id, run.task, run.number, 'crashed', now_s, self._life.incarnation))
-        self._begin_life()
+        for run in self._incarnation.run_by_task.values():
+            self.ends.append(
+                Ended(self.worker_id, run.task, run.number, 'crashed', now_s, self._incarnation.incarnation)
+            )
+        self._begin_incarnation()
 
-    def _begin_life(self) -> None:
-        self._life = _Life(time.monotonic(), self._life.incarnation + 1)
+    def _begin_incarnation(self) -> None:
+        self._incarnation = _Incarnation(time.monotonic(), self._incarnation.incarnation + 1)
 
     async def start_again(self, down_s: float = _DOWN_S) -> None:
         """Crash and come back under the same id, with the entry written again before it has lapsed.
 
-        Calls that were not answered yet may be carried out by the later life. One
+        Calls that were not answered yet may be carried out by the later incarnation. One
         that is down already stays so for as long as it was to.
         """
         if self._is_down:
@@ -354,7 +358,7 @@
         async with self._down():
             self._lose_everything()
             await anyio.sleep(down_s)
-            self._begin_life()
+            self._begin_incarnation()
         self.publish()
 
     async def _crash_and_return(self) -> None:
@@ -381,24 +385,24 @@
             await self.server.listen(self.address)
 
     def _start(self, body: dict[str, Any]) -> Response:
-        life, now_s = self._life, time.monotonic()
+        incarnation, now_s = self._incarnation, time.monotonic()
         task, number = body['Task'], body['Run']
-        known = life.run_by_task.get(task)
+        known = incarnation.run_by_task.get(task)
         if known is not None and known.number == number:
             return self._reply({})
-        if body['UntilMs'] / _MS <= life.clock_s():
+        if body['UntilMs'] / _MS <= incarnation.clock_s():
             return self._reply({'Reason': 'late'}, 409)
-        if self.checks_run_numbers and number <= life.highest_by_task.get(task, 0):
+        if self.checks_run_numbers and number <= incarnation.highest_by_task.get(task, 0):
             return self._reply({'Reason': 'old'}, 409)
         if self.policy is not None and not self._has_ticket(task, body):
             return self._reply({'Reason': 'ticket'}, 409)
         self._extend(body)
-        life.highest_by_task[task] = number
+        incarnation.highest_by_task[task] = number
         payload = body['Spec']
         work_s = -1.0 if self.fails_tasks or payload.startswith('fail') else float(payload.removeprefix(_CRASHING))
         self._must_crash = self._must_crash or payload.startswith(_CRASHING)
-        life.run_by_task[task] = _Run(task, number, work_s, now_s)
-        self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s, life.incarnation))
+        incarnation.run_by_task[task] = _Run(task, number, work_s, now_s)
+        self.starts.append(Started(self.worker_id, task, number, body.get('Fence', 0), now_s, incarnation.incarnation))
         return self._reply({})
 
     def _has_ticket(self, task: str, body: dict[str, Any]) -> bool:
@@ -408,16 +412,18 @@
 
     def _stop(self, body: dict[str, Any]) -> Response:
         task, number = body['Task'], body['Run']
-        life = self._life
-        run = life.run_by_task.get(task)
-        life.highest_by_task[task] = max(number, life.highest_by_task.get(task, 0))
+        incarnation = self._incarnation
+        run = incarnation.run_by_task.get(task)
+        incarnation.highest_by_task[task] = max(number, incarnation.highest_by_task.get(task, 0))
         if run is not None and run.number == number:
             run.stops_at_s = time.monotonic() + 0.1
         return self._reply({})
 
     def _extend(self, body: dict[str, Any]) -> None:
         asked_s = body.get('UntilMs', 0) / _MS
-        self._life.until_s = max(self._life.until_s, min(asked_s, self._life.clock_s() + self.max_hold_s))
+        self._incarnation.until_s = max(
+            self._incarnation.until_s, min(asked_s, self._incarnation.clock_s() + self.max_hold_s)
+        )
 
     def _reply(self, fields: dict[str, Any], status: int = 200) -> Response:
-        return Response(status, msgspec.json.encode({'ClockMs': int(self._life.clock_s() * _MS), **fields}))
+        return Response(status, msgspec.json.encode({'ClockMs': int(self._incarnation.clock_s() * _MS), **fields}))
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
@@ -26,7 +26,7 @@
 from dahliaarch_node.records import cancel_key, job_key, JobRecord, Member, OWNER_KEY
 from dahliaarch_node.timing import StoreTiming
 from dahliaarch_platform.http import HttpClient
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.sessions import WorkerClient
 from dahliaarch_platform.settings import Bounds, StoreSettings
 from dahliaarch_platform.store import StoreClient
@@ -112,7 +112,9 @@
                 lease_until_s = anyio.current_time() + 3.0
                 order = StartOrder(key, 1, '30', lease_until_s)
                 await (
-                    WorkerClient(HttpClient()).session(worker.address, WorkerLife('w0'), 0).start(order, timeout_s=1.0)
+                    WorkerClient(HttpClient())
+                    .session(worker.address, WorkerIncarnation('w0'), 0)
+                    .start(order, timeout_s=1.0)
                 )
                 await until_ready(owner, within_s=20)
                 assert not worker.ends
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -238,7 +238,7 @@
 
 @register
 async def crash_worker(system: System, fault: Fault, choice: random.Random) -> None:
-    """Let a worker lose all that it runs and come back as another life."""
+    """Let a worker lose all that it runs and come back as another incarnation."""
     system.crash_worker(choice.choice(system.deployment.workers))
 
 
--- a/packages/standins/dahliaarch_standins/soak/following.py
+++ b/packages/standins/dahliaarch_standins/soak/following.py
@@ -5,12 +5,12 @@
 
 - the newest one that had to be in force when the request was sent, if its
   instance was bound then (see `contact`); and
-- the oldest one that explains an earlier answer of the same life of its process.
+- the oldest one that explains an earlier answer of the same incarnation of its process.
 
 Versions that are newer than these are allowed up to the moment of the answer, so
 an instance that is ahead of a bound is never blamed. A request that is sent after
-an answer of the same life is handled after it, so no slack is needed for the
-second. Requests that meet no answer, another life or an instance without any
+an answer of the same incarnation is handled after it, so no slack is needed for the
+second. Requests that meet no answer, another incarnation or an instance without any
 configuration (503) tell nothing.
 """
 
@@ -38,8 +38,8 @@
     ----------
     name : str
         The instance.
-    life : int
-        The life of its process.
+    incarnation : int
+        The incarnation of its process.
     probe : Probe
         What was asked.
     status : int
@@ -51,7 +51,7 @@
     """
 
     name: str
-    life: int
+    incarnation: int
     probe: Probe
     status: int
     sent_s: float
@@ -79,8 +79,8 @@
         self._versions = versions
         self._contact = contact
         self._apply_s = apply_s
-        # Number of the oldest version that an instance's life may be at.
-        self._floor_by_life: dict[int, int] = defaultdict(int)
+        # Number of the oldest version that an instance's incarnation may be at.
+        self._floor_by_incarnation: dict[int, int] = defaultdict(int)
         self._blamed: set[tuple[str, int]] = set()
 
     def due(self, now_s: float) -> Version:
@@ -100,19 +100,21 @@
             due = self.due(answer.sent_s).number
             self.judged += 1
         shown = tuple(self._explaining(answer))
-        floor = self._floor_by_life[answer.life]
+        floor = self._floor_by_incarnation[answer.incarnation]
         for promise, oldest in (('a configuration is in force in time', due), ('no version goes back', floor)):
             if not any(number >= oldest for number in shown):
                 self._blame(promise, answer, oldest)
-        self._floor_by_life[answer.life] = min((number for number in shown if number >= floor), default=floor)
+        self._floor_by_incarnation[answer.incarnation] = min(
+            (number for number in shown if number >= floor), default=floor
+        )
 
     def _explaining(self, answer: Answer) -> Iterator[int]:
         return (each.number for each in self._versions if each.expected(answer.probe) == answer.status)
 
     def _blame(self, promise: str, answer: Answer, oldest: int) -> None:
-        if (promise, answer.life) in self._blamed:
+        if (promise, answer.incarnation) in self._blamed:
             return
-        self._blamed.add((promise, answer.life))
+        self._blamed.add((promise, answer.incarnation))
         written = next((each.acknowledged_s for each in self._versions if each.number == oldest), answer.sent_s)
         ago_s = answer.sent_s - written
         self.violations.append(
--- a/packages/standins/dahliaarch_standins/soak/probing.py
+++ b/packages/standins/dahliaarch_standins/soak/probing.py
@@ -21,8 +21,8 @@
     while True:
         await anyio.sleep(_EVERY_S)
         for probe in system.operator.draw_probes(choice, check.due(time.monotonic())):
-            life = system.deployment.life(name)
+            incarnation = system.deployment.incarnation(name)
             sent_s, wall_s = time.monotonic(), time.time()
             reply = await caller.call('GET', probe.path, key=probe.key, host=probe.host, timeout_s=_ANSWER_S)
-            if reply is not None and life and system.deployment.life(name) == life:
-                check.take(Answer(name, life, probe, reply.status, sent_s, wall_s))
+            if reply is not None and incarnation and system.deployment.incarnation(name) == incarnation:
+                check.take(Answer(name, incarnation, probe, reply.status, sent_s, wall_s))
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -73,7 +73,7 @@
         self.exits: list[str] = []
         # How often this process lagged.
         self.lags = 0
-        self._lives = itertools.count()
+        self._incarnations = itertools.count()
         self._busy: set[str] = set()
 
     @property
@@ -170,8 +170,8 @@
             self.deployment.signal(name, signal.SIGHUP)
 
     def crash_worker(self, worker: WorkerStandIn) -> None:
-        """Let a worker come back as another life."""
-        worker.crash(f'{worker.worker_id.split("-")[0]}-{next(self._lives)}')
+        """Let a worker come back as another incarnation."""
+        worker.crash(f'{worker.worker_id.split("-")[0]}-{next(self._incarnations)}')
 
     async def watch_processes(self) -> None:
         """Start daemons again that end by themselves, and note it, until cancelled."""
--- a/packages/standins/dahliaarch_standins/soak/tests/test_following.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_following.py
@@ -10,7 +10,7 @@
 
 TIME = 'a configuration is in force in time'
 BACK = 'no version goes back'
-LIFE = 7
+INCARNATION = 7
 
 
 def version(number, acknowledged_s, keys=(KEY,)):
@@ -27,9 +27,9 @@
         self.versions = [version(1, 0.0), version(2, 10.0, (KEY, OTHER_KEY))]
         self.check = FollowingCheck(self.versions, self.contact, APPLY_S)
 
-    def take(self, route, status, sent_s, key=KEY, life=LIFE):
+    def take(self, route, status, sent_s, key=KEY, incarnation=INCARNATION):
         before = len(self.check.violations)
-        self.check.take(Answer('a', life, Probe(route, key), status, sent_s))
+        self.check.take(Answer('a', incarnation, Probe(route, key), status, sent_s))
         return [each.promise for each in self.check.violations[before:]]
 
 
@@ -110,14 +110,14 @@
     assert judged.take('only-2', 404, 20.1 + CONTACT_S) == [TIME]
 
 
-def test_a_life_that_showed_a_version_does_not_go_back(judged):
+def test_an_incarnation_that_showed_a_version_does_not_go_back(judged):
     assert not judged.take('only-2', 400, 10.1)
     assert judged.take('only-1', 400, 10.2) == [BACK]
 
 
-def test_another_life_may_be_older(judged):
+def test_another_incarnation_may_be_older(judged):
     assert not judged.take('only-2', 400, 10.1)
-    assert not judged.take('only-1', 400, 10.2, life=LIFE + 1)
+    assert not judged.take('only-1', 400, 10.2, incarnation=INCARNATION + 1)
 
 
 def test_a_disturbed_instance_does_not_go_back_either(judged):
@@ -126,6 +126,6 @@
     assert judged.take('only-2', 404, 10.2) == [BACK]
 
 
-def test_a_life_is_blamed_once_for_each_promise(judged):
+def test_an_incarnation_is_blamed_once_for_each_promise(judged):
     found = itertools.chain.from_iterable(judged.take('only-2', 404, 20.0 + part / 10) for part in range(5))
     assert list(found) == [TIME]
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -52,11 +52,12 @@
     draw_settings(6019)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
     # The same under two, after a crash that fell between two owners.
     draw_settings(6021)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
-    # The stand-in of a worker let its next life carry out a late start that was meant for the life before.
+    # The stand-in of a worker let its next incarnation carry out a late start that was meant for the incarnation
+    # before.
     draw_settings(7002)._replace(kinds=_THIRD_KINDS, keeping_ids=0),
-    # A late acknowledgement was carried out by a worker's next life, which forgot ends that nobody had read.
+    # A late acknowledgement was carried out by a worker's next incarnation, which forgot ends that nobody had read.
     draw_settings(8001)._replace(kinds=_FOURTH_KINDS),
-    # Lives rested for acknowledgements that were never sent, so that jobs did not end in time.
+    # Incarnations rested for acknowledgements that were never sent, so that jobs did not end in time.
     draw_settings(9039)._replace(kinds=_FOURTH_KINDS),
 )
 NEW = draw_settings(1)
