Names: crash limit and isolated run for judged, guilty and trial

A task is failed by the crash limit, as by a back-off limit in Kubernetes; a suspect's next run is isolated; crashes are conclusive, or discounted where workers crashed together. The soak's check of versions counts checked answers. Crash is an array in the store, so kept crashes are read as before. No behaviour changes; tests change names only.

--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -6,7 +6,7 @@
 from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, StepKey, TaskKey
 from .clock import Moment
-from .crashes import judge, judge_kept, silent_worker_crashed, worker_answered, worker_crashed
+from .crashes import apply_crash_limit, check_kept_crashes, silent_worker_crashed, worker_answered, worker_crashed
 from .effects import Effect
 from .ends import take_in_end
 from .events import EndKind, LossCause, Note, RunEnd, RunSeen
@@ -100,7 +100,7 @@
         job.known_since_s = not_before_s
         if progress is not None:
             job.restore(progress)
-            judge_kept(job, now)
+            check_kept_crashes(job, now)
         self._state.job_by_id[spec.job_id] = job
         if not job.has_ended:
             self._state.active_job_by_id[spec.job_id] = job
@@ -256,7 +256,7 @@
         """Decide what to start and stop at this moment."""
         state = self._state
         expire_leases(state, now)
-        judge(state, now)
+        apply_crash_limit(state, now)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
         empty_leaving(state, now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -2,8 +2,8 @@
 
 A worker that dies says nothing of what killed it, and what ran beside the cause
 died as well. So a death counts against every task that was there, and those that
-it tells of are tried one at a time: a suspect starts on a worker of its own, or
-after a wait where no other suspect is on trial, and nothing starts beside it until
+it makes suspects run isolated, one at a time: a suspect starts on a worker of its own, or
+after a wait where no other suspect runs isolated, and nothing starts beside it until
 it has outlived its earlier runs. A worker that dies meanwhile counts against it alone.
 Workers that die together die of something else, unless one step had tasks on them: a
 task that had run there for a while is not suspected of it.
@@ -15,14 +15,14 @@
 from .clock import Moment
 from .events import TaskGivenUp
 from .job_state import JobPhase, JobState, StepState
-from .progress import Crash, is_suspect, OUTLIVED_S, telling
+from .progress import counted_crashes, Crash, is_suspect, OUTLIVED_S
 from .runs import Run
 from .state import Death, SchedulerState, SilentLoss
 from .workers import WorkerState
 
-# A task is given up after this many crashes if the last tells of it alone. Two are
+# A task is given up after this many crashes if the last is conclusive. Two are
 # enough to suspect it.
-_CRASHES_THAT_TELL = 3
+_CONCLUSIVE_CRASHES = 3
 # A task is given up after this many crashes, whatever ran beside it: users bear two
 # more starts once three workers have crashed, and one may be under way unknown.
 _MOST_CRASHES = 4
@@ -30,15 +30,15 @@
 # they are back, and known to be, some tenths apart.
 _TOGETHER_S = 2.0
 # So many other workers make it a crash of several.
-_OTHERS_THAT_EXCUSE = 2
-# Crashes that one task is excused for: it may be guilty of some of them all the same.
-_MOST_EXCUSED = 2
+_CORRELATED_OTHERS = 2
+# Crashes of one task that are discounted: it may have caused some of them all the same.
+_MOST_DISCOUNTED = 2
 # How long a suspect waits for a worker without other work, in seconds: its job must
 # not be held up by a pool that is never empty.
 _ALONE_WAIT_S = 2.0
 # Tasks that last are suspected only of deaths within this time of their start, in
 # seconds: in days of work they see many workers die.
-_LASTING_TELLS_S = 10.0
+_LASTING_COUNTS_S = 10.0
 # How long it is remembered what ran on a worker that fell silent for good, in
 # seconds: by then another incarnation answers at its address, or none ever will.
 _SILENCE_REMEMBERED_S = 120.0
@@ -92,42 +92,42 @@
     return now_s <= step.alone_until_s
 
 
-def trial_s(step: StepState) -> float:
+def isolation_s(step: StepState) -> float:
     """Return how long a suspect of a step must have run before others may start beside it, in seconds."""
     crashes = (crash for crashes in step.crashes_by_index.values() for crash in crashes)
     return OUTLIVED_S + max((crash.ran_s for crash in crashes), default=0.0)
 
 
-def outlived_trial(step: StepState, run: Run) -> None:
+def clear_suspect(step: StepState, run: Run) -> None:
     """Clear a suspect whose run has gone on for longer than those that its workers died under."""
-    if run.trial_s and not run.is_on_trial:
+    if run.isolation_s and not run.is_isolated:
         step.suspects.discard(run.key.task_index)
 
 
 def _crash_by_task(worker: WorkerState) -> dict[TaskKey, Crash]:
     runs = list(worker.run_by_key.values())
-    blamed = [run for run in runs if run.is_on_trial] or runs
+    blamed = [run for run in runs if run.is_isolated] or runs
     return {run.key: _crash(worker, run) for run in blamed}
 
 
 def _crash(worker: WorkerState, run: Run) -> Crash:
-    tells_of_it = run.is_on_trial or not worker.beside(run)
-    return Crash(run.number, worker.worker_id, run.ran_s, tells_of_it)
+    is_conclusive = run.is_isolated or not worker.beside(run)
+    return Crash(run.number, worker.worker_id, run.ran_s, is_conclusive)
 
 
-def judge_kept(job: JobState, now: Moment) -> None:
-    """Have a job judged of which an earlier owner kept too many crashes: it may have ended before it could."""
+def check_kept_crashes(job: JobState, now: Moment) -> None:
+    """Apply the crash limit to a job whose crashes an earlier owner kept: it may have ended before it could."""
     kept = (crashes for step in job.step_by_key.values() for crashes in step.crashes_by_index.values())
-    if any(_is_given_up(crashes) for crashes in kept):
-        job.judged_at_s = now.steady_s
+    if any(_is_over_crash_limit(crashes) for crashes in kept):
+        job.crash_limit_at_s = now.steady_s
 
 
-def judge(state: SchedulerState, now: Moment) -> None:
+def apply_crash_limit(state: SchedulerState, now: Moment) -> None:
     """Give up jobs with a task that too many workers crashed under, once it is known who crashed beside them."""
     for job in tuple(state.active_jobs()):
-        if job.judged_at_s is not None and job.judged_at_s <= now.steady_s:
-            job.judged_at_s = None
-            _give_up_guilty(state, job, now)
+        if job.crash_limit_at_s is not None and job.crash_limit_at_s <= now.steady_s:
+            job.crash_limit_at_s = None
+            _fail_over_crash_limit(state, job, now)
 
 
 def _note(state: SchedulerState, crash_by_task: dict[TaskKey, Crash], now: Moment) -> None:
@@ -135,25 +135,25 @@
     state.recent_deaths = [*recent, Death(now.steady_s, crash_by_task)]
     for key, crash in crash_by_task.items():
         _count(state, key, crash)
-    _excuse_those_together(state)
+    _discount_correlated(state)
     for each, latest in crash_by_task.items():
-        _call_to_account(state, each, latest, now)
+        _schedule_crash_limit(state, each, latest, now)
 
 
-def _excuse_those_together(state: SchedulerState) -> None:
-    """Excuse tasks that had run for a while on workers that crashed together with others."""
+def _discount_correlated(state: SchedulerState) -> None:
+    """Discount crashes of tasks that had run for a while on workers that crashed together with others."""
     for death in state.recent_deaths:
         for key, crash in death.crash_by_task.items():
-            if crash.ran_s >= OUTLIVED_S and _others(state.recent_deaths, death, key) >= _OTHERS_THAT_EXCUSE:
-                _excuse(state, key, crash)
+            if crash.ran_s >= OUTLIVED_S and _others(state.recent_deaths, death, key) >= _CORRELATED_OTHERS:
+                _discount(state, key, crash)
 
 
-def _excuse(state: SchedulerState, key: TaskKey, crash: Crash) -> None:
+def _discount(state: SchedulerState, key: TaskKey, crash: Crash) -> None:
     step = state.step_of(key)
     if step is None:
         return
     crashes = step.crashes_by_index.get(key.task_index, ())
-    if sum(each.with_others for each in crashes) < _MOST_EXCUSED and step.excuse(key.task_index, crash.run):
+    if sum(each.with_others for each in crashes) < _MOST_DISCOUNTED and step.discount_crash(key.task_index, crash.run):
         state.dirty_jobs.add(key.job_id)
 
 
@@ -168,7 +168,7 @@
     """Tell whether a crash says anything of a task that may still be given up."""
     if step.job.has_ended or key.task_index in step.done:
         return False
-    return not step.spec.lasting or crash.ran_s <= _LASTING_TELLS_S
+    return not step.spec.lasting or crash.ran_s <= _LASTING_COUNTS_S
 
 
 def _count(state: SchedulerState, key: TaskKey, crash: Crash) -> None:
@@ -181,25 +181,25 @@
         step.suspects.add(key.task_index)
 
 
-def _call_to_account(state: SchedulerState, key: TaskKey, crash: Crash, now: Moment) -> None:
-    """Have a task judged that has too many crashes."""
+def _schedule_crash_limit(state: SchedulerState, key: TaskKey, crash: Crash, now: Moment) -> None:
+    """Apply the crash limit, at once or a little later, to a task that is over it."""
     step = state.step_of(key)
-    if step is not None and _is_given_up(step.crashes_by_index.get(key.task_index, ())):
-        # Who crashed beside it may not be known yet; that excuses no crash soon after a start.
-        step.job.judged_at_s = now.steady_s + (0.0 if crash.ran_s < OUTLIVED_S else _TOGETHER_S)
+    if step is not None and _is_over_crash_limit(step.crashes_by_index.get(key.task_index, ())):
+        # Who crashed beside it may not be known yet; no crash soon after a start is discounted.
+        step.job.crash_limit_at_s = now.steady_s + (0.0 if crash.ran_s < OUTLIVED_S else _TOGETHER_S)
 
 
-def _give_up_guilty(state: SchedulerState, job: JobState, now: Moment) -> None:
+def _fail_over_crash_limit(state: SchedulerState, job: JobState, now: Moment) -> None:
     for step in job.step_by_key.values():
         for index, crashes in step.crashes_by_index.items():
-            if index not in step.done and _is_given_up(crashes):
+            if index not in step.done and _is_over_crash_limit(crashes):
                 state.notes.append(TaskGivenUp(step.key(index), tuple(each.worker_id for each in crashes)))
                 state.end_job(job, JobPhase.FAILED, now.wall_s, 'job failed: its task crashes workers')
                 return
 
 
-def _is_given_up(crashes: Sequence[Crash]) -> bool:
-    counted = telling(crashes)
+def _is_over_crash_limit(crashes: Sequence[Crash]) -> bool:
+    counted = counted_crashes(crashes)
     if len(counted) >= _MOST_CRASHES:
         return True
-    return len(counted) >= _CRASHES_THAT_TELL and counted[-1].tells_of_it
+    return len(counted) >= _CONCLUSIVE_CRASHES and counted[-1].is_conclusive
--- a/packages/kernel/dahliaarch_kernel/scheduler/gates.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/gates.py
@@ -9,7 +9,7 @@
 
 def job_gate(job: JobState, now: Moment) -> WaitReason | None:
     """Return why no task of a job may start now, if none may."""
-    if job.judged_at_s is not None:
+    if job.crash_limit_at_s is not None:
         return WaitReason.CRASH_REVIEW
     if job.known_since_s > now.steady_s:
         return WaitReason.PREVIOUS_OWNER
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -61,16 +61,16 @@
 def watch_progress(state: SchedulerState, now: Moment) -> None:
     """Move runs that stand still, and note which workers are slow: those are used last.
 
-    A worker is judged once after each of its surveys: nothing else tells.
+    A worker is assessed once after each of its surveys: nothing else tells.
     """
     surveyed, state.surveyed_workers = state.surveyed_workers, set()
     for worker_id in sorted(surveyed):
         worker = state.worker_by_id.get(worker_id)
         if worker is not None and not worker.is_silent:
-            _judge(state, worker, now)
+            _assess(state, worker, now)
 
 
-def _judge(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
+def _assess(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     evidence_by_run = {run: _evidence(state, run) for run in worker.run_by_key.values()}
     own = [each for run, each in evidence_by_run.items() if each is not None and not _is_spread(state, run)]
     worker.slowness = _slowness(own)
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -103,7 +103,7 @@
         # the store away, three owners in turn gave a task six.
         self.job.has_unkept_crashes = self.job.has_unkept_crashes or is_suspect(crashes)
 
-    def excuse(self, index: int, run: int) -> bool:
+    def discount_crash(self, index: int, run: int) -> bool:
         """Record that the crash under a run said nothing of its task; tell whether that is news."""
         crashes = self.crashes_by_index.get(index, [])
         for number, crash in enumerate(crashes):
@@ -170,7 +170,7 @@
         # Whether crashes of workers were counted that a next owner would not know of.
         self.has_unkept_crashes = False
         # Until when it is not decided whether one of its tasks is given up, steady clock.
-        self.judged_at_s: float | None = None
+        self.crash_limit_at_s: float | None = None
         self.is_end_kept = False
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -6,7 +6,7 @@
 from .advice import Advice
 from .claims import Claim
 from .clock import Moment
-from .crashes import suspects, trial_s, waits_for_own_place
+from .crashes import isolation_s, suspects, waits_for_own_place
 from .effects import AskAdvice
 from .gates import job_gate, step_gate
 from .job_state import StepState
@@ -108,12 +108,12 @@
         if others:
             yield self._request(step, rank, others)
         if suspected:
-            yield self._request(step, rank, suspected)._replace(trial_s=trial_s(step))
+            yield self._request(step, rank, suspected)._replace(isolation_s=isolation_s(step))
 
     def _may_find_room(self, request: Request) -> bool:
         """Tell whether a step is worth considering in this pass."""
         step = request.step
-        if request.trial_s:
+        if request.isolation_s:
             return True
         if self._is_full or not step.was_considered or self._claims.has(step):
             return True
@@ -139,7 +139,7 @@
     def _consider(self, request: Request) -> None:
         """Start what finds room; else stop others for it, or keep room."""
         step = request.step
-        if request.trial_s and waits_for_own_place(step, self._now.steady_s):
+        if request.isolation_s and waits_for_own_place(step, self._now.steady_s):
             self._start_alone(request)
             return
         step.was_considered = True
@@ -232,7 +232,7 @@
         """
         step = request.step
         spec = step.spec
-        own_reasons = (spec.max_per_worker, step.failed_on, step.advice, request.trial_s, request.is_overdue)
+        own_reasons = (spec.max_per_worker, step.failed_on, step.advice, request.isolation_s, request.is_overdue)
         is_special = any(own_reasons) or self._claims.has(step)
         return Signature(
             effective_demand(step),
@@ -262,11 +262,11 @@
                 work_s = request.work_s * run_slowdown
                 run = Run(step.key(index), number, spot.worker.worker_id, demand, self._now.steady_s, work_s)
                 run.rank = request.rank
-                run.trial_s = request.trial_s
+                run.isolation_s = request.isolation_s
                 run.slowdown = run_slowdown
                 self._state.start(step, index, run)
                 self._room.take(spot.worker, demand)
-            if request.trial_s:
+            if request.isolation_s:
                 self._room.close(spot.worker)
         step.alone_until_s = None
         self._forget_claim(step)
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -65,7 +65,7 @@
         Where the step stands, its rank included.
     indices : tuple of int
         The tasks, the first first.
-    trial_s : float
+    isolation_s : float
         How long they must have run before others may start beside them; 0 unless
         workers crashed under them.
     is_overdue : bool
@@ -82,7 +82,7 @@
     policy: Policy
     standing: Standing
     indices: tuple[int, ...] = ()
-    trial_s: float = 0.0
+    isolation_s: float = 0.0
     is_overdue: bool = False
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -20,8 +20,8 @@
         Incarnation of the worker.
     ran_s : float
         How long the run was known to run, in seconds.
-    tells_of_it : bool
-        Whether no other job ran there, or none but the task was on trial.
+    is_conclusive : bool
+        Whether no other job ran there, or none but the task was isolated.
     with_others : bool
         Whether other workers, without this task's step, crashed at about that time:
         then it says nothing of the task.
@@ -30,18 +30,18 @@
     run: int
     worker_id: str
     ran_s: float
-    tells_of_it: bool
+    is_conclusive: bool
     with_others: bool = False
 
 
-def telling(crashes: Sequence[Crash]) -> list[Crash]:
+def counted_crashes(crashes: Sequence[Crash]) -> list[Crash]:
     """Return the crashes that say something of their task."""
     return [crash for crash in crashes if not crash.with_others]
 
 
 def is_suspect(crashes: Sequence[Crash]) -> bool:
     """Tell whether crashes under a task make it a suspect: two, or one soon after its start."""
-    counted = telling(crashes)
+    counted = counted_crashes(crashes)
     return len(counted) > 1 or any(crash.ran_s < OUTLIVED_S for crash in counted)
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -42,7 +42,7 @@
     report_span_s, report_gain : float
         Time between the last two reports of progress that lie apart far enough
         to tell, and the percent done in it.
-    trial_s : float
+    isolation_s : float
         How long it must have run before others may start beside it; 0 unless
         workers crashed under its task.
     is_confirmed : bool
@@ -53,7 +53,7 @@
     __slots__ = (
         '_mark_percent',
         '_mark_s',
-        'trial_s',
+        'isolation_s',
         'began_from_checkpoint',
         'checkpoint',
         'demand',
@@ -95,7 +95,7 @@
         self.began_from_checkpoint = False
         self.has_told_pace = False
         self.is_confirmed = False
-        self.trial_s = 0.0
+        self.isolation_s = 0.0
         self.slowdown = 1.0
         self.percent = 0.0
         self.moved_s = started_s
@@ -112,9 +112,9 @@
         return self.seen_s - self.started_s
 
     @property
-    def is_on_trial(self) -> bool:
+    def is_isolated(self) -> bool:
         """Whether workers crashed under its task, and it has not gone on for longer yet."""
-        return self.trial_s > 0 and self.ran_s <= self.trial_s
+        return self.isolation_s > 0 and self.ran_s <= self.isolation_s
 
     def went_on(self) -> None:
         """Note that it did not begin at the beginning of its work, or not when it was noted."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -42,7 +42,7 @@
     def _lacks(self, request: Request) -> WaitReason:
         """Return what a step that may start found no place for."""
         step = request.step
-        if request.trial_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
+        if request.isolation_s and step.alone_until_s is not None and self._now.steady_s <= step.alone_until_s:
             return WaitReason.ISOLATION
         if place(request, self._unreserved_room).task_count:
             return WaitReason.RESERVED
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from .clock import Moment
-from .crashes import outlived_trial
+from .crashes import clear_suspect
 from .ends import take_in_end
 from .events import EndKind, LossCause, RunEnd, RunSeen
 from .learning import observe_pace
@@ -67,7 +67,7 @@
     run.saw_progress(seen.percent, now.steady_s)
     step = state.step_of(run.key)
     if step is not None:
-        outlived_trial(step, run)
+        clear_suspect(step, run)
         observe_pace(step, run, worker, now.steady_s - run.started_s, seen.percent / _WHOLE)
     if seen.checkpoint:
         run.checkpoint = seen.checkpoint
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
@@ -18,7 +18,7 @@
 from .pool import PATIENT, Pool, task, URGENT
 
 A, B = 'a' * 16, 'b' * 16
-GUILTY = TaskKey(A, 0, 0, 0)
+CRASHING = TaskKey(A, 0, 0, 0)
 # Starts of a task that crashes workers which its users bear: three that tell, two more.
 MOST_STARTS = 5
 
@@ -61,7 +61,7 @@
     for number in range(28):
         pool.submit(f'{number:016x}', task(1, work_s=30.0), queue=PATIENT)
     pool.submit(A, task(1, work_s=8.0), queue=queue)
-    assert crashes_under(pool, GUILTY, most=160, ran_s=ran_s) <= MOST_STARTS
+    assert crashes_under(pool, CRASHING, most=160, ran_s=ran_s) <= MOST_STARTS
     assert phase(pool) == 'failed'
     assert all(phase(pool, f'{number:016x}') != 'failed' for number in range(28))
 
@@ -86,9 +86,9 @@
     for job_id in ('c' * 16, 'd' * 16):
         pool.submit(job_id, task(1, accelerators=7, work_s=60.0))
     pool.submit(A, task(1))
-    pool.crash(next(effect.worker_id for effect in pool.step() if effect.key == GUILTY))
+    pool.crash(next(effect.worker_id for effect in pool.step() if effect.key == CRASHING))
     pool.keep_progress()
-    waited = [bool(starts_of(pool.step(0.5), GUILTY)) for _ in range(6)]
+    waited = [bool(starts_of(pool.step(0.5), CRASHING)) for _ in range(6)]
     assert any(waited)
 
 
@@ -112,12 +112,12 @@
 def test_the_count_outlasts_the_owner():
     first = Pool()
     first.submit(A, task(1))
-    assert crashes_under(first, GUILTY, most=2) == 2
+    assert crashes_under(first, CRASHING, most=2) == 2
     heir = Pool(epoch=9)
     heir.spec_by_id = first.spec_by_id
     kept = first.scheduler.job_by_id[A]
     heir.scheduler.add_job(kept.spec, kept.queue, heir.now, progress=kept.progress())
-    assert crashes_under(heir, GUILTY) == 1
+    assert crashes_under(heir, CRASHING) == 1
     assert phase(heir) == 'failed'
 
 
@@ -125,7 +125,7 @@
     first = Pool()
     first.submit(A, task(1, work_s=8.0))
     for _ in range(3):
-        (start,) = starts_of(first.step(0.5), GUILTY)
+        (start,) = starts_of(first.step(0.5), CRASHING)
         first.now_s += 2.0
         first.survey(start.worker_id)
         first.crash(start.worker_id)
@@ -203,7 +203,7 @@
     pool = Pool(workers=12)
     pool.submit(A, task(1, work_s=20.0))
     for _ in range(6):
-        worker_id = starts_of(pool.step(0.1), GUILTY)[0].worker_id
+        worker_id = starts_of(pool.step(0.1), CRASHING)[0].worker_id
         pool.add_worker(worker_id, 'r0', draining=True, leaves_in_s=1.0)
         pool.crash(worker_id)
     assert not pool.scheduler.job_by_id[A].step_by_key[0, 0].crashes_by_index
@@ -212,25 +212,25 @@
 def test_a_task_that_lasts_is_not_given_up_for_the_deaths_that_it_sees_while_it_runs():
     pool = Pool()
     pool.submit(A, task(1, lasting=True))
-    assert crashes_under(pool, GUILTY, ran_s=60.0) == 12
+    assert crashes_under(pool, CRASHING, ran_s=60.0) == 12
     assert phase(pool) == 'running'
 
 
 def test_a_task_that_lasts_is_given_up_when_it_crashes_workers_as_it_starts():
     pool = Pool()
     pool.submit(A, task(1, lasting=True))
-    assert crashes_under(pool, GUILTY) == 3
+    assert crashes_under(pool, CRASHING) == 3
     assert phase(pool) == 'failed'
 
 
 def play_crashes(seed, share=0.0, wave=0.0):
-    """Play a minute with guilty tasks, and workers that die by themselves; return starts of the guilty and who failed.
+    """Play a minute with crashing tasks, and workers that die by themselves; return their starts and who failed.
 
     A share of the workers dies each ten seconds for other reasons, and another share all at once each four seconds.
     """
     luck = random.Random(seed)
     pool = Pool(workers=16)
-    guilty = set()
+    crashing = set()
     starts_by_key = {}
     for tick in range(240):
         if tick % 4 == 0 and tick < 160:
@@ -238,11 +238,11 @@
             step = task(luck.randint(1, 6), accelerators=luck.choice((1, 2, 8)), work_s=luck.uniform(2.0, 9.0))
             pool.submit(job_id, step._replace(gang=luck.random() < 0.3), queue=luck.choice((URGENT, PATIENT)))
             if luck.random() < 0.15:
-                guilty.add(TaskKey(job_id, 0, 0, luck.randrange(step.task_count)))
+                crashing.add(TaskKey(job_id, 0, 0, luck.randrange(step.task_count)))
         started = [effect for effect in pool.step(0.25) if isinstance(effect, StartRun)]
         for effect in started:
             starts_by_key[effect.key] = starts_by_key.get(effect.key, 0) + 1
-        dead = {effect.worker_id for effect in started if effect.key in guilty}
+        dead = {effect.worker_id for effect in started if effect.key in crashing}
         dead |= {worker_id for worker_id in pool.profiles if luck.random() < share / 40.0}
         if wave and tick % 16 == 15:
             dead |= set(luck.sample(sorted(pool.profiles), int(wave * len(pool.profiles))))
@@ -258,29 +258,29 @@
         pool.finish_stops()
         pool.keep_progress()
     failed = {job_id for job_id in pool.spec_by_id if phase(pool, job_id) == 'failed'}
-    most = max((starts_by_key.get(key, 0) for key in guilty), default=0)
-    return most, failed - {key.job_id for key in guilty}, len(pool.spec_by_id)
+    most = max((starts_by_key.get(key, 0) for key in crashing), default=0)
+    return most, failed - {key.job_id for key in crashing}, len(pool.spec_by_id)
 
 
 @pytest.mark.parametrize('seed', range(12))
-def test_no_innocent_job_is_given_up_beside_guilty_ones(seed):
-    most, innocent, _ = play_crashes(seed)
+def test_no_unrelated_job_is_given_up_beside_crashing_ones(seed):
+    most, unrelated, _ = play_crashes(seed)
     assert most <= MOST_STARTS
-    assert not innocent
+    assert not unrelated
 
 
-def test_few_innocent_jobs_are_given_up_where_workers_also_die_by_themselves():
+def test_few_unrelated_jobs_are_given_up_where_workers_also_die_by_themselves():
     """A fifth of the workers dies each ten seconds: of a hundred jobs at most one is given up for it."""
     given_up = jobs = 0
     for seed in range(100, 115):
-        most, innocent, all_jobs = play_crashes(seed, share=0.2)
+        most, unrelated, all_jobs = play_crashes(seed, share=0.2)
         assert most <= MOST_STARTS
-        given_up += len(innocent)
+        given_up += len(unrelated)
         jobs += all_jobs
     assert given_up <= jobs / 100
 
 
-def test_few_innocent_jobs_are_given_up_where_workers_crash_together():
+def test_few_unrelated_jobs_are_given_up_where_workers_crash_together():
     """Of sixty jobs on workers a third of which crashed each four seconds, two to six were shown as failed.
 
     Three workers had crashed under a task of each, by nobody's fault: it had run for seconds, and seven other workers
@@ -288,14 +288,14 @@
     """
     given_up = jobs = 0
     for seed in range(200, 215):
-        most, innocent, all_jobs = play_crashes(seed, wave=0.33)
+        most, unrelated, all_jobs = play_crashes(seed, wave=0.33)
         assert most <= MOST_STARTS
-        given_up += len(innocent)
+        given_up += len(unrelated)
         jobs += all_jobs
     assert given_up <= jobs / 100
 
 
-def test_a_step_whose_tasks_crash_their_workers_together_is_not_excused():
+def test_a_step_whose_tasks_crash_their_workers_together_is_not_discounted():
     pool = Pool(workers=12)
     pool.submit(A, task(4, accelerators=8, work_s=9.0))
     for _ in range(12):
@@ -310,13 +310,13 @@
     assert max(len(crashes) for crashes in pool.scheduler.job_by_id[A].step_by_key[0, 0].crashes_by_index.values()) <= 4
 
 
-def test_a_task_is_excused_twice_at_most():
-    """It may be guilty of some of the crashes that come together with others."""
+def test_crashes_of_a_task_are_discounted_twice_at_most():
+    """It may have caused some of the crashes that come together with others."""
     pool = Pool(workers=12)
     pool.submit(A, task(1, work_s=30.0))
     starts = 0
     for _ in range(12):
-        for effect in starts_of(pool.step(0.5), GUILTY):
+        for effect in starts_of(pool.step(0.5), CRASHING):
             starts += 1
             pool.now_s += 3.0
             pool.survey(effect.worker_id)
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -184,7 +184,7 @@
     def add_run(self, run: Run) -> None:
         """Let a run hold its demand."""
         self.run_by_key[run.key] = run
-        if run.trial_s:
+        if run.isolation_s:
             self._suspects.append(run)
         self.used = self.used.plus(run.demand)
 
@@ -193,7 +193,7 @@
         if self.run_by_key.get(run.key) is run:
             del self.run_by_key[run.key]
             self.used = self.used.minus(run.demand)
-            if run.trial_s:
+            if run.isolation_s:
                 self._suspects.remove(run)
 
     def beside(self, run: Run) -> int:
@@ -210,12 +210,12 @@
         if not self.is_described or not self.has_readable_entry or self.profile.draining:
             return False
         is_in_touch = self.is_surveyed and not self.is_silent
-        return is_in_touch and not self.is_lapsed and not self.has_trial
+        return is_in_touch and not self.is_lapsed and not self.has_isolated_run
 
     @property
-    def has_trial(self) -> bool:
-        """Whether a run is on trial here: nothing starts beside it."""
-        return any(run.is_on_trial for run in self._suspects)
+    def has_isolated_run(self) -> bool:
+        """Whether an isolated run is here: nothing starts beside it."""
+        return any(run.is_isolated for run in self._suspects)
 
 
 def by_rack(workers: list[WorkerState]) -> dict[str, list[WorkerState]]:
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -71,7 +71,7 @@
         Jobs.
     versions : int
         Versions of the configuration.
-    judged : int
+    checked : int
         Answers of instances in touch that were held against them.
     lags : int
         How often this process lagged, which hides what instances do.
@@ -87,7 +87,7 @@
     accepted: int
     refused: int
     versions: int
-    judged: int
+    checked: int
     lags: int
     violations: tuple[Violation, ...]
     report: str = ''
@@ -180,7 +180,7 @@
         sum(each.is_accepted for each in submissions),
         sum(each.is_refused for each in submissions),
         len(system.operator.versions),
-        check.judged,
+        check.checked,
         system.lags,
         tuple(violations),
         str(report),
--- a/packages/standins/dahliaarch_standins/soak/following.py
+++ b/packages/standins/dahliaarch_standins/soak/following.py
@@ -59,7 +59,7 @@
 
 
 class FollowingCheck:
-    """Judges answers.
+    """Checks answers.
 
     Parameters
     ----------
@@ -75,7 +75,7 @@
         """Start without answers."""
         self.violations: list[Violation] = []
         # Answers that had to be as a version of late says.
-        self.judged = 0
+        self.checked = 0
         self._versions = versions
         self._contact = contact
         self._apply_s = apply_s
@@ -92,13 +92,13 @@
         return due[-1] if due else self._versions[0]
 
     def take(self, answer: Answer) -> None:
-        """Judge an answer right after it came."""
+        """Check an answer right after it came."""
         if answer.status not in _TELLING:
             return
         due = 0
         if self._contact.is_bound(answer.name, answer.sent_s):
             due = self.due(answer.sent_s).number
-            self.judged += 1
+            self.checked += 1
         shown = tuple(self._explaining(answer))
         floor = self._floor_by_incarnation[answer.incarnation]
         for promise, oldest in (('a configuration is in force in time', due), ('no version goes back', floor)):
--- a/packages/standins/dahliaarch_standins/soak/tests/test_following.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_following.py
@@ -17,7 +17,7 @@
     return Version(number, frozenset(keys), frozenset(('urgent', f'only-{number}')), acknowledged_s)
 
 
-class Judged:
+class CheckedVersions:
     """Versions 1 at 0 s and 2 at 10 s; instances calm since 0 s."""
 
     def __init__(self, slow_names=()):
@@ -34,13 +34,13 @@
 
 
 @pytest.fixture
-def judged():
-    return Judged()
+def checked():
+    return CheckedVersions()
 
 
-def test_an_older_version_is_right_until_the_bound_and_wrong_after_it(judged):
-    assert not judged.take('only-2', 404, 10.0 + APPLY_S - 0.1)
-    assert judged.take('only-2', 404, 10.0 + APPLY_S + 0.1) == [TIME]
+def test_an_older_version_is_right_until_the_bound_and_wrong_after_it(checked):
+    assert not checked.take('only-2', 404, 10.0 + APPLY_S - 0.1)
+    assert checked.take('only-2', 404, 10.0 + APPLY_S + 0.1) == [TIME]
 
 
 @pytest.mark.parametrize(
@@ -48,84 +48,84 @@
     [('only-1', KEY, 400), ('only-2', KEY, 404), ('urgent', OTHER_KEY, 401)],
     ids=['a route that has gone', 'a route that has come', 'a key that has come'],
 )
-def test_routes_and_keys_tell_an_older_version(judged, route, key, status):
-    assert judged.take(route, status, 20.0, key) == [TIME]
+def test_routes_and_keys_tell_an_older_version(checked, route, key, status):
+    assert checked.take(route, status, 20.0, key) == [TIME]
 
 
-def test_a_key_that_has_gone_is_refused(judged):
-    judged.versions.append(version(3, 20.0))
-    assert not judged.take('urgent', 400, 21.0, OTHER_KEY)
-    assert judged.take('urgent', 400, 23.0, OTHER_KEY) == [TIME]
+def test_a_key_that_has_gone_is_refused(checked):
+    checked.versions.append(version(3, 20.0))
+    assert not checked.take('urgent', 400, 21.0, OTHER_KEY)
+    assert checked.take('urgent', 400, 23.0, OTHER_KEY) == [TIME]
 
 
-def test_a_version_that_is_not_due_yet_is_right(judged):
-    assert not judged.take('only-2', 400, 10.1)
-    judged.versions.append(version(3, 20.0))
-    assert not judged.take('only-2', 404, 20.1)
+def test_a_version_that_is_not_due_yet_is_right(checked):
+    assert not checked.take('only-2', 400, 10.1)
+    checked.versions.append(version(3, 20.0))
+    assert not checked.take('only-2', 404, 20.1)
 
 
 @pytest.mark.parametrize('status', [503, 504, 429])
-def test_an_answer_that_tells_nothing_is_not_judged(judged, status):
-    assert not judged.take('only-2', status, 20.0)
-    assert not judged.check.judged
+def test_an_answer_that_tells_nothing_is_not_checked(checked, status):
+    assert not checked.take('only-2', status, 20.0)
+    assert not checked.check.checked
 
 
-def test_an_instance_that_was_disturbed_of_late_is_not_bound(judged):
-    judged.contact.begin(('a',))
-    assert not judged.take('only-2', 404, 20.0)
-    judged.contact.end(('a',), 21.0)
-    assert not judged.take('only-2', 404, 21.0 + CONTACT_S - 0.1)
-    assert judged.take('only-2', 404, 21.0 + CONTACT_S + 0.1) == [TIME]
+def test_an_instance_that_was_disturbed_of_late_is_not_bound(checked):
+    checked.contact.begin(('a',))
+    assert not checked.take('only-2', 404, 20.0)
+    checked.contact.end(('a',), 21.0)
+    assert not checked.take('only-2', 404, 21.0 + CONTACT_S - 0.1)
+    assert checked.take('only-2', 404, 21.0 + CONTACT_S + 0.1) == [TIME]
 
 
-def test_a_disturbance_of_another_instance_excuses_nothing(judged):
-    judged.contact.begin(('b',))
-    assert judged.take('only-2', 404, 20.0) == [TIME]
+def test_a_disturbance_of_another_instance_excuses_nothing(checked):
+    checked.contact.begin(('b',))
+    assert checked.take('only-2', 404, 20.0) == [TIME]
 
 
-def test_of_disturbances_that_overlap_the_last_counts(judged):
-    judged.contact.begin(('a',))
-    judged.contact.begin(('a',))
-    judged.contact.end(('a',), 12.0)
-    assert not judged.take('only-2', 404, 20.0)
+def test_of_disturbances_that_overlap_the_last_counts(checked):
+    checked.contact.begin(('a',))
+    checked.contact.begin(('a',))
+    checked.contact.end(('a',), 12.0)
+    assert not checked.take('only-2', 404, 20.0)
 
 
-def test_a_request_sent_before_a_disturbance_that_is_over_is_not_judged(judged):
-    judged.contact.begin(('a',))
-    judged.contact.end(('a',), 20.5)
-    assert not judged.take('only-2', 404, 20.0)
+def test_a_request_sent_before_a_disturbance_that_is_over_is_not_checked(checked):
+    checked.contact.begin(('a',))
+    checked.contact.end(('a',), 20.5)
+    assert not checked.take('only-2', 404, 20.0)
 
 
-def test_a_store_that_forgets_its_history_stretches_the_bound(judged):
-    judged.contact.lose_history(11.0)
-    assert not judged.take('only-2', 404, 13.0)
-    assert judged.take('only-2', 404, 11.0 + CONTACT_S + 0.1) == [TIME]
+def test_a_store_that_forgets_its_history_stretches_the_bound(checked):
+    checked.contact.lose_history(11.0)
+    assert not checked.take('only-2', 404, 13.0)
+    assert checked.take('only-2', 404, 11.0 + CONTACT_S + 0.1) == [TIME]
 
 
 def test_a_slow_link_is_bound_while_a_fast_one_is_in_touch():
-    judged = Judged(slow_names=('a',))
-    judged.contact.begin(('b',))
-    assert not judged.take('only-2', 404, 20.0)
-    judged.contact.end(('b',), 20.0)
-    assert judged.take('only-2', 404, 20.1 + CONTACT_S) == [TIME]
+    checked = CheckedVersions(slow_names=('a',))
+    checked.contact.begin(('b',))
+    assert not checked.take('only-2', 404, 20.0)
+    checked.contact.end(('b',), 20.0)
+    assert checked.take('only-2', 404, 20.1 + CONTACT_S) == [TIME]
 
 
-def test_an_incarnation_that_showed_a_version_does_not_go_back(judged):
-    assert not judged.take('only-2', 400, 10.1)
-    assert judged.take('only-1', 400, 10.2) == [BACK]
+def test_an_incarnation_that_showed_a_version_does_not_go_back(checked):
+    assert not checked.take('only-2', 400, 10.1)
+    assert checked.take('only-1', 400, 10.2) == [BACK]
 
 
-def test_another_incarnation_may_be_older(judged):
-    assert not judged.take('only-2', 400, 10.1)
-    assert not judged.take('only-1', 400, 10.2, incarnation=INCARNATION + 1)
+def test_another_incarnation_may_be_older(checked):
+    assert not checked.take('only-2', 400, 10.1)
+    assert not checked.take('only-1', 400, 10.2, incarnation=INCARNATION + 1)
 
 
-def test_a_disturbed_instance_does_not_go_back_either(judged):
-    judged.contact.begin(('a',))
-    assert not judged.take('only-2', 400, 10.1)
-    assert judged.take('only-2', 404, 10.2) == [BACK]
+def test_a_disturbed_instance_does_not_go_back_either(checked):
+    checked.contact.begin(('a',))
+    assert not checked.take('only-2', 400, 10.1)
+    assert checked.take('only-2', 404, 10.2) == [BACK]
 
 
-def test_an_incarnation_is_blamed_once_for_each_promise(judged):
-    found = itertools.chain.from_iterable(judged.take('only-2', 404, 20.0 + part / 10) for part in range(5))
+def test_an_incarnation_is_blamed_once_for_each_promise(checked):
+    found = itertools.chain.from_iterable(checked.take('only-2', 404, 20.0 + part / 10) for part in range(5))
     assert list(found) == [TIME]
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -76,7 +76,7 @@
 def test_promises_are_kept_under_random_faults(settings, soaks):
     result = soaks[settings].result()
     assert result.accepted
-    assert result.judged
+    assert result.checked
     assert not result.violations, f'{result.report} traces {result.violations}'
 
 
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -110,10 +110,10 @@
 
 def crashed_too_often(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
     """Yield tasks that crash workers and were started more often than is borne."""
-    guilty = {submission.job_id for submission in submissions if submission.crashes_workers}
+    crashing = {submission.job_id for submission in submissions if submission.crashes_workers}
     starts = Counter(start.task for worker in workers for start in worker.starts)
     for task, count in starts.items():
-        if count > _MOST_CRASHING_STARTS and task.partition('.')[0] in guilty:
+        if count > _MOST_CRASHING_STARTS and task.partition('.')[0] in crashing:
             yield Violation('a task that crashes workers is given up', f'{task}: {count} starts')
 
 
@@ -126,7 +126,7 @@
 
 
 def may_be_given_up(workers: Iterable[WorkerStandIn]) -> set[str]:
-    """Return the jobs with a task under which so many workers crashed that it may be given up, guilty or not."""
+    """Return the jobs with a task under which so many workers crashed that it may be given up, whatever the cause."""
     crashes = Counter(end.task for worker in workers for end in worker.ends if end.how == 'crashed')
     return {task.partition('.')[0] for task, count in crashes.items() if count >= _CRASHES_THAT_EXCUSE}
 
