--- a/packages/standins/dahliaarch_standins/comparison/bound.py
+++ b/packages/standins/dahliaarch_standins/comparison/bound.py
@@ -19,9 +19,9 @@
 
 from .chances import Chances
 from .days import AFTER_S, Day, TRAFFIC_S
+from .degradation import draw_degraded_places, stretches
 from .scoring import LATE_FACTOR, parts_weights, SHOWN_AFTER_S, WORST_WINDOWS, worth_of
 from .shapes import Pool
-from .sickness import draw_sick_places, stretches
 from .simulation import draw_speeds, failing_share, FAILURE
 from .workload import DrawnJob
 
@@ -111,9 +111,9 @@
 
     def _add_room(self, day: Day) -> list[dict['_Measure', int]]:
         """Add a row for each slice and each way to measure room in it; return them by slice."""
-        sick = draw_sick_places(self._pool, day.troubles.sick, self._chances)
+        degraded = draw_degraded_places(self._pool, day.troubles.degraded, self._chances)
         strength = np.zeros(int(_UNTIL_S / _SLICE_S))
-        for span, workers in stretches(self._pool, draw_speeds(self._pool, self._chances), sick, _UNTIL_S):
+        for span, workers in stretches(self._pool, draw_speeds(self._pool, self._chances), degraded, _UNTIL_S):
             for number, length_s in _slices(*span):
                 strength[number] += workers * length_s
         demands = {step.demand for job in self._owed for step in job.spec.steps}
--- a/packages/standins/dahliaarch_standins/comparison/chances.py
+++ b/packages/standins/dahliaarch_standins/comparison/chances.py
@@ -2,7 +2,7 @@
 
 Each is drawn from the day's seed and the name of what it is about, so that two
 schedulers meet the same luck wherever they do the same: a run that fails at its
-first start fails whenever that is, and the same workers fall sick.
+first start fails whenever that is, and the same workers degrade.
 """
 
 import random
--- a/packages/standins/dahliaarch_standins/comparison/sickness.py
+++ b/packages/standins/dahliaarch_standins/comparison/degradation.py
@@ -1,18 +1,18 @@
-"""Which workers fall sick, and what a pool can do in each stretch of a day."""
+"""Which workers degrade, and what a pool can do in each stretch of a day."""
 
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from .chances import Chances
 from .shapes import Pool
-from .troubles import Sickness, SickWorkers, Span
+from .troubles import Degradation, DegradedWorkers, Span
 
 # From the end of a worker that left until another comes in its place, in seconds.
 REPLACED_AFTER_S = 4.0
 
 
-class SickPlace(NamedTuple):
-    """The worker at a place of the pool is sick for a while.
+class DegradedPlace(NamedTuple):
+    """The worker at a place of the pool is degraded for a while.
 
     Parameters
     ----------
@@ -20,7 +20,7 @@
         Which worker.
     span : Span
         From when until when; one that leaves is gone at its end.
-    kind : Sickness
+    kind : Degradation
         What befalls it.
     factor : float
         Times as long as work takes if it is slow.
@@ -28,24 +28,24 @@
 
     place: int
     span: Span
-    kind: Sickness
+    kind: Degradation
     factor: float
 
     @property
     def over_s(self) -> float:
         """When a sound worker is there again."""
-        return self.span.end_s + (REPLACED_AFTER_S if self.kind is Sickness.LEAVING else 0.0)
+        return self.span.end_s + (REPLACED_AFTER_S if self.kind is Degradation.LEAVING else 0.0)
 
 
-def draw_sick_places(pool: Pool, troubles: Sequence[SickWorkers], chances: Chances) -> list[SickPlace]:
-    """Return who falls sick, by time; nobody has two sicknesses at once."""
-    found: list[SickPlace] = []
+def draw_degraded_places(pool: Pool, troubles: Sequence[DegradedWorkers], chances: Chances) -> list[DegradedPlace]:
+    """Return who degrades, by time; nobody has two degradations at once."""
+    found: list[DegradedPlace] = []
     for number, trouble in enumerate(sorted(troubles, key=lambda each: each.span)):
         taken = {each.place for each in found if each.over_s > trouble.span.begin_s}
         well = [place for place in range(pool.workers) if place not in taken]
         wanted = min(len(well), max(1, round(trouble.share * pool.workers)))
         places = chances.about('sick', number).sample(well, wanted)
-        found.extend(SickPlace(place, trouble.span, trouble.kind, trouble.factor) for place in places)
+        found.extend(DegradedPlace(place, trouble.span, trouble.kind, trouble.factor) for place in places)
     return found
 
 
@@ -64,7 +64,9 @@
     strength: float
 
 
-def stretches(pool: Pool, speeds: Sequence[float], sick: Sequence[SickPlace], until_s: float) -> Iterator[Stretch]:
+def stretches(
+    pool: Pool, speeds: Sequence[float], degraded: Sequence[DegradedPlace], until_s: float
+) -> Iterator[Stretch]:
     """Yield what the pool can do, from the beginning until a time.
 
     Parameters
@@ -73,25 +75,25 @@
         The pool.
     speeds : sequence of float, shape (n_workers,)
         Times as long as work takes, by place.
-    sick : sequence of SickPlace
-        Who falls sick.
+    degraded : sequence of DegradedPlace
+        Who degrades.
     until_s : float
         End of the last stretch.
     """
     marks = {0.0, until_s}
-    for each in sick:
+    for each in degraded:
         marks.update(at_s for at_s in (*each.span, each.over_s) if at_s < until_s)
     edges = sorted(marks)
     for begin_s, end_s in zip(edges, edges[1:], strict=False):
-        lost = sum(_lost(each, speeds[each.place], begin_s) for each in sick)
+        lost = sum(_lost(each, speeds[each.place], begin_s) for each in degraded)
         yield Stretch(Span(begin_s, end_s), sum(1.0 / speed for speed in speeds) - lost)
 
 
-def _lost(sick: SickPlace, speed: float, at_s: float) -> float:
-    """Return what a pool does less for a sick worker; one that is cut off or fails may work on."""
-    if not sick.span.begin_s <= at_s < sick.over_s:
+def _lost(degraded: DegradedPlace, speed: float, at_s: float) -> float:
+    """Return what a pool does less for a degraded worker; one that is cut off or fails may work on."""
+    if not degraded.span.begin_s <= at_s < degraded.over_s:
         return 0.0
-    if sick.kind is Sickness.SLOW:
-        return (1.0 - 1.0 / sick.factor) / speed
-    is_gone = sick.kind is Sickness.LEAVING and at_s >= sick.span.end_s
-    return 1.0 / speed if is_gone or sick.kind is Sickness.STILL else 0.0
+    if degraded.kind is Degradation.SLOW:
+        return (1.0 - 1.0 / degraded.factor) / speed
+    is_gone = degraded.kind is Degradation.LEAVING and at_s >= degraded.span.end_s
+    return 1.0 / speed if is_gone or degraded.kind is Degradation.STILL else 0.0
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -3,7 +3,7 @@
 from dahliaarch_kernel.scheduler import StartRun, WorkerProfile
 from dahliaarch_kernel.workload import NO_RESOURCES, Resources, StepSpec, TaskKey, weighted_cores
 
-from .troubles import Sickness
+from .troubles import Degradation
 from .workload import DrawnJob
 
 RunKey = tuple[TaskKey, int]
@@ -91,7 +91,7 @@
 
     def blamed(self) -> Execution:
         """Return the member that fails when the unit does: one on a worker that fails all, if there is any."""
-        failing = [each for each in self.members if each.worker.sickness is Sickness.FAILING]
+        failing = [each for each in self.members if each.worker.degradation is Degradation.FAILING]
         return (failing or self.members)[0]
 
     def advance(self, now_s: float) -> None:
@@ -132,7 +132,7 @@
         """Start sound and empty."""
         self.profile = profile
         self.speed = speed
-        self.sickness: Sickness | None = None
+        self.degradation: Degradation | None = None
         self.factor = 1.0
         self.is_gone = False
         self.unit_by_run: dict[RunKey, Unit] = {}
@@ -141,14 +141,14 @@
     @property
     def rate(self) -> float:
         """Work done there in a second."""
-        if self.sickness is Sickness.STILL:
+        if self.degradation is Degradation.STILL:
             return 0.0
         return 1.0 / (self.speed * self.factor)
 
     @property
     def is_cut_off(self) -> bool:
         """Whether it hears and tells nothing."""
-        return self.sickness is Sickness.CUT_OFF
+        return self.degradation is Degradation.CUT_OFF
 
     def units(self) -> tuple[Unit, ...]:
         """Return what works there, each once and in the order of its begin."""
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -11,12 +11,12 @@
 
 from .chances import Chances
 from .decider import Decider
+from .degradation import DegradedPlace, draw_degraded_places, REPLACED_AFTER_S
 from .executions import Execution, PlayedWorker, RunKey, saved_work_s, Unit
 from .ledger import Cause, Ledger
 from .orders import Orders
 from .shapes import Deployment, Pool
-from .sickness import draw_sick_places, REPLACED_AFTER_S, SickPlace
-from .troubles import Sickness, Troubles
+from .troubles import Degradation, Troubles
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
 # Time from an order to what it does, in seconds: one message each way.
@@ -50,7 +50,7 @@
     scheduler : Decider
         What decides.
     seed : int
-        Seed of failures, of how long stops take and of which workers are sick.
+        Seed of failures, of how long stops take and of which workers are degraded.
 
     Attributes
     ----------
@@ -89,8 +89,8 @@
             self._at(job.at_s, partial(self._submit, job))
             if job.cancel_at_s is not None:
                 self._at(job.cancel_at_s, partial(self._cancel, job))
-        for each in draw_sick_places(deployment.pool, troubles.sick, self._chances):
-            self._at(each.span.begin_s, partial(self._fall_sick, each))
+        for each in draw_degraded_places(deployment.pool, troubles.degraded, self._chances):
+            self._at(each.span.begin_s, partial(self._degrade, each))
 
     def run(self, until_s: float) -> None:
         """Play until a time."""
@@ -176,18 +176,18 @@
         lease.sent(self._now_s + self._pool.hold_s)
         self._scheduler.worker_surveyed(worker_id, running, self._now_s, self._moment)
 
-    def _fall_sick(self, sick: SickPlace) -> None:
-        worker = self._worker_by_place[sick.place]
-        worker.sickness = sick.kind
-        worker.factor = sick.factor
+    def _degrade(self, degraded: DegradedPlace) -> None:
+        worker = self._worker_by_place[degraded.place]
+        worker.degradation = degraded.kind
+        worker.factor = degraded.factor
         self._renew_rates(worker)
-        if sick.kind is Sickness.LEAVING:
-            left_s = sick.span.end_s - self._now_s
+        if degraded.kind is Degradation.LEAVING:
+            left_s = degraded.span.end_s - self._now_s
             self._scheduler.update_worker(worker.profile._replace(draining=True, leaves_in_s=left_s), self._moment)
-            self._at(sick.span.end_s, partial(self._leave, sick.place))
+            self._at(degraded.span.end_s, partial(self._leave, degraded.place))
         else:
-            self._at(sick.span.end_s, partial(self._recover, worker))
-        if sick.kind is Sickness.CUT_OFF:
+            self._at(degraded.span.end_s, partial(self._recover, worker))
+        if degraded.kind is Degradation.CUT_OFF:
             self._at(self._now_s + _SILENT_AFTER_S, partial(self._fall_silent, worker))
 
     def _fall_silent(self, worker: PlayedWorker) -> None:
@@ -195,7 +195,7 @@
             self._scheduler.worker_silent(worker.profile.worker_id)
 
     def _recover(self, worker: PlayedWorker) -> None:
-        worker.sickness = None
+        worker.degradation = None
         worker.factor = 1.0
         self._renew_rates(worker)
         for act in self._later_by_worker.pop(worker.profile.worker_id, []):
@@ -279,7 +279,7 @@
         share = failing_share(luck, first.job)
         if share is not None:
             unit.fails_at_s = unit.saved_s + (unit.work_s - unit.saved_s) * share
-        if any(member.worker.sickness is Sickness.FAILING for member in unit.members):
+        if any(member.worker.degradation is Degradation.FAILING for member in unit.members):
             self._at(self._now_s + luck.uniform(*_FAILS_AFTER_S), partial(self._finish, unit, None, EndKind.FAILED))
         self._plan(unit)
 
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_comparison.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_comparison.py
@@ -6,7 +6,7 @@
 from dahliaarch_standins.comparison import compare, DEPLOYMENTS
 from dahliaarch_standins.comparison.days import draw_day, play_day, SCHEDULERS
 from dahliaarch_standins.comparison.executions import PlayedWorker
-from dahliaarch_standins.comparison.troubles import Sickness, SickWorkers, Span, Troubles
+from dahliaarch_standins.comparison.troubles import Degradation, DegradedWorkers, Span, Troubles
 
 SEEDS = (1, 2)
 SMALL = ('meters', 'cars', 'zones')
@@ -48,10 +48,10 @@
     assert play(deployment, seed).ledger.ended_s_by_job
 
 
-@pytest.mark.parametrize('kind', tuple(Sickness))
-def test_all_that_can_be_done_is_done_after_a_time_of_sick_workers(kind):
-    sick = SickWorkers(Span(5.0, 10.0), kind, share=0.2, factor=7.0)
-    simulation = play('zones', 3, Troubles(sick=(sick,)))
+@pytest.mark.parametrize('kind', tuple(Degradation))
+def test_all_that_can_be_done_is_done_after_a_time_of_degraded_workers(kind):
+    degraded = DegradedWorkers(Span(5.0, 10.0), kind, share=0.2, factor=7.0)
+    simulation = play('zones', 3, Troubles(degraded=(degraded,)))
     owed = {job.spec.job_id for job in draw_day(DEPLOYMENTS['zones'], 3).jobs if job.is_owed}
     late = owed - set(simulation.ledger.ended_s_by_job)
     # Jobs whose own runs failed four times are given up.
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
@@ -4,8 +4,8 @@
 from dahliaarch_standins.comparison import draw_deployment
 from dahliaarch_standins.comparison.chances import Chances
 from dahliaarch_standins.comparison.days import draw_day, play_day, SCHEDULERS
-from dahliaarch_standins.comparison.sickness import draw_sick_places, stretches
-from dahliaarch_standins.comparison.troubles import Sickness, SickWorkers, Span
+from dahliaarch_standins.comparison.degradation import draw_degraded_places, stretches
+from dahliaarch_standins.comparison.troubles import Degradation, DegradedWorkers, Span
 
 
 def test_a_deployment_repeats_by_its_seed_and_differs_from_others():
@@ -24,16 +24,16 @@
     both = firsts[0].keys() & firsts[1].keys()
     assert sum(firsts[0][key] for key in both) > 0
     told_alike = sum(firsts[0][key] == firsts[1][key] for key in both)
-    # Runs that are stopped before they fail, or that fail on a sick worker, differ.
+    # Runs that are stopped before they fail, or that fail on a degraded worker, differ.
     assert told_alike > 0.9 * len(both)
 
 
-def test_nobody_has_two_sicknesses_at_once():
+def test_nobody_has_two_degradations_at_once():
     pool = draw_deployment(1).pool
-    slow = SickWorkers(Span(0.0, 10.0), Sickness.SLOW, 0.5, 4.0)
-    leaving = SickWorkers(Span(5.0, 8.0), Sickness.LEAVING, 0.5)
-    still = SickWorkers(Span(9.0, 12.0), Sickness.STILL, 0.5)
-    drawn = draw_sick_places(pool, (slow, leaving, still), Chances(1))
+    slow = DegradedWorkers(Span(0.0, 10.0), Degradation.SLOW, 0.5, 4.0)
+    leaving = DegradedWorkers(Span(5.0, 8.0), Degradation.LEAVING, 0.5)
+    still = DegradedWorkers(Span(9.0, 12.0), Degradation.STILL, 0.5)
+    drawn = draw_degraded_places(pool, (slow, leaving, still), Chances(1))
     for each in drawn:
         others = [other for other in drawn if other.place == each.place and other is not each]
         assert all(other.span.begin_s >= each.over_s or each.span.begin_s >= other.over_s for other in others)
@@ -42,6 +42,6 @@
 def test_a_pool_is_weaker_while_workers_are_slow_still_or_gone():
     pool = draw_deployment(1).pool
     speeds = [1.0] * pool.workers
-    slow = draw_sick_places(pool, [SickWorkers(Span(2.0, 4.0), Sickness.SLOW, 0.5, 4.0)], Chances(1))
+    slow = draw_degraded_places(pool, [DegradedWorkers(Span(2.0, 4.0), Degradation.SLOW, 0.5, 4.0)], Chances(1))
     found = [(span.begin_s, strength) for span, strength in stretches(pool, speeds, slow, 10.0)]
     assert found == [(0.0, pool.workers), (2.0, pool.workers - 0.75 * len(slow)), (4.0, pool.workers)]
--- a/packages/standins/dahliaarch_standins/comparison/troubles.py
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -41,7 +41,7 @@
         return self.span.holds(at_s)
 
 
-class Sickness(StrEnum):
+class Degradation(StrEnum):
     """What befalls a worker."""
 
     SLOW = 'slow'
@@ -51,14 +51,14 @@
     LEAVING = 'leaving'
 
 
-class SickWorkers(NamedTuple):
-    """A share of the workers is sick for a while.
+class DegradedWorkers(NamedTuple):
+    """A share of the workers is degraded for a while.
 
     Parameters
     ----------
     span : Span
         From when until when; those that leave are gone at its end.
-    kind : Sickness
+    kind : Degradation
         What befalls them.
     share : float
         Share of all workers.
@@ -67,7 +67,7 @@
     """
 
     span: Span
-    kind: Sickness
+    kind: Degradation
     share: float
     factor: float = 1.0
 
@@ -85,7 +85,7 @@
 
     bursts: tuple[Burst, ...] = ()
     waves: tuple[Cancellations, ...] = ()
-    sick: tuple[SickWorkers, ...] = ()
+    degraded: tuple[DegradedWorkers, ...] = ()
     lost_orders: tuple[LostOrders, ...] = ()
 
 
@@ -94,15 +94,15 @@
 _LEAVERS_SHARE = (0.2, 0.4)
 _LEAVERS_S = (4.0, 12.0)
 _LEAVERS_WITHIN_S = 1.5
-_SICK_SHARE = {
-    Sickness.SLOW: (0.14, 0.2),
-    Sickness.STILL: (0.1, 0.12),
-    Sickness.FAILING: (0.06, 0.1),
-    Sickness.CUT_OFF: (0.12, 0.17),
-    Sickness.LEAVING: (0.04, 0.12),
+_DEGRADED_SHARE = {
+    Degradation.SLOW: (0.14, 0.2),
+    Degradation.STILL: (0.1, 0.12),
+    Degradation.FAILING: (0.06, 0.1),
+    Degradation.CUT_OFF: (0.12, 0.17),
+    Degradation.LEAVING: (0.04, 0.12),
 }
 _SLOW_FACTOR = (6.5, 8.6)
-_SICK_S = (5.0, 7.0)
+_DEGRADED_S = (5.0, 7.0)
 # From a worker's notice until it is gone.
 _NOTICE_S = (2.0, 6.0)
 # On one of so many days orders are lost, to which share of the workers and how many.
@@ -113,17 +113,17 @@
 # A loaded day: when bursts of each priority, the most urgent first, come and how
 # strong they are, and when workers leave, are cut off and leave orders unanswered.
 _LOADED_BURSTS = ((3.0, 20.0, 2.0), (6.0, 20.0, 3.0), (1.0, 4.0, 2.0))
-_LOADED_SICK = (
-    (Sickness.LEAVING, 4.0, 4.5, 0.25),
-    (Sickness.CUT_OFF, 5.5, 7.0, 0.4),
-    (Sickness.LEAVING, 18.0, 4.5, 0.3),
-    (Sickness.CUT_OFF, 18.5, 7.0, 0.4),
+_LOADED_DEGRADED = (
+    (Degradation.LEAVING, 4.0, 4.5, 0.25),
+    (Degradation.CUT_OFF, 5.5, 7.0, 0.4),
+    (Degradation.LEAVING, 18.0, 4.5, 0.3),
+    (Degradation.CUT_OFF, 18.5, 7.0, 0.4),
 )
 _LOADED_LOST_ORDERS = (3.0, 26.0, 0.5, 0.4)
 # Largest change of a moment of a loaded day, in seconds.
 _LOADED_SHIFT_S = 2.0
-# Of three sicknesses, how many befall a day's workers.
-_MOST_SICKNESSES = 3
+# Of three degradations, how many befall a day's workers.
+_MOST_DEGRADATIONS = 3
 
 
 def draw_troubles(priorities: Sequence[int], length_s: float, seed: int) -> Troubles:
@@ -141,8 +141,8 @@
     choice = random.Random(seed)
     bursts = [_draw_burst(choice, priorities, length_s) for _ in range(choice.randint(1, 2))]
     waves = [_draw_wave(choice, length_s) for _ in range(choice.randint(0, 1))]
-    sick = [_draw_sick(choice, length_s) for _ in range(choice.randint(0, _MOST_SICKNESSES))]
-    return Troubles(tuple(bursts), tuple(waves), tuple(sick), tuple(_draw_lost_orders(length_s, seed)))
+    degraded = [_draw_degraded(choice, length_s) for _ in range(choice.randint(0, _MOST_DEGRADATIONS))]
+    return Troubles(tuple(bursts), tuple(waves), tuple(degraded), tuple(_draw_lost_orders(length_s, seed)))
 
 
 def draw_loaded(priorities: Sequence[int], seed: int) -> Troubles:
@@ -156,12 +156,13 @@
         Burst(_shifted(choice, begin_s, lasts_s), priority, factor)
         for priority, (begin_s, lasts_s, factor) in zip(priorities, _LOADED_BURSTS, strict=False)
     ]
-    sick = [
-        SickWorkers(_shifted(choice, begin_s, lasts_s), kind, share) for kind, begin_s, lasts_s, share in _LOADED_SICK
+    degraded = [
+        DegradedWorkers(_shifted(choice, begin_s, lasts_s), kind, share)
+        for kind, begin_s, lasts_s, share in _LOADED_DEGRADED
     ]
     begin_s, lasts_s, workers_share, orders_share = _LOADED_LOST_ORDERS
     lost = LostOrders(_shifted(choice, begin_s, lasts_s), workers_share, orders_share)
-    return Troubles(tuple(bursts), (), tuple(sick), (lost,))
+    return Troubles(tuple(bursts), (), tuple(degraded), (lost,))
 
 
 def _shifted(choice: random.Random, begin_s: float, lasts_s: float) -> Span:
@@ -187,11 +188,11 @@
     return Cancellations(span, choice.uniform(*_LEAVERS_SHARE), _LEAVERS_WITHIN_S)
 
 
-def _draw_sick(choice: random.Random, length_s: float) -> SickWorkers:
-    kind = choice.choice(tuple(Sickness))
-    span = _draw_span(choice, length_s, _NOTICE_S if kind is Sickness.LEAVING else _SICK_S)
-    factor = choice.uniform(*_SLOW_FACTOR) if kind is Sickness.SLOW else 1.0
-    return SickWorkers(span, kind, choice.uniform(*_SICK_SHARE[kind]), factor)
+def _draw_degraded(choice: random.Random, length_s: float) -> DegradedWorkers:
+    kind = choice.choice(tuple(Degradation))
+    span = _draw_span(choice, length_s, _NOTICE_S if kind is Degradation.LEAVING else _DEGRADED_S)
+    factor = choice.uniform(*_SLOW_FACTOR) if kind is Degradation.SLOW else 1.0
+    return DegradedWorkers(span, kind, choice.uniform(*_DEGRADED_SHARE[kind]), factor)
 
 
 def _draw_span(choice: random.Random, length_s: float, lasts_s: tuple[float, float]) -> Span:
