Names: stalled for what stands still

Instances are suspended, clocks stop. No behaviour changes but for these names; tests change names only.

--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,4 +1,4 @@
-"""Workers on which runs stand still or crawl, and what moves away from them.
+"""Workers on which runs stall or crawl, and what moves away from them.
 
 Whether a worker is slow is told from all that runs there: how far each run has
 come since it was last heard of, against how far it should have come. How much
@@ -30,7 +30,7 @@
 # Bounds of what one run tells, in logarithms.
 _FASTEST = math.log(0.5)
 _SLOWEST = math.log(20.0)
-# How much longer a worker that is slow or still is expected to be so, in seconds.
+# How much longer a worker that is slow or stalled is expected to be so, in seconds.
 _DEGRADED_FOR_S = 4.0
 # A run that is so far behind is moved though its job ends in time without, in
 # seconds: most workers have recovered by then.
@@ -59,7 +59,7 @@
 
 
 def watch_progress(state: SchedulerState, now: Moment) -> None:
-    """Move runs that stand still, and note which workers are slow: those are used last.
+    """Move runs that are stalled, and note which workers are slow: those are used last.
 
     A worker is assessed once after each of its surveys: nothing else tells.
     """
@@ -116,16 +116,16 @@
 
 
 def _move(state: SchedulerState, step: StepState, run: Run, slowness: float, now: Moment) -> None:
-    """Stop a run that stands still, if its job gains by that.
+    """Stop a run that is stalled, if its job gains by that.
 
     One that crawls stays: its restart costs about what its job would gain.
     """
-    if run.report_gain or not state.settings.has(Mechanism.MOVES_OF_STILL):
+    if run.report_gain or not state.settings.has(Mechanism.MOVES_OF_STALLED):
         return
     outlook = _outlook(step, run, slowness)
     if _saves_job(state, step, outlook, now) or _is_stuck(outlook):
         step.failed_on.add(run.worker_id)
-        state.stop_unit(run, 'stands still')
+        state.stop_unit(run, 'stalled')
 
 
 class _Outlook(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -14,8 +14,8 @@
     WORKER_PACES = 'worker_paces'
     #: Owners' estimates are corrected by what was seen.
     LEARNED_TIMES = 'learned_times'
-    #: Runs that stand still are moved.
-    MOVES_OF_STILL = 'moves_of_still'
+    #: Runs that are stalled are moved.
+    MOVES_OF_STALLED = 'moves_of_stalled'
     #: Workers on which tasks failed or crawled of late are used last.
     SUSPECTS_LAST = 'suspects_last'
     #: Work waits for a place near its data or in one rack.
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -17,7 +17,7 @@
     early_s : float
         How much before its due time an occurrence may start.
     stall_s : float
-        How long a run's progress may stand still before it is moved.
+        How long a run's progress may stall before it is moved.
     reserve_after_s : float
         How long a gang waits before room is kept for it.
     far_after_share : float
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -68,7 +68,7 @@
     assert all(effect.worker_id == 'w1' for effect in effects if isinstance(effect, StartRun))
 
 
-def test_a_run_that_stands_still_is_moved_to_another_worker():
+def test_a_run_that_is_stalled_is_moved_to_another_worker():
     pool = Pool(workers=2)
     pool.submit(A, task(work_s=6.0))
     effect = pool.step()[0]
@@ -76,7 +76,7 @@
         pool.step(1.0)
         pool.survey(effect.worker_id, percent=5.0)
     pool.step()
-    assert [stop.reason for stop in pool.stops] == ['stands still']
+    assert [stop.reason for stop in pool.stops] == ['stalled']
     pool.finish_stops()
     again = pool.step(0.1)[0]
     assert again.worker_id != effect.worker_id
@@ -187,7 +187,7 @@
     assert not pool.stops
 
 
-def test_a_worker_whose_runs_stand_still_gets_nothing_new_before_they_are_moved():
+def test_a_worker_whose_runs_are_stalled_gets_nothing_new_before_they_are_moved():
     pool = Pool(workers=2)
     pool.submit(A, task(work_s=6.0))
     still = pool.step()[0].worker_id
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Days on which workers are slow or stand still for some seconds.
+"""Days on which workers are slow or stalled for some seconds.
 
 On such days runs were moved that would have ended in time where they were, often
 because an owner's estimate was off or because another member of their gang was on
@@ -34,7 +34,7 @@
     return pool.step()
 
 
-def test_a_run_that_stands_still_for_some_seconds_is_left_alone_when_its_job_has_time():
+def test_a_run_that_is_stalled_for_some_seconds_is_left_alone_when_its_job_has_time():
     pool = Pool(workers=2)
     learn_times(pool, ORDINARY, 8.0, lambda number: 8.0)
     pool.submit(A, task(work_s=8.0))
@@ -44,13 +44,13 @@
     assert not pool.stops
 
 
-def test_an_urgent_run_that_stands_still_is_moved_at_once_when_that_alone_saves_its_job():
+def test_an_urgent_run_that_is_stalled_is_moved_at_once_when_that_alone_saves_its_job():
     pool = Pool(workers=2)
     learn_times(pool, URGENT, 4.0, lambda number: 4.0)
     pool.submit(A, task(work_s=4.0), queue=URGENT)
     worker = pool.step(0.01)[0].worker_id
     report(pool, {worker: 0.0}, 0.9)
-    assert [stop.reason for stop in pool.stops] == ['stands still']
+    assert [stop.reason for stop in pool.stops] == ['stalled']
     pool.finish_stops()
     assert pool.step(0.3)[0].worker_id != worker
 
@@ -100,7 +100,7 @@
 
 
 def test_runs_stay_where_they_are_when_moves_are_switched_off():
-    without = frozenset((Mechanism.MOVES_OF_STILL,))
+    without = frozenset((Mechanism.MOVES_OF_STALLED,))
     pool = Pool(workers=2, settings=SchedulerSettings(without=without))
     pool.submit(A, task(work_s=6.0))
     worker = pool.step()[0].worker_id
--- a/packages/node/dahliaarch_node/clock.py
+++ b/packages/node/dahliaarch_node/clock.py
@@ -6,7 +6,7 @@
 def steady_s() -> float:
     """Return the time since the machine started, in seconds, also while it was suspended.
 
-    `time.monotonic` stands still then, while the leases of others run on: an owner
+    `time.monotonic` stops then, while the leases of others run on: an owner
     that was suspended would take its own for as fresh as before.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -1,6 +1,6 @@
 """An owner whose machine was suspended, or that knows neither the store nor its peers.
 
-While a machine is suspended its steady clock stands still, and the leases of others
+While a machine is suspended its steady clock stops, and the leases of others
 run on. An owner that woke gave orders at once, as one that had renewed its lease a
 moment ago; another instance had taken the pool meanwhile, and workers that it did
 not reach took them. A frozen process did the same: nothing looked at the age of its
--- a/packages/standins/dahliaarch_standins/comparison/degradation.py
+++ b/packages/standins/dahliaarch_standins/comparison/degradation.py
@@ -96,4 +96,4 @@
     if degraded.kind is Degradation.SLOW:
         return (1.0 - 1.0 / degraded.factor) / speed
     is_gone = degraded.kind is Degradation.LEAVING and at_s >= degraded.span.end_s
-    return 1.0 / speed if is_gone or degraded.kind is Degradation.STILL else 0.0
+    return 1.0 / speed if is_gone or degraded.kind is Degradation.STALLED else 0.0
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -141,7 +141,7 @@
     @property
     def rate(self) -> float:
         """Work done there in a second."""
-        if self.degradation is Degradation.STILL:
+        if self.degradation is Degradation.STALLED:
             return 0.0
         return 1.0 / (self.speed * self.factor)
 
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
@@ -32,14 +32,14 @@
     pool = draw_deployment(1).pool
     slow = DegradedWorkers(Span(0.0, 10.0), Degradation.SLOW, 0.5, 4.0)
     leaving = DegradedWorkers(Span(5.0, 8.0), Degradation.LEAVING, 0.5)
-    still = DegradedWorkers(Span(9.0, 12.0), Degradation.STILL, 0.5)
-    drawn = draw_degraded_places(pool, (slow, leaving, still), Chances(1))
+    stalled = DegradedWorkers(Span(9.0, 12.0), Degradation.STALLED, 0.5)
+    drawn = draw_degraded_places(pool, (slow, leaving, stalled), Chances(1))
     for each in drawn:
         others = [other for other in drawn if other.place == each.place and other is not each]
         assert all(other.span.begin_s >= each.over_s or each.span.begin_s >= other.over_s for other in others)
 
 
-def test_a_pool_is_weaker_while_workers_are_slow_still_or_gone():
+def test_a_pool_is_weaker_while_workers_are_slow_stalled_or_gone():
     pool = draw_deployment(1).pool
     speeds = [1.0] * pool.workers
     slow = draw_degraded_places(pool, [DegradedWorkers(Span(2.0, 4.0), Degradation.SLOW, 0.5, 4.0)], Chances(1))
--- a/packages/standins/dahliaarch_standins/comparison/troubles.py
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -45,7 +45,7 @@
     """What befalls a worker."""
 
     SLOW = 'slow'
-    STILL = 'still'
+    STALLED = 'stalled'
     FAILING = 'failing'
     CUT_OFF = 'cut_off'
     LEAVING = 'leaving'
@@ -96,7 +96,7 @@
 _LEAVERS_WITHIN_S = 1.5
 _DEGRADED_SHARE = {
     Degradation.SLOW: (0.14, 0.2),
-    Degradation.STILL: (0.1, 0.12),
+    Degradation.STALLED: (0.1, 0.12),
     Degradation.FAILING: (0.06, 0.1),
     Degradation.CUT_OFF: (0.12, 0.17),
     Degradation.LEAVING: (0.04, 0.12),
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -248,7 +248,7 @@
         self.signal(name, signal.SIGTERM)
 
     def pause(self, name: str) -> None:
-        """Let a daemon stand still."""
+        """Suspend a daemon."""
         self.signal(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -26,7 +26,7 @@
     Then it is shown as succeeded
     And no task ran twice
 
-  Scenario: The owner stands still and comes back after another took over
+  Scenario: The owner is suspended and comes back after another took over
     Given a deployment of three instances
     When a job of three tasks is accepted
     And the owner is paused for four seconds once its tasks run
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -63,7 +63,7 @@
 
 @register
 async def pause_instance(system: System, fault: Fault, choice: random.Random) -> None:
-    """Let an instance stand still, the owner in half of all cases."""
+    """Suspend an instance, the owner in half of all cases."""
     name = _owner_or_any(system, choice)
     if name not in system.deployment.running_names:
         return
