Names: heartbeat for beat

Messages between instances go by number, so that instances of both names understand each other. Tests change names only.

--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -175,7 +175,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._feed_guarantees, owner)
-                tasks.start_soon(self._membership.beat_forever, epoch)
+                tasks.start_soon(self._membership.send_heartbeats, epoch)
                 tasks.start_soon(self._stop_when_replaced, owner, epoch)
                 await owner.run()
                 tasks.cancel_scope.cancel()
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -12,16 +12,16 @@
 from .clock import steady_s
 from .configuration import ConfigurationFollower, PeerFeed
 from .logs import log_event
-from .peers import Beat, BeatReply, Hello, Mesh, PeerSilentError
+from .peers import Heartbeat, HeartbeatReply, Hello, Mesh, PeerSilentError
 from .records import Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
 from .watching import read_all
 
 # How often the owner is heard, in seconds. An instance that missed the news of a
 # configuration hears of it at most this much later.
-_BEAT_EVERY_S = 0.7
-# Longest wait for the answer to a beat, in seconds.
-_BEAT_ANSWER_S = 0.6
+_HEARTBEAT_EVERY_S = 0.7
+# Longest wait for the answer to a heartbeat, in seconds.
+_HEARTBEAT_ANSWER_S = 0.6
 # An instance that was silent for this long is taken off the list, in seconds.
 _FORGET_AFTER_S = 30.0
 
@@ -30,12 +30,12 @@
     member: Member
     version: int
     heard_s: float
-    # Beats in a row that got no answer.
+    # Heartbeats in a row that got no answer.
     missed: int = 0
 
 
 class _Round:
-    """One beat to all: confirms the owner's authority once most of the instances have agreed."""
+    """One heartbeat to all: confirms the owner's authority once most of the instances have agreed."""
 
     def __init__(self, asked_s: float, instances: int, authority: Authority) -> None:
         self._asked_s = asked_s
@@ -126,45 +126,45 @@
         """Take in which version of the configuration another instance follows."""
         self._peer_feed.announce(member, version)
 
-    async def beat_forever(self, epoch: int) -> None:
+    async def send_heartbeats(self, epoch: int) -> None:
         """Tell every instance who owns the pool, again and again."""
         await self._load()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._announce_changes, epoch)
             while True:
-                await self._beat_all(epoch)
+                await self._heartbeat_all(epoch)
                 await self._forget_silent()
 
     async def _announce_changes(self, epoch: int) -> None:
         """Tell every instance at once when a version comes into force here."""
         while True:
             await self._follower.changed.wait()
-            beat = Beat(self._member, epoch, self._follower.version)
+            heartbeat = Heartbeat(self._member, epoch, self._follower.version)
             for peer in tuple(self._peer_by_instance.values()):
-                self._mesh.tell((peer.member.host, peer.member.port), beat)
+                self._mesh.tell((peer.member.host, peer.member.port), heartbeat)
 
-    async def _beat_all(self, epoch: int) -> None:
+    async def _heartbeat_all(self, epoch: int) -> None:
         count = _Round(steady_s(), len(self._peer_by_instance) + 1, self._authority)
         count.agreed()
         async with anyio.create_task_group() as tasks:
             for peer in tuple(self._peer_by_instance.values()):
-                tasks.start_soon(self._beat, peer, epoch, count)
-            tasks.start_soon(anyio.sleep, _BEAT_EVERY_S)
+                tasks.start_soon(self._heartbeat, peer, epoch, count)
+            tasks.start_soon(anyio.sleep, _HEARTBEAT_EVERY_S)
 
     async def _load(self) -> None:
         page = await read_all(self._store, self._timing, MEMBERS_PREFIX)
         for item in page.items:
             self.add(decode(item.value, Member, 'member'))
 
-    async def _beat(self, peer: _Peer, epoch: int, count: _Round) -> None:
+    async def _heartbeat(self, peer: _Peer, epoch: int, count: _Round) -> None:
         member = peer.member
-        beat = Beat(self._member, epoch, self._follower.version)
+        heartbeat = Heartbeat(self._member, epoch, self._follower.version)
         try:
-            reply = await self._mesh.ask((member.host, member.port), beat, timeout_s=_BEAT_ANSWER_S)
+            reply = await self._mesh.ask((member.host, member.port), heartbeat, timeout_s=_HEARTBEAT_ANSWER_S)
         except PeerSilentError as error:
             self._note_missed(peer, error)
             return
-        if not isinstance(reply, BeatReply):
+        if not isinstance(reply, HeartbeatReply):
             return
         self.announced(member, reply.version)
         if reply.epoch > epoch:
@@ -172,12 +172,12 @@
         else:
             count.agreed()
         if peer.missed:
-            log_event('beats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
+            log_event('heartbeats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
         self._update(peer, _Peer(member, reply.version, steady_s()))
 
     def _note_missed(self, peer: _Peer, error: PeerSilentError) -> None:
         if not peer.missed:
-            log_event('beat_unanswered', member=peer.member.instance, version=peer.version, why=str(error))
+            log_event('heartbeat_unanswered', member=peer.member.instance, version=peer.version, why=str(error))
         self._update(peer, peer._replace(missed=peer.missed + 1))
 
     def _update(self, before: _Peer, after: _Peer) -> None:
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -24,7 +24,7 @@
 from ...membership import Membership
 from ...metrics import Metrics
 from ...ownership import Owner, Ownership, OwnershipSettings
-from ...peers import BeatReply, PeerSilentError
+from ...peers import HeartbeatReply, PeerSilentError
 from ...records import Member
 from ...timing import StoreTiming
 from .. import core, PoolOwner
@@ -153,7 +153,7 @@
 
 
 class Peers:
-    """Peers that answer beats, or don't."""
+    """Peers that answer heartbeats, or don't."""
 
     def __init__(self, replies):
         self.replies = replies
@@ -187,16 +187,16 @@
     ('replies', 'holds'),
     [
         ([], True),
-        ([BeatReply(1, EPOCH), BeatReply(1, 0), None, None], True),
-        ([BeatReply(1, EPOCH), None, None, None], False),
+        ([HeartbeatReply(1, EPOCH), HeartbeatReply(1, 0), None, None], True),
+        ([HeartbeatReply(1, EPOCH), None, None, None], False),
         ([None, None], False),
-        ([BeatReply(1, EPOCH + 1), BeatReply(1, EPOCH + 1)], False),
+        ([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)], False),
     ],
     ids=['alone', 'most', 'few', 'none', 'a newer owner'],
 )
 def test_while_the_store_is_away_most_instances_confirm_an_owner(replies, holds):
     authority = Authority(LEASE_S)
-    anyio.run(membership_with(Peers(replies), authority)._beat_all, EPOCH)
+    anyio.run(membership_with(Peers(replies), authority)._heartbeat_all, EPOCH)
     assert authority.holds(steady_s()) is holds
 
 
@@ -209,8 +209,8 @@
     told = []
 
     async def run():
-        peers = Peers([BeatReply(1, EPOCH + 1), BeatReply(1, EPOCH + 1)])
-        await membership_with(peers, Authority(LEASE_S), told.append)._beat_all(EPOCH)
+        peers = Peers([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)])
+        await membership_with(peers, Authority(LEASE_S), told.append)._heartbeat_all(EPOCH)
 
     anyio.run(run)
     assert told == [EPOCH + 1] * 2
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -15,7 +15,7 @@
     member: Member
 
 
-class Beat(NamedTuple):
+class Heartbeat(NamedTuple):
     """The owner tells an instance that it owns the pool.
 
     Parameters
@@ -26,7 +26,7 @@
         Its epoch; larger ones are newer.
     version : int
         Version of the configuration that it follows; whoever is behind asks for
-        it. Beats carry nothing whose size grows: they come again and again.
+        it. Heartbeats carry nothing whose size grows: they come again and again.
     """
 
     owner: Member
@@ -34,8 +34,8 @@
     version: int
 
 
-class BeatReply(NamedTuple):
-    """What an instance knows as it answers a beat.
+class HeartbeatReply(NamedTuple):
+    """What an instance knows as it answers a heartbeat.
 
     Parameters
     ----------
@@ -191,8 +191,8 @@
 
 Message = (
     Hello
-    | Beat
-    | BeatReply
+    | Heartbeat
+    | HeartbeatReply
     | AskState
     | StateReply
     | AskPending
@@ -209,8 +209,8 @@
 
 _TYPES: tuple[type[Message], ...] = (
     Hello,
-    Beat,
-    BeatReply,
+    Heartbeat,
+    HeartbeatReply,
     AskState,
     StateReply,
     AskPending,
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -21,8 +21,8 @@
     AskPending,
     AskPolicy,
     AskState,
-    Beat,
-    BeatReply,
+    Heartbeat,
+    HeartbeatReply,
     Hello,
     JobNews,
     Message,
@@ -83,12 +83,12 @@
             self.membership.add(message.member)
 
     @_reply.register
-    async def _(self, message: Beat) -> Message | None:
+    async def _(self, message: Heartbeat) -> Message | None:
         self._ownership.heard(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.announced(message.owner, message.version)
         known = self._ownership.owner
-        return BeatReply(self._follower.version, 0 if known is None else known.epoch)
+        return HeartbeatReply(self._follower.version, 0 if known is None else known.epoch)
 
     @_reply.register
     async def _(self, message: AskConfiguration) -> Message | None:
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_must_hold.py
@@ -167,7 +167,7 @@
 def _(running, calls_before):
     before = running.store.calls
     running.sleep(2.0)
-    # Three instances: renewals, watches and beats make well under 20 a second.
+    # Three instances: renewals, watches and heartbeats make well under 20 a second.
     assert running.store.calls - before < 40
 
 
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -186,11 +186,11 @@
         """Serve, work and publish, until cancelled."""
         await self.server.listen(Address('127.0.0.1', 0))
         self.address = Address('127.0.0.1', self.server.port)
-        next_beat_s = 0.0
+        next_heartbeat_s = 0.0
         while True:
-            if time.monotonic() >= next_beat_s:
+            if time.monotonic() >= next_heartbeat_s:
                 self._heartbeat()
-                next_beat_s = time.monotonic() + _HEARTBEAT_S
+                next_heartbeat_s = time.monotonic() + _HEARTBEAT_S
             self._work(time.monotonic())
             if self._must_crash and not self._is_down:
                 await self._crash_and_return()
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -3,16 +3,16 @@
 What happened: instances on links of 5 Mbit/s answered 404 for routes of a version that had been acknowledged
 seconds before, and never got that version at all. The configuration had grown to 839 KB in three steps.
 
-The sequence: the owner's beat carried the whole configuration to each instance that seemed to be behind. On a slow
+The sequence: the owner's heartbeat carried the whole configuration to each instance that seemed to be behind. On a slow
 link that took longer than the 0.6 s for which the owner waited, so the owner went on to believe that the instance was
-behind and sent the document again with each beat, also after it had arrived. From then on the beats filled the link:
-every slow instance received 400 to 640 KB/s without a pause, while no version changed. When the next version came, the
-watch got no answer in its 7 s, and each read after it was given up after 1.00 s, with a part of the answer received,
-and began at the first byte again.
+behind and sent the document again with each heartbeat, also after it had arrived. From then on the heartbeats filled
+the link: every slow instance received 400 to 640 KB/s without a pause, while no version changed. When the next version
+came, the watch got no answer in its 7 s, and each read after it was given up after 1.00 s, with a part of the answer
+received, and began at the first byte again.
 
 The cause: bounded waits that know nothing of the size of what is awaited, and retries that begin anew. What settled
 it: `configuration_unreachable ... no answer in 1.00 s` each 1.2 s without an end on instances whose processors were
-idle, and `beat_unanswered` with `carried_bytes` of 293,311 to 859,137 for all slow instances at once.
+idle, and `heartbeat_unanswered` with `carried_bytes` of 293,311 to 859,137 for all slow instances at once.
 """
 
 import time
@@ -136,7 +136,7 @@
         return node.member._replace(host=address.host, port=address.port)
 
     def own(self, tasks):
-        tasks.start_soon(self.fast.membership.beat_forever, EPOCH)
+        tasks.start_soon(self.fast.membership.send_heartbeats, EPOCH)
 
     def configure(self, version, routes):
         self.store.put(CONFIGURATION_KEY, document(version, routes))
@@ -178,7 +178,7 @@
         await anyio.sleep(2)
         before = pair.link.carried_bytes
         await anyio.sleep(2)
-        # Beats, and the watches that end.
+        # Heartbeats, and the watches that end.
         assert pair.link.carried_bytes - before < 20_000
 
     play(scenario)
