--- a/packages/cli/dahliaarch_cli/accounting/takeovers.py
+++ b/packages/cli/dahliaarch_cli/accounting/takeovers.py
@@ -23,12 +23,12 @@
     epoch : int
         Its epoch.
     jobs, urgent : int
-        Jobs that were handed in before it was ready, that no owner before had heard
+        Jobs that were handed in before it was ready, that no previous owner had heard
         of and that began under it; those of them that began as urgent work.
     longest_wait_s, mean_urgent_wait_s : float
         From handing in to the first start.
     orders_of_two_s : float
-        For how long starts of an owner before went out after its own first one.
+        For how long starts of a previous owner went out after its own first one.
     """
 
     at_s: float
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -90,7 +90,7 @@
         now : Moment
             The present.
         progress : JobProgress or None
-            What an earlier owner kept of it.
+            What a previous owner kept of it.
         not_before_s : float
             Steady time before which a silent worker may still run it.
         """
--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -116,7 +116,7 @@
 
 
 def check_kept_crashes(job: JobState, now: Moment) -> None:
-    """Apply the crash limit to a job whose crashes an earlier owner kept: it may have ended before it could."""
+    """Apply the crash limit to a job whose crashes a previous owner kept: it may have ended before it could."""
     kept = (crashes for step in job.step_by_key.values() for crashes in step.crashes_by_index.values())
     if any(_is_over_crash_limit(crashes) for crashes in kept):
         job.crash_limit_at_s = now.steady_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -74,7 +74,7 @@
 
 
 def _adopt(state: SchedulerState, worker: WorkerState, seen: RunSeen, now: Moment) -> Run | None:
-    """Take over a run that an earlier owner started, or stop one that is not wanted."""
+    """Take over a run that a previous owner started, or stop one that is not wanted."""
     step = state.step_of(seen.key)
     stray = Run(seen.key, seen.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0)
     if step is None or step.job.has_ended or seen.key.task_index in step.done:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -13,7 +13,7 @@
 
 from .pool import START_S, WALL_S, WORKER
 
-# Longer than any lease that an earlier owner can have given, in seconds.
+# Longer than any lease that a previous owner can have given, in seconds.
 LONGEST_LEASE_S = 10.3
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -96,7 +96,7 @@
     assert leaving not in started
 
 
-def test_runs_of_an_earlier_owner_are_adopted_and_not_started_again():
+def test_runs_of_a_previous_owner_are_adopted_and_not_started_again():
     pool = Pool(workers=2)
     pool.submit(A, task(3))
     pool.step()
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -76,11 +76,11 @@
         self._until_s = max(self._until_s, until_s)
 
     def assume(self, bound_s: float) -> None:
-        """Assume a lease given by an earlier owner up to ``bound_s``."""
+        """Assume a lease given by a previous owner up to ``bound_s``."""
         self._floor_s = max(self._floor_s, bound_s)
 
     def assume_held(self, hold_s: float, now_s: float) -> None:
-        """Assume that an earlier owner gave a lease of ``hold_s`` until now."""
+        """Assume that a previous owner gave a lease of ``hold_s`` until now."""
         self.assume(now_s + hold_s * _SLOWEST_CLOCK)
 
     def bound_s(self) -> float:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -22,7 +22,6 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
-from .earlier_work import EarlierWork
 from .effects import Effects
 from .end_news import EndNews
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
@@ -30,6 +29,7 @@
 from .link_settings import LinkContext, LinkSettings, StartTurns
 from .load_gauges import LoadGauges
 from .messages import OwnerMessage, WorkerInherited, WorkersHeard
+from .previous_work import PreviousWork
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
@@ -95,7 +95,7 @@
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
         self._unserved = UnservedWorkers()
-        self._earlier = EarlierWork(self.scheduler, settings.epoch)
+        self._previous = PreviousWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
         context = LinkContext(
             workers,
@@ -157,7 +157,7 @@
         """Take the pool over and decide until deposed or cancelled."""
         with self._scope, self._load_gauges:
             async with anyio.create_task_group() as tasks:
-                parts = IntakeParts(self.scheduler, self._links, self._earlier, self._unserved, self.depose, _now)
+                parts = IntakeParts(self.scheduler, self._links, self._previous, self._unserved, self.depose, _now)
                 intake = Intake(parts, self.epoch, tasks)
                 jobs_revision = await self._load(intake, tasks)
                 await self._survey_all(intake)
@@ -182,10 +182,10 @@
         kept = await read_jobs(self._store, self._settings.timing)
         intake.progress_by_id = kept.progress_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
-        # A silent worker may run jobs of earlier owners until its lease ends, which the
-        # owner before may have given while its authority lasted.
+        # A silent worker may run jobs of previous owners until its lease ends, which the
+        # previous owner may have given while its authority lasted.
         lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
-        self._earlier.may_last(lease_s, steady_s())
+        self._previous.may_last(lease_s, steady_s())
         for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
             intake.handle_all(job_messages(item))
         self._drain_inbox(intake)
@@ -193,7 +193,7 @@
         return kept.jobs.revision
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
-        """Yield the workers that the owner before knew, then those that have an entry."""
+        """Yield the workers that the previous owner knew, then those that have an entry."""
         for entry in workers.roster:
             yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, entry.is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
@@ -205,13 +205,13 @@
         Jobs accepted before this owner wait for the others, each until it answers or
         its lease has ended; later ones can't run there.
         """
-        self._earlier.expect_workers()
+        self._previous.expect_workers()
         deadline_s = steady_s() + _TAKEOVER_SURVEY_S
-        while self._earlier.is_unheard and steady_s() < deadline_s:
+        while self._previous.is_unheard and steady_s() < deadline_s:
             with anyio.move_on_after(deadline_s - steady_s()):
                 intake.handle(await self._receive.receive())
             self._drain_inbox(intake)
-        self._earlier.go_on()
+        self._previous.go_on()
 
     async def _decide_forever(self, intake: Intake) -> None:
         while True:
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -13,7 +13,6 @@
 from dahliaarch_platform.settings import Address
 
 from ..logs import log_event
-from .earlier_work import EarlierWork
 from .links import WorkerLink
 from .messages import (
     AdviceFailed,
@@ -33,6 +32,7 @@
     WorkerUnlisted,
     WorkerUnreadable,
 )
+from .previous_work import PreviousWork
 from .registry import Links
 from .unserved import UnservedWorkers
 
@@ -46,8 +46,8 @@
         Jobs and workers.
     links : Links
         Links to workers.
-    earlier : EarlierWork
-        What earlier owners started.
+    previous : PreviousWork
+        What previous owners started.
     unserved : UnservedWorkers
         Workers of services that nobody configured.
     deposed : callable
@@ -58,7 +58,7 @@
 
     scheduler: Scheduler
     links: Links
-    earlier: EarlierWork
+    previous: PreviousWork
     unserved: UnservedWorkers
     deposed: Callable[[], None]
     now: Callable[[], Moment]
@@ -79,7 +79,7 @@
     Attributes
     ----------
     progress_by_id : dict
-        What earlier owners kept of jobs that are not taken in yet.
+        What previous owners kept of jobs that are not taken in yet.
     """
 
     def __init__(self, parts: IntakeParts, epoch: int, tasks: TaskGroup) -> None:
@@ -87,7 +87,7 @@
         self.progress_by_id: dict[str, JobProgress] = {}
         self._scheduler = parts.scheduler
         self._links = parts.links
-        self._earlier = parts.earlier
+        self._previous = parts.previous
         self._unserved = parts.unserved
         self._deposed = parts.deposed
         self._now = parts.now
@@ -117,7 +117,7 @@
             message.queue,
             self._now(),
             progress=self.progress_by_id.get(job_id),
-            not_before_s=self._earlier.not_before_s(message.owner_epoch),
+            not_before_s=self._previous.not_before_s(message.owner_epoch),
         )
         if added:
             log_event(
@@ -206,7 +206,7 @@
         worker = self._scheduler.worker_by_id.get(message.worker_id)
         if link is not None and worker is not None:
             link.is_overfull = worker.is_overfull
-        self._earlier.heard(message.worker_id)
+        self._previous.heard(message.worker_id)
         former = self._links.take_predecessor(message.worker_id)
         if former is not None:
             self.handle(WorkerOver(former))
@@ -220,7 +220,7 @@
         log_event('worker_over', worker=message.worker_id)
         self._scheduler.worker_over(message.worker_id, self._now())
         self._links.close(message.worker_id)
-        self._earlier.heard(message.worker_id)
+        self._previous.heard(message.worker_id)
 
     @handle.register
     def _(self, message: WorkerReplaced) -> None:
@@ -228,7 +228,7 @@
         former = self._scheduler.worker_by_id.get(message.worker_id)
         link = self._links.get(message.worker_id)
         if former is not None and link is not None:
-            self._earlier.replaced(message.successor.worker_id)
+            self._previous.replaced(message.successor.worker_id)
             # Its tasks in doubt are not started elsewhere before the successor has told what runs there.
             late_until_s = self._now().steady_s + self._links.longest_late_s
             self._scheduler.worker_replaced(message.worker_id, message.successor.worker_id, late_until_s)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -53,9 +53,9 @@
         self.processed = 0
         # When the last acknowledgement was sent that got no answer; it may be carried out late.
         self.unanswered_at_s = -math.inf
-        # When it was taken over from the owner before, which may have sent it an acknowledgement without an answer.
+        # When it was taken over from the previous owner, which may have sent it an acknowledgement without an answer.
         self.inherited_at_s = -math.inf
-        # Whether ends are taken to be listed where something runs: the owner before had tried the worker then.
+        # Whether ends are taken to be listed where something runs: the previous owner had tried the worker then.
         self.is_trusted_at_work = False
         # When a survey was answered last.
         self.heard_at_s = -math.inf
@@ -168,7 +168,7 @@
         self._contact.answered()
         self.heard_at_s = context.clock()
         if not self._lease.has_reading:
-            # Until this answer an earlier owner may have given the longest lease.
+            # Until this answer a previous owner may have given the longest lease.
             self._lease.assume_held(settings.hold_s, context.clock())
         self._contact.read_clock(survey.clock_s)
         self._take_in(survey, begun)
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -51,7 +51,7 @@
 
 
 class WorkerInherited(NamedTuple):
-    """The owner before knew an incarnation of a worker: tasks may run there, whether it has an entry or not."""
+    """The previous owner knew an incarnation of a worker: tasks may run there, whether it has an entry or not."""
 
     profile: WorkerProfile
     address: Address
--- a/packages/node/dahliaarch_node/owner/earlier_work.py
+++ b/packages/node/dahliaarch_node/owner/previous_work.py
@@ -1,4 +1,4 @@
-"""What earlier owners started, as far as a new one has not heard of it yet."""
+"""What previous owners started, as far as a new one has not heard of it yet."""
 
 from dahliaarch_kernel.scheduler import Scheduler
 
@@ -8,8 +8,8 @@
 _SLOWEST_CLOCK = 1.03
 
 
-class EarlierWork:
-    """Holds jobs of earlier owners back until no worker may run one that this owner does not know of.
+class PreviousWork:
+    """Holds jobs of previous owners back until no worker may run one that this owner does not know of.
 
     Parameters
     ----------
@@ -23,10 +23,10 @@
         """Start before the takeover."""
         self._scheduler = scheduler
         self._epoch = epoch
-        # When leases that earlier owners gave have ended at the latest, steady clock.
+        # When leases that previous owners gave have ended at the latest, steady clock.
         self._until_s = 0.0
         self._unheard: set[str] = set()
-        # Workers take no orders of earlier owners once they have answered this one.
+        # Workers take no orders of previous owners once they have answered this one.
         self._has_heard_all = False
 
     @property
@@ -35,14 +35,14 @@
         return bool(self._unheard)
 
     def may_last(self, hold_s: float, now_s: float) -> None:
-        """Note that a silent worker may run jobs of earlier owners until a lease from now has ended."""
+        """Note that a silent worker may run jobs of previous owners until a lease from now has ended."""
         self._until_s = now_s + hold_s * _SLOWEST_CLOCK
 
     def not_before_s(self, owner_epoch: int) -> float:
         """Return from when a job may start, steady clock: one of which this owner alone was told, at once.
 
         That it was accepted after this owner's claim does not tell: for some time
-        instances know the owner before, tell it of jobs, and it starts them.
+        instances know the previous owner, tell it of jobs, and it starts them.
         """
         if owner_epoch == self._epoch or self._has_heard_all:
             return 0.0
@@ -54,7 +54,7 @@
         self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed and not worker.is_lapsed}
 
     def go_on(self) -> None:
-        """Let jobs of earlier owners start, or have them wait for the workers that are silent."""
+        """Let jobs of previous owners start, or have them wait for the workers that are silent."""
         if not self._unheard:
             self._go_on_with_all()
             return
@@ -65,7 +65,7 @@
     def replaced(self, worker_id: str) -> None:
         """Take in that another incarnation of a worker has begun: it has yet to say what runs there.
 
-        It knows no owner before it has answered this one, and may have taken orders of the owner before.
+        It knows no owner before it has answered this one, and may have taken orders of the previous owner.
         """
         if not self._has_heard_all:
             self._unheard.add(worker_id)
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -209,7 +209,7 @@
 
     def _roster_parts(self) -> dict[str, bytes]:
         entries_by_key = defaultdict[str, list[RosterEntry]](list)
-        # Parts that an earlier owner wrote may name workers that are gone.
+        # Parts that a previous owner wrote may name workers that are gone.
         for key in self.revision_by_key:
             if key.startswith(ROSTER_PREFIX):
                 entries_by_key[key] = []
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -1,4 +1,4 @@
-"""Reads what earlier owners left in the store."""
+"""Reads what previous owners left in the store."""
 
 from typing import NamedTuple
 
--- a/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -104,7 +104,7 @@
 
 
 def test_what_runs_on_a_worker_whose_entry_can_not_be_read_is_known_to_the_next_owner():
-    """The owner before knew the worker; without it the task would run a second time elsewhere."""
+    """The previous owner knew the worker; without it the task would run a second time elsewhere."""
     workers = Workers({'w': ()})
     store = KeptStore([bad('w'), in_roster('w'), worker_entry('x')])
     owner = run_takeover(store, workers, lambda owner: owner.is_ready, within_s=3)
--- a/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -496,8 +496,8 @@
 
 
 @pytest.mark.parametrize('entries', [(), (entry_of(FIRST),), (entry_of(SECOND),)], ids=['none', 'earlier', 'later'])
-def test_a_new_owner_hears_the_incarnation_that_answers_before_it_starts_earlier_work(entries):
-    """The owner before had started a task there, and its list of workers names the incarnation before."""
+def test_a_new_owner_hears_the_incarnation_that_answers_before_it_starts_previous_work(entries):
+    """The previous owner had started a task there, and its list of workers names the incarnation before."""
     worker = RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
     play(
@@ -510,7 +510,7 @@
     assert worker.running
 
 
-def test_earlier_work_waits_for_the_list_of_an_incarnation_that_replaces_one():
+def test_previous_work_waits_for_the_list_of_an_incarnation_that_replaces_one():
     """Its name was heard as soon as the incarnation before was over, and the task ran a second time elsewhere."""
     worker, idle = RestartingWorker(), RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -97,7 +97,7 @@
 def test_a_new_owner_waits_for_the_lease_that_an_earlier_one_may_have_given(failure, is_draining):
     """A task could run twice after a takeover: on a worker that was cut off and on another.
 
-    An earlier owner gave a worker the longest lease. The new one hears from the
+    A previous owner gave a worker the longest lease. The new one hears from the
     worker once, and then no more. It knew of no lease but its own: none where its
     second survey finds no connection, and 2 s on a worker that leaves. It ordered
     the worker's tasks elsewhere after that, while the worker runs them until the
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -180,7 +180,7 @@
 
 
 def test_a_job_that_comes_after_a_takeover_does_not_wait_for_workers_that_are_silent():
-    """With one worker gone since the owner before, urgent jobs began 1.2 s after a takeover and ended late."""
+    """With one worker gone since the previous owner, urgent jobs began 1.2 s after a takeover and ended late."""
     workers = Workers()
     workers.silent_until_s['w0'] = float('inf')
     store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -97,7 +97,7 @@
     return workers.starts
 
 
-def test_a_job_that_the_owner_before_was_told_of_waits_for_workers_that_may_run_it():
+def test_a_job_that_the_previous_owner_was_told_of_waits_for_workers_that_may_run_it():
     assert starts_with_two_owners(EPOCH, LONGEST_LEASE_S - 1.0) == [('w0', JOB, fence_of(EPOCH, 1))]
 
 
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
@@ -108,7 +108,7 @@
             while not worker.address.port:
                 await anyio.sleep(0.01)
             async with taking_over(store, hold_s=3.0, answers_over=SlowLink(SLOW_BYTES_PER_S)) as owner:
-                # What the owner before had started, and when it last renewed the lease.
+                # What the previous owner had started, and when it last renewed the lease.
                 lease_until_s = anyio.current_time() + 3.0
                 order = StartOrder(key, 1, '30', lease_until_s)
                 await (
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -133,7 +133,7 @@
     play(10_000_000, scenario)
 
 
-def test_workers_that_only_an_earlier_owner_knew_are_not_kept_for_ever():
+def test_workers_that_only_a_previous_owner_knew_are_not_kept_for_ever():
     async def scenario(writer, tasks):
         writer.recorder.roster = [worker(number) for number in range(WORKERS)]
         await writer.keep()
