Names: unacknowledged for orders in doubt, outcome unknown for writes and callers

start_unacknowledged, cancel_outcome_unknown, an outcome of dahliaarch_orders_total, the text of the command line on 504; worker_may_hide_ends for worker_doubted, as the field of the worker is called. Tests change names only.

--- a/packages/cli/dahliaarch_cli/client.py
+++ b/packages/cli/dahliaarch_cli/client.py
@@ -15,7 +15,7 @@
     """What a failed call tells."""
 
     NOT_REACHED = 'not reached'
-    IN_DOUBT = 'in doubt: ask again with the same id'
+    OUTCOME_UNKNOWN = 'outcome unknown: ask again with the same id'
     REFUSED = 'refused: it has not run and will not'
     NO_ACCESS = 'the key is not in force'
     NOT_FOUND = 'no such queue'
@@ -79,8 +79,8 @@
         except httpx.ConnectError as error:
             return Err(CallFailure(FailureKind.NOT_REACHED, str(error)))
         except httpx.HTTPError as error:
-            return Err(CallFailure(FailureKind.IN_DOUBT, str(error)))
+            return Err(CallFailure(FailureKind.OUTCOME_UNKNOWN, str(error)))
         if reply.is_success:
             return Ok(reply)
-        kind = _KIND_BY_STATUS.get(reply.status_code, FailureKind.IN_DOUBT)
+        kind = _KIND_BY_STATUS.get(reply.status_code, FailureKind.OUTCOME_UNKNOWN)
         return Err(CallFailure(kind, reply.text or str(reply.status_code)))
--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -44,11 +44,11 @@
     'task_given_up': 'task {task} was given up and its job failed: workers crashed under it: {workers}',
     'start_turn_late': 'the start of run {run} of task {task} on {worker} waited {waited_s} s behind other starts',
     'start_refused': '{worker} refused run {run} of task {task}: {status}',
-    'start_in_doubt': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
+    'start_unacknowledged': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
     'write_unanswered': 'the store did not answer a write: {why}',
-    'write_refused': 'the store refused a write (an earlier try in doubt: {was_ambiguous}): {why}',
+    'write_refused': 'the store refused a write (an earlier try unacknowledged: {was_ambiguous}): {why}',
     'state_unknown': 'the state could not be told: {why}',
-    'cancel_in_doubt': 'the store could not be asked about a cancellation: {why}',
+    'cancel_outcome_unknown': 'the store could not be asked about a cancellation: {why}',
 }
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -193,7 +193,7 @@
 
     def worker_over(self, worker_id: str, now: Moment) -> None:
         """Record that this incarnation of a worker has ended for certain."""
-        self._state.given_up_in_doubt.discard(worker_id)
+        self._state.given_up_unacknowledged.discard(worker_id)
         worker = self._state.worker_by_id.pop(worker_id, None)
         if worker is None:
             silent_worker_crashed(self._state, worker_id, now)
@@ -246,7 +246,7 @@
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
             worker_answered(self._state, worker_id)
-            self._state.given_up_in_doubt.discard(worker_id)
+            self._state.given_up_unacknowledged.discard(worker_id)
             if lists_ends and worker.may_hide_ends:
                 worker.may_hide_ends = False
                 self._state.memory.grown_workers.add(worker_id)
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -84,7 +84,7 @@
         # Incarnations whose lists some step waits for, or did, and those that were given up in silence since, until
         # something is heard at their addresses.
         self.awaited_incarnations: set[str] = set()
-        self.given_up_in_doubt: set[str] = set()
+        self.given_up_unacknowledged: set[str] = set()
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -25,7 +25,7 @@
     until_s : float
         Until when a late start may run there if nothing is heard, steady clock.
     """
-    for step in tuple(_in_doubt(state, worker_id)):
+    for step in tuple(_unacknowledged(state, worker_id)):
         step.awaited_until_by_worker.pop(worker_id, None)
         _await(state, step, successor_id, until_s)
     for tried, late_until_s in _with_unanswered_tries(state, worker_id):
@@ -35,12 +35,12 @@
 def note_given_up(state: SchedulerState, worker: WorkerState) -> None:
     """Record that an incarnation was given up in silence, its runs known; what waits for its list already waits on."""
     worker_id = worker.worker_id
-    if not worker.late_order_s or worker_id in state.given_up_in_doubt:
+    if not worker.late_order_s or worker_id in state.given_up_unacknowledged:
         return
     for step, until_s in _with_unanswered_tries(state, worker_id):
         _await(state, step, worker_id, until_s)
     if worker_id in state.awaited_incarnations:
-        state.given_up_in_doubt.add(worker_id)
+        state.given_up_unacknowledged.add(worker_id)
 
 
 def _await(state: SchedulerState, step: StepState, worker_id: str, until_s: float) -> None:
@@ -63,10 +63,10 @@
 def _has_yet_to_tell(state: SchedulerState, worker_id: str) -> bool:
     """Tell whether an incarnation goes on, as far as is known, and has not said what runs there."""
     worker = state.worker_by_id.get(worker_id)
-    return worker_id in state.given_up_in_doubt or (worker is not None and not worker.is_surveyed)
+    return worker_id in state.given_up_unacknowledged or (worker is not None and not worker.is_surveyed)
 
 
-def _in_doubt(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
+def _unacknowledged(state: SchedulerState, worker_id: str) -> Iterator[StepState]:
     """Yield the steps with a start that an incarnation did not answer, and those that wait for it themselves."""
     worker = state.worker_by_id.get(worker_id)
     for run in worker.run_by_key.values() if worker is not None else ():
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -134,7 +134,7 @@
         if is_answered and not is_late:
             self.scheduler.run_started(*order, self.now)
         else:
-            # The owner takes back what stays in doubt.
+            # The owner takes back what stays unacknowledged.
             self.stops.append(order)
 
     def carry_out_late(self, order):
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -229,13 +229,13 @@
     """A survey that does not list it tells nothing: the start may be carried out late."""
     pool = Pool(workers=2)
     pool.submit(A, task(2, accelerators=8, gang=True))
-    refused, doubtful = pool.scheduler.decide(pool.now)
+    refused, unacknowledged = pool.scheduler.decide(pool.now)
     pool.end(refused.worker_id, refused.key, refused.run, EndKind.REFUSED)
     assert [type(effect) for effect in pool.step(0.1)] == [StopRun]
     pool.now_s += 0.5
-    pool.survey(doubtful.worker_id)
+    pool.survey(unacknowledged.worker_id)
     assert not pool.step(0.5)
-    pool.end(doubtful.worker_id, doubtful.key, doubtful.run, EndKind.STOPPED)
+    pool.end(unacknowledged.worker_id, unacknowledged.key, unacknowledged.run, EndKind.STOPPED)
     assert len(pool.step(0.5)) == 2
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -14,7 +14,7 @@
 LATE_S = 20.0
 
 
-def replaced_in_doubt(pool):
+def replaced_unacknowledged(pool):
     """Return a start that got no answer, to an incarnation that another one has replaced since."""
     pool.submit(A, task())
     (start,) = pool.step()
@@ -39,7 +39,7 @@
 
 def test_its_task_waits_for_the_next_list_and_starts_if_that_is_empty():
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     assert not starts(pool, 5.0)
     pool.add_worker(f'{start.worker_id}+', 'r0')
     assert [each.key for each in starts(pool, 0.0)] == [start.key]
@@ -47,7 +47,7 @@
 
 def test_its_task_runs_on_where_the_next_list_has_it():
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     successor = f'{start.worker_id}+'
     pool.add_worker(successor, 'r0')
     seen = RunSeen(start.key, start.run, '', 10.0)
@@ -59,13 +59,13 @@
 @pytest.mark.parametrize(('after_s', 'count'), [(LATE_S - 1.0, 0), (LATE_S, 1)])
 def test_its_task_waits_no_longer_than_a_late_start_may_run(after_s, count):
     pool = Pool(workers=2)
-    replaced_in_doubt(pool)
+    replaced_unacknowledged(pool)
     assert len(starts(pool, after_s)) == count
 
 
 def test_it_waits_for_the_incarnation_after_the_next_one_too():
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     replace(pool, f'{start.worker_id}+')
     assert not starts(pool, 0.0)
     pool.add_worker(f'{start.worker_id}++', 'r0')
@@ -74,7 +74,7 @@
 
 def test_it_waits_no_longer_once_the_next_incarnation_is_over_without_another():
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     pool.scheduler.worker_over(f'{start.worker_id}+', pool.now)
     assert len(starts(pool, 0.0)) == 1
 
@@ -143,7 +143,7 @@
     assert len(starts(pool, 0.0)) == 1
 
 
-def given_up_in_doubt(pool, is_listed):
+def given_up_unacknowledged(pool, is_listed):
     """Return a start without an answer, to an incarnation that was given up in silence; another may have begun."""
     pool.submit(A, task())
     (start,) = pool.step()
@@ -164,14 +164,14 @@
 def test_its_task_waits_when_the_incarnation_was_given_up_in_silence(is_listed, after_s, count):
     """The next incarnation had done the task before anybody could ask it; it ran again 1.4 s later."""
     pool = Pool(workers=2)
-    given_up_in_doubt(pool, is_listed)
+    given_up_unacknowledged(pool, is_listed)
     assert not pool.step(0.1)
     assert len(starts(pool, after_s)) == count
 
 
 def test_it_waits_on_where_the_next_incarnation_is_given_up_before_it_has_told():
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     successor = f'{start.worker_id}+'
     pool.scheduler.worker_by_id[successor].late_order_s = LATE_S
     pool.scheduler.worker_silent(successor)
@@ -181,7 +181,7 @@
 
 def test_its_task_starts_once_the_incarnation_at_that_address_has_told_what_runs_there():
     pool = Pool(workers=2)
-    start = given_up_in_doubt(pool, is_listed=False)
+    start = given_up_unacknowledged(pool, is_listed=False)
     assert not pool.step(0.1)
     pool.add_worker(f'{start.worker_id}+', 'r0')
     pool.scheduler.worker_over(start.worker_id, pool.now)
@@ -192,7 +192,7 @@
 def test_its_task_starts_once_the_same_incarnation_has_told_what_runs_there():
     """It was cut off, and remembers the stop."""
     pool = Pool(workers=2)
-    start = given_up_in_doubt(pool, is_listed=False)
+    start = given_up_unacknowledged(pool, is_listed=False)
     assert not pool.step(0.1)
     pool.silent.clear()
     pool.add_worker(start.worker_id, 'r0')
@@ -201,13 +201,13 @@
 
 def test_its_task_starts_at_once_where_a_later_incarnation_has_another_name():
     pool = Pool(workers=2)
-    start = given_up_in_doubt(pool, is_listed=False)
+    start = given_up_unacknowledged(pool, is_listed=False)
     pool.scheduler.worker_by_id[start.worker_id].late_order_s = 0.0
     pool.step(0.1)
     assert len(starts(pool, 0.0)) == 1
 
 
-def doubted(pool, worker_id):
+def may_hide_ends(pool, worker_id):
     """Let a worker be one that may never list its ends."""
     pool.scheduler.worker_by_id[worker_id].may_hide_ends = True
 
@@ -215,10 +215,10 @@
 def test_a_late_start_is_stopped_on_an_incarnation_that_may_hide_its_end():
     """Its end was never listed, and the task ran again."""
     pool = Pool(workers=2)
-    start = replaced_in_doubt(pool)
+    start = replaced_unacknowledged(pool)
     successor = f'{start.worker_id}+'
     pool.add_worker(successor, 'r0')
-    doubted(pool, successor)
+    may_hide_ends(pool, successor)
     pool.scheduler.worker_surveyed(successor, (RunSeen(start.key, start.run, '', 10.0),), pool.now_s, pool.now)
     pool.running[successor, start.key] = start.run
     pool.step()
@@ -232,7 +232,7 @@
 )
 def test_an_incarnation_that_may_hide_ends_gets_one_start_at_a_time(step, count):
     pool = Pool(workers=1)
-    doubted(pool, 'w0')
+    may_hide_ends(pool, 'w0')
     pool.submit(A, step)
     assert len(pool.step()) == count
     assert not pool.step(0.3)
@@ -240,7 +240,7 @@
 
 def test_an_incarnation_that_has_listed_an_end_gets_work():
     pool = Pool(workers=1)
-    doubted(pool, 'w0')
+    may_hide_ends(pool, 'w0')
     pool.submit(A, task(3))
     (start,) = pool.step()
     pool.end('w0', start.key, start.run, EndKind.STOPPED)
@@ -250,6 +250,6 @@
 
 def test_work_goes_to_other_workers_first():
     pool = Pool(workers=2)
-    doubted(pool, 'w0')
+    may_hide_ends(pool, 'w0')
     pool.submit(A, task(3))
     assert [start.worker_id for start in pool.step()] == ['w1'] * 3
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -177,7 +177,7 @@
             try:
                 item = await self._store.get(job_key(call.job_id), timeout_s=_READ_S)
             except STORE_FAILURES as error:
-                log_event('cancel_in_doubt', job=call.job_id, why=str(error))
+                log_event('cancel_outcome_unknown', job=call.job_id, why=str(error))
                 return _answer_to_write(await self._keep_through_owner(AcceptCancel(call.job_id)))
             if item is None:
                 return Response(HTTPStatus.GONE)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -229,7 +229,8 @@
         link = self._links.get(message.worker_id)
         if former is not None and link is not None:
             self._previous.replaced(message.successor.worker_id)
-            # Its tasks in doubt are not started elsewhere before the successor has told what runs there.
+            # Its tasks whose start is unacknowledged are not started elsewhere before the successor has told what runs
+            # there.
             late_until_s = self._now().steady_s + self._links.longest_late_s
             self._scheduler.worker_replaced(message.worker_id, message.successor.worker_id, late_until_s)
         self.handle(WorkerOver(message.worker_id))
@@ -265,7 +266,7 @@
         link = self._links.open(worker, incarnation, address, self._tasks)
         worker.unanswered_starts = link.unanswered_starts
         if is_new and link.may_hide_ends:
-            log_event('worker_doubted', worker=incarnation.worker_id)
+            log_event('worker_may_hide_ends', worker=incarnation.worker_id)
             worker.may_hide_ends = True
         return link
 
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -49,7 +49,7 @@
 
     BEGUN = auto()
     NEVER = auto()
-    IN_DOUBT = auto()
+    OUTCOME_UNKNOWN = auto()
 
 
 class WorkerOrders:
@@ -111,11 +111,11 @@
         self._contact.context.post(RunNever(self._contact.worker_id, *run, kind))
 
     async def start(self, effect: StartRun, payload: str) -> None:
-        """Order a start until it is answered; take it back when it stays in doubt."""
+        """Order a start until it is answered; take it back when it stays unacknowledged."""
         outcome = await self._try_starts(effect, payload)
         if (effect.key, effect.run) in self._unanswered:
-            log_event('start_in_doubt', worker=self._contact.worker_id, task=effect.key, run=effect.run)
-            self._contact.context.metrics.orders.labels('start', 'in_doubt').inc()
+            log_event('start_unacknowledged', worker=self._contact.worker_id, task=effect.key, run=effect.run)
+            self._contact.context.metrics.orders.labels('start', 'unacknowledged').inc()
             await self.stop(effect.key, effect.run)
         elif outcome is not _Outcome.NEVER and self._contact.may_hide_ends:
             log_event('worker_probed', worker=self._contact.worker_id, task=effect.key, run=effect.run)
@@ -130,7 +130,7 @@
         for number in range(settings.order_tries):
             async with self._queue.turn(effect):
                 if not self._may_send(effect, ordered_s, is_retry=number > 0):
-                    return _Outcome.IN_DOUBT if number else _Outcome.NEVER
+                    return _Outcome.OUTCOME_UNKNOWN if number else _Outcome.NEVER
                 # Later tries carry no later end: a survey after it rules all of them out.
                 until_s = until_s or self._contact.lease_until(settings.start_hold_s) or 0.0
                 if not number:
@@ -141,7 +141,7 @@
             if status is not None:
                 return self._start_answered(effect, status, is_retry=number > 0)
             self._unanswered.note_late(run)
-        return _Outcome.IN_DOUBT
+        return _Outcome.OUTCOME_UNKNOWN
 
     def _may_send(self, effect: StartRun, ordered_s: float, *, is_retry: bool) -> bool:
         """Tell whether a try of a start may be sent, now that its turn has come."""
@@ -205,7 +205,7 @@
         if status is OrderStatus.FENCED:
             context.fenced()
         if is_retry:
-            return _Outcome.IN_DOUBT
+            return _Outcome.OUTCOME_UNKNOWN
         context.post(RunNever(self._contact.worker_id, effect.key, effect.run))
         return _Outcome.NEVER
 
--- a/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -247,10 +247,10 @@
 
 
 @pytest.mark.parametrize(
-    ('failure', 'is_doubtful'),
+    ('failure', 'is_unacknowledged'),
     [(WorkerUnansweredError('silence'), True), (WorkerUnreachableError('cut off'), False), (None, False)],
 )
-def test_an_incarnation_is_tried_while_it_may_have_been_told_to_forget_ends_of_its_own(failure, is_doubtful):
+def test_an_incarnation_is_tried_while_it_may_have_been_told_to_forget_ends_of_its_own(failure, is_unacknowledged):
     """An acknowledgement to the incarnation before got no answer; one that was never sent costs the next nothing."""
     worker = RestartingWorker()
     worker.acknowledging_fails = failure
@@ -262,8 +262,8 @@
         (lambda owner: owner.post(listed(SECOND)), lambda owner: True),
         (lambda owner: owner.post(job()), runs_on(worker)),
     )
-    assert len(worker.starts) == (3 if is_doubtful else 2)
-    assert len(worker.stopped) == is_doubtful
+    assert len(worker.starts) == (3 if is_unacknowledged else 2)
+    assert len(worker.stopped) == is_unacknowledged
 
 
 def test_an_incarnation_is_tried_for_an_acknowledgement_that_is_under_way_when_another_call_meets_it():
@@ -289,9 +289,9 @@
     assert worker.stopped == [TASK]
 
 
-@pytest.mark.parametrize(('late_s', 'is_doubtful'), [(5.0, True), (0.3, False)])
+@pytest.mark.parametrize(('late_s', 'is_unacknowledged'), [(5.0, True), (0.3, False)])
 def test_an_incarnation_is_not_tried_where_the_one_before_was_heard_until_no_acknowledgement_may_come(
-    late_s, is_doubtful, monkeypatch
+    late_s, is_unacknowledged, monkeypatch
 ):
     monkeypatch.setattr(registry, '_LATEST_S', late_s)
     worker = RestartingWorker()
@@ -305,7 +305,7 @@
         (lambda owner: owner.post(listed(SECOND)), lambda owner: True),
         (lambda owner: owner.post(job()), runs_on(worker)),
     )
-    assert len(worker.stopped) == is_doubtful
+    assert len(worker.stopped) == is_unacknowledged
 
 
 def test_a_start_that_an_incarnation_refuses_while_it_is_tried_is_not_stopped():
--- a/packages/standins/dahliaarch_standins/comparison/orders.py
+++ b/packages/standins/dahliaarch_standins/comparison/orders.py
@@ -11,7 +11,7 @@
 
 # When each try of a start is made, and when it is taken back, in seconds after the first.
 _START_TRIES_S = (0.0, 0.3, 0.9)
-_IN_DOUBT_S = 1.5
+_UNACKNOWLEDGED_S = 1.5
 # Time between two tries of a stop, in seconds, and from its answer until a list of
 # runs tells that nothing came of the start.
 _STOP_AGAIN_S = 0.85
@@ -60,7 +60,7 @@
         for after_s in _START_TRIES_S:
             if luck.random() >= share:
                 return Outcome(is_certain=True, takes_s=after_s)
-        return Outcome(is_certain=False, takes_s=_IN_DOUBT_S + _tries_s(share, luck) + _LIST_S)
+        return Outcome(is_certain=False, takes_s=_UNACKNOWLEDGED_S + _tries_s(share, luck) + _LIST_S)
 
     def stop_takes_s(self, order: StopRun, now_s: float) -> float:
         """Return how long it takes until a stop reaches its worker."""
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_orders.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_orders.py
@@ -44,9 +44,9 @@
     orders = Orders((LOST,), Chances(1))
     starts = [orders.start(start, 7.0) for start in STARTS]
     late = [outcome for outcome in starts if outcome.is_certain and outcome.takes_s]
-    in_doubt = [outcome for outcome in starts if not outcome.is_certain]
-    assert 0 < len(in_doubt) < len(late) < len(starts)
-    assert min(outcome.takes_s for outcome in in_doubt) > max(outcome.takes_s for outcome in late)
+    unacknowledged = [outcome for outcome in starts if not outcome.is_certain]
+    assert 0 < len(unacknowledged) < len(late) < len(starts)
+    assert min(outcome.takes_s for outcome in unacknowledged) > max(outcome.takes_s for outcome in late)
     assert 0 < sum(orders.stop_takes_s(stop, 7.0) > 0 for stop in STOPS) < len(STOPS)
 
 
