--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -104,7 +104,7 @@
         self.job.has_unkept_crashes = self.job.has_unkept_crashes or is_suspect(crashes)
 
     def discount_crash(self, index: int, run: int) -> bool:
-        """Record that the crash under a run said nothing of its task; tell whether that is news."""
+        """Record that the crash under a run said nothing of its task; tell whether that is new."""
         crashes = self.crashes_by_index.get(index, [])
         for number, crash in enumerate(crashes):
             if crash.run == run and not crash.with_others:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -21,7 +21,7 @@
 # Runs of one owner count up below its epoch, so that numbers rise over owners.
 RUNS_PER_EPOCH = 1 << 20
 # How long the last word of workers' room holds where they don't guard it, in seconds:
-# entries are news each 1.5 s, and users bear starts on room that shrank 4.5 s ago.
+# entries are written each 1.5 s, and users bear starts on room that shrank 4.5 s ago.
 _ROOM_KNOWN_S = 3.0
 
 
--- a/packages/node/dahliaarch_node/configuration/store_feed.py
+++ b/packages/node/dahliaarch_node/configuration/store_feed.py
@@ -21,7 +21,7 @@
 
 
 class StoreFeed:
-    """Reads the document, then waits for news of it.
+    """Reads the document, then waits for updates of it.
 
     What a peer has brought meanwhile is not read again: a document of a megabyte
     would fill a slow link for seconds.
@@ -55,7 +55,7 @@
                     await self._read_or_wait()
                 except StoreAnswerTooLargeError as error:
                     # Several versions at once: the newest alone is enough.
-                    log_event('configuration_news_too_large', why=str(error), version=self._follower.version)
+                    log_event('configuration_updates_too_large', why=str(error), version=self._follower.version)
                     self._seen = None
                 except STORE_FAILURES as error:
                     log_event('configuration_unreachable', why=str(error), version=self._follower.version)
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -27,7 +27,7 @@
     AcceptJob,
     AskPending,
     AskState,
-    JobNews,
+    JobUpdate,
     Mesh,
     Message,
     PeerSilentError,
@@ -163,7 +163,7 @@
         keep = partial(keep_job, self._store, call.job_id, record)
         outcome = await self._keep(keep, AcceptJob(call.job_id, record))
         if outcome.fate is Fate.KEPT and outcome.revision:
-            self._tell_owner(JobNews(call.job_id, record, outcome.revision, is_cancel=False))
+            self._notify_owner(JobUpdate(call.job_id, record, outcome.revision, is_cancel=False))
         return _answer_to_write(outcome)
 
     async def _cancel(self, call: _Call) -> Response:
@@ -184,7 +184,7 @@
         keep = partial(keep_cancellation, self._store, call.job_id)
         outcome = await self._keep(keep, AcceptCancel(call.job_id))
         if outcome.fate is Fate.KEPT:
-            self._tell_owner(JobNews(call.job_id, b'', outcome.revision, is_cancel=True))
+            self._notify_owner(JobUpdate(call.job_id, b'', outcome.revision, is_cancel=True))
         return _answer_to_write(outcome)
 
     async def _state(self, call: _Call) -> Response:
@@ -259,10 +259,10 @@
             return WriteOutcome(Fate.KEPT)
         return WriteOutcome(Fate.NOT_KEPT if reply.is_certain else Fate.UNKNOWN)
 
-    def _tell_owner(self, news: JobNews) -> None:
+    def _notify_owner(self, update: JobUpdate) -> None:
         owner = self._ownership.owner
         if owner is not None:
-            self._mesh.tell((owner.member.host, owner.member.port), news)
+            self._mesh.tell((owner.member.host, owner.member.port), update)
 
 
 _LOGGED_OPERATIONS = frozenset(('submit', 'cancel'))
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -17,7 +17,7 @@
 from .timing import StoreTiming
 from .watching import read_all
 
-# How often the owner is heard, in seconds. An instance that missed the news of a
+# How often the owner is heard, in seconds. An instance that missed the update of a
 # configuration hears of it at most this much later.
 _HEARTBEAT_EVERY_S = 0.7
 # Longest wait for the answer to a heartbeat, in seconds.
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -23,7 +23,7 @@
 from ..metrics import Metrics
 from .advising import Adviser, Ask
 from .effects import Effects
-from .end_news import EndNews
+from .end_notifier import EndNotifier
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
@@ -41,7 +41,7 @@
 _MOST_STARTS = 32
 # Longest time between two passes, in seconds: leases end and jobs fall due.
 _PASS_EVERY_S = 0.25
-# Shortest time between two passes, in seconds: news that come together share one.
+# Shortest time between two passes, in seconds: updates that come together share one.
 _PASS_GAP_S = 0.008
 # How long a new owner decides nothing while workers have yet to answer, in
 # seconds: they answer in milliseconds. While it waited 1.2 s for one that was
@@ -81,7 +81,7 @@
         self._authority = authority or lasting_authority()
         self._has_authority = True
         self.is_ready = False
-        self.end_news = EndNews()
+        self.end_notifier = EndNotifier()
         self.scheduler = Scheduler(
             scheduler_settings(settings),
             settings.epoch,
@@ -118,7 +118,7 @@
             settings.epoch,
             mark=self._links.ends_taken_in,
             kept=self._links.acknowledge,
-            shown=self.end_news.tell,
+            shown=self.end_notifier.notify,
             deposed=self.depose,
         )
         self.is_deposed = False
--- a/packages/node/dahliaarch_node/owner/end_news.py
+++ b/packages/node/dahliaarch_node/owner/end_notifier.py
@@ -3,21 +3,21 @@
 import anyio
 
 
-class EndNews:
+class EndNotifier:
     """Events by job, each there only while somebody waits for it."""
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
         self._event_by_job: dict[str, anyio.Event] = {}
 
-    def tell(self, job_id: str) -> None:
+    def notify(self, job_id: str) -> None:
         """Wake all who wait for the end of a job."""
         event = self._event_by_job.pop(job_id, None)
         if event is not None:
             event.set()
 
     async def wait(self, job_id: str, wait_s: float) -> None:
-        """Wait until the end of a job is told, at most ``wait_s``."""
+        """Wait for the end of a job, at most ``wait_s``."""
         event = self._event_by_job.setdefault(job_id, anyio.Event())
         with anyio.move_on_after(wait_s) as scope:
             await event.wait()
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -13,7 +13,7 @@
 from ..logs import log_event
 from ..records import CANCEL_SUFFIX, job_id_of, JobRecord, JOBS_PREFIX
 from ..timing import StoreTiming
-from ..watching import next_news
+from ..watching import next_updates
 from .messages import (
     JobCancelled,
     JobListed,
@@ -26,15 +26,15 @@
 
 Post = Callable[[OwnerMessage], None]
 
-# Pause between two watches of jobs, in seconds: news come from the instances
+# Pause between two watches of jobs, in seconds: updates come from the instances
 # themselves first, and each watch costs a call.
 _JOBS_WATCH_PAUSE_S = 0.25
 # Pause between two watches of workers' entries, in seconds. Each worker writes
-# its entry every 1.5 s, and each news ends a watch: without a pause they were
+# its entry every 1.5 s, and each update ends a watch: without a pause they were
 # two thirds of all calls of the store. A worker that leaves must get nothing new
 # after 2 s.
 _WORKERS_WATCH_PAUSE_S = 0.4
-# News in one answer after which no pause is made: more may wait. The store puts
+# Updates in one answer after which no pause is made: more may wait. The store puts
 # some 500 into an answer, and with a pause after each of them 1,500 workers were
 # heard 5 s late.
 _BUSY_PAGE = 200
@@ -69,7 +69,7 @@
 
 
 async def _watch_jobs(feed: Feed, revision: int) -> int:
-    page = (await next_news(feed.store, feed.timing, JOBS_PREFIX, revision)).page
+    page = (await next_updates(feed.store, feed.timing, JOBS_PREFIX, revision)).page
     for item in page.items:
         for message in job_messages(item):
             feed.post(message)
@@ -78,7 +78,7 @@
 
 
 async def _pause_after(page: Page, pause_s: float) -> None:
-    """Let news gather, unless there may be more already: then what is known would grow older with each answer."""
+    """Let updates gather, unless there may be more already: then what is known would grow older with each answer."""
     if 0 < len(page.items) < _BUSY_PAGE:
         await anyio.sleep(pause_s)
 
@@ -125,7 +125,7 @@
                 yield from self._listed(item)
 
     async def run(self, revision: int) -> None:
-        """Post news from a revision on, until cancelled."""
+        """Post updates from a revision on, until cancelled."""
         while True:
             try:
                 revision = await self._watch(revision)
@@ -134,14 +134,14 @@
                 await anyio.sleep(self._feed.timing.retry_pause_s())
 
     async def _watch(self, revision: int) -> int:
-        news = await next_news(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
-        for message in self.messages(news.page, is_whole=news.is_whole):
+        updates = await next_updates(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
+        for message in self.messages(updates.page, is_whole=updates.is_whole):
             self._feed.post(message)
         self._feed.post(WorkersHeard())
-        if news.is_whole:
-            return news.page.revision
-        await _pause_after(news.page, _WORKERS_WATCH_PAUSE_S)
-        return max(revision, news.page.revision)
+        if updates.is_whole:
+            return updates.page.revision
+        await _pause_after(updates.page, _WORKERS_WATCH_PAUSE_S)
+        return max(revision, updates.page.revision)
 
     def _listed(self, item: Item) -> Iterator[OwnerMessage]:
         name = item.key.removeprefix(WORKERS_PREFIX)
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -69,7 +69,7 @@
         self._is_idle = False
         self._session = context.client.session(address, incarnation, fence)
         self._contact = Contact(self._session, incarnation.worker_id, lease, context)
-        # Ends the survey that is under way, when there is news of the worker.
+        # Ends the survey that is under way, when there are updates of the worker.
         self._given_up: asyncio.Future[None] | None = None
         self._orders = WorkerOrders(self._contact)
 
@@ -238,9 +238,9 @@
 
     def _wait_s(self) -> float:
         """Return how long the next survey waits at the worker for an end."""
-        has_news = self.listed > self.acknowledged or not self._lease.has_reading
+        has_updates = self.listed > self.acknowledged or not self._lease.has_reading
         # An acknowledgement is not under way for longer than it has to be.
-        if has_news or self._contact.failures or self._to_acknowledge:
+        if has_updates or self._contact.failures or self._to_acknowledge:
             return 0.0
         if self._orders.has_unresolved_stops:
             return _STOP_POLL_S
--- a/packages/node/dahliaarch_node/owner/tests/test_end_news.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_end_notifier.py
@@ -18,7 +18,7 @@
 
 from ...peers import AskState
 from ...replies import PeerReplies
-from ..end_news import EndNews
+from ..end_notifier import EndNotifier
 
 JOB = 'a' * 16
 DEMAND = Resources(1, 1, 1)
@@ -29,7 +29,7 @@
 
     def __init__(self, steps):
         self.scheduler = Scheduler(SchedulerSettings(), 1)
-        self.end_news = EndNews()
+        self.end_notifier = EndNotifier()
         self.scheduler.add_job(JobSpec(JOB, '', 'q', '', steps), Queue('q', 'h', '/', 'svc'), Moment(0.0, 0.0))
 
     @property
@@ -47,7 +47,7 @@
     def keep(self):
         self.scheduler.take_dirty_jobs()
         if self.scheduler.mark_kept(JOB):
-            self.end_news.tell(JOB)
+            self.end_notifier.notify(JOB)
 
 
 ONE_STEP = (StepSpec(2, DEMAND),)
@@ -125,7 +125,7 @@
 
     async def ask_twice():
         await ask(replies_of(owner), 0.02)
-        assert not owner.end_news._event_by_job
+        assert not owner.end_notifier._event_by_job
         found = []
 
         async def note():
--- a/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -429,7 +429,7 @@
     assert not worker.starts
 
 
-def test_a_late_entry_of_an_earlier_incarnation_is_no_news_of_the_later_one():
+def test_a_late_entry_of_an_earlier_incarnation_is_no_update_of_the_later_one():
     worker = RestartingWorker()
     owner = play(
         worker,
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -90,7 +90,7 @@
 def test_a_worker_that_answers_after_its_lease_ended_gets_starts_once_the_store_holds_that():
     workers = Workers()
     store = WatchedStore([worker_entry('w0')], workers)
-    news = decode_job_record(kept_job(NEW, time.time()))
+    update = decode_job_record(kept_job(NEW, time.time()))
 
     def holds(owner):
         worker = owner.scheduler.worker_by_id.get('w0')
@@ -98,7 +98,7 @@
             workers.silent_until_s['w0'] = time.monotonic() + 2.0 * LONGEST_LEASE_S
         if any(is_lapsed for is_lapsed, _ in store.noted):
             workers.silent_until_s['w0'] = 0.0
-            submitted(owner, news)
+            submitted(owner, update)
         return workers.starts
 
     anyio.run(take_over, store, workers, holds, 3.0 * LONGEST_LEASE_S)
--- a/packages/node/dahliaarch_node/owner/tests/test_stops.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_stops.py
@@ -35,7 +35,7 @@
         self.ended_at_s = {}
         self.surveys = 0
         self.acknowledged = 0
-        self.news = anyio.Event()
+        self.updated = anyio.Event()
 
     async def survey(self, address, incarnation, *, acknowledged, wait_s, **order):
         self.surveys += 1
@@ -43,7 +43,7 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         if len(self.ended_at_s) <= self.acknowledged:
             with anyio.move_on_after(wait_s):
-                await self.news.wait()
+                await self.updated.wait()
         running = tuple(RunSeen(key, 1, '', 10.0) for key in END_S if key not in self.ended_at_s)
         ends = tuple(
             ListedEnd(number, RunEnd('w', key, 1, EndKind.STOPPED))
@@ -58,8 +58,8 @@
     async def end(self, key):
         await anyio.sleep(END_S[key])
         self.ended_at_s[key] = time.monotonic()
-        news, self.news = self.news, anyio.Event()
-        news.set()
+        updated, self.updated = self.updated, anyio.Event()
+        updated.set()
 
 
 async def stop_and_hear():
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -132,10 +132,10 @@
     return JobListed(record.spec, record.queue, EPOCH + 1, EPOCH)
 
 
-def submitted(owner, news):
+def submitted(owner, update):
     """Hand a job to an owner that decides; an owner knows a job once."""
     if owner.is_ready:
-        owner.post(news)
+        owner.post(update)
     return owner.is_ready
 
 
@@ -184,8 +184,8 @@
     workers = Workers()
     workers.silent_until_s['w0'] = float('inf')
     store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
-    news = decode_job_record(kept_job(NEW, time.time()))
-    anyio.run(take_over, store, workers, lambda owner: submitted(owner, news) and workers.starts, 0.8)
+    update = decode_job_record(kept_job(NEW, time.time()))
+    anyio.run(take_over, store, workers, lambda owner: submitted(owner, update) and workers.starts, 0.8)
     assert workers.starts == [('w1', TaskKey(NEW, 0, 0, 0))]
 
 
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -124,7 +124,7 @@
     job_count: int = 0
 
 
-class JobNews(NamedTuple):
+class JobUpdate(NamedTuple):
     """Tells the owner of a job or cancellation that is in the store now."""
 
     job_id: str
@@ -197,7 +197,7 @@
     | StateReply
     | AskPending
     | PendingReply
-    | JobNews
+    | JobUpdate
     | AcceptJob
     | AcceptCancel
     | Accepted
@@ -215,7 +215,7 @@
     StateReply,
     AskPending,
     PendingReply,
-    JobNews,
+    JobUpdate,
     AcceptJob,
     AcceptCancel,
     Accepted,
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -24,7 +24,7 @@
     Heartbeat,
     HeartbeatReply,
     Hello,
-    JobNews,
+    JobUpdate,
     Message,
     PendingReply,
     PolicyReply,
@@ -100,7 +100,7 @@
         if job is None or self.owner is None:
             return StateReply(is_known=False)
         if job.is_end_near and message.wait_s > 0:
-            await self.owner.end_news.wait(message.job_id, message.wait_s)
+            await self.owner.end_notifier.wait(message.job_id, message.wait_s)
         return StateReply(True, job.shown_phase.value, job.has_ended and job.is_end_kept)
 
     @_reply.register
@@ -110,7 +110,7 @@
         return PendingReply(True, self.owner.scheduler.pending_in(message.queue))
 
     @_reply.register
-    async def _(self, message: JobNews) -> None:
+    async def _(self, message: JobUpdate) -> None:
         self._pass_on(message.job_id, message.record, message.revision, is_cancel=message.is_cancel)
 
     @_reply.register
@@ -146,7 +146,7 @@
         return PolicyReply(True, dict(tickets))
 
     def _pass_on(self, job_id: str, record: bytes, revision: int, *, is_cancel: bool) -> None:
-        """Hand news to the pool's owner, if it is here; else the watch brings them."""
+        """Hand updates to the pool's owner, if it is here; else the watch brings them."""
         if self.owner is None:
             return
         if is_cancel:
--- a/packages/node/dahliaarch_node/timing.py
+++ b/packages/node/dahliaarch_node/timing.py
@@ -19,8 +19,8 @@
         Longest wait for the owner's writes: ends wait for them, and a write
         that went unanswered is told from a lost one by its condition.
     watch_wait_s : float
-        How long the store holds a watch without news. Each costs a call, and
-        news of the configuration also comes from the owner.
+        How long the store holds a watch without updates. Each costs a call, and
+        updates of the configuration also come from the owner.
     watch_s : float
         Longest wait for a watch's answer.
     retry_s : float
--- a/packages/node/dahliaarch_node/watching.py
+++ b/packages/node/dahliaarch_node/watching.py
@@ -1,4 +1,4 @@
-"""Reads a prefix, waits for news of it, and reads it again when its history is gone."""
+"""Reads a prefix, waits for updates of it, and reads it again when its history is gone."""
 
 from typing import NamedTuple
 
@@ -10,7 +10,7 @@
 from .timing import StoreTiming
 
 
-class News(NamedTuple):
+class Updates(NamedTuple):
     """Items of a prefix.
 
     Parameters
@@ -26,25 +26,25 @@
 
 
 async def watch_once(store: StoreClient, timing: StoreTiming, prefix: str, after: int) -> Page | None:
-    """Wait for news from a revision on; nothing when the history is gone."""
+    """Wait for updates from a revision on; nothing when the history is gone."""
     return await store.watch(prefix, after, wait_s=timing.watch_wait_s, timeout_s=timing.watch_s)
 
 
-async def next_news(store: StoreClient, timing: StoreTiming, prefix: str, after: int) -> News:
-    """Wait for news from a revision on; read everything when the history is gone or larger than one answer.
+async def next_updates(store: StoreClient, timing: StoreTiming, prefix: str, after: int) -> Updates:
+    """Wait for updates from a revision on; read everything when the history is gone or larger than one answer.
 
     A watch from the same revision would only grow.
     """
     try:
         page = await watch_once(store, timing, prefix, after)
     except StoreAnswerTooLargeError as error:
-        log_event('news_too_large', prefix=prefix, revision=after, why=str(error))
+        log_event('updates_too_large', prefix=prefix, revision=after, why=str(error))
     else:
         if page is not None:
-            return News(page, is_whole=False)
+            return Updates(page, is_whole=False)
         log_event('history_gone', prefix=prefix, revision=after)
     await anyio.sleep(timing.retry_pause_s())
-    return News(await read_all(store, timing, prefix), is_whole=True)
+    return Updates(await read_all(store, timing, prefix), is_whole=True)
 
 
 async def read_all(store: StoreClient, timing: StoreTiming, prefix: str) -> Page:
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -21,7 +21,7 @@
 
 # Time from an order to what it does, in seconds: one message each way.
 _ORDER_S = 0.005
-# News within this time share a pass, in seconds.
+# Updates within this time share a pass, in seconds.
 _GATHER_S = 0.01
 # Longest time between two passes, in seconds.
 _PASS_EVERY_S = 0.25
--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -15,7 +15,7 @@
 from .faults import Faults
 
 _MS = 1000.0
-# Most items, and most news, in one answer.
+# Most items, and most updates, in one answer.
 _PAGE = 500
 
 
@@ -34,7 +34,7 @@
         self.calls = 0
         # Protections that control arms switch off.
         self.checks_conditions = True
-        # Key whose news watches leave out.
+        # Key whose updates watches leave out.
         self.muted_key = ''
         self.revision = 0
         self._item_by_key: dict[str, dict[str, Any]] = {}
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -169,7 +169,7 @@
         self._rack = rack
         self._store = store
         self._incarnation = _Incarnation(time.monotonic())
-        self._news = anyio.Event()
+        self._updated = anyio.Event()
         self._must_crash = False
         self._is_down = False
         self._crashes = 0
@@ -257,8 +257,8 @@
         incarnation.finished.append([incarnation.ends, run.task, run.number, how, ''])
         self.ends.append(Ended(self.worker_id, run.task, run.number, how, now_s, incarnation.incarnation))
         self._forget(incarnation.acknowledged)
-        news, self._news = self._news, anyio.Event()
-        news.set()
+        updated, self._updated = self._updated, anyio.Event()
+        updated.set()
 
     async def _answer(self, request: Request) -> Response:
         refusal = await self.faults.before(request)
@@ -306,9 +306,9 @@
         self._extend(body)
         self._forget(body['AckedUpto'])
         if not self._incarnation.finished and body.get('WaitMs'):
-            news = self._news
+            updated = self._updated
             with anyio.move_on_after(body['WaitMs'] / _MS):
-                await news.wait()
+                await updated.wait()
         now_s = time.monotonic()
         running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self._incarnation.run_by_task.values()]
         return self._reply(
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
@@ -4,8 +4,8 @@
 tasks were started there meanwhile, which died with it.
 
 The sequence: each worker writes its entry every 1.5 s. The owner paused 0.4 s after each answer of its watch, and the
-store puts 500 news into one answer. From about 1,000 news a second on the answers were always full, and what the owner
-knew of its workers grew older by the second, until the store had forgotten what came next.
+store puts 500 updates into one answer. From about 1,000 updates a second on the answers were always full, and what the
+owner knew of its workers grew older by the second, until the store had forgotten what came next.
 
 The cause: a pause that knows nothing of how much waits.
 """
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -90,7 +90,7 @@
     # A start that is carried out after its stop.
     'run numbers': ('late_orders',),
     # A version of the configuration that no watch tells of.
-    'news': CONFIGURATION_KINDS,
+    'updates': CONFIGURATION_KINDS,
 }
 
 
