Names: contact, reported, received and synced for heard

A worker has reported, a peer was last contacted, frames are received, entries are synced (as informers of Kubernetes say), an ownership is observed. No behaviour changes; tests change names only.

--- a/packages/cli/dahliaarch_cli/accounting/takeovers.py
+++ b/packages/cli/dahliaarch_cli/accounting/takeovers.py
@@ -23,7 +23,7 @@
     epoch : int
         Its epoch.
     jobs, urgent : int
-        Jobs that were handed in before it was ready, that no previous owner had heard
+        Jobs that were handed in before it was ready, that no previous owner had learnt
         of and that began under it; those of them that began as urgent work.
     longest_wait_s, mean_urgent_wait_s : float
         From handing in to the first start.
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -66,9 +66,9 @@
         """Replace the services whose workers start whatever they are told."""
         self._state.unguarded_services = frozenset(services)
 
-    def workers_heard(self, now: Moment) -> None:
+    def workers_synced(self, now: Moment) -> None:
         """Record that all that workers publish is known up to now."""
-        self._state.workers_heard_s = now.steady_s
+        self._state.workers_synced_s = now.steady_s
 
     def add_job(
         self,
@@ -168,7 +168,7 @@
         if worker is not None:
             worker.has_readable_entry = False
 
-    def all_workers_heard(self) -> None:
+    def all_workers_reported(self) -> None:
         """Record that no worker can run a job of which this owner does not know."""
         for job in self._state.job_by_id.values():
             job.known_since_s = 0.0
@@ -187,7 +187,7 @@
         worker_id, successor_id : str
             The two incarnations.
         late_until_s : float
-            Until when the later one may run what the earlier one was sent, if it is not heard again, steady clock.
+            Until when the later one may run what the earlier one was sent, if it does not answer again, steady clock.
         """
         note_successor(self._state, worker_id, successor_id, late_until_s)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,7 +1,7 @@
 """Workers on which runs stall or crawl, and what moves away from them.
 
 Whether a worker is slow is told from all that runs there: how far each run has
-come since it was last heard of, against how far it should have come. How much
+come since it was last reported, against how far it should have come. How much
 that says depends on how well run times of its queue are known.
 """
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 # A run that goes on for so much longer than earlier ones did is not what killed
-# their workers, in seconds: progress is heard of once a second. A run that was not
-# heard of for so long is suspected of its worker's death.
+# their workers, in seconds: progress is reported once a second. A run that was not
+# reported for so long is suspected of its worker's death.
 OUTLIVED_S = 1.0
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -88,9 +88,9 @@
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
-        # Services whose workers start whatever they are told, and when entries were last heard of.
+        # Services whose workers start whatever they are told, and when entries were last synced.
         self.unguarded_services: frozenset[str] = frozenset()
-        self.workers_heard_s = float('-inf')
+        self.workers_synced_s = float('-inf')
         self.surveyed_workers: set[str] = set()
         self.memory = PassMemory()
         self.stalls = Stalls()
@@ -105,7 +105,7 @@
         """Tell whether a worker's room is known, or guarded by the worker itself."""
         if worker.profile.service not in self.unguarded_services:
             return True
-        return now_s - self.workers_heard_s <= _ROOM_KNOWN_S
+        return now_s - self.workers_synced_s <= _ROOM_KNOWN_S
 
     def next_run_number(self) -> int:
         """Return a run number above all that were given before."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -23,7 +23,7 @@
     worker_id, successor_id : str
         The incarnation that is over, its runs still known, and the one that answered.
     until_s : float
-        Until when a late start may run there if nothing is heard, steady clock.
+        Until when a late start may run there if nothing is reported, steady clock.
     """
     for step in tuple(_unacknowledged(state, worker_id)):
         step.awaited_until_by_worker.pop(worker_id, None)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -67,13 +67,13 @@
         # Stops that the present owner has ordered and that are not acknowledged.
         self.stops = []
         self.scheduler = None
-        self.take_over(unheard=(), unlisted=())
+        self.take_over(unreported=(), unlisted=())
 
     @property
     def now(self):
         return Moment(self.now_s, WALL_S + self.now_s - START_S)
 
-    def take_over(self, unheard, unlisted):
+    def take_over(self, unreported, unlisted):
         """Let another owner read the store and ask the workers that it finds."""
         self.epoch += 3
         self.stops = []
@@ -82,12 +82,14 @@
             if worker_id not in unlisted:
                 self.list_worker(worker_id)
         for spec, queue in self.job_by_id.values():
-            self.scheduler.add_job(spec, queue, self.now, not_before_s=self.now_s + LONGEST_LEASE_S if unheard else 0.0)
+            self.scheduler.add_job(
+                spec, queue, self.now, not_before_s=self.now_s + LONGEST_LEASE_S if unreported else 0.0
+            )
         for job_id in self.cancelled & self.job_by_id.keys():
             self.scheduler.cancel(job_id, self.now)
-        for worker_id in set(self.worker_by_id) - set(unlisted) - set(unheard):
+        for worker_id in set(self.worker_by_id) - set(unlisted) - set(unreported):
             self.survey(worker_id)
-        for worker_id in set(unheard) - set(unlisted):
+        for worker_id in set(unreported) - set(unlisted):
             self.silence(worker_id)
 
     def list_worker(self, worker_id):
@@ -155,7 +157,7 @@
             self.scheduler.run_ended(RunEnd(*order, EndKind.STOPPED), self.now)
 
     def survey(self, worker_id):
-        """Hear a worker's ends and what it runs."""
+        """Take in a worker's ends and what it runs."""
         worker = self.worker_by_id[worker_id]
         worker.is_silent = False
         ends, worker.ends = worker.ends, []
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_late_starts.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_late_starts.py
@@ -54,17 +54,17 @@
 
 
 @pytest.mark.parametrize('is_removed', [False, True])
-@pytest.mark.parametrize('is_heard', [False, True])
+@pytest.mark.parametrize('has_reported', [False, True])
 @pytest.mark.parametrize('is_listed', [False, True])
-def test_a_start_of_an_owner_that_is_gone_is_stopped_by_the_next(is_removed, is_heard, is_listed):
-    """Also if the next knows no such job, or hears of the worker only later."""
+def test_a_start_of_an_owner_that_is_gone_is_stopped_by_the_next(is_removed, has_reported, is_listed):
+    """Also if the next knows no such job, or learns of the worker only later."""
     succession = Succession(WORKERS)
     order = begin_late(succession)
     succession.cancel(A)
     if is_removed:
         succession.remove(A)
     worker = order.worker_id
-    succession.take_over(unheard=() if is_heard else (worker,), unlisted=() if is_listed else (worker,))
+    succession.take_over(unreported=() if has_reported else (worker,), unlisted=() if is_listed else (worker,))
     succession.carry_out_late(order)
     assert succession.unwanted()
     find_and_stop(succession)
@@ -74,7 +74,7 @@
 def test_a_late_start_that_was_adopted_is_stopped_once_its_job_is_cancelled():
     succession = Succession(WORKERS)
     order = begin_late(succession)
-    succession.take_over(unheard=(), unlisted=())
+    succession.take_over(unreported=(), unlisted=())
     succession.carry_out_late(order)
     succession.survey(order.worker_id)
     succession.cancel(A)
@@ -139,9 +139,9 @@
         if removable:
             self.succession.remove(choice.choice(sorted(removable)))
 
-    @rule(unheard=st.sets(WORKER_IDS), unlisted=st.sets(WORKER_IDS))
-    def take_over(self, unheard, unlisted):
-        self.succession.take_over(unheard, unlisted)
+    @rule(unreported=st.sets(WORKER_IDS), unlisted=st.sets(WORKER_IDS))
+    def take_over(self, unreported, unlisted):
+        self.succession.take_over(unreported, unlisted)
 
     @rule()
     def nothing_unwanted_outlasts_a_survey(self):
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
@@ -61,24 +61,24 @@
 
 def unguarded(pool):
     pool.scheduler.set_unguarded({'svc'})
-    pool.scheduler.workers_heard(pool.now)
+    pool.scheduler.workers_synced(pool.now)
 
 
 def test_a_worker_that_does_not_guard_its_room_gets_nothing_on_an_old_word_of_it():
-    """Its room may have shrunk since its entry was last heard of, and it starts whatever it is told."""
+    """Its room may have shrunk since its entry was last synced, and it starts whatever it is told."""
     pool = Pool(workers=1)
     unguarded(pool)
     pool.now_s += 5.0
     pool.submit(A, task(1))
     assert not pool.step()
-    pool.scheduler.workers_heard(pool.now)
+    pool.scheduler.workers_synced(pool.now)
     assert pool.step(0.01)
 
 
-def test_a_worker_that_guards_its_room_is_used_while_entries_are_not_heard_of():
+def test_a_worker_that_guards_its_room_is_used_while_entries_are_not_synced():
     pool = Pool(workers=1)
     pool.scheduler.set_unguarded(set())
-    pool.scheduler.workers_heard(pool.now)
+    pool.scheduler.workers_synced(pool.now)
     pool.now_s += 60.0
     pool.submit(A, task(1))
     assert pool.step()
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -132,7 +132,7 @@
     """
 
     def __init__(self, profile: WorkerProfile) -> None:
-        """Start empty and not yet heard of."""
+        """Start empty and not surveyed yet."""
         self.profile = profile
         self.worker_id = profile.worker_id
         self.lease = Lease()
--- a/packages/node/dahliaarch_node/configuration/tests/test_updates.py
+++ b/packages/node/dahliaarch_node/configuration/tests/test_updates.py
@@ -65,7 +65,7 @@
 
 
 def fetch(own, to_peer, version, within_s=0.2, *, is_told_again=False):
-    """Let a follower hear of a version, once or again and again, and fetch it."""
+    """Let a follower learn of a version, once or again and again, and fetch it."""
 
     async def run():
         feed = PeerFeed(own, to_peer)
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -1,4 +1,4 @@
-"""The instances that are there: each has an entry in the store and hears the owner."""
+"""The instances that are there: each has an entry in the store and gets the owner's heartbeats."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -17,8 +17,8 @@
 from .timing import StoreTiming
 from .watching import read_all
 
-# How often the owner is heard, in seconds. An instance that missed the update of a
-# configuration hears of it at most this much later.
+# How often the owner sends heartbeats, in seconds. An instance that missed the update of a
+# configuration learns of it at most this much later.
 _HEARTBEAT_EVERY_S = 0.7
 # Longest wait for the answer to a heartbeat, in seconds.
 _HEARTBEAT_ANSWER_S = 0.6
@@ -29,7 +29,7 @@
 class _Peer(NamedTuple):
     member: Member
     version: int
-    heard_s: float
+    last_contact_s: float
     # Heartbeats in a row that got no answer.
     missed: int = 0
 
@@ -188,7 +188,7 @@
     async def _forget_silent(self) -> None:
         limit_s = steady_s() - _FORGET_AFTER_S
         for instance, peer in tuple(self._peer_by_instance.items()):
-            if peer.heard_s > limit_s:
+            if peer.last_contact_s > limit_s:
                 continue
             log_event('member_forgotten', member=instance)
             del self._peer_by_instance[instance]
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -36,7 +36,7 @@
         Latest reading of its clock.
     failures : int
         Surveys in a row that failed.
-    heard : Event
+    answer : Event
         Set when a survey is answered, and then replaced.
     is_draining : bool
         Whether the worker has said that it leaves.
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, session: WorkerSession, worker_id: str, lease: Lease, context: LinkContext) -> None:
-        """Start without having heard anything."""
+        """Start without an answer."""
         self.session = session
         self.worker_id = worker_id
         self.lease = lease
@@ -62,7 +62,7 @@
         self.is_overfull = False
         self.may_hide_ends = False
         self.unanswered_starts: dict[TaskKey, float] = {}
-        self.heard = anyio.Event()
+        self.answer = anyio.Event()
         self.scope = anyio.CancelScope()
 
     @property
@@ -73,8 +73,8 @@
     def answered(self) -> None:
         """Note that a survey was answered."""
         self.failures = 0
-        heard, self.heard = self.heard, anyio.Event()
-        heard.set()
+        answer, self.answer = self.answer, anyio.Event()
+        answer.set()
 
     def over(self, error: WorkerReplacedError) -> None:
         """Tell that this incarnation of the worker has ended for certain, and who answered in its place."""
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -28,7 +28,7 @@
 from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
 from .load_gauges import LoadGauges
-from .messages import OwnerMessage, WorkerInherited, WorkersHeard
+from .messages import OwnerMessage, WorkerInherited, WorkersSynced
 from .previous_work import PreviousWork
 from .recorder import Recorder
 from .registry import Links
@@ -197,17 +197,17 @@
         for entry in workers.roster:
             yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, entry.is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
-        yield WorkersHeard()
+        yield WorkersSynced()
 
     async def _survey_all(self, intake: Intake) -> None:
-        """Hear from every worker that answers at once.
+        """Contact every worker that answers at once.
 
         Jobs accepted before this owner wait for the others, each until it answers or
         its lease has ended; later ones can't run there.
         """
         self._previous.expect_workers()
         deadline_s = steady_s() + _TAKEOVER_SURVEY_S
-        while self._previous.is_unheard and steady_s() < deadline_s:
+        while self._previous.has_unreported and steady_s() < deadline_s:
             with anyio.move_on_after(deadline_s - steady_s()):
                 intake.handle(await self._receive.receive())
             self._drain_inbox(intake)
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -19,7 +19,7 @@
     JobListed,
     OwnerMessage,
     WorkerListed,
-    WorkersHeard,
+    WorkersSynced,
     WorkerUnlisted,
     WorkerUnreadable,
 )
@@ -36,7 +36,7 @@
 _WORKERS_WATCH_PAUSE_S = 0.4
 # Updates in one answer after which no pause is made: more may wait. The store puts
 # some 500 into an answer, and with a pause after each of them 1,500 workers were
-# heard 5 s late.
+# noticed 5 s late.
 _BUSY_PAGE = 200
 
 
@@ -137,7 +137,7 @@
         updates = await next_updates(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
         for message in self.messages(updates.page, is_whole=updates.is_whole):
             self._feed.post(message)
-        self._feed.post(WorkersHeard())
+        self._feed.post(WorkersSynced())
         if updates.is_whole:
             return updates.page.revision
         await _pause_after(updates.page, _WORKERS_WATCH_PAUSE_S)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -26,8 +26,8 @@
     WorkerListed,
     WorkerOver,
     WorkerReplaced,
-    WorkersHeard,
     WorkerSilent,
+    WorkersSynced,
     WorkerSurveyed,
     WorkerUnlisted,
     WorkerUnreadable,
@@ -167,8 +167,8 @@
         link.is_overfull = self._scheduler.worker_by_id[profile.worker_id].is_overfull
 
     @handle.register
-    def _(self, message: WorkersHeard) -> None:
-        self._scheduler.workers_heard(self._now())
+    def _(self, message: WorkersSynced) -> None:
+        self._scheduler.workers_synced(self._now())
 
     @handle.register
     def _(self, message: WorkerInherited) -> None:
@@ -206,7 +206,7 @@
         worker = self._scheduler.worker_by_id.get(message.worker_id)
         if link is not None and worker is not None:
             link.is_overfull = worker.is_overfull
-        self._previous.heard(message.worker_id)
+        self._previous.reported(message.worker_id)
         former = self._links.take_predecessor(message.worker_id)
         if former is not None:
             self.handle(WorkerOver(former))
@@ -220,7 +220,7 @@
         log_event('worker_over', worker=message.worker_id)
         self._scheduler.worker_over(message.worker_id, self._now())
         self._links.close(message.worker_id)
-        self._previous.heard(message.worker_id)
+        self._previous.reported(message.worker_id)
 
     @handle.register
     def _(self, message: WorkerReplaced) -> None:
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -34,7 +34,7 @@
         within it.
     longest_answer_s : float
         The same after waits that were too short. A worker that answers later than
-        this is heard no more, and its runs start elsewhere once its lease has ended.
+        this counts as silent, and its runs start elsewhere once its lease has ended.
     order_s : float
         Longest wait for the answer to the first try of a start: a worker
         answers in milliseconds, and the same start may be ordered again.
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -58,7 +58,7 @@
         # Whether ends are taken to be listed where something runs: the previous owner had tried the worker then.
         self.is_trusted_at_work = False
         # When a survey was answered last.
-        self.heard_at_s = -math.inf
+        self.last_contact_s = -math.inf
         # The ends that the latest answer listed.
         self._numbers: tuple[int, ...] = ()
         self.acknowledged_more = anyio.Event()
@@ -166,7 +166,7 @@
             await self._survey_refused(survey)
             return
         self._contact.answered()
-        self.heard_at_s = context.clock()
+        self.last_contact_s = context.clock()
         if not self._lease.has_reading:
             # Until this answer a previous owner may have given the longest lease.
             self._lease.assume_held(settings.hold_s, context.clock())
@@ -229,7 +229,7 @@
         """Return how long the answer to the next survey is waited for.
 
         It doubles with each failure: where answers come late, from the worker or to
-        an owner that has little processor time, a wait that stays the same hears
+        an owner that has little processor time, a wait that stays the same gets
         none of them, and what they listed runs again elsewhere.
         """
         settings = self._context.settings
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -59,8 +59,8 @@
     is_lapsed: bool = False
 
 
-class WorkersHeard(NamedTuple):
-    """All that workers publish has been told up to now."""
+class WorkersSynced(NamedTuple):
+    """All that workers publish is known up to now."""
 
 
 class WorkerUnlisted(NamedTuple):
@@ -175,7 +175,7 @@
     | JobCancelled
     | WorkerListed
     | WorkerInherited
-    | WorkersHeard
+    | WorkersSynced
     | WorkerUnlisted
     | WorkerUnreadable
     | WorkerSurveyed
--- a/packages/node/dahliaarch_node/owner/previous_work.py
+++ b/packages/node/dahliaarch_node/owner/previous_work.py
@@ -1,4 +1,4 @@
-"""What previous owners started, as far as a new one has not heard of it yet."""
+"""What previous owners started, as far as a new one does not know of it yet."""
 
 from dahliaarch_kernel.scheduler import Scheduler
 
@@ -25,14 +25,14 @@
         self._epoch = epoch
         # When leases that previous owners gave have ended at the latest, steady clock.
         self._until_s = 0.0
-        self._unheard: set[str] = set()
+        self._unreported: set[str] = set()
         # Workers take no orders of previous owners once they have answered this one.
-        self._has_heard_all = False
+        self._have_all_reported = False
 
     @property
-    def is_unheard(self) -> bool:
+    def has_unreported(self) -> bool:
         """Whether some worker has yet to say what runs there."""
-        return bool(self._unheard)
+        return bool(self._unreported)
 
     def may_last(self, hold_s: float, now_s: float) -> None:
         """Note that a silent worker may run jobs of previous owners until a lease from now has ended."""
@@ -44,22 +44,22 @@
         That it was accepted after this owner's claim does not tell: for some time
         instances know the previous owner, tell it of jobs, and it starts them.
         """
-        if owner_epoch == self._epoch or self._has_heard_all:
+        if owner_epoch == self._epoch or self._have_all_reported:
             return 0.0
         return self._until_s
 
     def expect_workers(self) -> None:
-        """Wait for every worker that has not been heard yet and may run something."""
+        """Wait for every worker that has not reported yet and may run something."""
         workers = self._scheduler.worker_by_id.values()
-        self._unheard = {worker.worker_id for worker in workers if not worker.is_surveyed and not worker.is_lapsed}
+        self._unreported = {worker.worker_id for worker in workers if not worker.is_surveyed and not worker.is_lapsed}
 
     def go_on(self) -> None:
         """Let jobs of previous owners start, or have them wait for the workers that are silent."""
-        if not self._unheard:
+        if not self._unreported:
             self._go_on_with_all()
             return
-        log_event('takeover_incomplete', silent=sorted(self._unheard), until_s=self._until_s)
-        for worker_id in self._unheard:
+        log_event('takeover_incomplete', silent=sorted(self._unreported), until_s=self._until_s)
+        for worker_id in self._unreported:
             self._scheduler.worker_by_id[worker_id].lease.assume(self._until_s)
 
     def replaced(self, worker_id: str) -> None:
@@ -67,18 +67,18 @@
 
         It knows no owner before it has answered this one, and may have taken orders of the previous owner.
         """
-        if not self._has_heard_all:
-            self._unheard.add(worker_id)
+        if not self._have_all_reported:
+            self._unreported.add(worker_id)
 
-    def heard(self, worker_id: str) -> None:
+    def reported(self, worker_id: str) -> None:
         """Take in that a worker has said what runs there, or is over."""
-        if worker_id not in self._unheard:
+        if worker_id not in self._unreported:
             return
-        self._unheard.discard(worker_id)
-        if not self._unheard:
+        self._unreported.discard(worker_id)
+        if not self._unreported:
             log_event('takeover_complete', epoch=self._epoch)
             self._go_on_with_all()
 
     def _go_on_with_all(self) -> None:
-        self._has_heard_all = True
-        self._scheduler.all_workers_heard()
+        self._have_all_reported = True
+        self._scheduler.all_workers_reported()
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -195,7 +195,7 @@
         ]
         if earlier is not None:
             sent.append(earlier._replace(incarnation=link.incarnation))
-        late = [each for each in sent if link.heard_at_s < each.until_s]
+        late = [each for each in sent if link.last_contact_s < each.until_s]
         if late:
             self._unanswered_by_name[name] = max(late, key=attrgetter('is_known', 'until_s'))
 
--- a/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -191,7 +191,7 @@
     return lambda owner: worker.running and time.monotonic() - worker.started_at_s > 0.5
 
 
-def heard_for(seconds):
+def contacted_for(seconds):
     """Return whether so long has passed since it was first looked at; the worker answers meanwhile."""
     begun_s = []
 
@@ -290,7 +290,7 @@
 
 
 @pytest.mark.parametrize(('late_s', 'is_unacknowledged'), [(5.0, True), (0.3, False)])
-def test_an_incarnation_is_not_tried_where_the_one_before_was_heard_until_no_acknowledgement_may_come(
+def test_an_incarnation_is_not_tried_where_the_one_before_was_contacted_until_no_acknowledgement_may_come(
     late_s, is_unacknowledged, monkeypatch
 ):
     monkeypatch.setattr(registry, '_LATEST_S', late_s)
@@ -300,7 +300,7 @@
         worker,
         (lambda owner: owner.post(job(NEW)), started(worker, 1)),
         (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
-        (lambda owner: setattr(worker, 'acknowledging_fails', None), heard_for(0.6)),
+        (lambda owner: setattr(worker, 'acknowledging_fails', None), contacted_for(0.6)),
         (lambda owner: worker.start_again(SECOND), knows(SECOND)),
         (lambda owner: owner.post(listed(SECOND)), lambda owner: True),
         (lambda owner: owner.post(job()), runs_on(worker)),
@@ -397,7 +397,7 @@
         Both(),
         (lambda owner: owner.post(job()), started(worker, 1)),
         (start_again, runs_one(SECOND) if is_awaited else started(idle, 1)),
-        (lambda owner: None, heard_for(1.0)),
+        (lambda owner: None, contacted_for(1.0)),
     )
     assert bool(idle.starts) is not is_awaited
 
@@ -496,7 +496,7 @@
 
 
 @pytest.mark.parametrize('entries', [(), (entry_of(FIRST),), (entry_of(SECOND),)], ids=['none', 'earlier', 'later'])
-def test_a_new_owner_hears_the_incarnation_that_answers_before_it_starts_previous_work(entries):
+def test_a_new_owner_contacts_the_incarnation_that_answers_before_it_starts_previous_work(entries):
     """The previous owner had started a task there, and its list of workers names the incarnation before."""
     worker = RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
@@ -511,7 +511,7 @@
 
 
 def test_previous_work_waits_for_the_list_of_an_incarnation_that_replaces_one():
-    """Its name was heard as soon as the incarnation before was over, and the task ran a second time elsewhere."""
+    """Its name was contacted as soon as the incarnation before was over, and the task ran a second time elsewhere."""
     worker, idle = RestartingWorker(), RestartingWorker()
     worker.start_again(SECOND, (RunSeen(TASK, 1, '', 10.0),))
     worker.list_s, worker.silent_until_s = 0.6, time.monotonic() + 0.8
@@ -561,7 +561,7 @@
         (lambda owner: owner.post(job(NEW)), started(worker, 1)),
         (lambda owner: worker.end(EndKind.DONE), lambda owner: any(number for _, number in worker.acknowledged)),
         (lambda owner: worker.start_again(SECOND), knows(SECOND)),
-        (lambda owner: owner.post(listed(SECOND)), heard_for(0.5)),
+        (lambda owner: owner.post(listed(SECOND)), contacted_for(0.5)),
         (lambda owner: None, note_roster),
         (lambda owner: owner.post(job()), runs_on(worker)),
         (lambda owner: None, note_roster),
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -97,7 +97,7 @@
 def test_a_new_owner_waits_for_the_lease_that_an_earlier_one_may_have_given(failure, is_draining):
     """A task could run twice after a takeover: on a worker that was cut off and on another.
 
-    A previous owner gave a worker the longest lease. The new one hears from the
+    A previous owner gave a worker the longest lease. The new one learns from the
     worker once, and then no more. It knew of no lease but its own: none where its
     second survey finds no connection, and 2 s on a worker that leaves. It ordered
     the worker's tasks elsewhere after that, while the worker runs them until the
@@ -124,7 +124,7 @@
 
 
 @pytest.mark.parametrize('times', [1.5, 3.5])
-def test_a_worker_that_answers_late_is_heard_before_its_lease_ends(times):
+def test_a_worker_that_answers_late_is_contacted_before_its_lease_ends(times):
     """A task ran again after its worker had listed its end in answer after answer.
 
     The owner had little processor time and read answers later than the 0.6 s that a
@@ -155,9 +155,9 @@
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
             worker.late_s = settings.answer_s * times
-            heard = len(owner.told)
+            before = len(owner.told)
             await anyio.sleep(settings.hold_s)
             tasks.cancel_scope.cancel()
-        return owner.told[heard:]
+        return owner.told[before:]
 
     assert any(isinstance(message, WorkerSurveyed) for message in anyio.run(survey))
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -1,7 +1,7 @@
 """What an owner sends to a worker again and again stays small, whatever waits.
 
 What happens: hundreds of stops to workers that do not answer, or hundreds of ends that the store can't keep, fill a
-slow link for good, so that no worker is heard any more and all work is given up.
+slow link for good, so that no worker is contacted any more and all work is given up.
 
 The sequence: a link of 5 Mbit/s was full of starts for a moment; those that went unanswered were taken back, each by a
 stop that was sent again each 0.85 s whether the worker answered anything or not. 1,400 of them are 400 KB/s, which kept
@@ -94,7 +94,7 @@
             link.stop(StopRun('w', TaskKey('a' * 16, 0, 0, index), 1, 'needless'))
         await anyio.sleep(PLAYED_S)
         assert worker.stops <= 3 * STOPS
-        # They are once it is heard again.
+        # They are once it answers again.
         before, worker.answers = worker.stops, True
         await anyio.sleep(2.0)
         assert worker.stops >= before + STOPS
--- a/packages/node/dahliaarch_node/owner/tests/test_stops.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_stops.py
@@ -2,7 +2,7 @@
 
 Urgent jobs that waited for stops began 0.93 s after they came in the mean, though
 workers take 0.9 s at most and 0.6 s in the mean for a stop: while a stop was under
-way its worker was asked every 0.15 s, and an end was heard of at the next question.
+way its worker was asked every 0.15 s, and an end was reported at the next question.
 """
 
 import asyncio
@@ -64,7 +64,7 @@
 
 async def stop_and_hear():
     """Return how long after its end the second run is known to have ended, and how often the worker was asked."""
-    worker, heard = StoppingWorker(), anyio.Event()
+    worker, reported = StoppingWorker(), anyio.Event()
 
     def post(message):
         if not isinstance(message, WorkerSurveyed):
@@ -72,7 +72,7 @@
         # Ends are kept within milliseconds.
         asyncio.get_running_loop().call_later(0.01, link.acknowledge, message.last_end)
         if any(end.key == SECOND for end in message.ended):
-            heard.set()
+            reported.set()
 
     turns = StartTurns(anyio.Semaphore(8), anyio.Semaphore(8))
     context = LinkContext(worker, 7, LinkSettings(), Metrics(), post, lambda: None, time.monotonic, turns)
@@ -84,13 +84,13 @@
         for key in END_S:
             link.stop(StopRun('w', key, 1, 'makes room'))
             tasks.start_soon(worker.end, key)
-        await heard.wait()
+        await reported.wait()
         took_s = time.monotonic() - worker.ended_at_s[SECOND]
         tasks.cancel_scope.cancel()
     return took_s, worker.surveys - before
 
 
-def test_the_end_of_a_stopped_run_is_heard_of_at_once():
+def test_the_end_of_a_stopped_run_is_reported_at_once():
     took_s, surveys = anyio.run(stop_and_hear)
     assert took_s < 0.04
     # One for the first end, one or two until the second.
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -201,7 +201,7 @@
 
 
 def test_an_owner_that_was_told_of_a_newer_one_is_replaced_for_good():
-    """The instances that told it start again, know of no owner, and would confirm the first that they hear.
+    """The instances that told it start again, know of no owner, and would confirm the first that contacts them.
 
     What they remembered held for an incarnation of theirs; it did not come back. The owner had been told, and went on
     asking.
@@ -219,7 +219,7 @@
 def test_an_instance_owns_no_pool_of_which_it_was_told_that_another_does():
     member = Member('i0', 'a', 'h', 1)
     ownership = Ownership(member, SilentStore(), StoreTiming(), OwnershipSettings(), Authority(LEASE_S), is_able=True)
-    ownership.heard(Owner(member, EPOCH))
+    ownership.observe(Owner(member, EPOCH))
     ownership.outdated(EPOCH)
     assert ownership.is_own
     ownership.outdated(EPOCH + 1)
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -1,8 +1,8 @@
-"""Two owners at a time: one has taken the pool, the other has not heard of it yet.
+"""Two owners at a time: one has taken the pool, the other does not know of it yet.
 
 A task ran on two workers at once. The store turned the owner away and served the
 others, one of which took the pool. A job was accepted 15 ms before the old owner
-heard of its successor, by an instance that had not heard either and told the old
+known of its successor, by an instance that did not know either and told the old
 one, which started it. The new owner took the job for its own, since the revision
 of its acceptance lay above its epoch (4790 and 4783), and started it at once,
 0.36 s after the first run began; that ran on a worker which was silent to it.
@@ -78,7 +78,7 @@
 
 
 def starts_with_two_owners(owner_epoch, within_s):
-    """Return the starts of a job that both owners hear of."""
+    """Return the starts of a job that both owners know of."""
     workers = SplitWorkers()
 
     async def run():
@@ -106,7 +106,7 @@
     assert len(starts_with_two_owners(0, LONGEST_LEASE_S - 1.0)) == 1
 
 
-def test_an_owner_that_hears_of_a_job_of_its_successor_does_not_start_it():
+def test_an_owner_that_learns_of_a_job_of_its_successor_does_not_start_it():
     assert starts_with_two_owners(SUCCESSOR, 0.5) == [('w1', JOB, fence_of(SUCCESSOR, 1))]
 
 
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -104,7 +104,7 @@
         """Whether this process owns the pool, as far as it knows."""
         return self.owner is not None and self.owner.member == self._member
 
-    def heard(self, owner: Owner) -> None:
+    def observe(self, owner: Owner) -> None:
         """Take in who owns the pool; older epochs change nothing."""
         if self.owner is not None and owner.epoch <= self.owner.epoch:
             return
@@ -162,7 +162,7 @@
             # Our own claim, acknowledged late: its lease is not known any more.
             await self._claim(item.revision)
             return
-        self.heard(Owner(found, item.revision))
+        self.observe(Owner(found, item.revision))
         if found.instance == self._member.instance:
             # An earlier process of this instance: it is gone for certain.
             await self._claim(item.revision)
@@ -236,7 +236,7 @@
     def _won(self, lease: int, epoch: int, asked_s: float) -> None:
         self._authority.confirm(asked_s)
         self._lease = lease
-        self.heard(Owner(self._member, epoch))
+        self.observe(Owner(self._member, epoch))
 
     async def _watch(self, item: Item) -> None:
         """Wait until the owner's key changes or goes."""
--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -93,12 +93,12 @@
             When there is none in time.
         """
         link = self._link(address)
-        heard_before = link.frames_heard
+        received_before = link.frames_received
         try:
             with anyio.fail_after(timeout_s):
                 return await link.ask(message)
         except TimeoutError:
-            if link.frames_heard == heard_before:
+            if link.frames_received == received_before:
                 # The connection may have fallen silent for good; a new one tells.
                 link.reconnect(time.monotonic())
             raise PeerSilentError(f'{address}: no answer to {type(message).__name__}') from None
@@ -158,10 +158,10 @@
         self._endpoint = endpoint
         self._observe = observe
         socket.connect(endpoint)
-        self.frames_heard = 0
+        self.frames_received = 0
         # When the present connection was begun, and how many messages had come before.
         self._connected_s = time.monotonic()
-        self._heard_before = 0
+        self._received_before = 0
         self._calls = 0
         self._waiter_by_call: dict[int, asyncio.Future[Message]] = {}
 
@@ -170,7 +170,7 @@
         try:
             while True:
                 frame = await self._socket.recv()
-                self.frames_heard += 1
+                self.frames_received += 1
                 self._resolve(frame)
         except (zmq.ZMQError, asyncio.CancelledError) as error:
             if isinstance(error, asyncio.CancelledError):
@@ -201,13 +201,13 @@
 
     def reconnect(self, now_s: float) -> None:
         """Leave the present connection, and what waits on it, for a new one, unless it is still being made."""
-        is_new = self.frames_heard == self._heard_before and now_s < self._connected_s + _FIRST_MESSAGE_S
+        is_new = self.frames_received == self._received_before and now_s < self._connected_s + _FIRST_MESSAGE_S
         if self._socket.closed or is_new:
             return
         self._socket.disconnect(self._endpoint)
         self._socket.connect(self._endpoint)
         self._connected_s = now_s
-        self._heard_before = self.frames_heard
+        self._received_before = self.frames_received
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -104,7 +104,7 @@
 
 
 class StateReply(NamedTuple):
-    """State of a job; not known when the owner has not heard of it."""
+    """State of a job; not known when the owner does not know of it."""
 
     is_known: bool
     phase: str = ''
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -84,7 +84,7 @@
 
     @_reply.register
     async def _(self, message: Heartbeat) -> Message | None:
-        self._ownership.heard(Owner(message.owner, message.epoch))
+        self._ownership.observe(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.announced(message.owner, message.version)
         known = self._ownership.owner
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -147,7 +147,7 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether it hears and tells nothing."""
+        """Whether it receives and sends nothing."""
         return self.degradation is Degradation.CUT_OFF
 
     def units(self) -> tuple[Unit, ...]:
--- a/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
+++ b/packages/standins/dahliaarch_standins/deployment/tests/must_hold.feature
@@ -121,7 +121,7 @@
     Then nothing of it runs
     And all that ran of it was stopped
 
-  Scenario: The next owner hears of a cancelled job's workers only long after its takeover
+  Scenario: The next owner learns of a cancelled job's workers only long after its takeover
     Given a deployment whose leases outlast a takeover
     When a long job is accepted
     And the owner is killed
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -4,7 +4,7 @@
 the worker's id: it passed over ends up to it, and each of its questions told the worker to forget them. So the first
 ends of the later incarnation were lost, and what had ended ran again. What settled it, in the owner's log of the first
 test on the code of then: the worker starts again with `ends_taken_in` 8, `ends_acknowledged` 8 and `ends_listed` [],
-and 2.5 s after `run_ordered` comes `run_lost` with `not listed`, though its worker was heard all the time.
+and 2.5 s after `run_ordered` comes `run_lost` with `not listed`, though its worker answered all the time.
 """
 
 import time
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_bursts_of_starts.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_bursts_of_starts.py
@@ -1,6 +1,6 @@
 """An owner on a slow link starts all that has waited: one eighth of 176 workers over one eighth of 5 Mbit/s.
 
-What happens: after a takeover of an idle pool nothing is heard of any worker, all that was started lapses, and so it
+What happens: after a takeover of an idle pool no worker is contacted, all that was started lapses, and so it
 stays for as long as it is watched.
 
 The sequence: the first pass orders 1,400 starts at once, which a link of 5 Mbit/s carries in 1.4 s. The first
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
@@ -28,7 +28,7 @@
 # The owner follows for this long before a worker leaves.
 BEFORE_S = 4.0
 # A leaving worker must get nothing new after 2 s: half of that is left to decisions.
-HEARD_S = 1.0
+CONTACTED_S = 1.0
 
 
 def entry(state, seq):
@@ -59,7 +59,7 @@
         await anyio.sleep(HEARTBEAT_S)
 
 
-def test_a_worker_that_leaves_is_heard_however_many_others_write():
+def test_a_worker_that_leaves_is_noticed_however_many_others_write():
     leaving = []
 
     def post(message):
@@ -76,7 +76,7 @@
             tasks.start_soon(keep_writing, store)
             await anyio.sleep(BEFORE_S)
             store.put(f'{WORKERS_PREFIX}w0', entry('draining', 1))
-            with anyio.move_on_after(HEARD_S):
+            with anyio.move_on_after(CONTACTED_S):
                 while not leaving:
                     await anyio.sleep(0.02)
             tasks.cancel_scope.cancel()
