Names: report for told and tells, where they stand in names

Verbs of sentences change where the sentence is as short with the field's word; the others stay, as the glossary says. mesh.ask and mesh.tell stay: actor systems call them so. No behaviour changes; tests change names only.

--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -2,7 +2,7 @@
 
 from .core import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .histories import JobHistory, read_histories, RunHistory
-from .stops import RoomUse, StoppedJob, tell_stops
+from .stops import report_stops, RoomUse, StoppedJob
 from .takeovers import TakeOver, takeovers
 
 __all__ = (
@@ -19,5 +19,5 @@
     'account',
     'read_histories',
     'takeovers',
-    'tell_stops',
+    'report_stops',
 )
--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -50,7 +50,7 @@
 
 
 class JobHistory:
-    """What the lines tell of one job.
+    """What the lines say of one job.
 
     Parameters
     ----------
--- a/packages/cli/dahliaarch_cli/accounting/stops.py
+++ b/packages/cli/dahliaarch_cli/accounting/stops.py
@@ -96,7 +96,7 @@
     return sorted(found, key=lambda row: -row.core_s)
 
 
-def tell_stops(job: JobHistory | None) -> str:
+def report_stops(job: JobHistory | None) -> str:
     """Return in a sentence how often a job was stopped to make room; nothing when it was not, or is unknown."""
     rows = [] if job is None else stops_by_job([job])
     if not rows:
--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -47,7 +47,7 @@
     'start_unacknowledged': '{worker} did not answer the start of run {run} of task {task}, which was taken back',
     'write_unanswered': 'the store did not answer a write: {why}',
     'write_refused': 'the store refused a write (an earlier try unacknowledged: {was_ambiguous}): {why}',
-    'state_unknown': 'the state could not be told: {why}',
+    'state_unknown': 'the state could not be read: {why}',
     'cancel_outcome_unknown': 'the store could not be asked about a cancellation: {why}',
 }
 
@@ -68,7 +68,7 @@
 
 
 def explain_job(job_id: str, lines: Iterable[LogLine], *, as_json: bool = False) -> Iterator[str]:
-    """Yield what the lines tell of a job, in order of time, and what they don't."""
+    """Yield what the lines say of a job, in order of time, and what they don't."""
     about = sorted((line for line in lines if _is_about(line, job_id)), key=lambda line: line.at_s)
     if as_json:
         for line in about:
@@ -96,7 +96,7 @@
 
 
 def _gaps(lines: list[LogLine]) -> Iterator[str]:
-    """Yield what the lines do not tell."""
+    """Yield what the lines do not say."""
     events = {line.event for line in lines}
     if not lines:
         yield 'not known: no line names this job; it was never received, or the logs are of other instances or times'
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -14,7 +14,7 @@
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
-from .accounting import account, read_histories, takeovers, tell_stops
+from .accounting import account, read_histories, report_stops, takeovers
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
 from .printing import print_columns, print_effects, print_gap, print_table
@@ -75,9 +75,9 @@
         lines.extend(read_lines(path))
     for sentence in explain_job(job_id, lines, as_json=as_json):
         typer.echo(sentence)
-    told = '' if as_json else tell_stops(read_histories(lines).get(job_id))
-    if told:
-        typer.echo(told)
+    report = '' if as_json else report_stops(read_histories(lines).get(job_id))
+    if report:
+        typer.echo(report)
 
 
 @app.command(name='account')
--- a/packages/kernel/dahliaarch_kernel/configuration/lookup.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/lookup.py
@@ -38,7 +38,7 @@
         When the queue needs a key and this one is not in force.
     """
     account = ''
-    # Every key is compared in constant time, so that timing tells nothing.
+    # Every key is compared in constant time, so that timing shows nothing.
     for known, owner in configuration.account_by_key.items():
         if hmac.compare_digest(known.encode(), key.encode()):
             account = owner
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/core.py
@@ -63,7 +63,7 @@
         self._state.guaranteed_by_account = guaranteed_by_account
 
     def set_unguarded(self, services: Iterable[str]) -> None:
-        """Replace the services whose workers start whatever they are told."""
+        """Replace the services whose workers start whatever they are sent."""
         self._state.unguarded_services = frozenset(services)
 
     def workers_synced(self, now: Moment) -> None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/estimates.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/estimates.py
@@ -1,18 +1,18 @@
-"""How far an owner's estimates tell the run times of a queue.
+"""How far an owner's estimates predict the run times of a queue.
 
 Estimates of some queues are off by 1.2 times, of others by 3 and more: there the
-usual time of the queue tells more than the estimate. Logarithms of times are
+usual time of the queue predicts more than the estimate. Logarithms of times are
 held against logarithms of estimates; how steep the line through them is says how
 much of an estimate to believe.
 """
 
 import math
 
-# Weight of the belief that estimates tell everything, in squared logarithms.
+# Weight of the belief that estimates predict everything, in squared logarithms.
 _PRIOR_SQUARES = 0.3
 # Weight of the belief that they are right in the mean, in observations.
 _PRIOR_OBSERVATIONS = 3.0
-# Share of what is known that stays with each observation: recent work tells more.
+# Share of what is known that stays with each observation: recent work predicts more.
 _MEMORY = 0.98
 # Spread of times around what is expected, in logarithms, before any was seen.
 PRIOR_SPREAD = 1.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -62,7 +62,7 @@
     run : int
         Number of the run.
     cause : LossCause
-        What tells that it is gone.
+        What shows that it is gone.
     ran_s : float
         How long it was known to run there, in seconds.
     beside : int
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,6 +1,6 @@
 """Workers on which runs stall or crawl, and what moves away from them.
 
-Whether a worker is slow is told from all that runs there: how far each run has
+Whether a worker is slow shows in all that runs there: how far each run has
 come since it was last reported, against how far it should have come. How much
 that says depends on how well run times of its queue are known.
 """
@@ -27,7 +27,7 @@
 _LATE_START_S = 0.15
 # Spread of a run's pace for other reasons than its length, in logarithms.
 _OTHER_SPREAD = 0.15
-# Bounds of what one run tells, in logarithms.
+# Bounds of what one run shows, in logarithms.
 _FASTEST = math.log(0.5)
 _SLOWEST = math.log(20.0)
 # How much longer a worker that is slow or stalled is expected to be so, in seconds.
@@ -44,7 +44,7 @@
 
 
 class _Evidence(NamedTuple):
-    """What one run tells of its worker.
+    """What one run shows of its worker.
 
     Parameters
     ----------
@@ -61,7 +61,7 @@
 def watch_progress(state: SchedulerState, now: Moment) -> None:
     """Move runs that are stalled, and note which workers are slow: those are used last.
 
-    A worker is assessed once after each of its surveys: nothing else tells.
+    A worker is assessed once after each of its surveys: nothing else shows it.
     """
     surveyed, state.surveyed_workers = state.surveyed_workers, set()
     for worker_id in sorted(surveyed):
--- a/packages/kernel/dahliaarch_kernel/scheduler/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/learning.py
@@ -1,7 +1,7 @@
 """Run times and paces of workers, learned from what was seen.
 
 Owners' estimates are off by far more than workers differ, so a worker's pace is
-told from tasks that are alike: tasks of one step do much the same work, and
+learned from tasks that are alike: tasks of one step do much the same work, and
 what one takes longer than the others is its worker's doing.
 """
 
@@ -18,7 +18,7 @@
 _UNKNOWN_WORK_S = 5.0
 # Share of its work from which a run's pace tells how long it will take, in
 # percent: reports are in whole percent and a second apart.
-_TELLING_PERCENT = 20.0
+_CONCLUSIVE_PERCENT = 20.0
 # Other runs of a step that tell what is usual.
 _FEWEST_PEERS = 2
 # Place, in the order of their paces, of the worker that counts as sound.
@@ -59,11 +59,11 @@
     beginning of its work and alone: members of a gang are as fast as the
     slowest of them.
     """
-    if run.has_told_pace or run.began_from_checkpoint or step.spec.gang or step.spec.lasting:
+    if run.has_reported_pace or run.began_from_checkpoint or step.spec.gang or step.spec.lasting:
         return
-    if share * 100.0 < _TELLING_PERCENT or worked_s <= 0:
+    if share * 100.0 < _CONCLUSIVE_PERCENT or worked_s <= 0:
         return
-    run.has_told_pace = True
+    run.has_reported_pace = True
     log_time = math.log(worked_s / share)
     usual = _usual(step)
     if usual is not None:
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -37,7 +37,7 @@
         Times as long as its work is expected to take where it runs.
     began_from_checkpoint : bool
         Whether it went on from saved work.
-    has_told_pace : bool
+    has_reported_pace : bool
         Whether its worker's pace was learned from it.
     report_span_s, report_gain : float
         Time between the last two reports of progress that lie apart far enough
@@ -57,7 +57,7 @@
         'began_from_checkpoint',
         'checkpoint',
         'demand',
-        'has_told_pace',
+        'has_reported_pace',
         'is_confirmed',
         'key',
         'moved_s',
@@ -93,7 +93,7 @@
         self.phase = RunPhase.STARTING
         self.checkpoint = ''
         self.began_from_checkpoint = False
-        self.has_told_pace = False
+        self.has_reported_pace = False
         self.is_confirmed = False
         self.isolation_s = 0.0
         self.slowdown = 1.0
@@ -134,7 +134,7 @@
             # What a checkpoint held was not done in this run.
             self._mark_s, self._mark_percent = now_s, percent
             return
-        if now_s - self._mark_s < _TELLING_SPAN_S:
+        if now_s - self._mark_s < _CONCLUSIVE_SPAN_S:
             return
         self.report_span_s = now_s - self._mark_s
         self.report_gain = max(0.0, percent - self._mark_percent)
@@ -143,17 +143,17 @@
     def left_s(self, now_s: float) -> float:
         """Return the expected time to its end."""
         by_plan_s = self.started_s + self.work_s - now_s
-        if self.percent < _PERCENT_THAT_TELLS:
+        if self.percent < _CONCLUSIVE_PERCENT:
             return max(by_plan_s, _LEAST_LEFT_S)
-        # The pace so far tells more than any estimate made before.
+        # The pace so far predicts more than any estimate made before.
         pace_s = (self.seen_s - self.started_s) / self.percent
         left_s = pace_s * (100.0 - self.percent) - (now_s - self.seen_s)
         return max(left_s, _LEAST_LEFT_S)
 
 
 # Reports that lie closer together say little of a pace, in seconds.
-_TELLING_SPAN_S = 0.35
+_CONCLUSIVE_SPAN_S = 0.35
 # Below this share the pace is mostly start-up time.
-_PERCENT_THAT_TELLS = 8.0
+_CONCLUSIVE_PERCENT = 8.0
 # A run that should have ended is expected at any moment.
 _LEAST_LEFT_S = 0.1
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -88,7 +88,7 @@
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
-        # Services whose workers start whatever they are told, and when entries were last synced.
+        # Services whose workers start whatever they are sent, and when entries were last synced.
         self.unguarded_services: frozenset[str] = frozenset()
         self.workers_synced_s = float('-inf')
         self.surveyed_workers: set[str] = set()
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -89,7 +89,7 @@
     run = Run(seen.key, seen.run, worker.worker_id, effective_demand(step), started_s, work_s)
     run.phase = RunPhase.RUNNING
     # When it began is not known: it tells nothing of its worker.
-    run.has_told_pace = True
+    run.has_reported_pace = True
     run.went_on()
     run.rank = RANK_ORDINARY if step.job.queue.priority else RANK_URGENT
     run.seen_s = now.steady_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""What must hold over any history: the pool checks each start that it is told."""
+"""What must hold over any history: the pool checks each start that it gets."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
@@ -65,7 +65,7 @@
 
 
 def test_a_worker_that_does_not_guard_its_room_gets_nothing_on_an_old_word_of_it():
-    """Its room may have shrunk since its entry was last synced, and it starts whatever it is told."""
+    """Its room may have shrunk since its entry was last synced, and it starts whatever it is sent."""
     pool = Pool(workers=1)
     unguarded(pool)
     pool.now_s += 5.0
--- a/packages/node/dahliaarch_node/configuration/tests/test_updates.py
+++ b/packages/node/dahliaarch_node/configuration/tests/test_updates.py
@@ -64,7 +64,7 @@
         return self.follower.updates.part(message, self.follower.current, self.follower.revision)
 
 
-def fetch(own, to_peer, version, within_s=0.2, *, is_told_again=False):
+def fetch(own, to_peer, version, within_s=0.2, *, is_announced_again=False):
     """Let a follower learn of a version, once or again and again, and fetch it."""
 
     async def run():
@@ -75,7 +75,7 @@
             with anyio.move_on_after(within_s):
                 while own.version < version:
                     await anyio.sleep(0.005)
-                    if is_told_again:
+                    if is_announced_again:
                         feed.announce(PEER, version)
             tasks.cancel_scope.cancel()
 
@@ -152,7 +152,7 @@
     to_peer.before_answer = change
     fetch(own, to_peer, 1, within_s=10)
     assert own.version == 2
-    fetch(own, to_peer, 30, within_s=10, is_told_again=True)
+    fetch(own, to_peer, 30, within_s=10, is_announced_again=True)
     assert own.current == peer.current
 
 
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -13,7 +13,7 @@
 from .messages import WorkerOver, WorkerReplaced
 
 # Failed surveys in a row after which a worker counts as silent.
-FAILURES_THAT_TELL = 2
+FAILURES_UNTIL_SILENT = 2
 
 
 class Contact:
@@ -67,8 +67,8 @@
 
     @property
     def is_silent(self) -> bool:
-        """Whether surveys have failed often enough to tell."""
-        return self.failures >= FAILURES_THAT_TELL
+        """Whether surveys have failed often enough."""
+        return self.failures >= FAILURES_UNTIL_SILENT
 
     def answered(self) -> None:
         """Note that a survey was answered."""
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -132,7 +132,7 @@
         """Hand a message to the task that decides.
 
         However many wait, none is dropped: a cancellation, a refused start or
-        the end of a worker is told once. One pass takes them all.
+        the end of a worker is reported once. One pass takes them all.
         """
         self._send.send_nowait(message)
 
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -229,8 +229,8 @@
         link = self._links.get(message.worker_id)
         if former is not None and link is not None:
             self._previous.replaced(message.successor.worker_id)
-            # Its tasks whose start is unacknowledged are not started elsewhere before the successor has told what runs
-            # there.
+            # Its tasks whose start is unacknowledged are not started elsewhere before the successor has reported what
+            # runs there.
             late_until_s = self._now().steady_s + self._links.longest_late_s
             self._scheduler.worker_replaced(message.worker_id, message.successor.worker_id, late_until_s)
         self.handle(WorkerOver(message.worker_id))
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -19,7 +19,7 @@
 )
 
 from ..logs import log_event
-from .contact import Contact, FAILURES_THAT_TELL
+from .contact import Contact, FAILURES_UNTIL_SILENT
 from .link_settings import LinkContext
 from .messages import WorkerSilent, WorkerSurveyed
 from .orders import Asked, WorkerOrders
@@ -278,7 +278,7 @@
         self._contact.failures += 1
         if self._contact.failures == 1:
             return
-        if self._contact.failures == FAILURES_THAT_TELL:
+        if self._contact.failures == FAILURES_UNTIL_SILENT:
             log_event('worker_silent', worker=self._worker_id, why=str(error))
         # A missing entry and a closed port do not tell that a worker is gone: both
         # are seen of one behind a cut, which runs on until its lease ends.
--- a/packages/node/dahliaarch_node/owner/previous_work.py
+++ b/packages/node/dahliaarch_node/owner/previous_work.py
@@ -16,7 +16,7 @@
     scheduler : Scheduler
         Knows workers and jobs.
     epoch : int
-        Epoch of this owner: jobs that others were told of may run anywhere.
+        Epoch of this owner: jobs that others were sent may run anywhere.
     """
 
     def __init__(self, scheduler: Scheduler, epoch: int) -> None:
@@ -39,7 +39,7 @@
         self._until_s = now_s + hold_s * _SLOWEST_CLOCK
 
     def not_before_s(self, owner_epoch: int) -> float:
-        """Return from when a job may start, steady clock: one of which this owner alone was told, at once.
+        """Return from when a job may start, steady clock: one sent to this owner alone, at once.
 
         That it was accepted after this owner's claim does not tell: for some time
         instances know the previous owner, tell it of jobs, and it starts them.
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -156,7 +156,7 @@
             else:
                 worker.is_lapsed = False
 
-    def _told_incarnation(self, link: WorkerLink) -> WorkerIncarnation:
+    def _listed_incarnation(self, link: WorkerLink) -> WorkerIncarnation:
         """Return the incarnation that the next owner reads: it probes the same successors as this one does."""
         earlier = self._unanswered_by_name.get(link.incarnation.name)
         return earlier.incarnation if earlier is not None and link.may_hide_ends else link.incarnation
@@ -181,7 +181,7 @@
         is_lapsed = worker.is_lapsed and worker.is_silent
         if is_lapsed:
             self._lapsed_names.add(link.incarnation.name)
-        incarnation = self._told_incarnation(link)
+        incarnation = self._listed_incarnation(link)
         profile = worker.profile._replace(worker_id=incarnation.worker_id, leaves_in_s=None)
         return RosterEntry(profile, link.address, incarnation, is_lapsed)
 
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -38,17 +38,17 @@
     """What a link tells its owner."""
 
     def __init__(self):
-        self.told = []
+        self.posted = []
 
     def post(self, message):
-        self.told.append(message)
+        self.posted.append(message)
         return True
 
-    def has_been_told(self, kind):
-        return any(isinstance(message, kind) for message in self.told)
+    def has_been_posted(self, kind):
+        return any(isinstance(message, kind) for message in self.posted)
 
 
-def told_of(failure, lease, *, is_draining=False):
+def posted_after(failure, lease, *, is_draining=False):
     """Return what a link tells of a worker that fails so, until it is known as silent."""
 
     async def survey():
@@ -68,7 +68,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             with anyio.fail_after(5):
-                while not owner.has_been_told(WorkerSilent):
+                while not owner.has_been_posted(WorkerSilent):
                     await anyio.sleep(0.005)
             tasks.cancel_scope.cancel()
         return owner
@@ -88,8 +88,8 @@
     longest lease after the last survey before it said that it leaves. Only that
     end, or another incarnation at its address, tells that nothing runs there.
     """
-    owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True)
-    assert not owner.has_been_told(WorkerOver)
+    owner = posted_after(WorkerUnreachableError('refused'), Lease(), is_draining=True)
+    assert not owner.has_been_posted(WorkerOver)
 
 
 @pytest.mark.parametrize('failure', [WorkerUnreachableError('refused'), WorkerUnansweredError('silence')])
@@ -105,8 +105,8 @@
     """
     lease = Lease()
     begun_s = time.monotonic()
-    owner = told_of(failure, lease, is_draining=is_draining)
-    assert owner.has_been_told(WorkerSurveyed)
+    owner = posted_after(failure, lease, is_draining=is_draining)
+    assert owner.has_been_posted(WorkerSurveyed)
     assert lease.bound_s() >= begun_s + SETTINGS.hold_s
 
 
@@ -155,9 +155,9 @@
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
             worker.late_s = settings.answer_s * times
-            before = len(owner.told)
+            before = len(owner.posted)
             await anyio.sleep(settings.hold_s)
             tasks.cancel_scope.cancel()
-        return owner.told[before:]
+        return owner.posted[before:]
 
     assert any(isinstance(message, WorkerSurveyed) for message in anyio.run(survey))
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -120,11 +120,11 @@
 def test_a_start_that_waited_for_its_turn_is_not_sent_to_a_worker_that_leaves_or_lost_the_room(change):
     """Behind hundreds of unanswered starts a turn comes seconds later; what starts then dies with its worker."""
     worker = Worker()
-    told = []
+    posted = []
 
     async def run():
         turns = StartTurns(anyio.Semaphore(0), anyio.Semaphore(0))
-        context = context_of(worker)._replace(turns=turns, post=told.append)
+        context = context_of(worker)._replace(turns=turns, post=posted.append)
         link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
@@ -138,4 +138,4 @@
 
     anyio.run(run)
     assert not worker.starts
-    assert RunNever('w', KEY, 1) in told
+    assert RunNever('w', KEY, 1) in posted
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -206,14 +206,14 @@
     What they remembered held for an incarnation of theirs; it did not come back. The owner had been told, and went on
     asking.
     """
-    told = []
+    outdated = []
 
     async def run():
         peers = Peers([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)])
-        await membership_with(peers, Authority(LEASE_S), told.append)._heartbeat_all(EPOCH)
+        await membership_with(peers, Authority(LEASE_S), outdated.append)._heartbeat_all(EPOCH)
 
     anyio.run(run)
-    assert told == [EPOCH + 1] * 2
+    assert outdated == [EPOCH + 1] * 2
 
 
 def test_an_instance_owns_no_pool_of_which_it_was_told_that_another_does():
--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -99,7 +99,7 @@
                 return await link.ask(message)
         except TimeoutError:
             if link.frames_received == received_before:
-                # The connection may have fallen silent for good; a new one tells.
+                # The connection may have fallen silent for good; a new one shows it.
                 link.reconnect(time.monotonic())
             raise PeerSilentError(f'{address}: no answer to {type(message).__name__}') from None
 
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -31,7 +31,7 @@
     queue : Queue
         Its queue.
     owner_epoch : int
-        Epoch of the owner that the accepting instance knew, and told of the job; 0
+        Epoch of the owner that the accepting instance knew, and sent the job to; 0
         when it knew none.
     """
 
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -155,16 +155,16 @@
         self._scheduler.update_worker(worker.profile, self._moment)
         first_s = self._chances.about('survey', worker.profile.worker_id).uniform(0.0, _SURVEY_S)
         self._at(self._now_s + first_s, partial(self._survey_again, worker))
-        self._tell_survey(worker)
+        self._report_survey(worker)
 
     def _survey_again(self, worker: PlayedWorker) -> None:
         if worker.is_gone:
             return
         if not worker.is_cut_off:
-            self._tell_survey(worker)
+            self._report_survey(worker)
         self._at(self._now_s + _SURVEY_S, partial(self._survey_again, worker))
 
-    def _tell_survey(self, worker: PlayedWorker) -> None:
+    def _report_survey(self, worker: PlayedWorker) -> None:
         every_s = self._pool.checkpoint_s
         running = [
             RunSeen(key, run, unit.checkpoint(every_s, is_stop=False), unit.percent(self._now_s))
@@ -256,7 +256,7 @@
         if self._worker_by_id[order.worker_id].is_gone:
             return
         self._forbidden.add((order.key, order.run))
-        self._tell_end(RunEnd(order.worker_id, order.key, order.run, EndKind.STOPPED))
+        self._report_end(RunEnd(order.worker_id, order.key, order.run, EndKind.STOPPED))
         self._ask_pass(_GATHER_S)
 
     def _unit_of(self, execution: Execution) -> Unit:
@@ -329,20 +329,20 @@
                 member.start.run,
                 kind if ends_so else EndKind.BROKEN,
                 checkpoint if kind is not EndKind.DONE else '',
-            ), cause=_CAUSE_BY_KIND.get(kind), is_told=member.worker is not lost_on)  # fmt: skip
+            ), cause=_CAUSE_BY_KIND.get(kind), is_reported=member.worker is not lost_on)  # fmt: skip
         self._ask_pass(_GATHER_S)
 
-    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, cause: Cause | None, is_told: bool) -> None:
+    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, cause: Cause | None, is_reported: bool) -> None:
         member.is_over = True
         member.worker.remove(member)
         self.ledger.note_end(member, unit, end, cause, self._now_s)
-        if is_told:
-            self._tell_end(end)
+        if is_reported:
+            self._report_end(end)
 
-    def _tell_end(self, end: RunEnd) -> None:
+    def _report_end(self, end: RunEnd) -> None:
         worker = self._worker_by_id[end.worker_id]
         if worker.is_cut_off:
-            self._later(worker, partial(self._tell_end, end))
+            self._later(worker, partial(self._report_end, end))
             return
         self._scheduler.run_ended(end, self._moment)
 
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
@@ -23,9 +23,9 @@
         firsts.append({key: runs[0].why == 'run failed' for key, runs in ledger.attempts_by_step.items()})
     both = firsts[0].keys() & firsts[1].keys()
     assert sum(firsts[0][key] for key in both) > 0
-    told_alike = sum(firsts[0][key] == firsts[1][key] for key in both)
+    drawn_alike = sum(firsts[0][key] == firsts[1][key] for key in both)
     # Runs that are stopped before they fail, or that fail on a degraded worker, differ.
-    assert told_alike > 0.9 * len(both)
+    assert drawn_alike > 0.9 * len(both)
 
 
 def test_nobody_has_two_degradations_at_once():
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -19,7 +19,7 @@
 # Starts that users bear of a task that crashes workers: three that tell, and two more.
 MOST_CRASHING_STARTS = 5
 ONE_TASK = [{**PARALLEL[0], 'Count': 1}]
-# Enough tasks that every worker has told of some ends.
+# Enough tasks that every worker has reported some ends.
 MANY_TASKS = [{**PARALLEL[0], 'Count': 32}]
 
 
@@ -36,7 +36,7 @@
 
 
 def start_all_again(running):
-    """Let every worker crash and start again, once each has told of ends."""
+    """Let every worker crash and start again, once each has reported ends."""
     running.submit(MANY_TASKS)
     running.wait_for(running.job_ids[-1], 'succeeded')
     assert all(len(worker.ends) > MOST_ATTEMPTS for worker in running.workers)
--- a/packages/standins/dahliaarch_standins/soak/following.py
+++ b/packages/standins/dahliaarch_standins/soak/following.py
@@ -28,7 +28,7 @@
 SLOW_APPLY_S = 3.0
 # By how much that bound grows while the store has forgotten its history.
 _STRETCH_S = 5.0
-_TELLING = frozenset((MALFORMED, NO_ACCESS, NO_ROUTE))
+_CONCLUSIVE = frozenset((MALFORMED, NO_ACCESS, NO_ROUTE))
 
 
 class Answer(NamedTuple):
@@ -93,7 +93,7 @@
 
     def take(self, answer: Answer) -> None:
         """Check an answer right after it came."""
-        if answer.status not in _TELLING:
+        if answer.status not in _CONCLUSIVE:
             return
         due = 0
         if self._contact.is_bound(answer.name, answer.sent_s):
