Names: reservation for a claim of room

Reservation and Reservations in reservations.py, the search for the earliest one in openings.py. Tests change names only.

--- a/packages/kernel/dahliaarch_kernel/configuration/core.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/core.py
@@ -92,7 +92,7 @@
     keys : tuple of str
         Keys in force.
     guaranteed_accelerators : int
-        Accelerators that its jobs of priority 0 may claim at any time.
+        Accelerators that its jobs of priority 0 may use at any time.
     """
 
     name: str
--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -7,9 +7,9 @@
     """Names of the mechanisms, as settings have them."""
 
     #: Room is kept for gangs that wait.
-    GANG_CLAIMS = 'gang_claims'
+    GANG_RESERVATIONS = 'gang_reservations'
     #: Room that is kept may be used by more urgent work.
-    CLAIM_RANKS = 'claim_ranks'
+    RESERVATION_RANKS = 'reservation_ranks'
     #: Workers' paces are learned, and urgent work takes fast workers.
     WORKER_PACES = 'worker_paces'
     #: Owners' estimates are corrected by what was seen.
--- a/packages/kernel/dahliaarch_kernel/scheduler/memory.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/memory.py
@@ -1,7 +1,7 @@
 """What one pass of decisions leaves for the next, so that it need not look again.
 
 A step that found no room finds none until some worker has more of it: room
-shrinks by starts and claims and grows only by what is noted here.
+shrinks by starts and reservations and grows only by what is noted here.
 """
 
 from collections.abc import Iterable, Mapping
@@ -92,7 +92,7 @@
         free_by_id : mapping
             Free resources of the workers that may take starts now.
         freed : iterable of str
-            Workers on which claims were dropped.
+            Workers on which reservations were dropped.
         """
         takers = set(free_by_id)
         grown = (self.grown_workers | set(freed)) & takers | takers - self._takers
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservation.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/openings.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from ..workload import NO_RESOURCES, Resources
-from .claims import Claim, Claims
 from .job_state import StepState
 from .placement import allowed_workers
+from .reservations import Reservation, Reservations
 from .room import effective_demand, fitting, is_near, per_worker_limit, Room
 from .standing import Standing
 from .workers import WorkerState
@@ -21,16 +21,18 @@
     rack: str
 
 
-def earliest_claim(
+def earliest_reservation(
     step: StepState,
     count: int,
     standing: Standing,
     room: Room,
-    claims: Claims,
+    reservations: Reservations,
     now_s: float,
-) -> Claim | None:
-    """Return a claim on the room that is expected to be free first."""
-    kept_by_id = _kept_by_worker(claim for claim in claims if claims.keeps(claim, step, standing))
+) -> Reservation | None:
+    """Return a reservation on the room that is expected to be free first."""
+    kept_by_id = _kept_by_worker(
+        reservation for reservation in reservations if reservations.keeps(reservation, step, standing)
+    )
     openings: list[_Opening] = []
     for worker in allowed_workers(step, room):
         if is_near(worker, step):
@@ -42,15 +44,15 @@
         counts = counts_by_rack[opening.rack]
         counts[opening.worker_id] += 1
         if counts.total() >= count:
-            return Claim(step, dict(counts), now_s + opening.after_s, standing, made_s=now_s)
+            return Reservation(step, dict(counts), now_s + opening.after_s, standing, made_s=now_s)
     return None
 
 
-def _kept_by_worker(claims: Iterable[Claim]) -> dict[str, Resources]:
+def _kept_by_worker(reservations: Iterable[Reservation]) -> dict[str, Resources]:
     kept_by_id: dict[str, Resources] = {}
-    for claim in claims:
-        demand = effective_demand(claim.step)
-        for worker_id, count in claim.count_by_worker.items():
+    for reservation in reservations:
+        demand = effective_demand(reservation.step)
+        for worker_id, count in reservation.count_by_worker.items():
             kept_by_id[worker_id] = kept_by_id.get(worker_id, NO_RESOURCES).plus(demand.times(count))
     return kept_by_id
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -4,7 +4,6 @@
 from operator import attrgetter
 
 from .advice import Advice
-from .claims import Claim
 from .clock import Moment
 from .crashes import isolation_s, suspects, waits_for_own_place
 from .effects import AskAdvice
@@ -13,10 +12,11 @@
 from .mechanisms import Mechanism
 from .memory import Signature
 from .objectives import begin_s
+from .openings import earliest_reservation
 from .placement import has_near_place, place, Placement, Request, without_failed
 from .preemption import Plan, Preemption
 from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
-from .reservation import earliest_claim
+from .reservations import Reservation
 from .room import effective_demand, fits, Room
 from .runs import Run
 from .stall_reports import StallReports
@@ -25,15 +25,15 @@
 from .state import SchedulerState
 from .variables import job_variables
 
-# A claim whose room did not come free by then is made anew, in seconds.
-_CLAIM_SLACK_S = 1.0
+# A reservation whose room did not come free by then is made anew, in seconds.
+_RESERVATION_SLACK_S = 1.0
 
 # Guaranteed work waits this long for a place near its data or in one rack, in
 # seconds: under half of the shortest bound on its beginning.
 _GUARANTEED_NEAR_S = 1.2
 
 # How often steps that found no room are considered again though nothing has
-# changed for them, in seconds: claims are made anew and victims looked for.
+# changed for them, in seconds: reservations are made anew and victims looked for.
 _FULL_EVERY_S = 0.25
 # How often it is looked at whether a step has any place near its data, in seconds:
 # workers come and go.
@@ -57,14 +57,14 @@
         """Read the free room."""
         self._state = state
         self._now = now
-        self._claims = state.claims
+        self._reservations = state.reservations
         takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
         self._workers = [
             worker
             for worker in takers
             if state.knows_room(worker, now.steady_s) and worker.refusal_backoff.is_over(now.steady_s)
         ]
-        self._room = Room(self._workers, state.claims)
+        self._room = Room(self._workers, state.reservations)
         self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
         self._memory = state.memory
         self._ranks = rank_by_job(state.active_jobs(), state.guaranteed_by_account)
@@ -72,13 +72,13 @@
 
     def run(self) -> None:
         """Place every step that fits, in order of standing."""
-        self._drop_stale_claims()
-        self._memory.renew(self._room.free_by_id, self._claims.take_freed())
+        self._drop_stale_reservations()
+        self._memory.renew(self._room.free_by_id, self._reservations.take_freed())
         if self._is_full:
             self._memory.begin_full(self._now.steady_s)
             share = used_share(self._state.worker_by_id.values())
             self._state.stalls.renew(self._state.active_jobs(), share, self._now.steady_s)
-            self._claims.is_in_order = self._state.stalls.has_idle_capacity
+            self._reservations.is_in_order = self._state.stalls.has_idle_capacity
         for request in self._ordered_requests():
             self._consider(request)
         if self._is_full:
@@ -115,7 +115,7 @@
         step = request.step
         if request.isolation_s:
             return True
-        if self._is_full or not step.was_considered or self._claims.has(step):
+        if self._is_full or not step.was_considered or self._reservations.has(step):
             return True
         return not self._memory.is_blocked(self._signature(request), request.wanted_together)
 
@@ -144,7 +144,7 @@
             return
         step.was_considered = True
         signature = self._signature(request)
-        self._reopen_claim(step)
+        self._reopen_reservation(step)
         placement = self._place(request, signature)
         if not placement.task_count and step.advice is not None:
             self._ask_advice(request, step.advice)
@@ -152,7 +152,7 @@
             self._start(request, placement)
         missing = request.task_count - placement.task_count
         if not missing:
-            self._forget_claim(step)
+            self._forget_reservation(step)
             return
         if request.rank < RANK_ORDINARY:
             self._preempt(request, missing)
@@ -162,7 +162,7 @@
     def _start_alone(self, request: Request) -> None:
         """Start suspects on workers that run nothing; nobody is stopped for them."""
         empty = [worker for worker in self._workers if not worker.run_by_key]
-        placement = place(request, Room(empty, self._claims))
+        placement = place(request, Room(empty, self._reservations))
         if placement.task_count:
             self._start(request, placement)
 
@@ -228,12 +228,12 @@
         """Return what steps that need the same places have in common.
 
         The places of some steps are their own: those that failed somewhere, are
-        limited on each worker, or may use what is claimed for them.
+        limited on each worker, or may use what is reserved for them.
         """
         step = request.step
         spec = step.spec
         own_reasons = (spec.max_per_worker, step.failed_on, step.advice, request.isolation_s, request.is_overdue)
-        is_special = any(own_reasons) or self._claims.has(step)
+        is_special = any(own_reasons) or self._reservations.has(step)
         return Signature(
             effective_demand(step),
             request.rank,
@@ -269,11 +269,11 @@
             if request.isolation_s:
                 self._room.close(spot.worker)
         step.alone_until_s = None
-        self._forget_claim(step)
+        self._forget_reservation(step)
 
     def _preempt(self, request: Request, count: int) -> None:
         step = request.step
-        if self._claims.has(step):
+        if self._reservations.has(step):
             return
         plan = self._plan(request, count if step.spec.gang else 1)
         if plan is None:
@@ -281,7 +281,7 @@
             return
         for victim in plan.victims:
             self._state.stop_unit(victim, f'makes room for {step.job.spec.job_id}')
-        self._claim(request, plan)
+        self._reserve_plan(request, plan)
 
     def _plan(self, request: Request, wanted: int) -> Plan | None:
         """Look for victims unless a like search has just found none."""
@@ -296,29 +296,31 @@
             self._memory.note_no_victims(signature, rank, wanted, self._now.steady_s)
         return plan
 
-    def _claim(self, request: Request, plan: Plan) -> None:
+    def _reserve_plan(self, request: Request, plan: Plan) -> None:
         """Keep the room that comes free once what was stopped is gone."""
         now_s = self._now.steady_s
         ready_s = now_s + self._state.settings.stop_timeout_s
-        claim = Claim(request.step, plan.count_by_worker, ready_s, request.standing, is_firm=True, made_s=now_s)
-        self._claims.add(claim)
+        reservation = Reservation(
+            request.step, plan.count_by_worker, ready_s, request.standing, is_firm=True, made_s=now_s
+        )
+        self._reservations.add(reservation)
 
     def _reserve(self, request: Request, count: int) -> None:
         """Keep the room that is expected to be free first, for a few gangs that wait."""
         step = request.step
         settings = self._state.settings
-        if not settings.has(Mechanism.GANG_CLAIMS):
+        if not settings.has(Mechanism.GANG_RESERVATIONS):
             return
-        if self._claims.has(step) or self._claims.open_ones() >= settings.reservations:
+        if self._reservations.has(step) or self._reservations.open_ones() >= settings.reservations:
             return
         if self._now.wall_s - begin_s(step.job.spec, step.occurrence) < settings.reserve_after_s:
             return
         standing = request.standing
-        if not settings.has(Mechanism.CLAIM_RANKS):
+        if not settings.has(Mechanism.RESERVATION_RANKS):
             standing = standing._replace(rank=RANK_GUARANTEED)
-        claim = earliest_claim(step, count, standing, self._room, self._claims, self._now.steady_s)
-        if claim is not None:
-            self._claims.add(claim)
+        reservation = earliest_reservation(step, count, standing, self._room, self._reservations, self._now.steady_s)
+        if reservation is not None:
+            self._reservations.add(reservation)
 
     def _explain_stalls(self) -> None:
         """Report why steps wait whose jobs have had nothing running for a while."""
@@ -327,25 +329,27 @@
             for request in self._requests_of(step, self._ranks.get(step.job.spec.job_id, RANK_ORDINARY)):
                 reports.add(request)
 
-    def _forget_claim(self, step: StepState) -> None:
-        self._claims.drop_of(step)
+    def _forget_reservation(self, step: StepState) -> None:
+        self._reservations.drop_of(step)
 
-    def _reopen_claim(self, step: StepState) -> None:
-        """Drop a step's claim that stops nothing and is no longer fresh, to make it anew."""
-        if not self._claims.has(step):
+    def _reopen_reservation(self, step: StepState) -> None:
+        """Drop a step's reservation that stops nothing and is no longer fresh, to make it anew."""
+        if not self._reservations.has(step):
             return
         oldest_s = self._now.steady_s - _FULL_EVERY_S
-        self._claims.drop(lambda claim: claim.step is step and not claim.is_firm and claim.made_s <= oldest_s)
+        self._reservations.drop(
+            lambda reservation: reservation.step is step and not reservation.is_firm and reservation.made_s <= oldest_s
+        )
 
-    def _drop_stale_claims(self) -> None:
-        """Drop claims that came to nothing."""
+    def _drop_stale_reservations(self) -> None:
+        """Drop reservations that came to nothing."""
         known = {worker.worker_id for worker in self._workers}
-        self._claims.drop(lambda claim: not self._still_holds(claim, known))
+        self._reservations.drop(lambda reservation: not self._still_holds(reservation, known))
 
-    def _still_holds(self, claim: Claim, known: set[str]) -> bool:
-        if claim.step.job.has_ended or not claim.step.pending:
+    def _still_holds(self, reservation: Reservation, known: set[str]) -> bool:
+        if reservation.step.job.has_ended or not reservation.step.pending:
             return False
-        if not claim.is_firm:
-            return not claim.step.run_by_index
-        late_s = self._now.steady_s - claim.ready_s
-        return late_s < _CLAIM_SLACK_S and known.issuperset(claim.count_by_worker)
+        if not reservation.is_firm:
+            return not reservation.step.run_by_index
+        late_s = self._now.steady_s - reservation.ready_s
+        return late_s < _RESERVATION_SLACK_S and known.issuperset(reservation.count_by_worker)
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -16,7 +16,7 @@
 from .variables import is_slow, victim_variables
 from .workers import by_rack, WorkerState
 
-# Room that others have claimed is taken, however short the work that asks.
+# Room that others have reserved is taken, however short the work that asks.
 _FOR_GOOD = float('inf')
 # Urgent work that is stopped ends late: it has little slack, and is worth little late.
 _URGENT_WEIGHT = 6.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/claims.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
@@ -8,7 +8,7 @@
 from .standing import Standing
 
 
-class Claim(NamedTuple):
+class Reservation(NamedTuple):
     """Room kept on workers for a step that waits for it.
 
     Parameters
@@ -20,7 +20,7 @@
     ready_s : float
         When the room is expected to be free, steady clock.
     is_firm : bool
-        Whether runs are being stopped for it; other claims are made anew
+        Whether runs are being stopped for it; other reservations are made anew
         from time to time.
     made_s : float
         When it was made, steady clock.
@@ -36,15 +36,15 @@
     made_s: float = 0.0
 
 
-class Claims:
-    """All claims, in the order in which they were made.
+class Reservations:
+    """All reservations, in the order in which they were made.
 
     Attributes
     ----------
     version : int
         Grows with every change, for those who keep an index.
     is_in_order : bool
-        Whether claims that stop nothing keep their room only from what stands behind
+        Whether reservations that stop nothing keep their room only from what stands behind
         them, so that no two steps wait for each other's. In a pool without idle
         capacity they keep it from all of their rank: what stays free there serves
         urgent work, which then stops others less often.
@@ -52,54 +52,54 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self._claims: list[Claim] = []
-        # How many claims each step has: it is asked several times for each step of a pass.
+        self._reservations: list[Reservation] = []
+        # How many reservations each step has: it is asked several times for each step of a pass.
         self._count_by_step: Counter[StepState] = Counter()
         self._freed: set[str] = set()
         self.version = 0
         self.is_in_order = True
 
-    def __iter__(self) -> Iterator[Claim]:
-        """Yield each claim."""
-        return iter(self._claims)
+    def __iter__(self) -> Iterator[Reservation]:
+        """Yield each reservation."""
+        return iter(self._reservations)
 
-    def keeps(self, claim: Claim, step: StepState, standing: Standing) -> bool:
-        """Tell whether a step of a standing must leave the room of a claim alone."""
-        if claim.step is step:
+    def keeps(self, reservation: Reservation, step: StepState, standing: Standing) -> bool:
+        """Tell whether a step of a standing must leave the room of a reservation alone."""
+        if reservation.step is step:
             return False
-        if claim.is_firm or claim.standing.rank < standing.rank:
+        if reservation.is_firm or reservation.standing.rank < standing.rank:
             return True
         if self.is_in_order:
-            return claim.standing < standing
-        return claim.standing.rank == standing.rank
+            return reservation.standing < standing
+        return reservation.standing.rank == standing.rank
 
-    def add(self, claim: Claim) -> None:
+    def add(self, reservation: Reservation) -> None:
         """Keep room."""
-        self._claims.append(claim)
-        self._count_by_step[claim.step] += 1
+        self._reservations.append(reservation)
+        self._count_by_step[reservation.step] += 1
         self.version += 1
 
-    def drop(self, is_dropped: Callable[[Claim], bool]) -> None:
+    def drop(self, is_dropped: Callable[[Reservation], bool]) -> None:
         """Give room back."""
         kept = []
-        for claim in self._claims:
-            if is_dropped(claim):
-                self._freed.update(claim.count_by_worker)
+        for reservation in self._reservations:
+            if is_dropped(reservation):
+                self._freed.update(reservation.count_by_worker)
             else:
-                kept.append(claim)
-        if len(kept) == len(self._claims):
+                kept.append(reservation)
+        if len(kept) == len(self._reservations):
             return
-        self._claims = kept
-        self._count_by_step = Counter(claim.step for claim in self._claims)
+        self._reservations = kept
+        self._count_by_step = Counter(reservation.step for reservation in self._reservations)
         self.version += 1
 
     def drop_of(self, step: StepState) -> None:
         """Give back the room that is kept for a step."""
         if self.has(step):
-            self.drop(lambda claim: claim.step is step)
+            self.drop(lambda reservation: reservation.step is step)
 
     def take_freed(self) -> set[str]:
-        """Return the workers on which claims were dropped since the last call."""
+        """Return the workers on which reservations were dropped since the last call."""
         freed, self._freed = self._freed, set()
         return freed
 
@@ -108,5 +108,5 @@
         return step in self._count_by_step
 
     def open_ones(self) -> int:
-        """Return how many claims stop nothing."""
-        return sum(not claim.is_firm for claim in self._claims)
+        """Return how many reservations stop nothing."""
+        return sum(not reservation.is_firm for reservation in self._reservations)
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -1,8 +1,8 @@
 """Room on workers during one pass of decisions."""
 
 from ..workload import NO_RESOURCES, Resources
-from .claims import Claim, Claims
 from .job_state import StepState
+from .reservations import Reservation, Reservations
 from .runs import Run
 from .standing import Standing
 from .workers import WorkerState
@@ -18,18 +18,18 @@
     ----------
     workers : list of WorkerState
         Workers that may take starts.
-    claims : Claims
+    reservations : Reservations
         Room that is kept.
     """
 
-    def __init__(self, workers: list[WorkerState], claims: Claims) -> None:
+    def __init__(self, workers: list[WorkerState], reservations: Reservations) -> None:
         """Read the free resources of each worker."""
         self.workers = workers
         self.free_by_id = {worker.worker_id: worker.free for worker in workers}
-        self._claims = claims
+        self._reservations = reservations
         self._ends_by_worker: dict[str, list[tuple[float, Resources]]] = {}
         self._admissible_by_need: dict[tuple[str, str], list[WorkerState]] = {}
-        self._index_claims()
+        self._index_reservations()
 
     def take(self, worker: WorkerState, demand: Resources) -> None:
         """Use up room."""
@@ -63,21 +63,21 @@
     def free_for(self, worker: WorkerState, step: StepState, standing: Standing, end_s: float) -> Resources:
         """Return the room that a step of a standing may use until ``end_s``."""
         free = self.free_by_id.get(worker.worker_id, NO_RESOURCES)
-        if self._indexed_version != self._claims.version:
-            self._index_claims()
-        for claim, kept in self._kept_by_worker.get(worker.worker_id, ()):
-            if end_s > claim.ready_s and self._claims.keeps(claim, step, standing):
+        if self._indexed_version != self._reservations.version:
+            self._index_reservations()
+        for reservation, kept in self._kept_by_worker.get(worker.worker_id, ()):
+            if end_s > reservation.ready_s and self._reservations.keeps(reservation, step, standing):
                 free = free.minus(kept)
         return free
 
-    def _index_claims(self) -> None:
-        """Note by worker what claims keep there: most workers have none."""
-        self._kept_by_worker: dict[str, list[tuple[Claim, Resources]]] = {}
-        for claim in self._claims:
-            demand = effective_demand(claim.step)
-            for worker_id, count in claim.count_by_worker.items():
-                self._kept_by_worker.setdefault(worker_id, []).append((claim, demand.times(count)))
-        self._indexed_version = self._claims.version
+    def _index_reservations(self) -> None:
+        """Note by worker what reservations keep there: most workers have none."""
+        self._kept_by_worker: dict[str, list[tuple[Reservation, Resources]]] = {}
+        for reservation in self._reservations:
+            demand = effective_demand(reservation.step)
+            for worker_id, count in reservation.count_by_worker.items():
+                self._kept_by_worker.setdefault(worker_id, []).append((reservation, demand.times(count)))
+        self._indexed_version = self._reservations.version
 
 
 def effective_demand(step: StepState) -> Resources:
--- a/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -3,11 +3,11 @@
 from collections.abc import Sequence
 from functools import cached_property
 
-from .claims import Claims
 from .clock import Moment
 from .events import StepWaiting, WaitReason
 from .gates import job_gate, step_gate
 from .placement import place, Request
+from .reservations import Reservations
 from .room import effective_demand, fitting, per_worker_limit, Room
 from .state import SchedulerState
 from .workers import WorkerState
@@ -57,13 +57,13 @@
     @cached_property
     def _unreserved_room(self) -> Room:
         """What is free, reserved or not."""
-        return Room(list(self._workers), Claims())
+        return Room(list(self._workers), Reservations())
 
     @cached_property
     def _listed_room(self) -> Room:
         """What would be free if every worker took starts that is listed and does not leave."""
         workers = self._state.worker_by_id.values()
-        return Room([worker for worker in workers if worker.is_listed and not worker.profile.draining], Claims())
+        return Room([worker for worker in workers if worker.is_listed and not worker.profile.draining], Reservations())
 
     def _report(self, request: Request, reason: WaitReason) -> StepWaiting:
         step = request.step
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -5,7 +5,6 @@
 
 from ..policies import Policy
 from ..workload import TaskKey
-from .claims import Claims
 from .effects import Effect, StartRun, StopRun
 from .events import LossCause, Note, RunLost
 from .job_state import JobPhase, JobState, StepState
@@ -13,6 +12,7 @@
 from .mechanisms import Mechanism
 from .memory import PassMemory
 from .progress import Crash
+from .reservations import Reservations
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
 from .stalls import Stalls
@@ -77,7 +77,7 @@
         self.active_job_by_id: dict[str, JobState] = {}
         self.worker_by_id: dict[str, WorkerState] = {}
         self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
-        self.claims = Claims()
+        self.reservations = Reservations()
         self.dirty_jobs: set[str] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
@@ -173,7 +173,7 @@
         job.ended_s = wall_s
         self.active_job_by_id.pop(job.spec.job_id, None)
         self.dirty_jobs.add(job.spec.job_id)
-        self.claims.drop(lambda claim: claim.step.job is job)
+        self.reservations.drop(lambda reservation: reservation.step.job is job)
         for step in job.step_by_key.values():
             for run in tuple(step.run_by_index.values()):
                 # Members of a gang that has succeeded end by themselves.
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -102,7 +102,7 @@
         for _ in range(3):
             self.pool.step(0.3)
         state = self.pool.scheduler._state
-        if self.pool.stopping or list(state.claims):
+        if self.pool.stopping or list(state.reservations):
             return
         takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
         for job in state.active_jobs():
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_preemption.py
@@ -59,7 +59,7 @@
     assert any(key.job_id == A for _, key in pool.running)
 
 
-def test_the_holder_of_a_claim_is_tried_though_a_like_gang_was_blocked_by_that_claim():
+def test_the_holder_of_a_reservation_is_tried_though_a_like_gang_was_blocked_by_that_reservation():
     """A smaller gang of the same shape came first, failed, and stood for both for ever."""
     pool = Pool(workers=3)
     wide = {'accelerators': 8, 'gang': True, 'work_s': 6.0}
@@ -75,8 +75,8 @@
     assert any(key.job_id == B for _, key in pool.running)
 
 
-def test_two_urgent_gangs_do_not_claim_the_same_room():
-    """Each was kept from the other's claim and both waited until the claims were stale."""
+def test_two_urgent_gangs_do_not_reserve_the_same_room():
+    """Each was kept from the other's reservation and both waited until the reservations were stale."""
     pool = Pool(workers=4)
     pool.submit(A, task(4, accelerators=8, checkpoints=True), queue=PATIENT)
     pool.step()
@@ -122,7 +122,7 @@
     pool.step()
     pool.submit(B, task(2, accelerators=8, gang=True), queue=ORDINARY)
     pool.step(1.0)
-    assert list(pool.scheduler._state.claims)
+    assert list(pool.scheduler._state.reservations)
     pool.submit(C, task(1, accelerators=8, work_s=30.0), queue=URGENT)
     effects = pool.step(0.1)
     assert [(type(effect), effect.key.job_id) for effect in effects] == [(StartRun, C)]
--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -8,13 +8,13 @@
 
 from dahliaarch_kernel.policies import compile_policy, SHIPPED
 from dahliaarch_kernel.scheduler import Effect, Moment, Scheduler, SchedulerSettings
-from dahliaarch_kernel.scheduler.claims import Claims
 from dahliaarch_kernel.scheduler.job_state import StepState
 from dahliaarch_kernel.scheduler.leaving import expire_leases
 from dahliaarch_kernel.scheduler.objectives import begin_s
+from dahliaarch_kernel.scheduler.openings import earliest_reservation
 from dahliaarch_kernel.scheduler.placement import place, Request
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
-from dahliaarch_kernel.scheduler.reservation import earliest_claim
+from dahliaarch_kernel.scheduler.reservations import Reservations
 from dahliaarch_kernel.scheduler.room import effective_demand, Room
 from dahliaarch_kernel.scheduler.runs import Run
 from dahliaarch_kernel.scheduler.standing import Standing
@@ -37,19 +37,19 @@
     def decide(self, now: Moment) -> list[Effect]:
         """Start what fits, in the order of arrival."""
         state = self._state
-        claims = Claims()
+        reservations = Reservations()
         expire_leases(state, now)
         workers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
-        room = Room(workers, claims)
+        room = Room(workers, reservations)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
             for step in job.ready_steps():
                 if not (step.spec.gang and step.run_by_index):
-                    self._consider(step, room, claims, now)
+                    self._consider(step, room, reservations, now)
         effects, state.effects = state.effects, []
         return effects
 
-    def _consider(self, step: StepState, room: Room, claims: Claims, now: Moment) -> None:
+    def _consider(self, step: StepState, room: Room, reservations: Reservations, now: Moment) -> None:
         settings = self._state.settings
         request = Request(
             step,
@@ -64,10 +64,12 @@
         placement = place(request, room)
         if placement.task_count:
             self._start(step, request, now, room)
-        elif not claims.open_ones():
-            claim = earliest_claim(step, len(step.pending), request.standing, room, claims, now.steady_s)
-            if claim is not None:
-                claims.add(claim)
+        elif not reservations.open_ones():
+            reservation = earliest_reservation(
+                step, len(step.pending), request.standing, room, reservations, now.steady_s
+            )
+            if reservation is not None:
+                reservations.add(reservation)
 
     def _start(self, step: StepState, request: Request, now: Moment, room: Room) -> None:
         indices = sorted(step.pending)
