--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -1,8 +1,8 @@
 """Where time and core-seconds went, worked out from the logs of real processes."""
 
-from .core import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .histories import JobHistory, read_histories, RunHistory
 from .stops import report_stops, RoomUse, StoppedJob
+from .sums import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .takeovers import TakeOver, takeovers
 
 __all__ = (
--- a/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
@@ -1,12 +1,12 @@
 """Which task runs where and when: pure decisions over jobs and workers."""
 
 from .clock import Moment
-from .core import Scheduler
 from .effects import AskAdvice, Effect, StartRun, StopRun
 from .events import EndKind
 from .job_state import JobPhase, JobState
 from .mechanisms import Mechanism
 from .progress import JobProgress, StepProgress
+from .scheduler import Scheduler
 from .settings import SchedulerSettings
 from .workers import Lease, WorkerProfile, WorkerState
 
