--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -32,7 +32,7 @@
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
-    # One that was never heard has no lease that could have ended.
+    # One that was never contacted has no lease that could have ended.
     worker.is_lapsed = worker.is_lapsed or worker.lease.bound_s() > 0
     if not worker.is_listed:
         del state.worker_by_id[worker.worker_id]
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -82,7 +82,7 @@
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
         # Incarnations whose lists some step waits for, or did, and those that were given up in silence since, until
-        # something is heard at their addresses.
+        # something answers at their addresses.
         self.awaited_incarnations: set[str] = set()
         self.given_up_unacknowledged: set[str] = set()
         self.recent_deaths: list[Death] = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -2,7 +2,7 @@
 
 They wait until that incarnation has said what runs there: only then is it known, and only
 from its first answer on does it refuse what was meant for the incarnation before. Where the
-incarnation before was given up in silence, a next one may have begun without being heard.
+incarnation before was given up in silence, a next one may have begun without having answered.
 """
 
 from collections.abc import Iterator
