make lint holds the agreed terms: tools/words.py and words.toml

The words that the renames took out of the code, each with the term to use, stand in one file. The check reads prose and names alike: parts of snake_case and CamelCase names are words.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages platform
-	$(BIN)/mypy packages platform
+	$(BIN)/flake8 packages platform tools
+	$(BIN)/mypy packages platform tools
+	$(BIN)/python tools/words.py
 	$(BIN)/lint-imports
 
 clean:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of the sources that no linter has."""
--- /dev/null
+++ b/tools/tests/test_words.py
@@ -0,0 +1,33 @@
+"""Words that the project does not use come back in prose, in names, and over words that merely contain them."""
+
+import pytest
+
+from ..words import find_words, Words
+
+WORDS = Words({'life': 'incarnation', 'stands still': 'is stalled'}, ["draw('life')"])
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        '# Its life ends.',
+        'known_life = 1',
+        'class WorkerLife:',
+        '_OTHER_LIFE = 421',
+        'def test_a_run_that_stands_still_is_moved():',
+        "stop('stands still')",
+    ],
+)
+def test_a_word_is_found_in_prose_and_in_names(line):
+    assert [finding.line for finding in find_words(f'\n{line}\n', WORDS)] == [2]
+
+
+@pytest.mark.parametrize(
+    'line', ['lifetime = 1', 'The lifeline stands; still', "draw('life')", 'A worker stands. It is still.']
+)
+def test_other_words_and_kept_text_are_left_alone(line):
+    assert not list(find_words(line, Words({'life': 'incarnation'}, ["draw('life')"])))
+
+
+def test_a_finding_names_the_term_to_use():
+    assert [(finding.word, finding.term) for finding in find_words('life', WORDS)] == [('life', 'incarnation')]
--- /dev/null
+++ b/tools/words.py
@@ -0,0 +1,79 @@
+"""Reports words that the project does not use, with the field's term for each.
+
+The words are in ``words.toml``. They are looked for in prose and in names alike: the
+parts of ``snake_case`` and ``CamelCase`` names count as words.
+"""
+
+import re
+import sys
+import tomllib
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+_PLACES = ('packages', 'platform')
+_SUFFIXES = frozenset(('.py', '.feature', '.toml'))
+_EDGE_OF_PART = re.compile('(?<=[a-z0-9])(?=[A-Z])|(?<=[A-Z])(?=[A-Z][a-z])|_')
+
+
+class Words(NamedTuple):
+    """Words that are not used.
+
+    Parameters
+    ----------
+    term_by_word : dict of str to str
+        The term to use, by the word or the words that it replaces.
+    kept : list of str
+        Text in which a word stays.
+    """
+
+    term_by_word: dict[str, str]
+    kept: list[str]
+
+
+class Finding(NamedTuple):
+    """A word that is not used, on one line of a file."""
+
+    line: int
+    word: str
+    term: str
+
+
+def read_words(path: Path) -> Words:
+    """Return the words of a file."""
+    table = tomllib.loads(path.read_text())
+    return Words(table['words'], table['kept'])
+
+
+def find_words(text: str, words: Words) -> Iterator[Finding]:
+    """Yield the words in a text that are not used, by line."""
+    for number, line in enumerate(text.splitlines(), 1):
+        plain = _plain(line, words.kept)
+        for word, term in words.term_by_word.items():
+            if f' {word} ' in plain:
+                yield Finding(number, word, term)
+
+
+def _plain(line: str, kept: Iterable[str]) -> str:
+    """Return the words of a line, in lower case and with a space around each."""
+    for text in kept:
+        line = line.replace(text, '')
+    parts = re.findall('[A-Za-z]+', _EDGE_OF_PART.sub(' ', line))
+    return f' {" ".join(parts).lower()} '
+
+
+def _files() -> list[Path]:
+    found = (path for place in _PLACES for path in sorted(Path(place).rglob('*')))
+    return [path for path in found if path.suffix in _SUFFIXES and 'build' not in path.parts]
+
+
+def main() -> int:
+    """Print what is found below the working directory; return 1 if there is anything."""
+    words = read_words(Path(__file__).with_name('words.toml'))
+    found = [(path, finding) for path in _files() for finding in find_words(path.read_text(), words)]
+    sys.stdout.writelines(f'{path}:{each.line}: "{each.word}": use "{each.term}"\n' for path, each in found)
+    return int(bool(found))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
