--- a/packages/kernel/dahliaarch_kernel/configuration/core.py
+++ b/packages/kernel/dahliaarch_kernel/configuration/core.py
@@ -92,7 +92,7 @@
     keys : tuple of str
         Keys in force.
     guaranteed_accelerators : int
-        Accelerators that its jobs of priority 0 may claim at any time.
+        Accelerators that its jobs of priority 0 may use at any time.
     """
 
     name: str
@@ -112,7 +112,7 @@
     header_timeout_s : float
         Longest wait for a header section that has begun.
     idle_timeout_s : float
-        Longest life of an idle connection.
+        How long an idle connection is kept.
     """
 
     header_bytes: int = 16_384
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -56,13 +56,13 @@
     Parameters
     ----------
     worker_id : str
-        Life of the worker.
+        Incarnation of the worker.
     key : TaskKey
         Its task.
     run : int
         Number of the run.
     cause : LossCause
-        What tells that it is gone.
+        What shows that it is gone.
     ran_s : float
         How long it was known to run there, in seconds.
     beside : int
@@ -85,7 +85,7 @@
     key : TaskKey
         The task.
     worker_ids : tuple of str
-        Lives of the workers, in the order of their crashes.
+        Incarnations of the workers, in the order of their crashes.
     """
 
     key: TaskKey
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -1,7 +1,7 @@
-"""Workers on which runs stand still or crawl, and what moves away from them.
+"""Workers on which runs stall or crawl, and what moves away from them.
 
-Whether a worker is slow is told from all that runs there: how far each run has
-come since it was last heard of, against how far it should have come. How much
+Whether a worker is slow shows in all that runs there: how far each run has
+come since it was last reported, against how far it should have come. How much
 that says depends on how well run times of its queue are known.
 """
 
@@ -16,8 +16,7 @@
 from .state import SchedulerState
 from .workers import WorkerState
 
-# A worker this many times slower than expected is avoided: those of the users'
-# sheets are 6 and more, and sound ones differ by up to 1.3.
+# A worker this many times slower than expected is avoided; sound ones differ by less.
 _SLOW_FACTOR = 2.0
 # How certain that must be, in standard deviations.
 _CERTAINTY = 2.5
@@ -28,12 +27,11 @@
 _LATE_START_S = 0.15
 # Spread of a run's pace for other reasons than its length, in logarithms.
 _OTHER_SPREAD = 0.15
-# Bounds of what one run tells, in logarithms.
+# Bounds of what one run shows, in logarithms.
 _FASTEST = math.log(0.5)
 _SLOWEST = math.log(20.0)
-# How much longer a worker that is slow or still is expected to be so, in seconds:
-# on the users' sheets such times last 5 to 7 s.
-_SICK_FOR_S = 4.0
+# How much longer a worker that is slow or stalled is expected to be so, in seconds.
+_DEGRADED_FOR_S = 4.0
 # A run that is so far behind is moved though its job ends in time without, in
 # seconds: most workers have recovered by then.
 _STUCK_S = 8.0
@@ -46,7 +44,7 @@
 
 
 class _Evidence(NamedTuple):
-    """What one run tells of its worker.
+    """What one run shows of its worker.
 
     Parameters
     ----------
@@ -61,18 +59,18 @@
 
 
 def watch_progress(state: SchedulerState, now: Moment) -> None:
-    """Move runs that stand still, and note which workers are slow: those are used last.
+    """Move runs that are stalled, and note which workers are slow: those are used last.
 
-    A worker is judged once after each of its surveys: nothing else tells.
+    A worker is assessed once after each of its surveys: nothing else shows it.
     """
     surveyed, state.surveyed_workers = state.surveyed_workers, set()
     for worker_id in sorted(surveyed):
         worker = state.worker_by_id.get(worker_id)
         if worker is not None and not worker.is_silent:
-            _judge(state, worker, now)
+            _assess(state, worker, now)
 
 
-def _judge(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
+def _assess(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     evidence_by_run = {run: _evidence(state, run) for run in worker.run_by_key.values()}
     own = [each for run, each in evidence_by_run.items() if each is not None and not _is_spread(state, run)]
     worker.slowness = _slowness(own)
@@ -118,17 +116,16 @@
 
 
 def _move(state: SchedulerState, step: StepState, run: Run, slowness: float, now: Moment) -> None:
-    """Stop a run that stands still, if its job gains by that.
+    """Stop a run that is stalled, if its job gains by that.
 
-    One that crawls stays: moving those too was worth nothing to users on 45
-    played days (0.001 +- 0.008 of net worth).
+    One that crawls stays: its restart costs about what its job would gain.
     """
-    if run.report_gain or not state.settings.has(Mechanism.MOVES_OF_STILL):
+    if run.report_gain or not state.settings.has(Mechanism.MOVES_OF_STALLED):
         return
     outlook = _outlook(step, run, slowness)
     if _saves_job(state, step, outlook, now) or _is_stuck(outlook):
         step.failed_on.add(run.worker_id)
-        state.stop_unit(run, 'stands still')
+        state.stop_unit(run, 'stalled')
 
 
 class _Outlook(NamedTuple):
@@ -155,8 +152,8 @@
     lost_s = 0.0 if step.spec.checkpoints else run.work_s - left_s
     missed_s = run.seen_s - run.started_s - (run.work_s - left_s)
     # What has been slow for long will be for long.
-    sick_s = max(_SICK_FOR_S, missed_s)
-    stay_s = min(left_s * slowness, sick_s + max(0.0, left_s - sick_s / slowness))
+    degraded_s = max(_DEGRADED_FOR_S, missed_s)
+    stay_s = min(left_s * slowness, degraded_s + max(0.0, left_s - degraded_s / slowness))
     return _Outlook(missed_s, lost_s, stay_s, _MOVE_S + left_s + lost_s)
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -52,7 +52,7 @@
         self.failed_on: set[str] = set()
         self.checkpoint_by_index: dict[int, str] = {}
         self.refused_until_s = 0.0
-        # Lives of workers that may have begun its tasks, and until when they are waited for, steady clock.
+        # Incarnations of workers that may have begun its tasks, and until when they are waited for, steady clock.
         self.awaited_until_by_worker: dict[str, float] = {}
         # Whether a pass has tried to place it, and looked for victims.
         self.was_considered = False
@@ -103,8 +103,8 @@
         # the store away, three owners in turn gave a task six.
         self.job.has_unkept_crashes = self.job.has_unkept_crashes or is_suspect(crashes)
 
-    def excuse(self, index: int, run: int) -> bool:
-        """Record that the crash under a run said nothing of its task; tell whether that is news."""
+    def discount_crash(self, index: int, run: int) -> bool:
+        """Record that the crash under a run said nothing of its task; tell whether that is new."""
         crashes = self.crashes_by_index.get(index, [])
         for number, crash in enumerate(crashes):
             if crash.run == run and not crash.with_others:
@@ -170,7 +170,7 @@
         # Whether crashes of workers were counted that a next owner would not know of.
         self.has_unkept_crashes = False
         # Until when it is not decided whether one of its tasks is given up, steady clock.
-        self.judged_at_s: float | None = None
+        self.crash_limit_at_s: float | None = None
         self.is_end_kept = False
 
     @property
--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -8,7 +8,7 @@
 from .successors import note_given_up
 from .workers import WorkerState
 
-# Time kept free at the end of a leaving worker's life, in seconds.
+# Time kept free when a leaving worker ends, in seconds.
 _LEAVE_MARGIN_S = 0.3
 
 
@@ -32,7 +32,7 @@
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
-    # One that was never heard has no lease that could have ended.
+    # One that was never contacted has no lease that could have ended.
     worker.is_lapsed = worker.is_lapsed or worker.lease.bound_s() > 0
     if not worker.is_listed:
         del state.worker_by_id[worker.worker_id]
--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -7,15 +7,15 @@
     """Names of the mechanisms, as settings have them."""
 
     #: Room is kept for gangs that wait.
-    GANG_CLAIMS = 'gang_claims'
+    GANG_RESERVATIONS = 'gang_reservations'
     #: Room that is kept may be used by more urgent work.
-    CLAIM_RANKS = 'claim_ranks'
+    RESERVATION_RANKS = 'reservation_ranks'
     #: Workers' paces are learned, and urgent work takes fast workers.
     WORKER_PACES = 'worker_paces'
     #: Owners' estimates are corrected by what was seen.
     LEARNED_TIMES = 'learned_times'
-    #: Runs that stand still are moved.
-    MOVES_OF_STILL = 'moves_of_still'
+    #: Runs that are stalled are moved.
+    MOVES_OF_STALLED = 'moves_of_stalled'
     #: Workers on which tasks failed or crawled of late are used last.
     SUSPECTS_LAST = 'suspects_last'
     #: Work waits for a place near its data or in one rack.
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 # A run that goes on for so much longer than earlier ones did is not what killed
-# their workers, in seconds: progress is heard of once a second. A run that was not
-# heard of for so long is suspected of its worker's death.
+# their workers, in seconds: progress is reported once a second. A run that was not
+# reported for so long is suspected of its worker's death.
 OUTLIVED_S = 1.0
 
 
@@ -17,11 +17,11 @@
     run : int
         Number of the run that was there.
     worker_id : str
-        Life of the worker.
+        Incarnation of the worker.
     ran_s : float
         How long the run was known to run, in seconds.
-    tells_of_it : bool
-        Whether no other job ran there, or none but the task was on trial.
+    is_conclusive : bool
+        Whether no other job ran there, or none but the task was isolated.
     with_others : bool
         Whether other workers, without this task's step, crashed at about that time:
         then it says nothing of the task.
@@ -30,18 +30,18 @@
     run: int
     worker_id: str
     ran_s: float
-    tells_of_it: bool
+    is_conclusive: bool
     with_others: bool = False
 
 
-def telling(crashes: Sequence[Crash]) -> list[Crash]:
+def counted_crashes(crashes: Sequence[Crash]) -> list[Crash]:
     """Return the crashes that say something of their task."""
     return [crash for crash in crashes if not crash.with_others]
 
 
 def is_suspect(crashes: Sequence[Crash]) -> bool:
     """Tell whether crashes under a task make it a suspect: two, or one soon after its start."""
-    counted = telling(crashes)
+    counted = counted_crashes(crashes)
     return len(counted) > 1 or any(crash.ran_s < OUTLIVED_S for crash in counted)
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/core.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -6,7 +6,7 @@
 from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, StepKey, TaskKey
 from .clock import Moment
-from .crashes import judge, judge_kept, silent_worker_crashed, worker_crashed, worker_lives
+from .crashes import apply_crash_limit, check_kept_crashes, silent_worker_crashed, worker_answered, worker_crashed
 from .effects import Effect
 from .ends import take_in_end
 from .events import EndKind, LossCause, Note, RunEnd, RunSeen
@@ -63,12 +63,12 @@
         self._state.guaranteed_by_account = guaranteed_by_account
 
     def set_unguarded(self, services: Iterable[str]) -> None:
-        """Replace the services whose workers start whatever they are told."""
+        """Replace the services whose workers start whatever they are sent."""
         self._state.unguarded_services = frozenset(services)
 
-    def workers_heard(self, now: Moment) -> None:
+    def workers_synced(self, now: Moment) -> None:
         """Record that all that workers publish is known up to now."""
-        self._state.workers_heard_s = now.steady_s
+        self._state.workers_synced_s = now.steady_s
 
     def add_job(
         self,
@@ -90,7 +90,7 @@
         now : Moment
             The present.
         progress : JobProgress or None
-            What an earlier owner kept of it.
+            What a previous owner kept of it.
         not_before_s : float
             Steady time before which a silent worker may still run it.
         """
@@ -100,7 +100,7 @@
         job.known_since_s = not_before_s
         if progress is not None:
             job.restore(progress)
-            judge_kept(job, now)
+            check_kept_crashes(job, now)
         self._state.job_by_id[spec.job_id] = job
         if not job.has_ended:
             self._state.active_job_by_id[spec.job_id] = job
@@ -141,12 +141,12 @@
         return is_new
 
     def expect_worker(self, profile: WorkerProfile, now: Moment) -> None:
-        """Take in a life of a worker that answers and has published nothing: it gets nothing new before.
+        """Take in an incarnation of a worker that answers and has published nothing: it gets nothing new before.
 
         Parameters
         ----------
         profile : WorkerProfile
-            What the life before it published.
+            What the incarnation before it published.
         now : Moment
             The present.
         """
@@ -168,7 +168,7 @@
         if worker is not None:
             worker.has_readable_entry = False
 
-    def all_workers_heard(self) -> None:
+    def all_workers_reported(self) -> None:
         """Record that no worker can run a job of which this owner does not know."""
         for job in self._state.job_by_id.values():
             job.known_since_s = 0.0
@@ -180,20 +180,20 @@
             worker.is_silent = True
 
     def worker_replaced(self, worker_id: str, successor_id: str, late_until_s: float) -> None:
-        """Record, before a life of a worker is over, that another one has answered.
+        """Record, before an incarnation of a worker is over, that another one has answered.
 
         Parameters
         ----------
         worker_id, successor_id : str
-            The two lives.
+            The two incarnations.
         late_until_s : float
-            Until when the later one may run what the earlier one was sent, if it is not heard again, steady clock.
+            Until when the later one may run what the earlier one was sent, if it does not answer again, steady clock.
         """
         note_successor(self._state, worker_id, successor_id, late_until_s)
 
     def worker_over(self, worker_id: str, now: Moment) -> None:
-        """Record that this life of a worker has ended for certain."""
-        self._state.given_up_in_doubt.discard(worker_id)
+        """Record that this incarnation of a worker has ended for certain."""
+        self._state.given_up_unacknowledged.discard(worker_id)
         worker = self._state.worker_by_id.pop(worker_id, None)
         if worker is None:
             silent_worker_crashed(self._state, worker_id, now)
@@ -245,8 +245,8 @@
         """Take in a worker's list of what runs; one that lists ends lists those that come after, too."""
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
-            worker_lives(self._state, worker_id)
-            self._state.given_up_in_doubt.discard(worker_id)
+            worker_answered(self._state, worker_id)
+            self._state.given_up_unacknowledged.discard(worker_id)
             if lists_ends and worker.may_hide_ends:
                 worker.may_hide_ends = False
                 self._state.memory.grown_workers.add(worker_id)
@@ -256,7 +256,7 @@
         """Decide what to start and stop at this moment."""
         state = self._state
         expire_leases(state, now)
-        judge(state, now)
+        apply_crash_limit(state, now)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
         empty_leaving(state, now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -5,7 +5,6 @@
 
 from ..policies import Policy
 from ..workload import TaskKey
-from .claims import Claims
 from .effects import Effect, StartRun, StopRun
 from .events import LossCause, Note, RunLost
 from .job_state import JobPhase, JobState, StepState
@@ -13,6 +12,7 @@
 from .mechanisms import Mechanism
 from .memory import PassMemory
 from .progress import Crash
+from .reservations import Reservations
 from .runs import Run, RunPhase
 from .settings import SchedulerSettings
 from .stalls import Stalls
@@ -21,7 +21,7 @@
 # Runs of one owner count up below its epoch, so that numbers rise over owners.
 RUNS_PER_EPOCH = 1 << 20
 # How long the last word of workers' room holds where they don't guard it, in seconds:
-# entries are news each 1.5 s, and users bear starts on room that shrank 4.5 s ago.
+# entries are written each 1.5 s, and users bear starts on room that shrank 4.5 s ago.
 _ROOM_KNOWN_S = 3.0
 
 
@@ -77,20 +77,20 @@
         self.active_job_by_id: dict[str, JobState] = {}
         self.worker_by_id: dict[str, WorkerState] = {}
         self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
-        self.claims = Claims()
+        self.reservations = Reservations()
         self.dirty_jobs: set[str] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
-        # Lives whose lists some step waits for, or did, and those that were given up in silence since, until
-        # something is heard at their addresses.
-        self.awaited_lives: set[str] = set()
-        self.given_up_in_doubt: set[str] = set()
+        # Incarnations whose lists some step waits for, or did, and those that were given up in silence since, until
+        # something answers at their addresses.
+        self.awaited_incarnations: set[str] = set()
+        self.given_up_unacknowledged: set[str] = set()
         self.recent_deaths: list[Death] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
-        # Services whose workers start whatever they are told, and when entries were last heard of.
+        # Services whose workers start whatever they are sent, and when entries were last synced.
         self.unguarded_services: frozenset[str] = frozenset()
-        self.workers_heard_s = float('-inf')
+        self.workers_synced_s = float('-inf')
         self.surveyed_workers: set[str] = set()
         self.memory = PassMemory()
         self.stalls = Stalls()
@@ -105,7 +105,7 @@
         """Tell whether a worker's room is known, or guarded by the worker itself."""
         if worker.profile.service not in self.unguarded_services:
             return True
-        return now_s - self.workers_heard_s <= _ROOM_KNOWN_S
+        return now_s - self.workers_synced_s <= _ROOM_KNOWN_S
 
     def next_run_number(self) -> int:
         """Return a run number above all that were given before."""
@@ -173,7 +173,7 @@
         job.ended_s = wall_s
         self.active_job_by_id.pop(job.spec.job_id, None)
         self.dirty_jobs.add(job.spec.job_id)
-        self.claims.drop(lambda claim: claim.step.job is job)
+        self.reservations.drop(lambda reservation: reservation.step.job is job)
         for step in job.step_by_key.values():
             for run in tuple(step.run_by_index.values()):
                 # Members of a gang that has succeeded end by themselves.
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from .clock import Moment
-from .crashes import outlived_trial
+from .crashes import clear_suspect
 from .ends import take_in_end
 from .events import EndKind, LossCause, RunEnd, RunSeen
 from .learning import observe_pace
@@ -67,14 +67,14 @@
     run.saw_progress(seen.percent, now.steady_s)
     step = state.step_of(run.key)
     if step is not None:
-        outlived_trial(step, run)
+        clear_suspect(step, run)
         observe_pace(step, run, worker, now.steady_s - run.started_s, seen.percent / _WHOLE)
     if seen.checkpoint:
         run.checkpoint = seen.checkpoint
 
 
 def _adopt(state: SchedulerState, worker: WorkerState, seen: RunSeen, now: Moment) -> Run | None:
-    """Take over a run that an earlier owner started, or stop one that is not wanted."""
+    """Take over a run that a previous owner started, or stop one that is not wanted."""
     step = state.step_of(seen.key)
     stray = Run(seen.key, seen.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0)
     if step is None or step.job.has_ended or seen.key.task_index in step.done:
@@ -89,7 +89,7 @@
     run = Run(seen.key, seen.run, worker.worker_id, effective_demand(step), started_s, work_s)
     run.phase = RunPhase.RUNNING
     # When it began is not known: it tells nothing of its worker.
-    run.has_told_pace = True
+    run.has_reported_pace = True
     run.went_on()
     run.rank = RANK_ORDINARY if step.job.queue.priority else RANK_URGENT
     run.seen_s = now.steady_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/late_workers.py
@@ -13,7 +13,7 @@
 
 from .pool import START_S, WALL_S, WORKER
 
-# Longer than any lease that an earlier owner can have given, in seconds.
+# Longer than any lease that a previous owner can have given, in seconds.
 LONGEST_LEASE_S = 10.3
 
 
@@ -26,7 +26,7 @@
 
 
 class LateWorker:
-    """One life of a worker: what runs, and what it has seen of each task."""
+    """One incarnation of a worker: what runs, and what it has seen of each task."""
 
     def __init__(self, worker_id):
         self.worker_id = worker_id
@@ -67,13 +67,13 @@
         # Stops that the present owner has ordered and that are not acknowledged.
         self.stops = []
         self.scheduler = None
-        self.take_over(unheard=(), unlisted=())
+        self.take_over(unreported=(), unlisted=())
 
     @property
     def now(self):
         return Moment(self.now_s, WALL_S + self.now_s - START_S)
 
-    def take_over(self, unheard, unlisted):
+    def take_over(self, unreported, unlisted):
         """Let another owner read the store and ask the workers that it finds."""
         self.epoch += 3
         self.stops = []
@@ -82,12 +82,14 @@
             if worker_id not in unlisted:
                 self.list_worker(worker_id)
         for spec, queue in self.job_by_id.values():
-            self.scheduler.add_job(spec, queue, self.now, not_before_s=self.now_s + LONGEST_LEASE_S if unheard else 0.0)
+            self.scheduler.add_job(
+                spec, queue, self.now, not_before_s=self.now_s + LONGEST_LEASE_S if unreported else 0.0
+            )
         for job_id in self.cancelled & self.job_by_id.keys():
             self.scheduler.cancel(job_id, self.now)
-        for worker_id in set(self.worker_by_id) - set(unlisted) - set(unheard):
+        for worker_id in set(self.worker_by_id) - set(unlisted) - set(unreported):
             self.survey(worker_id)
-        for worker_id in set(unheard) - set(unlisted):
+        for worker_id in set(unreported) - set(unlisted):
             self.silence(worker_id)
 
     def list_worker(self, worker_id):
@@ -134,7 +136,7 @@
         if is_answered and not is_late:
             self.scheduler.run_started(*order, self.now)
         else:
-            # The owner takes back what stays in doubt.
+            # The owner takes back what stays unacknowledged.
             self.stops.append(order)
 
     def carry_out_late(self, order):
@@ -155,7 +157,7 @@
             self.scheduler.run_ended(RunEnd(*order, EndKind.STOPPED), self.now)
 
     def survey(self, worker_id):
-        """Hear a worker's ends and what it runs."""
+        """Take in a worker's ends and what it runs."""
         worker = self.worker_by_id[worker_id]
         worker.is_silent = False
         ends, worker.ends = worker.ends, []
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -68,7 +68,7 @@
     assert all(effect.worker_id == 'w1' for effect in effects if isinstance(effect, StartRun))
 
 
-def test_a_run_that_stands_still_is_moved_to_another_worker():
+def test_a_run_that_is_stalled_is_moved_to_another_worker():
     pool = Pool(workers=2)
     pool.submit(A, task(work_s=6.0))
     effect = pool.step()[0]
@@ -76,7 +76,7 @@
         pool.step(1.0)
         pool.survey(effect.worker_id, percent=5.0)
     pool.step()
-    assert [stop.reason for stop in pool.stops] == ['stands still']
+    assert [stop.reason for stop in pool.stops] == ['stalled']
     pool.finish_stops()
     again = pool.step(0.1)[0]
     assert again.worker_id != effect.worker_id
@@ -96,7 +96,7 @@
     assert leaving not in started
 
 
-def test_runs_of_an_earlier_owner_are_adopted_and_not_started_again():
+def test_runs_of_a_previous_owner_are_adopted_and_not_started_again():
     pool = Pool(workers=2)
     pool.submit(A, task(3))
     pool.step()
@@ -187,7 +187,7 @@
     assert not pool.stops
 
 
-def test_a_worker_whose_runs_stand_still_gets_nothing_new_before_they_are_moved():
+def test_a_worker_whose_runs_are_stalled_gets_nothing_new_before_they_are_moved():
     pool = Pool(workers=2)
     pool.submit(A, task(work_s=6.0))
     still = pool.step()[0].worker_id
@@ -229,13 +229,13 @@
     """A survey that does not list it tells nothing: the start may be carried out late."""
     pool = Pool(workers=2)
     pool.submit(A, task(2, accelerators=8, gang=True))
-    refused, doubtful = pool.scheduler.decide(pool.now)
+    refused, unacknowledged = pool.scheduler.decide(pool.now)
     pool.end(refused.worker_id, refused.key, refused.run, EndKind.REFUSED)
     assert [type(effect) for effect in pool.step(0.1)] == [StopRun]
     pool.now_s += 0.5
-    pool.survey(doubtful.worker_id)
+    pool.survey(unacknowledged.worker_id)
     assert not pool.step(0.5)
-    pool.end(doubtful.worker_id, doubtful.key, doubtful.run, EndKind.STOPPED)
+    pool.end(unacknowledged.worker_id, unacknowledged.key, unacknowledged.run, EndKind.STOPPED)
     assert len(pool.step(0.5)) == 2
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""What must hold over any history: the pool checks each start that it is told."""
+"""What must hold over any history: the pool checks each start that it gets."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -102,7 +102,7 @@
         for _ in range(3):
             self.pool.step(0.3)
         state = self.pool.scheduler._state
-        if self.pool.stopping or list(state.claims):
+        if self.pool.stopping or list(state.reservations):
             return
         takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
         for job in state.active_jobs():
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -20,7 +20,7 @@
     Parameters
     ----------
     worker_id : str
-        Identifier of this life of the worker.
+        Identifier of this incarnation of the worker.
     service : str
         Service that it belongs to.
     domain : str
@@ -76,11 +76,11 @@
         self._until_s = max(self._until_s, until_s)
 
     def assume(self, bound_s: float) -> None:
-        """Assume a lease given by an earlier owner up to ``bound_s``."""
+        """Assume a lease given by a previous owner up to ``bound_s``."""
         self._floor_s = max(self._floor_s, bound_s)
 
     def assume_held(self, hold_s: float, now_s: float) -> None:
-        """Assume that an earlier owner gave a lease of ``hold_s`` until now."""
+        """Assume that a previous owner gave a lease of ``hold_s`` until now."""
         self.assume(now_s + hold_s * _SLOWEST_CLOCK)
 
     def bound_s(self) -> float:
@@ -118,7 +118,7 @@
 
 
 class WorkerState:
-    """One life of a worker.
+    """One incarnation of a worker.
 
     Parameters
     ----------
@@ -128,11 +128,11 @@
     Attributes
     ----------
     worker_id : str
-        Identifier of this life.
+        Identifier of this incarnation.
     """
 
     def __init__(self, profile: WorkerProfile) -> None:
-        """Start empty and not yet heard of."""
+        """Start empty and not surveyed yet."""
         self.profile = profile
         self.worker_id = profile.worker_id
         self.lease = Lease()
@@ -141,15 +141,15 @@
         # Runs of tasks under which workers crashed: most workers have none.
         self._suspects: list[Run] = []
         self.is_listed = True
-        # False until it has published what it has: another life may be of another kind.
+        # False until it has published what it has: another incarnation may be of another kind.
         self.is_described = True
         # False while its entry is another writer's and names no worker.
         self.has_readable_entry = True
         self.is_surveyed = False
         # Whether ends there may never be listed: it gets one start at a time, which is stopped at once, until one is.
         self.may_hide_ends = False
-        # How long from now a start that got no answer may still run on a later life under its name, in seconds;
-        # 0 where later lives have other names, and refuse it.
+        # How long from now a start that got no answer may still run on a later incarnation under its name, in seconds;
+        # 0 where later incarnations have other names, and refuse it.
         self.late_order_s = 0.0
         # When the last try of a start was sent that got no answer, whatever became of others; steady clock.
         self.unanswered_starts: dict[TaskKey, float] = {}
@@ -184,7 +184,7 @@
     def add_run(self, run: Run) -> None:
         """Let a run hold its demand."""
         self.run_by_key[run.key] = run
-        if run.trial_s:
+        if run.isolation_s:
             self._suspects.append(run)
         self.used = self.used.plus(run.demand)
 
@@ -193,7 +193,7 @@
         if self.run_by_key.get(run.key) is run:
             del self.run_by_key[run.key]
             self.used = self.used.minus(run.demand)
-            if run.trial_s:
+            if run.isolation_s:
                 self._suspects.remove(run)
 
     def beside(self, run: Run) -> int:
@@ -210,12 +210,12 @@
         if not self.is_described or not self.has_readable_entry or self.profile.draining:
             return False
         is_in_touch = self.is_surveyed and not self.is_silent
-        return is_in_touch and not self.is_lapsed and not self.has_trial
+        return is_in_touch and not self.is_lapsed and not self.has_isolated_run
 
     @property
-    def has_trial(self) -> bool:
-        """Whether a run is on trial here: nothing starts beside it."""
-        return any(run.is_on_trial for run in self._suspects)
+    def has_isolated_run(self) -> bool:
+        """Whether an isolated run is here: nothing starts beside it."""
+        return any(run.is_isolated for run in self._suspects)
 
 
 def by_rack(workers: list[WorkerState]) -> dict[str, list[WorkerState]]:
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -27,7 +27,7 @@
     AcceptJob,
     AskPending,
     AskState,
-    JobNews,
+    JobUpdate,
     Mesh,
     Message,
     PeerSilentError,
@@ -41,8 +41,8 @@
 # within it, and the store can still be asked after.
 _ASK_OWNER_S = 0.4
 # How long a question for a state waits for an end that is near, in seconds.
-# Callers ask as their last task ends, some 40 ms before that end is kept, and
-# come again 0.26 s later, when an urgent job may be late.
+# Callers ask as their last task ends, shortly before that end is kept, and an urgent
+# job may be late by the time they ask again.
 _END_WAIT_S = 0.25
 # Longest try at an own write before the owner is asked to make it, in seconds.
 _OWN_TRY_S = 0.35
@@ -163,7 +163,7 @@
         keep = partial(keep_job, self._store, call.job_id, record)
         outcome = await self._keep(keep, AcceptJob(call.job_id, record))
         if outcome.fate is Fate.KEPT and outcome.revision:
-            self._tell_owner(JobNews(call.job_id, record, outcome.revision, is_cancel=False))
+            self._notify_owner(JobUpdate(call.job_id, record, outcome.revision, is_cancel=False))
         return _answer_to_write(outcome)
 
     async def _cancel(self, call: _Call) -> Response:
@@ -177,14 +177,14 @@
             try:
                 item = await self._store.get(job_key(call.job_id), timeout_s=_READ_S)
             except STORE_FAILURES as error:
-                log_event('cancel_in_doubt', job=call.job_id, why=str(error))
+                log_event('cancel_outcome_unknown', job=call.job_id, why=str(error))
                 return _answer_to_write(await self._keep_through_owner(AcceptCancel(call.job_id)))
             if item is None:
                 return Response(HTTPStatus.GONE)
         keep = partial(keep_cancellation, self._store, call.job_id)
         outcome = await self._keep(keep, AcceptCancel(call.job_id))
         if outcome.fate is Fate.KEPT:
-            self._tell_owner(JobNews(call.job_id, b'', outcome.revision, is_cancel=True))
+            self._notify_owner(JobUpdate(call.job_id, b'', outcome.revision, is_cancel=True))
         return _answer_to_write(outcome)
 
     async def _state(self, call: _Call) -> Response:
@@ -259,10 +259,10 @@
             return WriteOutcome(Fate.KEPT)
         return WriteOutcome(Fate.NOT_KEPT if reply.is_certain else Fate.UNKNOWN)
 
-    def _tell_owner(self, news: JobNews) -> None:
+    def _notify_owner(self, update: JobUpdate) -> None:
         owner = self._ownership.owner
         if owner is not None:
-            self._mesh.tell((owner.member.host, owner.member.port), news)
+            self._mesh.tell((owner.member.host, owner.member.port), update)
 
 
 _LOGGED_OPERATIONS = frozenset(('submit', 'cancel'))
--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -1,4 +1,4 @@
-"""What is known of the contact with one life of a worker."""
+"""What is known of the contact with one incarnation of a worker."""
 
 import math
 
@@ -13,7 +13,7 @@
 from .messages import WorkerOver, WorkerReplaced
 
 # Failed surveys in a row after which a worker counts as silent.
-FAILURES_THAT_TELL = 2
+FAILURES_UNTIL_SILENT = 2
 
 
 class Contact:
@@ -22,9 +22,9 @@
     Parameters
     ----------
     session : WorkerSession
-        Calls of this life.
+        Calls of this incarnation.
     worker_id : str
-        Identifier of this life.
+        Identifier of this incarnation.
     lease : Lease
         Its lease, shared with the scheduler.
     context : LinkContext
@@ -36,7 +36,7 @@
         Latest reading of its clock.
     failures : int
         Surveys in a row that failed.
-    heard : Event
+    answer : Event
         Set when a survey is answered, and then replaced.
     is_draining : bool
         Whether the worker has said that it leaves.
@@ -47,11 +47,11 @@
     unanswered_starts : dict
         When the last try of a start was sent that got no answer, by task, whatever became of others.
     scope : CancelScope
-        Ends all that is under way with this life.
+        Ends all that is under way with this incarnation.
     """
 
     def __init__(self, session: WorkerSession, worker_id: str, lease: Lease, context: LinkContext) -> None:
-        """Start without having heard anything."""
+        """Start without an answer."""
         self.session = session
         self.worker_id = worker_id
         self.lease = lease
@@ -62,22 +62,22 @@
         self.is_overfull = False
         self.may_hide_ends = False
         self.unanswered_starts: dict[TaskKey, float] = {}
-        self.heard = anyio.Event()
+        self.answer = anyio.Event()
         self.scope = anyio.CancelScope()
 
     @property
     def is_silent(self) -> bool:
-        """Whether surveys have failed often enough to tell."""
-        return self.failures >= FAILURES_THAT_TELL
+        """Whether surveys have failed often enough."""
+        return self.failures >= FAILURES_UNTIL_SILENT
 
     def answered(self) -> None:
         """Note that a survey was answered."""
         self.failures = 0
-        heard, self.heard = self.heard, anyio.Event()
-        heard.set()
+        answer, self.answer = self.answer, anyio.Event()
+        answer.set()
 
     def over(self, error: WorkerReplacedError) -> None:
-        """Tell that this life of the worker has ended for certain, and who answered in its place."""
+        """Tell that this incarnation of the worker has ended for certain, and who answered in its place."""
         if error.successor is None:
             self.context.post(WorkerOver(self.worker_id))
         else:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -22,14 +22,14 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
-from .earlier_work import EarlierWork
 from .effects import Effects
-from .end_news import EndNews
+from .end_notifier import EndNotifier
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
 from .intake import Intake, IntakeParts
 from .link_settings import LinkContext, LinkSettings, StartTurns
 from .load_gauges import LoadGauges
-from .messages import OwnerMessage, WorkerInherited, WorkersHeard
+from .messages import OwnerMessage, WorkerInherited, WorkersSynced
+from .previous_work import PreviousWork
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
@@ -41,7 +41,7 @@
 _MOST_STARTS = 32
 # Longest time between two passes, in seconds: leases end and jobs fall due.
 _PASS_EVERY_S = 0.25
-# Shortest time between two passes, in seconds: news that come together share one.
+# Shortest time between two passes, in seconds: updates that come together share one.
 _PASS_GAP_S = 0.008
 # How long a new owner decides nothing while workers have yet to answer, in
 # seconds: they answer in milliseconds. While it waited 1.2 s for one that was
@@ -81,7 +81,7 @@
         self._authority = authority or lasting_authority()
         self._has_authority = True
         self.is_ready = False
-        self.end_news = EndNews()
+        self.end_notifier = EndNotifier()
         self.scheduler = Scheduler(
             scheduler_settings(settings),
             settings.epoch,
@@ -95,7 +95,7 @@
         self._feed = Feed(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
         self._unserved = UnservedWorkers()
-        self._earlier = EarlierWork(self.scheduler, settings.epoch)
+        self._previous = PreviousWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
         context = LinkContext(
             workers,
@@ -118,7 +118,7 @@
             settings.epoch,
             mark=self._links.ends_taken_in,
             kept=self._links.acknowledge,
-            shown=self.end_news.tell,
+            shown=self.end_notifier.notify,
             deposed=self.depose,
         )
         self.is_deposed = False
@@ -132,7 +132,7 @@
         """Hand a message to the task that decides.
 
         However many wait, none is dropped: a cancellation, a refused start or
-        the end of a worker is told once. One pass takes them all.
+        the end of a worker is reported once. One pass takes them all.
         """
         self._send.send_nowait(message)
 
@@ -157,7 +157,7 @@
         """Take the pool over and decide until deposed or cancelled."""
         with self._scope, self._load_gauges:
             async with anyio.create_task_group() as tasks:
-                parts = IntakeParts(self.scheduler, self._links, self._earlier, self._unserved, self.depose, _now)
+                parts = IntakeParts(self.scheduler, self._links, self._previous, self._unserved, self.depose, _now)
                 intake = Intake(parts, self.epoch, tasks)
                 jobs_revision = await self._load(intake, tasks)
                 await self._survey_all(intake)
@@ -182,10 +182,10 @@
         kept = await read_jobs(self._store, self._settings.timing)
         intake.progress_by_id = kept.progress_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
-        # A silent worker may run jobs of earlier owners until its lease ends, which the
-        # owner before may have given while its authority lasted.
+        # A silent worker may run jobs of previous owners until its lease ends, which the
+        # previous owner may have given while its authority lasted.
         lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
-        self._earlier.may_last(lease_s, steady_s())
+        self._previous.may_last(lease_s, steady_s())
         for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
             intake.handle_all(job_messages(item))
         self._drain_inbox(intake)
@@ -193,25 +193,25 @@
         return kept.jobs.revision
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
-        """Yield the workers that the owner before knew, then those that have an entry."""
+        """Yield the workers that the previous owner knew, then those that have an entry."""
         for entry in workers.roster:
-            yield WorkerInherited(entry.profile, entry.address, entry.known_life, entry.is_lapsed)
+            yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, entry.is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
-        yield WorkersHeard()
+        yield WorkersSynced()
 
     async def _survey_all(self, intake: Intake) -> None:
-        """Hear from every worker that answers at once.
+        """Contact every worker that answers at once.
 
         Jobs accepted before this owner wait for the others, each until it answers or
         its lease has ended; later ones can't run there.
         """
-        self._earlier.expect_workers()
+        self._previous.expect_workers()
         deadline_s = steady_s() + _TAKEOVER_SURVEY_S
-        while self._earlier.is_unheard and steady_s() < deadline_s:
+        while self._previous.has_unreported and steady_s() < deadline_s:
             with anyio.move_on_after(deadline_s - steady_s()):
                 intake.handle(await self._receive.receive())
             self._drain_inbox(intake)
-        self._earlier.go_on()
+        self._previous.go_on()
 
     async def _decide_forever(self, intake: Intake) -> None:
         while True:
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -8,7 +8,7 @@
 
 from dahliaarch_kernel.scheduler import Lease, StartRun, StopRun
 from dahliaarch_kernel.workload import TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import (
     OrderStatus,
@@ -20,19 +20,19 @@
 )
 
 from ..logs import log_event
-from .contact import Contact, FAILURES_THAT_TELL
+from .contact import Contact, FAILURES_UNTIL_SILENT
 from .link_settings import LinkContext
 from .messages import WorkerSilent, WorkerSurveyed
 from .orders import Asked, WorkerOrders
 
 
 class WorkerLink:
-    """Keeps in touch with one life of a worker.
+    """Keeps in touch with one incarnation of a worker.
 
     Parameters
     ----------
-    life : WorkerLife
-        Which life of the worker is meant.
+    incarnation : WorkerIncarnation
+        Which incarnation of the worker is meant.
     address : Address
         Where it takes orders.
     lease : Lease
@@ -40,35 +40,37 @@
     context : LinkContext
         What every link uses.
     fence : int
-        Number that its orders carry; above those of the lives before.
+        Number that its orders carry; above those of the incarnations before.
     """
 
-    def __init__(self, life: WorkerLife, address: Address, lease: Lease, context: LinkContext, fence: int = 0) -> None:
+    def __init__(
+        self, incarnation: WorkerIncarnation, address: Address, lease: Lease, context: LinkContext, fence: int = 0
+    ) -> None:
         """Start without having asked anything."""
-        self.life = life
+        self.incarnation = incarnation
         self.address = address
         self.acknowledged = 0
         self.listed = 0
         self.processed = 0
         # When the last acknowledgement was sent that got no answer; it may be carried out late.
         self.unanswered_at_s = -math.inf
-        # When it was taken over from the owner before, which may have sent it an acknowledgement without an answer.
+        # When it was taken over from the previous owner, which may have sent it an acknowledgement without an answer.
         self.inherited_at_s = -math.inf
-        # Whether ends are taken to be listed where something runs: the owner before had tried the worker then.
+        # Whether ends are taken to be listed where something runs: the previous owner had tried the worker then.
         self.is_trusted_at_work = False
         # When a survey was answered last.
-        self.heard_at_s = -math.inf
+        self.last_contact_s = -math.inf
         # The ends that the latest answer listed.
         self._numbers: tuple[int, ...] = ()
         self.acknowledged_more = anyio.Event()
-        self._worker_id = life.worker_id
+        self._worker_id = incarnation.worker_id
         self._lease = lease
         self._context = context
         self._tasks: TaskGroup | None = None
         self._is_idle = False
-        self._session = context.client.session(address, life, fence)
-        self._contact = Contact(self._session, life.worker_id, lease, context)
-        # Ends the survey that is under way, when there is news of the worker.
+        self._session = context.client.session(address, incarnation, fence)
+        self._contact = Contact(self._session, incarnation.worker_id, lease, context)
+        # Ends the survey that is under way, when there are updates of the worker.
         self._given_up: asyncio.Future[None] | None = None
         self._orders = WorkerOrders(self._contact)
 
@@ -165,9 +167,9 @@
             await self._survey_refused(survey)
             return
         self._contact.answered()
-        self.heard_at_s = context.clock()
+        self.last_contact_s = context.clock()
         if not self._lease.has_reading:
-            # Until this answer an earlier owner may have given the longest lease.
+            # Until this answer a previous owner may have given the longest lease.
             self._lease.assume_held(settings.hold_s, context.clock())
         self._contact.read_clock(survey.clock_s)
         self._take_in(survey, begun)
@@ -181,7 +183,7 @@
         """Number of the last end that is kept and still listed.
 
         What was acknowledged already is not again: an acknowledgement that gets no
-        answer may be carried out late, by another life.
+        answer may be carried out late, by another incarnation.
         """
         return max((number for number in self._numbers if number <= self.acknowledged), default=0)
 
@@ -212,7 +214,7 @@
                 given_up=self._given_up,
             )
         except (WorkerUnreachableError, WorkerReplacedError):
-            # It was never sent: a worker is asked first which life it is.
+            # It was never sent: a worker is asked first which incarnation it is.
             self.unanswered_at_s = earlier_s
             raise
         finally:
@@ -228,7 +230,7 @@
         """Return how long the answer to the next survey is waited for.
 
         It doubles with each failure: where answers come late, from the worker or to
-        an owner that has little processor time, a wait that stays the same hears
+        an owner that has little processor time, a wait that stays the same gets
         none of them, and what they listed runs again elsewhere. Until the first
         answer short waits stand between the longer ones: jobs of previous owners wait
         for it, and an answer that was lost never comes.
@@ -241,9 +243,9 @@
 
     def _wait_s(self) -> float:
         """Return how long the next survey waits at the worker for an end."""
-        has_news = self.listed > self.acknowledged or not self._lease.has_reading
+        has_updates = self.listed > self.acknowledged or not self._lease.has_reading
         # An acknowledgement is not under way for longer than it has to be.
-        if has_news or self._contact.failures or self._to_acknowledge:
+        if has_updates or self._contact.failures or self._to_acknowledge:
             return 0.0
         if self._orders.has_unresolved_stops:
             return _STOP_POLL_S
@@ -281,7 +283,7 @@
         self._contact.failures += 1
         if self._contact.failures == 1:
             return
-        if self._contact.failures == FAILURES_THAT_TELL:
+        if self._contact.failures == FAILURES_UNTIL_SILENT:
             log_event('worker_silent', worker=self._worker_id, why=str(error))
         # A missing entry and a closed port do not tell that a worker is gone: both
         # are seen of one behind a cut, which runs on until its lease ends.
@@ -303,7 +305,7 @@
 _FIRST_ANSWER_S = (0.3, 0.3, 0.6, 0.3, 0.3, 1.2, 0.3, 0.3, 2.4)
 # Doublings of a wait after which only its bound counts.
 _MOST_DOUBLINGS = 8
-# Surveys in the life of a lease, however seldom: one or two may be lost.
+# Surveys in the duration of a lease, however seldom: one or two may be lost.
 _SURVEYS_IN_A_LEASE = 3
 # How long a survey waits at a worker while a stop there is not over, in seconds: it is
 # answered at once when that ends. Asked as often without waiting, workers told of the
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dahliaarch_kernel.scheduler import Lease
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import Survey, WorkerUnansweredError, WorkerUnreachableError
 
@@ -26,7 +26,7 @@
         self.failure = failure
         self.surveys = 0
 
-    async def survey(self, address, life, **order):
+    async def survey(self, address, incarnation, **order):
         self.surveys += 1
         if self.surveys == 1:
             return Survey(100.0, (), ())
@@ -38,17 +38,17 @@
     """What a link tells its owner."""
 
     def __init__(self):
-        self.told = []
+        self.posted = []
 
     def post(self, message):
-        self.told.append(message)
+        self.posted.append(message)
         return True
 
-    def has_been_told(self, kind):
-        return any(isinstance(message, kind) for message in self.told)
+    def has_been_posted(self, kind):
+        return any(isinstance(message, kind) for message in self.posted)
 
 
-def told_of(failure, lease, *, is_draining=False):
+def posted_after(failure, lease, *, is_draining=False):
     """Return what a link tells of a worker that fails so, until it is known as silent."""
 
     async def survey():
@@ -63,12 +63,12 @@
             time.monotonic,
             StartTurns(anyio.Semaphore(8), anyio.Semaphore(8)),
         )
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), lease, context)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), lease, context)
         link.is_draining = is_draining
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             with anyio.fail_after(5):
-                while not owner.has_been_told(WorkerSilent):
+                while not owner.has_been_posted(WorkerSilent):
                     await anyio.sleep(0.005)
             tasks.cancel_scope.cancel()
         return owner
@@ -86,10 +86,10 @@
     after 0.30 s, `worker_unlisted`, `worker_over` 0.15 s later and `run_ordered` for
     the same tasks 1 ms after that. But it runs on until its lease ends, up to the
     longest lease after the last survey before it said that it leaves. Only that
-    end, or another life at its address, tells that nothing runs there.
+    end, or another incarnation at its address, tells that nothing runs there.
     """
-    owner = told_of(WorkerUnreachableError('refused'), Lease(), is_draining=True)
-    assert not owner.has_been_told(WorkerOver)
+    owner = posted_after(WorkerUnreachableError('refused'), Lease(), is_draining=True)
+    assert not owner.has_been_posted(WorkerOver)
 
 
 @pytest.mark.parametrize('failure', [WorkerUnreachableError('refused'), WorkerUnansweredError('silence')])
@@ -97,7 +97,7 @@
 def test_a_new_owner_waits_for_the_lease_that_an_earlier_one_may_have_given(failure, is_draining):
     """A task could run twice after a takeover: on a worker that was cut off and on another.
 
-    An earlier owner gave a worker the longest lease. The new one hears from the
+    A previous owner gave a worker the longest lease. The new one learns from the
     worker once, and then no more. It knew of no lease but its own: none where its
     second survey finds no connection, and 2 s on a worker that leaves. It ordered
     the worker's tasks elsewhere after that, while the worker runs them until the
@@ -105,8 +105,8 @@
     """
     lease = Lease()
     begun_s = time.monotonic()
-    owner = told_of(failure, lease, is_draining=is_draining)
-    assert owner.has_been_told(WorkerSurveyed)
+    owner = posted_after(failure, lease, is_draining=is_draining)
+    assert owner.has_been_posted(WorkerSurveyed)
     assert lease.bound_s() >= begun_s + SETTINGS.hold_s
 
 
@@ -116,7 +116,7 @@
     def __init__(self, late_s):
         self.late_s = late_s
 
-    async def survey(self, address, life, *, wait_s, timeout_s, **order):
+    async def survey(self, address, incarnation, *, wait_s, timeout_s, **order):
         await anyio.sleep(min(wait_s + self.late_s, timeout_s))
         if wait_s + self.late_s > timeout_s:
             raise WorkerUnansweredError('late')
@@ -124,7 +124,7 @@
 
 
 @pytest.mark.parametrize('times', [1.5, 3.5])
-def test_a_worker_that_answers_late_is_heard_before_its_lease_ends(times):
+def test_a_worker_that_answers_late_is_contacted_before_its_lease_ends(times):
     """A task ran again after its worker had listed its end in answer after answer.
 
     The owner had little processor time and read answers later than the 0.6 s that a
@@ -150,14 +150,14 @@
             time.monotonic,
             StartTurns(anyio.Semaphore(8), anyio.Semaphore(8)),
         )
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
             worker.late_s = settings.answer_s * times
-            heard = len(owner.told)
+            before = len(owner.posted)
             await anyio.sleep(settings.hold_s)
             tasks.cancel_scope.cancel()
-        return owner.told[heard:]
+        return owner.posted[before:]
 
     assert any(isinstance(message, WorkerSurveyed) for message in anyio.run(survey))
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -1,7 +1,7 @@
 """What an owner sends to a worker again and again stays small, whatever waits.
 
 What happens: hundreds of stops to workers that do not answer, or hundreds of ends that the store can't keep, fill a
-slow link for good, so that no worker is heard any more and all work is given up.
+slow link for good, so that no worker is contacted any more and all work is given up.
 
 The sequence: a link of 5 Mbit/s was full of starts for a moment; those that went unanswered were taken back, each by a
 stop that was sent again each 0.85 s whether the worker answered anything or not. 1,400 of them are 400 KB/s, which kept
@@ -19,7 +19,7 @@
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_node.metrics import Metrics
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey, WorkerUnansweredError
 
@@ -69,7 +69,7 @@
 
 
 def link_to(worker):
-    return WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context_of(worker))
+    return WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context_of(worker))
 
 
 def play(worker, scenario, *, is_draining=False):
@@ -94,7 +94,7 @@
             link.stop(StopRun('w', TaskKey('a' * 16, 0, 0, index), 1, 'needless'))
         await anyio.sleep(PLAYED_S)
         assert worker.stops <= 3 * STOPS
-        # They are once it is heard again.
+        # They are once it answers again.
         before, worker.answers = worker.stops, True
         await anyio.sleep(2.0)
         assert worker.stops >= before + STOPS
@@ -109,7 +109,7 @@
     async def scenario(link):
         begun_s, before = anyio.current_time(), worker.surveys
         await anyio.sleep(PLAYED_S)
-        # The lease is renewed three times in its life all the same.
+        # The lease is renewed three times in its duration all the same.
         assert (worker.surveys - before) * longest_s >= 2 * (anyio.current_time() - begun_s)
         assert worker.surveys - before <= 1 + 4 * PLAYED_S / longest_s
 
@@ -120,12 +120,12 @@
 def test_a_start_that_waited_for_its_turn_is_not_sent_to_a_worker_that_leaves_or_lost_the_room(change):
     """Behind hundreds of unanswered starts a turn comes seconds later; what starts then dies with its worker."""
     worker = Worker()
-    told = []
+    posted = []
 
     async def run():
         turns = StartTurns(anyio.Semaphore(0), anyio.Semaphore(0))
-        context = context_of(worker)._replace(turns=turns, post=told.append)
-        link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+        context = context_of(worker)._replace(turns=turns, post=posted.append)
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             await anyio.sleep(0.05)
@@ -138,4 +138,4 @@
 
     anyio.run(run)
     assert not worker.starts
-    assert RunNever('w', KEY, 1) in told
+    assert RunNever('w', KEY, 1) in posted
--- a/packages/node/dahliaarch_node/owner/tests/test_stops.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_stops.py
@@ -2,7 +2,7 @@
 
 Urgent jobs that waited for stops began 0.93 s after they came in the mean, though
 workers take 0.9 s at most and 0.6 s in the mean for a stop: while a stop was under
-way its worker was asked every 0.15 s, and an end was heard of at the next question.
+way its worker was asked every 0.15 s, and an end was reported at the next question.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from dahliaarch_kernel.scheduler import EndKind, Lease, StopRun
 from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.workload import TaskKey
-from dahliaarch_platform.lives import WorkerLife
+from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey
 
@@ -35,15 +35,15 @@
         self.ended_at_s = {}
         self.surveys = 0
         self.acknowledged = 0
-        self.news = anyio.Event()
+        self.updated = anyio.Event()
 
-    async def survey(self, address, life, *, acknowledged, wait_s, **order):
+    async def survey(self, address, incarnation, *, acknowledged, wait_s, **order):
         self.surveys += 1
         # What was acknowledged is forgotten for good.
         self.acknowledged = max(self.acknowledged, acknowledged)
         if len(self.ended_at_s) <= self.acknowledged:
             with anyio.move_on_after(wait_s):
-                await self.news.wait()
+                await self.updated.wait()
         running = tuple(RunSeen(key, 1, '', 10.0) for key in END_S if key not in self.ended_at_s)
         ends = tuple(
             ListedEnd(number, RunEnd('w', key, 1, EndKind.STOPPED))
@@ -52,19 +52,19 @@
         )
         return Survey(time.monotonic(), running, ends)
 
-    async def stop(self, address, life, key, run, fence, *, timeout_s):
+    async def stop(self, address, incarnation, key, run, fence, *, timeout_s):
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
     async def end(self, key):
         await anyio.sleep(END_S[key])
         self.ended_at_s[key] = time.monotonic()
-        news, self.news = self.news, anyio.Event()
-        news.set()
+        updated, self.updated = self.updated, anyio.Event()
+        updated.set()
 
 
 async def stop_and_hear():
     """Return how long after its end the second run is known to have ended, and how often the worker was asked."""
-    worker, heard = StoppingWorker(), anyio.Event()
+    worker, reported = StoppingWorker(), anyio.Event()
 
     def post(message):
         if not isinstance(message, WorkerSurveyed):
@@ -72,11 +72,11 @@
         # Ends are kept within milliseconds.
         asyncio.get_running_loop().call_later(0.01, link.acknowledge, message.last_end)
         if any(end.key == SECOND for end in message.ended):
-            heard.set()
+            reported.set()
 
     turns = StartTurns(anyio.Semaphore(8), anyio.Semaphore(8))
     context = LinkContext(worker, 7, LinkSettings(), Metrics(), post, lambda: None, time.monotonic, turns)
-    link = WorkerLink(WorkerLife('w'), Address('h', 1), Lease(), context)
+    link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         await anyio.sleep(0.05)
@@ -84,13 +84,13 @@
         for key in END_S:
             link.stop(StopRun('w', key, 1, 'makes room'))
             tasks.start_soon(worker.end, key)
-        await heard.wait()
+        await reported.wait()
         took_s = time.monotonic() - worker.ended_at_s[SECOND]
         tasks.cancel_scope.cancel()
     return took_s, worker.surveys - before
 
 
-def test_the_end_of_a_stopped_run_is_heard_of_at_once():
+def test_the_end_of_a_stopped_run_is_reported_at_once():
     took_s, surveys = anyio.run(stop_and_hear)
     assert took_s < 0.04
     # One for the first end, one or two until the second.
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -1,6 +1,6 @@
 """An owner whose machine was suspended, or that knows neither the store nor its peers.
 
-While a machine is suspended its steady clock stands still, and the leases of others
+While a machine is suspended its steady clock stops, and the leases of others
 run on. An owner that woke gave orders at once, as one that had renewed its lease a
 moment ago; another instance had taken the pool meanwhile, and workers that it did
 not reach took them. A frozen process did the same: nothing looked at the age of its
@@ -24,14 +24,14 @@
 from ...membership import Membership
 from ...metrics import Metrics
 from ...ownership import Owner, Ownership, OwnershipSettings
-from ...peers import BeatReply, PeerSilentError
+from ...peers import HeartbeatReply, PeerSilentError
 from ...records import Member
 from ...timing import StoreTiming
 from .. import core, PoolOwner
 from ..settings import OwnerSettings
 from .sessions import Sessions
 from .test_takeover import EPOCH, KeptStore, LONGEST_LEASE_S, NEW, worker_entry
-from .test_two_owners import news
+from .test_two_owners import job_update
 
 LEASE_S = 2.0
 SUSPENDED_S = 5.0
@@ -45,13 +45,13 @@
         self.leases_at = []
         self.running = ()
 
-    async def survey(self, address, life, *, lease_until_s, **options):
+    async def survey(self, address, incarnation, *, lease_until_s, **options):
         if lease_until_s is not None:
             self.leases_at.append(time.monotonic())
         await anyio.sleep(0.05)
         return Survey(time.monotonic(), self.running, ())
 
-    async def start(self, address, life, order, **options):
+    async def start(self, address, incarnation, order, **options):
         self.starts.append(order.key)
         self.running += (RunSeen(order.key, order.run, '', 1.0),)
         return OrderReply(OrderStatus.DONE, time.monotonic())
@@ -88,7 +88,7 @@
                 while not owner.is_ready:
                     await anyio.sleep(0.01)
             clock.for_s += SUSPENDED_S
-            owner.post(news(EPOCH))
+            owner.post(job_update(EPOCH))
             await after_ready(owner)
             tasks.cancel_scope.cancel()
 
@@ -153,7 +153,7 @@
 
 
 class Peers:
-    """Peers that answer beats, or don't."""
+    """Peers that answer heartbeats, or don't."""
 
     def __init__(self, replies):
         self.replies = replies
@@ -187,38 +187,39 @@
     ('replies', 'holds'),
     [
         ([], True),
-        ([BeatReply(1, EPOCH), BeatReply(1, 0), None, None], True),
-        ([BeatReply(1, EPOCH), None, None, None], False),
+        ([HeartbeatReply(1, EPOCH), HeartbeatReply(1, 0), None, None], True),
+        ([HeartbeatReply(1, EPOCH), None, None, None], False),
         ([None, None], False),
-        ([BeatReply(1, EPOCH + 1), BeatReply(1, EPOCH + 1)], False),
+        ([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)], False),
     ],
     ids=['alone', 'most', 'few', 'none', 'a newer owner'],
 )
 def test_while_the_store_is_away_most_instances_confirm_an_owner(replies, holds):
     authority = Authority(LEASE_S)
-    anyio.run(membership_with(Peers(replies), authority)._beat_all, EPOCH)
+    anyio.run(membership_with(Peers(replies), authority)._heartbeat_all, EPOCH)
     assert authority.holds(steady_s()) is holds
 
 
 def test_an_owner_that_was_told_of_a_newer_one_is_replaced_for_good():
-    """The instances that told it start again, know of no owner, and would confirm the first that they hear.
+    """The instances that told it start again, know of no owner, and would confirm the first that contacts them.
 
-    What they remembered held for a life of theirs; it did not come back. The owner had been told, and went on asking.
+    What they remembered held for an incarnation of theirs; it did not come back. The owner had been told, and went on
+    asking.
     """
-    told = []
+    outdated = []
 
     async def run():
-        peers = Peers([BeatReply(1, EPOCH + 1), BeatReply(1, EPOCH + 1)])
-        await membership_with(peers, Authority(LEASE_S), told.append)._beat_all(EPOCH)
+        peers = Peers([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)])
+        await membership_with(peers, Authority(LEASE_S), outdated.append)._heartbeat_all(EPOCH)
 
     anyio.run(run)
-    assert told == [EPOCH + 1] * 2
+    assert outdated == [EPOCH + 1] * 2
 
 
 def test_an_instance_owns_no_pool_of_which_it_was_told_that_another_does():
     member = Member('i0', 'a', 'h', 1)
     ownership = Ownership(member, SilentStore(), StoreTiming(), OwnershipSettings(), Authority(LEASE_S), is_able=True)
-    ownership.heard(Owner(member, EPOCH))
+    ownership.observe(Owner(member, EPOCH))
     ownership.outdated(EPOCH)
     assert ownership.is_own
     ownership.outdated(EPOCH + 1)
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -82,19 +82,19 @@
         self.starts = []
         self.silent_until_s = {}
 
-    async def survey(self, address, life, *, wait_s, **options):
-        self.surveys[life] += 1
-        if time.monotonic() < self.silent_until_s.get(life, 0.0):
+    async def survey(self, address, incarnation, *, wait_s, **options):
+        self.surveys[incarnation] += 1
+        if time.monotonic() < self.silent_until_s.get(incarnation, 0.0):
             raise WorkerUnreachableError('cut off')
-        if life not in self.running_by_id:
+        if incarnation not in self.running_by_id:
             await anyio.sleep(wait_s)
             return Survey(time.monotonic(), (), ())
-        if self.surveys[life] > 1:
+        if self.surveys[incarnation] > 1:
             raise WorkerUnreachableError('cut off')
-        return Survey(time.monotonic(), self.running_by_id[life], ())
+        return Survey(time.monotonic(), self.running_by_id[incarnation], ())
 
-    async def start(self, address, life, order, **options):
-        self.starts.append((life, order.key))
+    async def start(self, address, incarnation, order, **options):
+        self.starts.append((incarnation, order.key))
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
 
@@ -138,10 +138,10 @@
     return JobListed(record.spec, record.queue, EPOCH + 1, EPOCH)
 
 
-def submitted(owner, news):
+def submitted(owner, update):
     """Hand a job to an owner that decides; an owner knows a job once."""
     if owner.is_ready:
-        owner.post(news)
+        owner.post(update)
     return owner.is_ready
 
 
@@ -186,12 +186,12 @@
 
 
 def test_a_job_that_comes_after_a_takeover_does_not_wait_for_workers_that_are_silent():
-    """With one worker gone since the owner before, urgent jobs began 1.2 s after a takeover and ended late."""
+    """With one worker gone since the previous owner, urgent jobs began 1.2 s after a takeover and ended late."""
     workers = Workers()
     workers.silent_until_s['w0'] = float('inf')
     store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
-    news = decode_job_record(kept_job(NEW, time.time()))
-    anyio.run(take_over, store, workers, lambda owner: submitted(owner, news) and workers.starts, 0.8)
+    update = decode_job_record(kept_job(NEW, time.time()))
+    anyio.run(take_over, store, workers, lambda owner: submitted(owner, update) and workers.starts, 0.8)
     assert workers.starts == [('w1', TaskKey(NEW, 0, 0, 0))]
 
 
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -1,8 +1,8 @@
-"""Two owners at a time: one has taken the pool, the other has not heard of it yet.
+"""Two owners at a time: one has taken the pool, the other does not know of it yet.
 
 A task ran on two workers at once. The store turned the owner away and served the
 others, one of which took the pool. A job was accepted 15 ms before the old owner
-heard of its successor, by an instance that had not heard either and told the old
+known of its successor, by an instance that did not know either and told the old
 one, which started it. The new owner took the job for its own, since the revision
 of its acceptance lay above its epoch (4790 and 4783), and started it at once,
 0.36 s after the first run began; that ran on a worker which was silent to it.
@@ -39,24 +39,24 @@
         self.starts = []
         self.running_by_id = {'w0': (), 'w1': ()}
 
-    async def survey(self, address, life, *, fence, wait_s, **options):
-        self._reach(life, fence)
+    async def survey(self, address, incarnation, *, fence, wait_s, **options):
+        self._reach(incarnation, fence)
         await anyio.sleep(min(wait_s, 0.05))
-        return Survey(time.monotonic(), self.running_by_id[life], ())
+        return Survey(time.monotonic(), self.running_by_id[incarnation], ())
 
-    async def start(self, address, life, order, *, fence, timeout_s):
-        self._reach(life, fence)
-        self.starts.append((life, order.key, fence))
-        self.running_by_id[life] += (RunSeen(order.key, order.run, '', 1.0),)
+    async def start(self, address, incarnation, order, *, fence, timeout_s):
+        self._reach(incarnation, fence)
+        self.starts.append((incarnation, order.key, fence))
+        self.running_by_id[incarnation] += (RunSeen(order.key, order.run, '', 1.0),)
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
-    async def stop(self, address, life, key, run, fence, *, timeout_s):
-        self._reach(life, fence)
+    async def stop(self, address, incarnation, key, run, fence, *, timeout_s):
+        self._reach(incarnation, fence)
         return OrderReply(OrderStatus.DONE, time.monotonic())
 
     @staticmethod
-    def _reach(life, fence):
-        if life == 'w0' and fence >= fence_of(SUCCESSOR, 0):
+    def _reach(incarnation, fence):
+        if incarnation == 'w0' and fence >= fence_of(SUCCESSOR, 0):
             raise WorkerUnreachableError('cut off')
 
 
@@ -65,7 +65,7 @@
     return PoolOwner(settings, store, workers, tuple, Metrics())
 
 
-def news(owner_epoch):
+def job_update(owner_epoch):
     """Return a job that was accepted after the successor took the pool, by an instance that knew some owner."""
     spec = JobSpec(NEW, 'acc', QUEUE.name, '20', (STEP,), accepted_s=time.time())
     return JobListed(spec, QUEUE, SUCCESSOR + 7, owner_epoch)
@@ -78,7 +78,7 @@
 
 
 def starts_with_two_owners(owner_epoch, within_s):
-    """Return the starts of a job that both owners hear of."""
+    """Return the starts of a job that both owners know of."""
     workers = SplitWorkers()
 
     async def run():
@@ -89,7 +89,7 @@
                 tasks.start_soon(owner.run)
                 await ready(owner)
             for owner in (old, new):
-                owner.post(news(owner_epoch))
+                owner.post(job_update(owner_epoch))
             await anyio.sleep(within_s)
             tasks.cancel_scope.cancel()
 
@@ -97,7 +97,7 @@
     return workers.starts
 
 
-def test_a_job_that_the_owner_before_was_told_of_waits_for_workers_that_may_run_it():
+def test_a_job_that_the_previous_owner_was_told_of_waits_for_workers_that_may_run_it():
     assert starts_with_two_owners(EPOCH, LONGEST_LEASE_S - 1.0) == [('w0', JOB, fence_of(EPOCH, 1))]
 
 
@@ -106,10 +106,10 @@
     assert len(starts_with_two_owners(0, LONGEST_LEASE_S - 1.0)) == 1
 
 
-def test_an_owner_that_hears_of_a_job_of_its_successor_does_not_start_it():
+def test_an_owner_that_learns_of_a_job_of_its_successor_does_not_start_it():
     assert starts_with_two_owners(SUCCESSOR, 0.5) == [('w1', JOB, fence_of(SUCCESSOR, 1))]
 
 
 def test_a_record_from_before_owners_were_named_names_none():
-    spec = news(0).spec
+    spec = job_update(0).spec
     assert decode(encode((spec, QUEUE)), JobRecord, 'job record') == JobRecord(spec, QUEUE, 0)
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -15,7 +15,7 @@
     member: Member
 
 
-class Beat(NamedTuple):
+class Heartbeat(NamedTuple):
     """The owner tells an instance that it owns the pool.
 
     Parameters
@@ -26,7 +26,7 @@
         Its epoch; larger ones are newer.
     version : int
         Version of the configuration that it follows; whoever is behind asks for
-        it. Beats carry nothing whose size grows: they come again and again.
+        it. Heartbeats carry nothing whose size grows: they come again and again.
     """
 
     owner: Member
@@ -34,8 +34,8 @@
     version: int
 
 
-class BeatReply(NamedTuple):
-    """What an instance knows as it answers a beat.
+class HeartbeatReply(NamedTuple):
+    """What an instance knows as it answers a heartbeat.
 
     Parameters
     ----------
@@ -104,7 +104,7 @@
 
 
 class StateReply(NamedTuple):
-    """State of a job; not known when the owner has not heard of it."""
+    """State of a job; not known when the owner does not know of it."""
 
     is_known: bool
     phase: str = ''
@@ -124,7 +124,7 @@
     job_count: int = 0
 
 
-class JobNews(NamedTuple):
+class JobUpdate(NamedTuple):
     """Tells the owner of a job or cancellation that is in the store now."""
 
     job_id: str
@@ -191,13 +191,13 @@
 
 Message = (
     Hello
-    | Beat
-    | BeatReply
+    | Heartbeat
+    | HeartbeatReply
     | AskState
     | StateReply
     | AskPending
     | PendingReply
-    | JobNews
+    | JobUpdate
     | AcceptJob
     | AcceptCancel
     | Accepted
@@ -209,13 +209,13 @@
 
 _TYPES: tuple[type[Message], ...] = (
     Hello,
-    Beat,
-    BeatReply,
+    Heartbeat,
+    HeartbeatReply,
     AskState,
     StateReply,
     AskPending,
     PendingReply,
-    JobNews,
+    JobUpdate,
     AcceptJob,
     AcceptCancel,
     Accepted,
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -21,10 +21,10 @@
     AskPending,
     AskPolicy,
     AskState,
-    Beat,
-    BeatReply,
+    Heartbeat,
+    HeartbeatReply,
     Hello,
-    JobNews,
+    JobUpdate,
     Message,
     PendingReply,
     PolicyReply,
@@ -83,12 +83,12 @@
             self.membership.add(message.member)
 
     @_reply.register
-    async def _(self, message: Beat) -> Message | None:
-        self._ownership.heard(Owner(message.owner, message.epoch))
+    async def _(self, message: Heartbeat) -> Message | None:
+        self._ownership.observe(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.announced(message.owner, message.version)
         known = self._ownership.owner
-        return BeatReply(self._follower.version, 0 if known is None else known.epoch)
+        return HeartbeatReply(self._follower.version, 0 if known is None else known.epoch)
 
     @_reply.register
     async def _(self, message: AskConfiguration) -> Message | None:
@@ -100,7 +100,7 @@
         if job is None or self.owner is None:
             return StateReply(is_known=False)
         if job.is_end_near and message.wait_s > 0:
-            await self.owner.end_news.wait(message.job_id, message.wait_s)
+            await self.owner.end_notifier.wait(message.job_id, message.wait_s)
         return StateReply(True, job.shown_phase.value, job.has_ended and job.is_end_kept)
 
     @_reply.register
@@ -110,7 +110,7 @@
         return PendingReply(True, self.owner.scheduler.pending_in(message.queue))
 
     @_reply.register
-    async def _(self, message: JobNews) -> None:
+    async def _(self, message: JobUpdate) -> None:
         self._pass_on(message.job_id, message.record, message.revision, is_cancel=message.is_cancel)
 
     @_reply.register
@@ -146,7 +146,7 @@
         return PolicyReply(True, dict(tickets))
 
     def _pass_on(self, job_id: str, record: bytes, revision: int, *, is_cancel: bool) -> None:
-        """Hand news to the pool's owner, if it is here; else the watch brings them."""
+        """Hand updates to the pool's owner, if it is here; else the watch brings them."""
         if self.owner is None:
             return
         if is_cancel:
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -11,17 +11,17 @@
 
 from .chances import Chances
 from .decider import Decider
+from .degradation import DegradedPlace, draw_degraded_places, REPLACED_AFTER_S
 from .executions import Execution, PlayedWorker, RunKey, saved_work_s, Unit
 from .ledger import Cause, Ledger
 from .orders import Orders
 from .shapes import Deployment, Pool
-from .sickness import draw_sick_places, REPLACED_AFTER_S, SickPlace
-from .troubles import Sickness, Troubles
+from .troubles import Degradation, Troubles
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
 # Time from an order to what it does, in seconds: one message each way.
 _ORDER_S = 0.005
-# News within this time share a pass, in seconds.
+# Updates within this time share a pass, in seconds.
 _GATHER_S = 0.01
 # Longest time between two passes, in seconds.
 _PASS_EVERY_S = 0.25
@@ -50,7 +50,7 @@
     scheduler : Decider
         What decides.
     seed : int
-        Seed of failures, of how long stops take and of which workers are sick.
+        Seed of failures, of how long stops take and of which workers are degraded.
 
     Attributes
     ----------
@@ -89,8 +89,8 @@
             self._at(job.at_s, partial(self._submit, job))
             if job.cancel_at_s is not None:
                 self._at(job.cancel_at_s, partial(self._cancel, job))
-        for each in draw_sick_places(deployment.pool, troubles.sick, self._chances):
-            self._at(each.span.begin_s, partial(self._fall_sick, each))
+        for each in draw_degraded_places(deployment.pool, troubles.degraded, self._chances):
+            self._at(each.span.begin_s, partial(self._degrade, each))
 
     def run(self, until_s: float) -> None:
         """Play until a time."""
@@ -151,22 +151,20 @@
         self._scheduler.cancel(job.spec.job_id, self._moment)
         self._ask_pass(_GATHER_S)
 
-    # Workers and what befalls them.
-
     def _join(self, worker: PlayedWorker) -> None:
         self._scheduler.update_worker(worker.profile, self._moment)
         first_s = self._chances.about('survey', worker.profile.worker_id).uniform(0.0, _SURVEY_S)
         self._at(self._now_s + first_s, partial(self._survey_again, worker))
-        self._tell_survey(worker)
+        self._report_survey(worker)
 
     def _survey_again(self, worker: PlayedWorker) -> None:
         if worker.is_gone:
             return
         if not worker.is_cut_off:
-            self._tell_survey(worker)
+            self._report_survey(worker)
         self._at(self._now_s + _SURVEY_S, partial(self._survey_again, worker))
 
-    def _tell_survey(self, worker: PlayedWorker) -> None:
+    def _report_survey(self, worker: PlayedWorker) -> None:
         every_s = self._pool.checkpoint_s
         running = [
             RunSeen(key, run, unit.checkpoint(every_s, is_stop=False), unit.percent(self._now_s))
@@ -178,18 +176,18 @@
         lease.sent(self._now_s + self._pool.hold_s)
         self._scheduler.worker_surveyed(worker_id, running, self._now_s, self._moment)
 
-    def _fall_sick(self, sick: SickPlace) -> None:
-        worker = self._worker_by_place[sick.place]
-        worker.sickness = sick.kind
-        worker.factor = sick.factor
+    def _degrade(self, degraded: DegradedPlace) -> None:
+        worker = self._worker_by_place[degraded.place]
+        worker.degradation = degraded.kind
+        worker.factor = degraded.factor
         self._renew_rates(worker)
-        if sick.kind is Sickness.LEAVING:
-            left_s = sick.span.end_s - self._now_s
+        if degraded.kind is Degradation.LEAVING:
+            left_s = degraded.span.end_s - self._now_s
             self._scheduler.update_worker(worker.profile._replace(draining=True, leaves_in_s=left_s), self._moment)
-            self._at(sick.span.end_s, partial(self._leave, sick.place))
+            self._at(degraded.span.end_s, partial(self._leave, degraded.place))
         else:
-            self._at(sick.span.end_s, partial(self._recover, worker))
-        if sick.kind is Sickness.CUT_OFF:
+            self._at(degraded.span.end_s, partial(self._recover, worker))
+        if degraded.kind is Degradation.CUT_OFF:
             self._at(self._now_s + _SILENT_AFTER_S, partial(self._fall_silent, worker))
 
     def _fall_silent(self, worker: PlayedWorker) -> None:
@@ -197,7 +195,7 @@
             self._scheduler.worker_silent(worker.profile.worker_id)
 
     def _recover(self, worker: PlayedWorker) -> None:
-        worker.sickness = None
+        worker.degradation = None
         worker.factor = 1.0
         self._renew_rates(worker)
         for act in self._later_by_worker.pop(worker.profile.worker_id, []):
@@ -225,8 +223,6 @@
         for unit in worker.units():
             self._plan(unit)
 
-    # Runs.
-
     def _start(self, start: StartRun) -> None:
         worker = self._worker_by_id[start.worker_id]
         job = self._job_by_id[start.key.job_id]
@@ -260,7 +256,7 @@
         if self._worker_by_id[order.worker_id].is_gone:
             return
         self._forbidden.add((order.key, order.run))
-        self._tell_end(RunEnd(order.worker_id, order.key, order.run, EndKind.STOPPED))
+        self._report_end(RunEnd(order.worker_id, order.key, order.run, EndKind.STOPPED))
         self._ask_pass(_GATHER_S)
 
     def _unit_of(self, execution: Execution) -> Unit:
@@ -283,7 +279,7 @@
         share = failing_share(luck, first.job)
         if share is not None:
             unit.fails_at_s = unit.saved_s + (unit.work_s - unit.saved_s) * share
-        if any(member.worker.sickness is Sickness.FAILING for member in unit.members):
+        if any(member.worker.degradation is Degradation.FAILING for member in unit.members):
             self._at(self._now_s + luck.uniform(*_FAILS_AFTER_S), partial(self._finish, unit, None, EndKind.FAILED))
         self._plan(unit)
 
@@ -333,20 +329,20 @@
                 member.start.run,
                 kind if ends_so else EndKind.BROKEN,
                 checkpoint if kind is not EndKind.DONE else '',
-            ), cause=_CAUSE_BY_KIND.get(kind), is_told=member.worker is not lost_on)  # fmt: skip
+            ), cause=_CAUSE_BY_KIND.get(kind), is_reported=member.worker is not lost_on)  # fmt: skip
         self._ask_pass(_GATHER_S)
 
-    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, cause: Cause | None, is_told: bool) -> None:
+    def _end(self, member: Execution, unit: Unit, end: RunEnd, *, cause: Cause | None, is_reported: bool) -> None:
         member.is_over = True
         member.worker.remove(member)
         self.ledger.note_end(member, unit, end, cause, self._now_s)
-        if is_told:
-            self._tell_end(end)
+        if is_reported:
+            self._report_end(end)
 
-    def _tell_end(self, end: RunEnd) -> None:
+    def _report_end(self, end: RunEnd) -> None:
         worker = self._worker_by_id[end.worker_id]
         if worker.is_cut_off:
-            self._later(worker, partial(self._tell_end, end))
+            self._later(worker, partial(self._report_end, end))
             return
         self._scheduler.run_ended(end, self._moment)
 
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
@@ -4,8 +4,8 @@
 tasks were started there meanwhile, which died with it.
 
 The sequence: each worker writes its entry every 1.5 s. The owner paused 0.4 s after each answer of its watch, and the
-store puts 500 news into one answer. From about 1,000 news a second on the answers were always full, and what the owner
-knew of its workers grew older by the second, until the store had forgotten what came next.
+store puts 500 updates into one answer. From about 1,000 updates a second on the answers were always full, and what the
+owner knew of its workers grew older by the second, until the store had forgotten what came next.
 
 The cause: a pause that knows nothing of how much waits.
 """
@@ -24,11 +24,11 @@
 WORKERS = 3_600
 HEARTBEAT_S = 1.5
 # Writes of entries come together this often.
-BEAT_S = 0.05
+HEARTBEAT_S = 0.05
 # The owner follows for this long before a worker leaves.
 BEFORE_S = 4.0
 # A leaving worker must get nothing new after 2 s: half of that is left to decisions.
-HEARD_S = 1.0
+CONTACTED_S = 1.0
 
 
 def entry(state, seq):
@@ -51,15 +51,15 @@
     """Write each entry once in a heartbeat."""
     seq = 0
     while True:
-        for _ in range(int(WORKERS * BEAT_S / HEARTBEAT_S)):
+        for _ in range(int(WORKERS * HEARTBEAT_S / HEARTBEAT_S)):
             seq += 1
             number = seq % WORKERS
             if number:
                 store.put(f'{WORKERS_PREFIX}w{number}', entry('ready', seq))
-        await anyio.sleep(BEAT_S)
+        await anyio.sleep(HEARTBEAT_S)
 
 
-def test_a_worker_that_leaves_is_heard_however_many_others_write():
+def test_a_worker_that_leaves_is_noticed_however_many_others_write():
     leaving = []
 
     def post(message):
@@ -76,7 +76,7 @@
             tasks.start_soon(keep_writing, store)
             await anyio.sleep(BEFORE_S)
             store.put(f'{WORKERS_PREFIX}w0', entry('draining', 1))
-            with anyio.move_on_after(HEARD_S):
+            with anyio.move_on_after(CONTACTED_S):
                 while not leaving:
                     await anyio.sleep(0.02)
             tasks.cancel_scope.cancel()
