--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -219,16 +219,16 @@
         super().__init__()
         self.lost_by_id = lost_by_id
 
-    async def survey(self, address, life, *, timeout_s, **options):
-        if self.lost_by_id.get(life, 0):
-            self.lost_by_id[life] -= 1
+    async def survey(self, address, incarnation, *, timeout_s, **options):
+        if self.lost_by_id.get(incarnation, 0):
+            self.lost_by_id[incarnation] -= 1
             await anyio.sleep(timeout_s)
             raise WorkerUnansweredError('lost')
-        return await super().survey(address, life, **options)
+        return await super().survey(address, incarnation, **options)
 
 
 def test_jobs_of_the_owner_before_do_not_wait_long_where_some_answers_are_lost():
-    # Each answer that a worker owed was waited for twice as long as the one before, and every job of an earlier owner
+    # Each answer that a worker owed was waited for twice as long as the one before, and every job of a previous owner
     # waited for the last worker.
     workers = LosingWorkers({'w0': 4})
     store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
@@ -239,10 +239,10 @@
 class RefusingWorkers(Workers):
     """Workers of which one answers every call with the word that it is not well."""
 
-    async def survey(self, address, life, **options):
-        if life == 'w0':
+    async def survey(self, address, incarnation, **options):
+        if incarnation == 'w0':
             return OrderStatus.UNHEALTHY
-        return await super().survey(address, life, **options)
+        return await super().survey(address, incarnation, **options)
 
 
 def test_a_job_that_never_began_does_not_wait_for_a_worker_that_refuses_every_call():
