--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -17,6 +17,8 @@
 _WORKERS_THAT_CONVICT_A_JOB = 2
 # A step that a worker refused waits this long, in seconds.
 _REFUSED_PAUSE_S = 0.3
+# How long it then asks other workers first, in seconds.
+_REFUSED_BY_WORKER_S = 4.0
 
 
 def take_in_end(state: SchedulerState, end: RunEnd, now: Moment) -> None:
@@ -102,7 +104,8 @@
         # The ticket is at fault more often than the worker.
         step.advice.ticket_rejected(end.worker_id)
     elif worker is not None:
-        worker.refusal_backoff.refused(now.steady_s)
+        worker.refusal_backoff.refused(end.key.job_id, now.steady_s)
+        step.refused_until_by_worker[end.worker_id] = now.steady_s + _REFUSED_BY_WORKER_S
     if not step.spec.gang or run is None:
         return
     for member in tuple(step.run_by_index.values()):
--- a/packages/kernel/dahliaarch_kernel/scheduler/gates.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/gates.py
@@ -20,6 +20,9 @@
     """Return why no task of a step may start now, if none may."""
     if step.refused_until_s > now.steady_s:
         return WaitReason.REFUSED
+    if step.refused_until_by_worker:
+        refused = step.refused_until_by_worker.items()
+        step.refused_until_by_worker = {worker_id: until_s for worker_id, until_s in refused if until_s > now.steady_s}
     if awaits_list(state, step, now):
         return WaitReason.UNKNOWN_START
     return WaitReason.GANG_ENDING if step.spec.gang and step.run_by_index else None
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -52,6 +52,8 @@
         self.failed_on: set[str] = set()
         self.checkpoint_by_index: dict[int, str] = {}
         self.refused_until_s = 0.0
+        # Workers that refused it, and until when others are asked first, steady clock.
+        self.refused_until_by_worker: dict[str, float] = {}
         # Incarnations of workers that may have begun its tasks, and until when they are waited for, steady clock.
         self.awaited_until_by_worker: dict[str, float] = {}
         # Whether a pass has tried to place it, and looked for victims.
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -38,6 +38,9 @@
 # How often it is looked at whether a step has any place near its data, in seconds:
 # workers come and go.
 _NEAR_PLACE_EVERY_S = 1.0
+# How long a gang waits beside idle capacity before overdue work behind it leaves its
+# room alone, in seconds.
+_PRESSING_AFTER_S = 12.0
 # A search for victims that failed is not repeated within this time, in seconds.
 _VICTIMS_AGAIN_S = 0.1
 
@@ -232,7 +235,14 @@
         """
         step = request.step
         spec = step.spec
-        own_reasons = (spec.max_per_worker, step.failed_on, step.advice, request.isolation_s, request.is_overdue)
+        own_reasons = (
+            spec.max_per_worker,
+            step.failed_on,
+            step.refused_until_by_worker,
+            step.advice,
+            request.isolation_s,
+            request.is_overdue,
+        )
         is_special = any(own_reasons) or self._reservations.has(step)
         return Signature(
             effective_demand(step),
@@ -320,7 +330,8 @@
             standing = standing._replace(rank=RANK_GUARANTEED)
         reservation = earliest_reservation(step, count, standing, self._room, self._reservations, self._now.steady_s)
         if reservation is not None:
-            self._reservations.add(reservation)
+            waited_s = self._state.stalls.waited_beside_idle_s(step, self._now.steady_s)
+            self._reservations.add(reservation._replace(is_pressing=waited_s >= _PRESSING_AFTER_S))
 
     def _explain_stalls(self) -> None:
         """Report why steps wait whose jobs have had nothing running for a while."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -8,6 +8,7 @@
 from ..workload import Resources
 from .job_state import StepState
 from .mechanisms import Mechanism
+from .ranks import RANK_OVERDUE
 from .room import effective_demand, fits, fitting, is_admissible, is_near, per_worker_limit, Room
 from .settings import SchedulerSettings
 from .standing import Standing
@@ -93,7 +94,7 @@
     @property
     def room_standing(self) -> Standing:
         """Standing against which reservations are held."""
-        return self.standing._replace(rank=_BEFORE_ALL_RANKS) if self.is_overdue else self.standing
+        return self.standing._replace(rank=RANK_OVERDUE) if self.is_overdue else self.standing
 
     @property
     def rank(self) -> int:
@@ -103,8 +104,6 @@
 
 NOWHERE = Placement(())
 
-# Lower than each rank that work can have.
-_BEFORE_ALL_RANKS = -1
 
 # More tasks than any rack holds.
 _UNLIMITED = 1_000_000
@@ -186,20 +185,21 @@
 
 
 def _one_rack(request: Request, spots: list[Spot]) -> tuple[Spot, ...]:
-    """Return the fullest rack that still holds a whole gang.
+    """Return the fullest rack that still holds a whole gang, one on which nobody refused it of late first.
 
     Urgent gangs take a rack where none of their members is slow first.
     """
     step = request.step
     is_urgent = step.job.queue.priority == 0
     best: tuple[Spot, ...] = ()
-    best_order = (True, _UNLIMITED)
+    best_order = (True, True, _UNLIMITED)
     for rack_spots in by_rack(spots).values():
         count = sum(spot.task_count for spot in rack_spots)
         if count < request.task_count:
             continue
         chosen = _fill(rack_spots, request.task_count, step)
-        order = (is_urgent and any(is_slow(spot.worker) for spot in chosen), count)
+        has_refused = any(spot.worker.worker_id in step.refused_until_by_worker for spot in chosen)
+        order = (has_refused, is_urgent and any(is_slow(spot.worker) for spot in chosen), count)
         if order < best_order:
             best, best_order = chosen, order
     return best
@@ -210,7 +210,7 @@
     demand = effective_demand(step)
     end_s = request.now_s + work_s
     found = []
-    for worker in _with_room(_candidates(step, room, request.now_s, near=near), room.free_by_id, demand):
+    for worker in _with_room(_candidates(request, room, near=near), room.free_by_id, demand):
         free = room.free_for(worker, step, request.room_standing, end_s)
         count = min(fitting(free, demand), per_worker_limit(worker, step))
         if count:
@@ -225,17 +225,27 @@
     return [worker for worker in free if fits(free_by_id[worker.worker_id], demand)]
 
 
-def _candidates(step: StepState, room: Room, now_s: float, *, near: bool) -> list[WorkerState]:
+def _candidates(request: Request, room: Room, *, near: bool) -> list[WorkerState]:
+    step = request.step
     able = room.admissible(step)
     if near and step.spec.data_rack:
         able = [worker for worker in able if is_near(worker, step)]
     if step.advice is not None:
-        able = [worker for worker in able if step.advice.ticket(worker.worker_id, now_s)]
+        able = [worker for worker in able if step.advice.ticket(worker.worker_id, request.now_s)]
+    if request.is_overdue:
+        # A worker on which it failed is better than none.
+        return able
     return without_failed(step, able)
 
 
 def _by_preference(spots: list[Spot], request: Request, room: Room) -> list[Spot]:
-    """Return the spots that the policy admits, the best first."""
+    """Return the spots that the policy admits, the best first and those that refused the step of late last."""
+    preferred = _by_policy(spots, request, room)
+    refused = request.step.refused_until_by_worker
+    return sorted(preferred, key=lambda spot: spot.worker.worker_id in refused) if refused else preferred
+
+
+def _by_policy(spots: list[Spot], request: Request, room: Room) -> list[Spot]:
     free_by_id = room.free_by_id
     policy = request.policy
     if not policy.has_placement:
--- a/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
@@ -6,6 +6,8 @@
 
 from .job_state import JobState
 
+# Any work that has waited for too long beside idle capacity, against reservations only.
+RANK_OVERDUE = -1
 # Work of priority 0 within its account's guarantee.
 RANK_GUARANTEED = 0
 # Other work of priority 0.
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .job_state import StepState
+from .ranks import RANK_OVERDUE
 from .standing import Standing
 
 
@@ -26,6 +27,9 @@
         When it was made, steady clock.
     standing : Standing
         Where the step stands.
+    is_pressing : bool
+        Whether the step has waited for so long beside idle capacity that overdue work
+        behind it must leave the room alone: a stream of it would never end.
     """
 
     step: StepState
@@ -34,6 +38,7 @@
     standing: Standing
     is_firm: bool = False
     made_s: float = 0.0
+    is_pressing: bool = False
 
 
 class Reservations:
@@ -69,6 +74,8 @@
             return False
         if reservation.is_firm or reservation.standing.rank < standing.rank:
             return True
+        if standing.rank == RANK_OVERDUE:
+            return reservation.is_pressing and reservation.standing._replace(rank=RANK_OVERDUE) < standing
         if self.is_in_order:
             return reservation.standing < standing
         return reservation.standing.rank == standing.rank
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -6,7 +6,7 @@
 from dahliaarch_kernel.policies import compile_policy, PolicySettings
 from dahliaarch_kernel.scheduler import EndKind, Scheduler, StartRun
 from dahliaarch_kernel.scheduler.events import RunEnd, StepWaiting, WaitReason
-from dahliaarch_kernel.workload import JobSpec
+from dahliaarch_kernel.workload import JobSpec, Resources
 
 from .pool import ORDINARY, PATIENT, Pool, run_all, START_S, task, URGENT
 
@@ -29,6 +29,7 @@
         for number in range(workers):
             self.add_worker(f'w{number}', f'r{number // 8}')
         self.refusing = frozenset(refusing)
+        self.refused_jobs = frozenset()
         self.late = frozenset(late)
         self.ends_at_by_run = {}
 
@@ -44,7 +45,7 @@
             if not isinstance(effect, StartRun):
                 self.stops.append(effect)
                 self.stopping.add((effect.worker_id, effect.key, effect.run))
-            elif effect.worker_id in self.refusing:
+            elif effect.worker_id in self.refusing or effect.key.job_id in self.refused_jobs:
                 end = RunEnd(effect.worker_id, effect.key, effect.run, EndKind.REFUSED)
                 self.scheduler.run_ended(end, self.now)
             else:
@@ -292,3 +293,41 @@
             pool.scheduler.worker_by_id[worker_id].lease.assume(pool.now_s + 60.0)
     pool.submit(JOB, task(1))
     assert [note.reason for note in reasons_of(pool, 12)] == [WaitReason.UNAVAILABLE]
+
+
+def test_a_gang_as_wide_as_the_pool_begins_beside_a_thin_stream_of_small_work():
+    # Small work that had waited beside idle capacity passed its reservation again and again.
+    pool = AnsweringPool(10)
+    pool.submit('b' * 16, task(1, accelerators=8, work_s=10.0))
+    pool.tick()
+    pool.submit(JOB, task(10, accelerators=8, work_s=5.0, gang=True))
+    for number in range(240):
+        if number % 16 == 0:
+            pool.submit(f'{number:016x}', task(1, accelerators=8, work_s=10.0))
+        pool.tick()
+        if len(pool.runs_of(JOB)) == 10:
+            break
+    assert len(pool.runs_of(JOB)) == 10
+    assert pool.now_s - START_S < 45.0
+
+
+def test_work_of_others_begins_beside_a_job_that_every_worker_refuses():
+    # Each refusal kept all starts away from its worker, and the refused job was first again when that was over.
+    pool = AnsweringPool(10)
+    pool.refused_jobs = {JOB}
+    pool.submit(JOB, task(160, work_s=5.0))
+    pool.tick()
+    pool.submit('b' * 16, task(1, work_s=5.0))
+    assert pool.tick_until_begun('b' * 16, 20.0) <= LONGEST_STALL_S
+
+
+def test_a_task_goes_back_to_a_worker_on_which_it_failed_rather_than_wait_beside_idle_capacity():
+    pool = AnsweringPool(2)
+    pool.submit('b' * 16, task(1, accelerators=8, work_s=120.0))
+    pool.tick()
+    pool.submit(JOB, task(1, accelerators=8, work_s=30.0))
+    pool.tick()
+    pool.end_unit(next(iter(pool.runs_of(JOB))), EndKind.FAILED)
+    for number in range(14):
+        pool.add_worker(f'other{number}', 'r9', capacity=Resources(64_000, 262_144, 4))
+    assert pool.tick_until_begun(JOB, 30.0) <= LONGEST_STALL_S
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -92,23 +92,29 @@
 
 
 class RefusalBackoff:
-    """Keeps starts away from a worker that refuses them, for longer after each refusal in a row."""
+    """Keeps starts away from a worker that refuses those of several jobs, for longer after each refusal in a row.
+
+    One job alone may be at fault itself.
+    """
 
     def __init__(self) -> None:
         """Start without a refusal."""
+        self._job_ids: set[str] = set()
         self._refusals = 0
         self._until_s = float('-inf')
 
-    def refused(self, now_s: float) -> None:
-        """Record that the worker refused a start."""
-        if now_s < self._until_s:
-            # Starts that were on their way together are refused together.
+    def refused(self, job_id: str, now_s: float) -> None:
+        """Record that the worker refused a start of a job."""
+        self._job_ids.add(job_id)
+        # Starts that were on their way together are refused together.
+        if now_s < self._until_s or len(self._job_ids) == 1:
             return
         self._refusals += 1
         self._until_s = now_s + min(_FIRST_BACKOFF_S * (1 << (self._refusals - 1)), _LONGEST_BACKOFF_S)
 
     def started(self) -> None:
         """Record that the worker acknowledged a start."""
+        self._job_ids.clear()
         self._refusals = 0
         self._until_s = float('-inf')
 
