Lapsed workers: no late start, no quick change of the owner and no busy roster undoes it

- A worker is not lapsed while a start without an answer may still be carried out by its next incarnation, nor while runs are in the books: the next owner would start the task at once.
What a lapsed worker lists nevertheless is stopped, not adopted.
- Of two entries of one name in the roster the one in use counts: the other may be left by a write that was carried out late.
- An owner's first roster said "not lapsed" of a worker that it had not heard, before that counted as silent; with a quick next change of the owner jobs waited again.
- Starts were withheld until the store held the whole roster as it was at that instant, which never came while it changed faster than it was kept.
Rosters are numbered now, and a worker gets starts once a later one than the last with its mark is kept.

--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
@@ -32,12 +32,19 @@
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
         state.remove_run(run)
-    # One that was never contacted has no lease that could have ended.
-    worker.is_lapsed = worker.is_lapsed or worker.lease.bound_s() > 0
+    worker.is_lapsed = worker.is_lapsed or _runs_nothing(state, worker, now)
     if not worker.is_listed:
         del state.worker_by_id[worker.worker_id]
 
 
+def _runs_nothing(state: SchedulerState, worker: WorkerState, now: Moment) -> bool:
+    """Tell whether nothing runs on a worker that was given up, and no late start can begin on its next incarnation."""
+    # One that was never contacted has no lease that could have ended.
+    if not worker.lease.bound_s() or worker.worker_id in state.awaited_incarnations:
+        return False
+    return not any(sent_s + worker.late_order_s > now.steady_s for sent_s in worker.unanswered_starts.values())
+
+
 def _empty(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     leaves_at_s = worker.leaves_at_s
     if leaves_at_s is None or now.steady_s > leaves_at_s - state.settings.stop_timeout_s - _LEAVE_MARGIN_S:
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -77,6 +77,10 @@
     """Take over a run that a previous owner started, or stop one that is not wanted."""
     step = state.step_of(seen.key)
     stray = Run(seen.key, seen.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0)
+    if worker.is_lapsed:
+        # The next owner may have read that nothing runs there.
+        state.stop(stray, 'lease had ended')
+        return None
     if step is None or step.job.has_ended or seen.key.task_index in step.done:
         state.stop(stray, 'run of a task that needs none')
         return None
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -194,8 +194,11 @@
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
         """Yield the workers that the previous owner knew, then those that have an entry."""
+        # A write that was carried out late may have left an entry of a worker that is known better by another.
+        in_use = {entry.known_incarnation.name for entry in workers.roster if not entry.is_lapsed}
         for entry in workers.roster:
-            yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, entry.is_lapsed)
+            is_lapsed = entry.is_lapsed and entry.known_incarnation.name not in in_use
+            yield WorkerInherited(entry.profile, entry.address, entry.known_incarnation, is_lapsed)
         yield from self._workers_feed.messages(workers.entries, is_whole=True)
         yield WorkersSynced()
 
@@ -252,10 +255,8 @@
         """Have the known workers kept when they have changed."""
         roster = self._links.roster(self.scheduler.worker_by_id)
         if roster != self._recorder.roster:
-            self._recorder.roster = roster
-            self._recorder.needed.set()
-        elif self._recorder.has_kept_roster:
-            self._links.readmit(self.scheduler.worker_by_id)
+            self._links.note_offered(roster, self._recorder.offer_roster(roster))
+        self._links.readmit(self.scheduler.worker_by_id, self._recorder.kept_roster_number)
 
     def _drain_inbox(self, intake: Intake) -> None:
         while True:
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -96,7 +96,9 @@
         # a newer one of the same owner, fails on them.
         self.revision_by_key: dict[str, int] = {}
         self._encoded_roster: list[RosterEntry] = []
-        self._kept_roster: list[RosterEntry] | None = None
+        self._roster_number = 0
+        # Number of the latest roster that the store surely holds.
+        self.kept_roster_number = 0
         self._part_by_key: dict[str, bytes] = {}
         self._kept_part_by_key: dict[str, bytes] = {}
         self._store = store
@@ -108,10 +110,12 @@
         self._shown = shown
         self._deposed = deposed
 
-    @property
-    def has_kept_roster(self) -> bool:
-        """Whether the store surely holds the roster as it is."""
-        return self._kept_roster is self.roster
+    def offer_roster(self, roster: list[RosterEntry]) -> int:
+        """Have a roster kept in place of the one before; return its number."""
+        self.roster = roster
+        self._roster_number += 1
+        self.needed.set()
+        return self._roster_number
 
     async def run(self) -> None:
         """Keep what has changed, again and again, until cancelled."""
@@ -138,7 +142,7 @@
         mark = self._mark()
         job_ids = self._scheduler.take_dirty_jobs()
         writes = self._roster_writes()
-        roster = self._encoded_roster
+        roster_number = self._roster_number
         writes.extend(self._write_of(job_id) for job_id in sorted(job_ids) if job_id in self._scheduler.job_by_id)
         try:
             for first in range(0, len(writes), _MOST_WRITES):
@@ -160,7 +164,7 @@
             await anyio.sleep(self._timing.retry_pause_s())
             self.needed.set()
             return
-        self._kept_roster = roster
+        self.kept_roster_number = roster_number
         self._kept(mark)
 
     def _forget_kept_parts(self, writes: list[Write]) -> None:
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -1,7 +1,7 @@
 """Links to all known workers, and what is acknowledged to each."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from operator import attrgetter
 from typing import NamedTuple
 
@@ -62,7 +62,7 @@
         self._unanswered_by_name: dict[str, _Unanswered] = {}
         self._given_up_by_address: dict[Address, str] = {}
         # Workers of which the store may hold that nothing runs there, whichever incarnation of them it names.
-        self._lapsed_names: set[str] = set()
+        self._lapsed_number_by_name: dict[str, int] = {}
 
     def get(self, worker_id: str) -> WorkerLink | None:
         """Return the link to an incarnation of a worker, if there is one."""
@@ -89,7 +89,7 @@
             earlier = self._unanswered_by_name.get(incarnation.name)
             link.may_hide_ends = earlier is not None
             link.is_trusted_at_work = earlier is not None and not earlier.is_known
-            worker.is_lapsed = worker.is_lapsed or incarnation.name in self._lapsed_names
+            worker.is_lapsed = worker.is_lapsed or incarnation.name in self._lapsed_number_by_name
             self._link_by_id[worker.worker_id] = link
             self._link_by_name[incarnation.name] = link
             tasks.start_soon(link.run)
@@ -145,16 +145,28 @@
     def inherit_lapsed(self, worker: WorkerState) -> None:
         """Take in that the store holds that nothing runs on a worker."""
         worker.is_lapsed = True
-        self._lapsed_names.add(self.name_of(worker.worker_id))
-
-    def readmit(self, known: Mapping[str, WorkerState]) -> None:
-        """Let workers that have answered get starts again, once the store holds the roster as it is."""
-        self._lapsed_names.clear()
+        self._lapsed_number_by_name[self.name_of(worker.worker_id)] = 0
+
+    def note_offered(self, roster: Iterable[RosterEntry], number: int) -> None:
+        """Record the number of a roster that may reach the store from now on."""
+        lapsed = (entry.known_incarnation.name for entry in roster if entry.is_lapsed)
+        self._lapsed_number_by_name.update(dict.fromkeys(lapsed, number))
+
+    def readmit(self, known: Mapping[str, WorkerState], kept_number: int) -> None:
+        """Let workers that have answered get starts again, once the store holds a roster without their marks.
+
+        Parameters
+        ----------
+        known : mapping
+            Workers by id.
+        kept_number : int
+            Number of the latest roster that the store surely holds.
+        """
+        numbers = self._lapsed_number_by_name
+        self._lapsed_number_by_name = {name: numbers[name] for name in numbers if numbers[name] >= kept_number}
         for worker in known.values():
-            if worker.is_lapsed and worker.is_silent:
-                self._lapsed_names.add(self.name_of(worker.worker_id))
-            else:
-                worker.is_lapsed = False
+            if worker.is_lapsed and _is_in_touch(worker):
+                worker.is_lapsed = self.name_of(worker.worker_id) in self._lapsed_number_by_name
 
     def _listed_incarnation(self, link: WorkerLink) -> WorkerIncarnation:
         """Return the incarnation that the next owner reads: it probes the same successors as this one does."""
@@ -178,9 +190,7 @@
                 link.acknowledge(number)
 
     def _roster_entry(self, worker: WorkerState, link: WorkerLink) -> RosterEntry:
-        is_lapsed = worker.is_lapsed and worker.is_silent
-        if is_lapsed:
-            self._lapsed_names.add(link.incarnation.name)
+        is_lapsed = worker.is_lapsed and not _is_in_touch(worker) and not worker.run_by_key
         incarnation = self._listed_incarnation(link)
         profile = worker.profile._replace(worker_id=incarnation.worker_id, leaves_in_s=None)
         return RosterEntry(profile, link.address, incarnation, is_lapsed)
@@ -216,3 +226,7 @@
     until_s: float
     is_known: bool
     incarnation: WorkerIncarnation
+
+
+def _is_in_touch(worker: WorkerState) -> bool:
+    return worker.is_surveyed and not worker.is_silent
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -6,11 +6,15 @@
 import pytest
 
 from dahliaarch_kernel.codec import decode, encode
-from dahliaarch_kernel.scheduler import WorkerProfile
-from dahliaarch_kernel.workload import Resources, TaskKey
+from dahliaarch_kernel.policies import compile_policy, SHIPPED
+from dahliaarch_kernel.scheduler import Moment, SchedulerSettings, WorkerProfile, WorkerState
+from dahliaarch_kernel.scheduler.leaving import expire_leases
+from dahliaarch_kernel.scheduler.state import SchedulerState
+from dahliaarch_kernel.workload import Resources, StepSpec, TaskKey
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
+from dahliaarch_platform.workers import WorkerUnansweredError, WorkerUnreachableError
 
 from ...records import roster_key, ROSTER_PREFIX, RosterEntry
 from .test_takeover import (
@@ -52,6 +56,29 @@
         return CommitResult(CommitStatus.DONE, EPOCH + 1)
 
 
+class SlowlyKeepingStore(KeptStore):
+    """A store that needs longer for a write than the roster stays as it is."""
+
+    async def commit(self, conditions, writes, removals=(), *, timeout_s):
+        await anyio.sleep(0.3)
+        return CommitResult(CommitStatus.DONE, EPOCH + 1)
+
+
+class SilentWorkers(Workers):
+    """Workers of which one cannot be reached, or answers nothing."""
+
+    def __init__(self, silence):
+        super().__init__()
+        self.silence = silence
+
+    async def survey(self, address, incarnation, *, timeout_s, **options):
+        if incarnation != 'w0':
+            return await super().survey(address, incarnation, **options)
+        if self.silence is WorkerUnansweredError:
+            await anyio.sleep(timeout_s)
+        raise self.silence('silent')
+
+
 def roster(worker_id, *, is_lapsed):
     profile = WorkerProfile(worker_id, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
     entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerIncarnation(worker_id), is_lapsed)
@@ -105,3 +132,46 @@
     assert workers.starts == [('w0', NEW_TASK)]
     assert [is_lapsed for is_lapsed, _ in store.noted] == [False, True, False]
     assert store.noted[-1] == (False, 0)
+
+
+def test_a_lapsed_worker_that_answers_gets_starts_though_the_roster_keeps_changing():
+    # It waited for a moment at which the store held the whole roster as it was.
+    workers = Workers()
+    store = SlowlyKeepingStore([worker_entry('w0'), worker_entry('w1'), roster('w0', is_lapsed=True)])
+    news = decode_job_record(kept_job(NEW, time.time(), StepSpec(20, Resources(1000, 1000, 1), 20.0)))
+
+    def holds(owner):
+        submitted(owner, news)
+        changing = owner.scheduler.worker_by_id.get('w1')
+        if changing is not None:
+            memory_mb = 200_000 + int(time.monotonic() * 10) % 1000
+            changing.profile = changing.profile._replace(capacity=Resources(64_000, memory_mb, 8))
+        return any(worker == 'w0' for worker, _ in workers.starts)
+
+    anyio.run(take_over, store, workers, holds, 3.0)
+    assert any(worker == 'w0' for worker, _ in workers.starts)
+
+
+@pytest.mark.parametrize('silence', [WorkerUnreachableError, WorkerUnansweredError])
+def test_a_worker_stays_lapsed_over_quick_changes_of_the_owner(silence):
+    # The first roster of an owner said that it was not, before it counted as silent.
+    workers = SilentWorkers(silence)
+    store = WatchedStore([worker_entry('w0'), worker_entry('w1'), roster('w0', is_lapsed=True)], workers)
+    anyio.run(take_over, store, workers, lambda owner: False, 1.5)
+    assert store.noted
+    assert all(is_lapsed for is_lapsed, _ in store.noted)
+
+
+def test_a_worker_is_not_lapsed_while_a_late_start_may_begin_on_its_next_incarnation():
+    now = Moment(100.0, 0.0)
+    state = SchedulerState(SchedulerSettings(), 1, compile_policy(SHIPPED['first-come']))
+    worker = WorkerState(decode(roster('w0', is_lapsed=False).value, list[RosterEntry], 'roster')[0].profile)
+    state.worker_by_id['w0'] = worker
+    worker.is_silent = True
+    worker.late_order_s = 12.0
+    worker.lease.assume(99.0)
+    worker.unanswered_starts[TASK] = 95.0
+    expire_leases(state, now)
+    assert not worker.is_lapsed
+    expire_leases(state, Moment(108.0, 0.0))
+    assert worker.is_lapsed
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -206,12 +206,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(recorder.run)
             for roster in (first, second, list(first)):
-                recorder.roster = roster
+                number = recorder.offer_roster(roster)
                 store.commits = 0 if roster is second else 1
-                recorder.needed.set()
                 await anyio.sleep(0.05 if roster is second else 0.5)
+            assert recorder.kept_roster_number == number
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
-    assert recorder.has_kept_roster
     assert store.apply(*store.late).status is CommitStatus.CONDITION_FAILED
