--- a/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
@@ -4,17 +4,17 @@
 import pytest
 
 from dahliaarch_kernel.scheduler import EndKind, Lease, StartRun
-from dahliaarch_kernel.scheduler.events import RunSeen
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
 from dahliaarch_kernel.scheduler.ranks import RANK_ORDINARY
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_node.metrics import Metrics
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
-from dahliaarch_platform.workers import OrderReply, OrderStatus, Survey, WorkerUnansweredError
+from dahliaarch_platform.workers import ListedEnd, OrderReply, OrderStatus, Survey, WorkerUnansweredError
 
 from ..link_settings import LinkContext, LinkSettings, StartTurns
 from ..links import WorkerLink
-from ..messages import RunNever, StartAcknowledged
+from ..messages import RunNever, StartAcknowledged, WorkerSurveyed
 from .sessions import Sessions
 
 TURNS = 32
@@ -32,18 +32,25 @@
 class Worker(Sessions):
     """A worker that answers surveys, and orders if told so; it carries out late starts while their lease lasts."""
 
-    def __init__(self, *, answers_starts=False, answers_stops=False, late_s=None):
+    def __init__(self, *, answers_starts=False, answers_stops=False, late_s=None, work_s=60.0):
         self.answers_starts = answers_starts
         self.answers_stops = answers_stops
         self.late_s = late_s
+        self.work_s = work_s
+        self.ended = []
+        self.highest = 0
         self.running = {}
         self.stopped = set()
         self.tasks = None
 
-    async def survey(self, *_, wait_s, **options):
-        await anyio.sleep(wait_s + 0.001)
+    async def survey(self, *_, wait_s, acknowledged, **options):
+        await anyio.sleep(0.001)
+        with anyio.move_on_after(wait_s):
+            while len(self.ended) <= acknowledged:
+                await anyio.sleep(0.01)
         running = tuple(RunSeen(key, run, '', 0.0) for key, run in self.running.items())
-        return Survey(anyio.current_time(), running, ())
+        ended = tuple(ListedEnd(number, end) for number, end in enumerate(self.ended, 1) if number > acknowledged)
+        return Survey(anyio.current_time(), running, ended)
 
     async def start(self, address, worker_id, order, *, fence, timeout_s):
         if self.answers_starts:
@@ -58,15 +65,21 @@
     async def _start_late(self, order):
         await anyio.sleep(self.late_s)
         is_stopped = (order.key, order.run) in self.stopped
-        if anyio.current_time() < order.lease_until_s and not is_stopped:
-            self.running[order.key] = order.run
+        if anyio.current_time() >= order.lease_until_s or is_stopped or order.run <= self.highest:
+            return
+        self.highest = order.run
+        self.running[order.key] = order.run
+        await anyio.sleep(self.work_s)
+        if self.running.pop(order.key, None):
+            self.ended.append(RunEnd('w0', order.key, order.run, EndKind.DONE))
 
     async def stop(self, address, worker_id, key, run, fence, *, timeout_s):
         if not self.answers_stops:
             await anyio.sleep(timeout_s)
             raise WorkerUnansweredError('silent')
         self.stopped.add((key, run))
-        self.running.pop(key, None)
+        if self.running.pop(key, None):
+            self.ended.append(RunEnd('w0', key, run, EndKind.STOPPED))
         return OrderReply(OrderStatus.DONE, anyio.current_time())
 
 
@@ -97,6 +110,8 @@
         return self.told_at_s.get(message)
 
     def _post(self, message):
+        if isinstance(message, WorkerSurveyed):
+            self.links[int(message.worker_id[1:])].acknowledge(message.last_end)
         if isinstance(message, RunNever | StartAcknowledged):
             self.told_at_s.setdefault(message, anyio.current_time())
 
@@ -180,3 +195,18 @@
         assert has_started is not is_given_up
 
     play([worker], scenario)
+
+
+@pytest.mark.parametrize('answers_stops', [True, False])
+@pytest.mark.parametrize('late_s', [0.0, 0.4])
+def test_a_run_whose_end_a_survey_listed_is_neither_stopped_nor_given_up(answers_stops, late_s):
+    """Its start got no answer, but what became of it is known."""
+    worker = Worker(answers_stops=answers_stops, late_s=late_s, work_s=0.05)
+
+    async def scenario(pool):
+        pool.links[0].start(start_of('w0', 0), '')
+        await anyio.sleep(4.0)
+        assert not worker.stopped
+        assert not any(isinstance(message, RunNever) for message in pool.told_at_s)
+
+    play([worker], scenario)
