--- a/packages/node/dahliaarch_node/owner/start_turns.py
+++ b/packages/node/dahliaarch_node/owner/start_turns.py
@@ -43,7 +43,7 @@
         """Start empty."""
         self.leaves_unanswered = False
         self._contact = contact
-        self._own = StartTurns(anyio.Semaphore(_MOST_PER_WORKER), anyio.Semaphore(_MOST_PER_WORKER))
+        self._own = StartTurns(_turns_of_one(), _turns_of_one())
         self._alone = anyio.Semaphore(1)
         self._logged_s = float('-inf')
         self._late_starts = 0
@@ -96,3 +96,7 @@
 async def _acquire(held: ExitStack, semaphore: anyio.Semaphore) -> None:
     await semaphore.acquire()
     held.callback(semaphore.release)
+
+
+def _turns_of_one() -> anyio.Semaphore:
+    return anyio.Semaphore(_MOST_PER_WORKER, fast_acquire=True)
