--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -138,10 +138,10 @@
     # It waited for a moment at which the store held the whole roster as it was.
     workers = Workers()
     store = SlowlyKeepingStore([worker_entry('w0'), worker_entry('w1'), roster('w0', is_lapsed=True)])
-    news = decode_job_record(kept_job(NEW, time.time(), StepSpec(20, Resources(1000, 1000, 1), 20.0)))
+    listed = decode_job_record(kept_job(NEW, time.time(), StepSpec(20, Resources(1000, 1000, 1), 20.0)))
 
     def holds(owner):
-        submitted(owner, news)
+        submitted(owner, listed)
         changing = owner.scheduler.worker_by_id.get('w1')
         if changing is not None:
             memory_mb = 200_000 + int(time.monotonic() * 10) % 1000
