Test restored: two constants of the writers had been given one name

The rename of beats made BEAT_S (0.05 s) and HEARTBEAT_S (1.5 s) one name, so that the test wrote 30 times as much at a time. A look over all modules, classes and signatures found no other such pair.

--- a/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_many_workers.py
@@ -24,7 +24,7 @@
 WORKERS = 3_600
 HEARTBEAT_S = 1.5
 # Writes of entries come together this often.
-HEARTBEAT_S = 0.05
+WRITE_EVERY_S = 0.05
 # The owner follows for this long before a worker leaves.
 BEFORE_S = 4.0
 # A leaving worker must get nothing new after 2 s: half of that is left to decisions.
@@ -51,12 +51,12 @@
     """Write each entry once in a heartbeat."""
     seq = 0
     while True:
-        for _ in range(int(WORKERS * HEARTBEAT_S / HEARTBEAT_S)):
+        for _ in range(int(WORKERS * WRITE_EVERY_S / HEARTBEAT_S)):
             seq += 1
             number = seq % WORKERS
             if number:
                 store.put(f'{WORKERS_PREFIX}w{number}', entry('ready', seq))
-        await anyio.sleep(HEARTBEAT_S)
+        await anyio.sleep(WRITE_EVERY_S)
 
 
 def test_a_worker_that_leaves_is_noticed_however_many_others_write():
