--- a/packages/kernel/dahliaarch_kernel/scheduler/successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/successors.py
@@ -52,6 +52,8 @@
 def awaits_list(state: SchedulerState, step: StepState, now: Moment) -> bool:
     """Tell whether tasks of a step may run on an incarnation of a worker that has not said what runs there."""
     awaited = step.awaited_until_by_worker
+    if not awaited:
+        return False
     step.awaited_until_by_worker = {
         worker_id: until_s
         for worker_id, until_s in awaited.items()
