--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -215,8 +215,12 @@
         """
         if not self.is_described or not self.has_readable_entry or self.profile.draining:
             return False
-        is_in_touch = self.is_surveyed and not self.is_silent
-        return is_in_touch and not self.is_lapsed and not self.has_isolated_run
+        return self.is_in_touch and not self.is_lapsed and not self.has_isolated_run
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether it has reported what runs there, and still answers."""
+        return self.is_surveyed and not self.is_silent
 
     @property
     def has_isolated_run(self) -> bool:
