A new owner waits for silent workers only with the tasks that are assigned to them

Cause: a new owner did not know where the one before had sent a task, so that every job might run on every worker that had not answered; one gate held all jobs for the last of these workers (PreviousWork.not_before_s).

Why this works: an assignment (run, task, worker) is in the store, under the condition of the owner's epoch, before its start is sent, and is taken back with the run's end. So absence is proof. A new owner restores the runs that are assigned as runs that it believes in, each until its worker has listed its runs, is over, or its lease has ended; all else starts at once. An owner that was replaced can send no start any more.

Tests whose set-up took a previous owner that sends starts without a record for granted now say so: their stores hold a roster of such an owner. Their checks are as they were.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -37,6 +37,10 @@
         'step {step} of {tasks} tasks waits, nothing of its job has run for {waited_s} s: {reason}'
         ' (room for it twice: {has_room_twice}, share of the pool in use: {used_share})'
     ),
+    'job_inherited': (
+        'a previous owner had assigned {runs} of its tasks to workers, which were asked for them: {workers}'
+    ),
+    'start_dropped': 'the start of run {run} of task {task} on {worker} was not sent: it was not wanted any more',
     'run_ordered': 'task {task} was ordered to start on {worker} as run {run}',
     'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
     'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
--- a/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/__init__.py
@@ -1,5 +1,6 @@
 """Which task runs where and when: pure decisions over jobs and workers."""
 
+from .assignments import Assignment, StepAssignments
 from .clock import Moment
 from .effects import AskAdvice, Effect, StartRun, StopRun
 from .events import EndKind
@@ -8,10 +9,13 @@
 from .progress import JobProgress, StepProgress
 from .scheduler import Scheduler
 from .settings import SchedulerSettings
+from .state import AssignmentsPart, part_of, parts_of
 from .workers import Lease, WorkerProfile, WorkerState
 
 __all__ = (
     'AskAdvice',
+    'Assignment',
+    'AssignmentsPart',
     'Effect',
     'EndKind',
     'JobPhase',
@@ -23,8 +27,11 @@
     'Scheduler',
     'SchedulerSettings',
     'StartRun',
+    'StepAssignments',
     'StepProgress',
     'StopRun',
     'WorkerProfile',
     'WorkerState',
+    'part_of',
+    'parts_of',
 )
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -274,6 +274,7 @@
                 run.rank = request.rank
                 run.isolation_s = request.isolation_s
                 run.slowdown = run_slowdown
+                run.assigned_s = self._now.wall_s
                 self._state.start(step, index, run)
                 self._room.take(spot.worker, demand)
             if request.isolation_s:
--- a/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ranks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from operator import attrgetter
 
+from ..configuration import Queue
 from .job_state import JobState
 
 # Any work that has waited for too long beside idle capacity, against reservations only.
@@ -16,6 +17,11 @@
 RANK_ORDINARY = 2
 
 
+def rank_of_queue(queue: Queue) -> int:
+    """Return the rank of a queue's work, whatever its account is guaranteed."""
+    return RANK_ORDINARY if queue.priority else RANK_URGENT
+
+
 def rank_by_job(jobs: Iterable[JobState], guaranteed_by_account: Mapping[str, int]) -> dict[str, int]:
     """Return the ranks of the jobs of priority 0; those accepted first are guaranteed first."""
     jobs_by_account: dict[str, list[JobState]] = defaultdict(list)
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -48,11 +48,18 @@
     is_confirmed : bool
         Whether its worker acknowledged its start or listed it: before that the
         start may still be carried out, whatever a list of runs says.
+    is_inherited : bool
+        Whether a previous owner assigned it, and its worker has not listed it since:
+        a list that leaves it out rules it out, for orders of that owner are refused.
+    assigned_s : float
+        When its start was decided, seconds since 1970.
     """
 
     __slots__ = (
         '_mark_percent',
         '_mark_s',
+        'assigned_s',
+        'is_inherited',
         'isolation_s',
         'began_from_checkpoint',
         'checkpoint',
@@ -95,6 +102,8 @@
         self.began_from_checkpoint = False
         self.has_reported_pace = False
         self.is_confirmed = False
+        self.is_inherited = False
+        self.assigned_s = 0.0
         self.isolation_s = 0.0
         self.slowdown = 1.0
         self.percent = 0.0
@@ -116,6 +125,14 @@
         """Whether workers crashed under its task, and it has not gone on for longer yet."""
         return self.isolation_s > 0 and self.ran_s <= self.isolation_s
 
+    def date(self, started_s: float) -> None:
+        """Note when its start is sent, steady clock: its assignment was kept meanwhile."""
+        self.started_s = started_s
+        self.moved_s = started_s
+        self.seen_s = started_s
+        if self._mark_s is not None:
+            self._mark_s = started_s
+
     def went_on(self) -> None:
         """Note that it did not begin at the beginning of its work, or not when it was noted."""
         self._mark_s = None
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -5,6 +5,7 @@
 from ..configuration import Queue
 from ..policies import compile_policy, Policy, SHIPPED
 from ..workload import JobSpec, StepKey, TaskKey
+from .assignments import Assignments, restore_assignments, StepAssignments
 from .clock import Moment
 from .crashes import apply_crash_limit, check_kept_crashes, silent_worker_crashed, worker_answered, worker_crashed
 from .effects import Effect
@@ -20,7 +21,7 @@
 from .runs import RunPhase
 from .settings import SchedulerSettings
 from .stalls import Load
-from .state import SchedulerState
+from .state import AssignmentsPart, SchedulerState
 from .successors import note_successor
 from .surveys import take_in_survey
 from .workers import WorkerProfile, WorkerState
@@ -37,11 +38,17 @@
         Epoch of the owner; later owners have larger ones.
     policy : Policy or None
         The operators' programs; nothing for the built-in choices.
+
+    Attributes
+    ----------
+    assignments : Assignments
+        Where tasks may run, to be kept before their starts are sent.
     """
 
     def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
         """Start without jobs and workers."""
         self._state = SchedulerState(settings, epoch, policy or compile_policy(SHIPPED['first-come']))
+        self.assignments = Assignments(self._state)
 
     @property
     def job_by_id(self) -> Mapping[str, JobState]:
@@ -77,6 +84,7 @@
         now: Moment,
         *,
         progress: JobProgress | None = None,
+        assignments: Mapping[AssignmentsPart, StepAssignments] | None = None,
         not_before_s: float = 0.0,
     ) -> bool:
         """Take in an accepted job; false when it is known already.
@@ -91,6 +99,8 @@
             The present.
         progress : JobProgress or None
             What a previous owner kept of it.
+        assignments : mapping or None
+            Where a previous owner has assigned its tasks.
         not_before_s : float
             Steady time before which a silent worker may still run it.
         """
@@ -105,6 +115,8 @@
         if not job.has_ended:
             self._state.active_job_by_id[spec.job_id] = job
             job.open_due(now.wall_s + self._state.settings.early_s / 2)
+            if assignments is not None:
+                restore_assignments(self._state, job, assignments, now)
         return True
 
     def cancel(self, job_id: str, now: Moment) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -25,6 +25,52 @@
 _ROOM_KNOWN_S = 3.0
 
 
+# Tasks of a step whose assignments are kept together: a start costs a write of so many
+# at most, however wide its step is.
+_TASKS_OF_A_PART = 256
+
+
+class AssignmentsPart(NamedTuple):
+    """Some tasks of one step, whose assignments are kept together.
+
+    Parameters
+    ----------
+    job_id : str
+        The job.
+    occurrence, step : int
+        Which step of it.
+    number : int
+        Which part of the step, from 0.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    number: int
+
+    @property
+    def task_indices(self) -> range:
+        """Which tasks of the step it is about."""
+        first = self.number * _TASKS_OF_A_PART
+        return range(first, first + _TASKS_OF_A_PART)
+
+    @property
+    def first_task(self) -> TaskKey:
+        """The first of its tasks."""
+        return TaskKey(self.job_id, self.occurrence, self.step, self.task_indices[0])
+
+
+def part_of(key: TaskKey) -> AssignmentsPart:
+    """Return the part that a task belongs to."""
+    return AssignmentsPart(key.job_id, key.occurrence, key.step, key.task_index // _TASKS_OF_A_PART)
+
+
+def parts_of(step: StepState) -> list[AssignmentsPart]:
+    """Return the parts of a step."""
+    last = part_of(step.key(step.spec.task_count - 1))
+    return [last._replace(number=number) for number in range(last.number + 1)]
+
+
 class SilentLoss(NamedTuple):
     """What was on a worker whose lease ended in silence: it may have crashed, or be cut off.
 
@@ -79,6 +125,8 @@
         self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
         self.reservations = Reservations()
         self.dirty_jobs: set[str] = set()
+        # What has changed of where tasks may run, and is not kept.
+        self.unkept_assignments: set[AssignmentsPart] = set()
         self.notes: list[Note] = []
         self.silent_loss_by_worker: dict[str, SilentLoss] = {}
         # Incarnations whose lists some step waits for, or did, and those that were given up in silence since, until
@@ -116,6 +164,7 @@
         """Let a run hold its task and its room."""
         step.pending.discard(run.key.task_index)
         step.run_by_index[run.key.task_index] = run
+        self.unkept_assignments.add(part_of(run.key))
         worker = self.worker_by_id.get(run.worker_id)
         if worker is not None:
             worker.add_run(run)
@@ -130,6 +179,7 @@
         if step is None or step.run_by_index.get(run.key.task_index) is not run:
             return
         del step.run_by_index[run.key.task_index]
+        self.unkept_assignments.add(part_of(run.key))
         if run.key.task_index not in step.done:
             step.pending.add(run.key.task_index)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -7,7 +7,7 @@
 from .ends import take_in_end
 from .events import EndKind, LossCause, RunEnd, RunSeen
 from .learning import observe_pace
-from .ranks import RANK_ORDINARY, RANK_URGENT
+from .ranks import rank_of_queue
 from .room import effective_demand
 from .runs import Run, RunPhase
 from .state import SchedulerState
@@ -47,13 +47,18 @@
         seen_keys.add((seen.key, seen.run))
         _take_in_run(state, worker, seen, now)
     for run in tuple(worker.run_by_key.values()):
-        is_listed = (run.key, run.number) in seen_keys
-        if is_listed or not run.is_confirmed or run.seen_s >= begun_s:
+        if (run.key, run.number) in seen_keys or not _is_ruled_out(run, begun_s):
             continue
         state.note_loss(worker, run, LossCause.NOT_LISTED)
         take_in_end(state, RunEnd(worker.worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint), now)
 
 
+def _is_ruled_out(run: Run, begun_s: float) -> bool:
+    """Tell whether a run is not on a worker whose list, asked for at a time, leaves it out."""
+    # A worker that has answered takes no orders of previous owners.
+    return run.is_inherited or (run.is_confirmed and run.seen_s < begun_s)
+
+
 def _take_in_run(state: SchedulerState, worker: WorkerState, seen: RunSeen, now: Moment) -> None:
     run = worker.run_by_key.get(seen.key)
     if run is None or run.number != seen.run:
@@ -64,6 +69,7 @@
         run.phase = RunPhase.RUNNING
         state.job_by_id[run.key.job_id].mark_begun()
     run.is_confirmed = True
+    run.is_inherited = False
     run.saw_progress(seen.percent, now.steady_s)
     step = state.step_of(run.key)
     if step is not None:
@@ -95,8 +101,9 @@
     # When it began is not known: it tells nothing of its worker.
     run.has_reported_pace = True
     run.went_on()
-    run.rank = RANK_ORDINARY if step.job.queue.priority else RANK_URGENT
+    run.rank = rank_of_queue(step.job.queue)
     run.seen_s = now.steady_s
+    run.assigned_s = now.wall_s - (now.steady_s - started_s)
     state.add_run(step, run)
     step.job.mark_begun()
     if worker.may_hide_ends:
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_assignments.py
@@ -0,0 +1,378 @@
+"""A new owner knows where the one before assigned each task, and waits for these workers and these tasks only."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, rule, RuleBasedStateMachine
+
+from dahliaarch_kernel.codec import decode, encode
+from dahliaarch_kernel.scheduler import (
+    EndKind,
+    JobProgress,
+    Moment,
+    part_of,
+    Scheduler,
+    SchedulerSettings,
+    StartRun,
+    StepAssignments,
+    StopRun,
+    WorkerProfile,
+)
+from dahliaarch_kernel.scheduler.events import RunEnd, RunSeen
+from dahliaarch_kernel.workload import JobSpec, TaskKey
+
+from .late_workers import LateWorker, LONGEST_LEASE_S, Order
+from .pool import ORDINARY, START_S, task, URGENT, WALL_S, WORKER
+
+A, B = 'a' * 16, 'b' * 16
+EPOCH_SHIFT = 20
+# Lease that each survey gives, in seconds: shorter than the longest that an owner assumes.
+LEASE_S = LONGEST_LEASE_S - 0.3
+
+
+class LeasedWorker(LateWorker):
+    """A worker that refuses orders of older owners, and kills what runs when its lease ends."""
+
+    def __init__(self, worker_id):
+        super().__init__(worker_id)
+        self.fence = 0
+        self.lease_until_s = 0.0
+
+    def start(self, order):
+        if order.run >> EPOCH_SHIFT >= self.fence:
+            super().start(order)
+
+
+class RecordedOwners:
+    """Owners in turn, each of which keeps assignments and progress before it sends orders."""
+
+    def __init__(self, workers):
+        self.now_s = START_S
+        self.epoch = 7
+        self.workers = {f'w{number}': LeasedWorker(f'w{number}') for number in range(workers)}
+        self.silent = set()
+        self.spec_by_id = {}
+        self.progress_by_id = {}
+        self.kept_by_part = {}
+        self.late = []
+        self.stops = []
+        self.noted = set()
+        self.take_over()
+
+    @property
+    def now(self):
+        return Moment(self.now_s, WALL_S + self.now_s - START_S)
+
+    def take_over(self):
+        """Let another owner read what is kept, and ask the workers that are not silent."""
+        self.epoch += 3
+        self.stops = []
+        self.scheduler = Scheduler(SchedulerSettings(), self.epoch)
+        for worker_id in self.workers:
+            self.scheduler.update_worker(WorkerProfile(worker_id, 'svc', 'z', WORKER, ('a', 'r0')), self.now)
+            self.scheduler.worker_by_id[worker_id].lease.assume(self.now_s + LONGEST_LEASE_S)
+        for job_id, (spec, queue) in self.spec_by_id.items():
+            self.scheduler.add_job(
+                spec,
+                queue,
+                self.now,
+                progress=self.progress_of(job_id),
+                assignments=self.assignments_of(job_id),
+            )
+        for worker_id in self.workers:
+            if worker_id in self.silent:
+                self.scheduler.worker_silent(worker_id)
+            else:
+                self.survey(worker_id)
+
+    def submit(self, job_id, steps, queue=ORDINARY):
+        spec = JobSpec(job_id, 'acc', queue.name, '', tuple(steps), accepted_s=self.now.wall_s)
+        self.spec_by_id[job_id] = (spec, queue)
+        self.scheduler.add_job(spec, queue, self.now)
+
+    def survey(self, worker_id):
+        """Let a worker answer: it renews its lease, and lists ends and what runs."""
+        worker = self.workers[worker_id]
+        worker.fence = self.epoch
+        worker.lease_until_s = self.now_s + LEASE_S
+        self.scheduler.worker_by_id[worker_id].lease.assume(self.now_s + LONGEST_LEASE_S)
+        ends, worker.ends = worker.ends, []
+        for end in ends:
+            self.scheduler.run_ended(end, self.now)
+        self.keep()
+        # Ends are acknowledged once they are kept.
+        self.noted.update(end.key for end in ends if end.kind is EndKind.DONE)
+        rows = tuple(RunSeen(key, run, '', 50.0) for key, run in worker.run_by_key.items())
+        self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now)
+
+    def keep(self):
+        for job_id in self.scheduler.take_dirty_jobs():
+            self.progress_by_id[job_id] = encode(self.scheduler.job_by_id[job_id].progress())
+            self.scheduler.mark_kept(job_id)
+        for part in self.scheduler.assignments.take_unkept():
+            self.kept_by_part[part] = encode(self.scheduler.assignments.of_part(part))
+
+    def progress_of(self, job_id):
+        value = self.progress_by_id.get(job_id)
+        return None if value is None else decode(value, JobProgress, 'progress')
+
+    def assignments_of(self, job_id):
+        """Return what is kept of a job's assignments."""
+        kept = {part: decode(value, StepAssignments, 'assignments') for part, value in self.kept_by_part.items()}
+        return {part: each for part, each in kept.items() if part.job_id == job_id}
+
+    def assigned_runs(self, job_id):
+        return [run for each in self.assignments_of(job_id).values() for run in each.runs]
+
+    def pass_time(self, seconds):
+        """Let time pass; workers that are not silent answer at least once a second."""
+        while seconds > 1.0:
+            self.pass_time(1.0)
+            seconds -= 1.0
+        self.now_s += seconds
+        for worker in self.workers.values():
+            if worker.lease_until_s < self.now_s:
+                for key in tuple(worker.run_by_key):
+                    worker.end(key, EndKind.LAPSED)
+        for worker_id in self.workers.keys() - self.silent:
+            self.survey(worker_id)
+
+    def decide(self, fate='answered'):
+        """Decide, keep that, and send the orders: answered, unanswered, carried out late, or not at all."""
+        effects = self.scheduler.decide(self.now)
+        self.keep()
+        if fate == 'owner ends':
+            self.take_over()
+            return []
+        starts = [effect for effect in effects if isinstance(effect, StartRun)]
+        self.stops.extend(
+            Order(effect.worker_id, effect.key, effect.run) for effect in effects if isinstance(effect, StopRun)
+        )
+        for start in starts:
+            order = Order(start.worker_id, start.key, start.run)
+            if fate == 'late':
+                self.late.append(order)
+            else:
+                self.workers[order.worker_id].start(order)
+            if fate == 'answered':
+                self.scheduler.run_started(*order, self.now)
+            else:
+                self.stops.append(order)
+        return starts
+
+    def deliver_stop(self, order):
+        if order.worker_id in self.silent or order.run >> EPOCH_SHIFT > self.epoch:
+            return
+        self.stops.remove(order)
+        self.workers[order.worker_id].stop(order)
+        self.survey(order.worker_id)
+        if order.key not in self.workers[order.worker_id].run_by_key:
+            self.scheduler.run_ended(RunEnd(*order, EndKind.STOPPED), self.now)
+
+    def running(self):
+        return [(worker.worker_id, key) for worker in self.workers.values() for key in worker.run_by_key]
+
+
+def begun_on_a_worker_that_falls_silent(count=1, **fields):
+    """Return owners of which the first has begun tasks on two workers, one of which falls silent before the second."""
+    owners = RecordedOwners(2)
+    owners.submit(A, [task(count, accelerators=8, **fields)])
+    starts = owners.decide()
+    owners.silent.add(starts[0].worker_id)
+    owners.take_over()
+    return owners, starts
+
+
+def test_a_job_that_never_began_does_not_wait_for_silent_workers():
+    owners = RecordedOwners(2)
+    owners.silent.add('w0')
+    owners.submit(A, [task()])
+    owners.take_over()
+    assert [start.worker_id for start in owners.decide()] == ['w1']
+
+
+def test_a_task_waits_for_the_silent_worker_that_it_was_assigned_to_until_its_lease_has_ended():
+    owners, (start,) = begun_on_a_worker_that_falls_silent()
+    owners.submit(B, [task()])
+    assert [each.key.job_id for each in owners.decide()] == [B]
+    owners.workers['w1'].end(TaskKey(B, 0, 0, 0), EndKind.DONE)
+    owners.pass_time(LONGEST_LEASE_S - 0.1)
+    assert not owners.decide()
+    owners.pass_time(0.2)
+    assert [each.key for each in owners.decide()] == [start.key]
+
+
+def test_a_task_does_not_wait_once_its_worker_has_listed_its_runs_without_it():
+    owners = RecordedOwners(2)
+    owners.submit(A, [task()])
+    (start,) = owners.decide('late')
+    owners.take_over()
+    assert [each.key for each in owners.decide()] == [start.key]
+    # The start of the owner before comes now.
+    owners.workers[start.worker_id].start(Order(start.worker_id, start.key, start.run))
+    assert Counter(key for _, key in owners.running()) == {start.key: 1}
+
+
+def test_other_tasks_of_its_step_do_not_wait():
+    owners, (first, second) = begun_on_a_worker_that_falls_silent(count=2)
+    owners.workers[second.worker_id].end(second.key, EndKind.LAPSED)
+    owners.pass_time(0.1)
+    assert [each.key for each in owners.decide()] == [second.key]
+    assert first.key in owners.workers[first.worker_id].run_by_key
+
+
+def test_a_run_that_its_worker_lists_goes_on():
+    owners, (start,) = begun_on_a_worker_that_falls_silent()
+    owners.silent.clear()
+    owners.pass_time(1.0)
+    assert not owners.decide()
+    assert owners.scheduler.worker_by_id[start.worker_id].run_by_key[start.key].is_confirmed
+
+
+def test_an_end_that_comes_after_the_takeover_counts():
+    owners, (start,) = begun_on_a_worker_that_falls_silent()
+    owners.workers[start.worker_id].end(start.key, EndKind.DONE)
+    owners.silent.clear()
+    owners.pass_time(1.0)
+    assert owners.scheduler.job_by_id[A].phase == 'succeeded'
+
+
+@pytest.mark.parametrize('is_over', [True, False])
+def test_a_crash_that_no_owner_lived_to_see_counts_against_the_tasks_that_were_assigned(is_over):
+    owners, (start,) = begun_on_a_worker_that_falls_silent()
+    if is_over:
+        owners.scheduler.worker_over(start.worker_id, owners.now)
+    crashes = owners.scheduler.job_by_id[A].step_by_key[0, 0].crashes_by_index
+    assert [crash.run for crash in crashes.get(0, ())] == [start.run] * is_over
+
+
+def test_what_ended_or_was_never_sent_is_taken_back():
+    owners = RecordedOwners(1)
+    owners.submit(A, [task()])
+    (start,) = owners.decide()
+    assert owners.assigned_runs(A)
+    owners.workers[start.worker_id].end(start.key, EndKind.LAPSED)
+    owners.survey(start.worker_id)
+    owners.keep()
+    assert not owners.assigned_runs(A)
+
+
+def test_a_start_in_a_wide_step_does_not_have_all_its_assignments_kept_anew():
+    owners = RecordedOwners(100)
+    owners.submit(A, [task(700)])
+    starts = owners.decide()
+    assert len(owners.assigned_runs(A)) == 700
+    assert max(len(each.runs) for each in owners.assignments_of(A).values()) <= 256
+    owners.workers[starts[0].worker_id].end(starts[0].key, EndKind.LAPSED)
+    owners.survey(starts[0].worker_id)
+    owners.scheduler.decide(owners.now)
+    assert owners.scheduler.assignments.take_unkept() == {part_of(starts[0].key)}
+
+
+def test_a_list_that_the_owner_before_waited_for_is_waited_for():
+    owners = RecordedOwners(2)
+    owners.submit(A, [task()])
+    (start,) = owners.decide('late')
+    # The worker has started again, and may have begun what was sent to its earlier incarnation.
+    successor = f'{start.worker_id}+'
+    former = owners.scheduler.worker_by_id[start.worker_id].profile
+    owners.scheduler.worker_replaced(start.worker_id, successor, owners.now_s + 20.0)
+    owners.scheduler.worker_over(start.worker_id, owners.now)
+    owners.scheduler.expect_worker(former._replace(worker_id=successor), owners.now)
+    owners.keep()
+    owners.workers[successor] = LeasedWorker(successor)
+    del owners.workers[start.worker_id]
+    owners.silent.add(successor)
+    owners.epoch += 3
+    owners.scheduler = Scheduler(SchedulerSettings(), owners.epoch)
+    for worker_id in owners.workers:
+        owners.scheduler.update_worker(WorkerProfile(worker_id, 'svc', 'z', WORKER, ('a', 'r0')), owners.now)
+        owners.scheduler.worker_by_id[worker_id].late_order_s = 20.0
+    spec, queue = owners.spec_by_id[A]
+    owners.scheduler.add_job(spec, queue, owners.now, assignments=owners.assignments_of(A))
+    owners.pass_time(1.0)
+    assert not owners.decide()
+    owners.pass_time(20.0)
+    assert [each.key for each in owners.decide()] == [TaskKey(A, 0, 0, 0)]
+
+
+class Owners(RuleBasedStateMachine):
+    """Random jobs, silences, late orders, ends and changes of the owner at any step."""
+
+    def __init__(self):
+        super().__init__()
+        self.owners = RecordedOwners(3)
+        self.jobs = 0
+
+    @rule(
+        queue=st.sampled_from((URGENT, ORDINARY)),
+        count=st.integers(1, 5),
+        accelerators=st.sampled_from((1, 4, 8)),
+        gang=st.booleans(),
+    )
+    def submit(self, queue, count, accelerators, gang):
+        self.jobs += 1
+        self.owners.submit(f'{self.jobs:016x}', [task(count, accelerators, gang=gang)], queue)
+        self.owners.decide()
+
+    @rule(fate=st.sampled_from(('answered', 'answered', 'unanswered', 'late', 'owner ends')))
+    def decide(self, fate):
+        self.owners.decide(fate)
+
+    @rule(seconds=st.floats(0.0, 4.0))
+    def wait(self, seconds):
+        self.owners.pass_time(seconds)
+
+    @rule(silent=st.sets(st.sampled_from(('w0', 'w1', 'w2')), max_size=2))
+    def change_owner(self, silent):
+        self.owners.silent |= silent
+        self.owners.take_over()
+
+    @rule(number=st.integers(0, 2))
+    def fall_silent(self, number):
+        self.owners.silent.add(f'w{number}')
+        self.owners.scheduler.worker_silent(f'w{number}')
+
+    @rule(number=st.integers(0, 2))
+    def answer(self, number):
+        self.owners.silent.discard(f'w{number}')
+        self.owners.survey(f'w{number}')
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def carry_out_late(self, choice):
+        if self.owners.late:
+            order = choice.choice(self.owners.late)
+            self.owners.late.remove(order)
+            self.owners.workers[order.worker_id].start(order)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def deliver_stop(self, choice):
+        if self.owners.stops:
+            self.owners.deliver_stop(choice.choice(self.owners.stops))
+
+    @rule(choice=st.randoms(use_true_random=False), kind=st.sampled_from((EndKind.DONE, EndKind.FAILED)))
+    def end(self, choice, kind):
+        running = sorted(self.owners.running())
+        if not running:
+            return
+        worker_id, key = choice.choice(running)
+        run = self.owners.workers[worker_id].run_by_key[key]
+        is_gang = self.owners.spec_by_id[key.job_id][0].steps[key.step].gang
+        for worker in self.owners.workers.values():
+            for each, number in tuple(worker.run_by_key.items()):
+                if each == key or (is_gang and each[:3] == key[:3] and number == run):
+                    worker.end(each, kind)
+
+    @invariant()
+    def no_task_runs_twice_at_a_time(self):
+        assert not [key for key, count in Counter(key for _, key in self.owners.running()).items() if count > 1]
+
+    @invariant()
+    def nothing_runs_again_after_a_success_that_was_noted(self):
+        assert not [key for _, key in self.owners.running() if key in self.owners.noted]
+
+
+Owners.TestCase.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
+TestOwners = Owners.TestCase
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -69,6 +69,17 @@
             ['queue'],
             registry=self.registry,
         )
+        self.start_hold_s = Histogram(
+            'dahliaarch_start_hold_seconds',
+            'Time that a start was held until the store had its assignment',
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.held_starts = Gauge(
+            'dahliaarch_held_starts',
+            'Starts that are held until the store has their assignments',
+            registry=self.registry,
+        )
         self.unconfirmed_runs = Gauge(
             'dahliaarch_unconfirmed_runs',
             'Runs whose start was ordered and that no worker has acknowledged or listed',
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -33,7 +33,7 @@
 from .recorder import Recorder
 from .registry import Links
 from .settings import OwnerSettings, scheduler_settings
-from .takeover import KnownWorkers, read_jobs, read_workers
+from .takeover import keeps_assignments, KnownWorkers, read_jobs, read_workers
 from .unserved import UnservedWorkers
 
 # Starts under way at one time, urgent ones and others: over a link of 1 Mbit/s the last of them is answered
@@ -110,12 +110,13 @@
         )
         self._links = Links(context)
         self._adviser = Adviser(askers, self.post, self._links.name_of, steady_s)
-        self._effects = Effects(self.scheduler, self._links, self._adviser, self.post, metrics)
+        self._effects = Effects(self.scheduler, self._links, self._adviser, self.post, metrics, _now)
         self._recorder = Recorder(
             store,
             settings.timing,
             self.scheduler,
             settings.epoch,
+            starts=self._effects.held_starts,
             mark=self._links.ends_taken_in,
             kept=self._links.acknowledge,
             shown=self.end_notifier.notify,
@@ -162,7 +163,12 @@
                 jobs_revision = await self._load(intake, tasks)
                 await self._survey_all(intake)
                 self.is_ready = True
-                log_event('owner_ready', epoch=self.epoch, jobs=len(self.scheduler.job_by_id))
+                log_event(
+                    'owner_ready',
+                    epoch=self.epoch,
+                    jobs=len(self.scheduler.job_by_id),
+                    knows_assignments=self._previous.is_recorded,
+                )
                 tasks.start_soon(follow_jobs, self._feed, jobs_revision)
                 tasks.start_soon(self._recorder.run)
                 tasks.start_soon(self._adviser.run)
@@ -181,6 +187,9 @@
         tasks.start_soon(self._workers_feed.run, workers.entries.revision)
         kept = await read_jobs(self._store, self._settings.timing)
         intake.progress_by_id = kept.progress_by_id
+        self._previous.is_recorded = keeps_assignments(workers, kept)
+        if self._previous.is_recorded:
+            intake.assignments_by_id = kept.assignments_by_id
         self._recorder.revision_by_key = workers.revision_by_key | kept.revision_by_key
         # A silent worker may run jobs of previous owners until its lease ends, which the
         # previous owner may have given while its authority lasted.
@@ -190,6 +199,7 @@
             intake.handle_all(job_messages(item))
         self._drain_inbox(intake)
         intake.progress_by_id = {}
+        intake.assignments_by_id = {}
         return kept.jobs.revision
 
     def _workers_known(self, workers: KnownWorkers) -> Iterable[OwnerMessage]:
@@ -235,7 +245,7 @@
     def _decide(self) -> None:
         if self._may_order():
             self._order()
-        if self.scheduler.has_dirty_jobs or self._links.has_unkept_ends:
+        if self.scheduler.has_dirty_jobs or self._links.has_unkept_ends or self._effects.held_starts:
             self._recorder.needed.set()
         self._note_roster()
 
@@ -249,6 +259,7 @@
             self._effects.carry_out(effect)
         self._links.close_all_but(self.scheduler.worker_by_id)
         self._load_gauges.update(steady_s())
+        self._metrics.held_starts.set(len(self._effects.held_starts))
         self._metrics.decide_s.observe(time.perf_counter() - begun_s)
 
     def _note_roster(self) -> None:
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from dahliaarch_kernel.scheduler import AskAdvice, Scheduler, StartRun, StopRun
+from dahliaarch_kernel.scheduler import AskAdvice, EndKind, Moment, Scheduler, StartRun, StopRun
 from dahliaarch_kernel.scheduler.events import RunLost, StepWaiting, TaskGivenUp
 
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser
+from .held_starts import HeldStart, HeldStarts
 from .messages import OwnerMessage, RunNever
 from .registry import Links
 
@@ -28,6 +29,13 @@
         Hands a message to the task that decides.
     metrics : Metrics
         Counters.
+    now : callable
+        Returns the present time.
+
+    Attributes
+    ----------
+    held_starts : HeldStarts
+        Starts whose assignments are not kept yet.
     """
 
     def __init__(
@@ -37,8 +45,11 @@
         adviser: Adviser,
         post: Callable[[OwnerMessage], None],
         metrics: Metrics,
+        now: Callable[[], Moment],
     ) -> None:
         """Keep whom decisions are handed to."""
+        self.held_starts = HeldStarts(self._send)
+        self._now = now
         self._metrics = metrics
         self._scheduler = scheduler
         self._links = links
@@ -52,25 +63,14 @@
 
     @carry_out.register
     def _(self, effect: StartRun) -> None:
-        link = self._links.get(effect.worker_id)
-        if link is None:
-            self._post(RunNever(effect.worker_id, effect.key, effect.run))
-            return
-        job = self._scheduler.job_by_id[effect.key.job_id]
-        log_event(
-            'run_ordered',
-            worker=effect.worker_id,
-            task=effect.key,
-            run=effect.run,
-            from_checkpoint=effect.checkpoint,
-            rank=effect.rank,
-            expected_s=round(effect.expected_s, 2),
-        )
-        link.start(effect, job.spec.payload)
+        self.held_starts.hold(effect, self._now().steady_s)
 
     @carry_out.register
     def _(self, effect: StopRun) -> None:
         log_event('stop_ordered', worker=effect.worker_id, task=effect.key, run=effect.run, why=effect.reason)
+        if self.held_starts.withdraw(effect.key, effect.run):
+            self._post(RunNever(effect.worker_id, effect.key, effect.run, EndKind.STOPPED))
+            return
         link = self._links.get(effect.worker_id)
         if link is not None:
             link.stop(effect)
@@ -79,6 +79,29 @@
     def _(self, effect: AskAdvice) -> None:
         self._adviser.ask(effect)
 
+    def _send(self, held: HeldStart) -> None:
+        """Send a start whose assignment is kept."""
+        start = held.start
+        now = self._now()
+        self._metrics.start_hold_s.observe(now.steady_s - held.since_s)
+        link = self._links.get(start.worker_id)
+        if link is None:
+            self._post(RunNever(start.worker_id, start.key, start.run))
+            return
+        if not self._scheduler.assignments.sent(start.worker_id, start.key, start.run, now):
+            log_event('start_dropped', worker=start.worker_id, task=start.key, run=start.run)
+            return
+        log_event(
+            'run_ordered',
+            worker=start.worker_id,
+            task=start.key,
+            run=start.run,
+            from_checkpoint=start.checkpoint,
+            rank=start.rank,
+            expected_s=round(start.expected_s, 2),
+        )
+        link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
+
     @singledispatchmethod
     def tell(self, note: object) -> None:
         """Log what became of a run or a task."""
--- /dev/null
+++ b/packages/node/dahliaarch_node/owner/held_starts.py
@@ -0,0 +1,57 @@
+"""Starts whose assignments are not kept yet: they are sent once the store holds them."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from dahliaarch_kernel.scheduler import AssignmentsPart, part_of, StartRun
+from dahliaarch_kernel.workload import TaskKey
+
+RunId = tuple[TaskKey, int]
+
+
+class HeldStart(NamedTuple):
+    """A start, and since when it is held, steady clock."""
+
+    start: StartRun
+    since_s: float
+
+
+class HeldStarts:
+    """Starts that wait for their assignments to be kept.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a start that was held.
+    """
+
+    def __init__(self, send: Callable[[HeldStart], None]) -> None:
+        """Hold none."""
+        self._send = send
+        self._held_by_run: dict[RunId, HeldStart] = {}
+
+    def __len__(self) -> int:
+        """Return how many are held."""
+        return len(self._held_by_run)
+
+    def hold(self, start: StartRun, now_s: float) -> None:
+        """Hold a start until its assignment is kept."""
+        self._held_by_run[start.key, start.run] = HeldStart(start, now_s)
+
+    def withdraw(self, key: TaskKey, run: int) -> bool:
+        """Never send a start; tell whether it was held."""
+        return self._held_by_run.pop((key, run), None) is not None
+
+    def runs_by_part(self) -> dict[AssignmentsPart, list[RunId]]:
+        """Return the runs of the starts that are held, by where they are kept; the most urgent first."""
+        found: dict[AssignmentsPart, list[RunId]] = {}
+        for run, held in sorted(self._held_by_run.items(), key=lambda each: each[1].start.rank):
+            found.setdefault(part_of(held.start.key), []).append(run)
+        return found
+
+    def release(self, runs: Iterable[RunId]) -> None:
+        """Send the starts of runs whose assignments are kept, but for those withdrawn meanwhile."""
+        for run in runs:
+            held = self._held_by_run.pop(run, None)
+            if held is not None:
+                self._send(held)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -34,8 +34,12 @@
 )
 from .previous_work import PreviousWork
 from .registry import Links
+from .takeover import AssignmentsById
 from .unserved import UnservedWorkers
 
+# Workers that one log line names at most.
+_MOST_NAMED = 16
+
 
 class IntakeParts(NamedTuple):
     """What messages change.
@@ -78,13 +82,14 @@
 
     Attributes
     ----------
-    progress_by_id : dict
+    progress_by_id, assignments_by_id : dict
         What previous owners kept of jobs that are not taken in yet.
     """
 
     def __init__(self, parts: IntakeParts, epoch: int, tasks: TaskGroup) -> None:
         """Start with nothing taken in."""
         self.progress_by_id: dict[str, JobProgress] = {}
+        self.assignments_by_id: AssignmentsById = {}
         self._scheduler = parts.scheduler
         self._links = parts.links
         self._previous = parts.previous
@@ -112,11 +117,13 @@
             self._deposed()
             return
         job_id = message.spec.job_id
+        assignments = self.assignments_by_id.get(job_id)
         added = self._scheduler.add_job(
             message.spec,
             message.queue,
             self._now(),
             progress=self.progress_by_id.get(job_id),
+            assignments=assignments,
             not_before_s=self._previous.not_before_s(message.owner_epoch),
         )
         if added:
@@ -134,6 +141,10 @@
                 stretch=message.queue.stretch,
                 target_s=message.queue.target_latency_s,
             )
+        if added and assignments:
+            runs = [run for each in assignments.values() for run in each.runs]
+            workers = sorted({run.worker_id for run in runs})
+            log_event('job_inherited', job=job_id, runs=len(runs), workers=workers[:_MOST_NAMED])
 
     @handle.register
     def _(self, message: JobCancelled) -> None:
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -52,6 +52,7 @@
         self._metrics.active_jobs.set(0)
         for reason in WaitReason:
             self._metrics.waiting_steps.labels(reason.value).set(0)
+        self._metrics.held_starts.set(0)
         self._metrics.unconfirmed_runs.set(0)
         self._metrics.unconfirmed_run_s.set(0)
 
--- a/packages/node/dahliaarch_node/owner/previous_work.py
+++ b/packages/node/dahliaarch_node/owner/previous_work.py
@@ -16,7 +16,8 @@
     scheduler : Scheduler
         Knows workers and jobs.
     epoch : int
-        Epoch of this owner: jobs that others were sent may run anywhere.
+        Epoch of this owner: jobs that others were sent may run anywhere, unless
+        these kept where they were assigned.
     """
 
     def __init__(self, scheduler: Scheduler, epoch: int) -> None:
@@ -26,6 +27,8 @@
         # When leases that previous owners gave have ended at the latest, steady clock.
         self._until_s = 0.0
         self._unreported: set[str] = set()
+        # Whether previous owners sent no start whose assignment the store does not hold.
+        self.is_recorded = False
         # Workers take no orders of previous owners once they have answered this one.
         self._have_all_reported = False
 
@@ -39,12 +42,13 @@
         self._until_s = now_s + hold_s * _SLOWEST_CLOCK
 
     def not_before_s(self, owner_epoch: int) -> float:
-        """Return from when a job may start, steady clock: one sent to this owner alone, at once.
+        """Return from when a job may start, steady clock: at once if it is known where previous owners assigned it.
 
-        That it was accepted after this owner's claim does not tell: for some time
-        instances know the previous owner, tell it of jobs, and it starts them.
+        So may one that was sent to this owner alone. That it was accepted after this
+        owner's claim does not tell: for some time instances know the previous owner, tell
+        it of jobs, and it starts them.
         """
-        if owner_epoch == self._epoch or self._have_all_reported:
+        if self.is_recorded or owner_epoch == self._epoch or self._have_all_reported:
             return 0.0
         return self._until_s
 
@@ -58,9 +62,15 @@
         if not self._unreported:
             self._go_on_with_all()
             return
-        log_event('takeover_incomplete', silent=sorted(self._unreported), until_s=self._until_s)
-        for worker_id in self._unreported:
-            self._scheduler.worker_by_id[worker_id].lease.assume(self._until_s)
+        silent = [self._scheduler.worker_by_id[worker_id] for worker_id in sorted(self._unreported)]
+        log_event(
+            'takeover_incomplete',
+            silent=[worker.worker_id for worker in silent],
+            assigned_runs=sum(len(worker.run_by_key) for worker in silent),
+            until_s=self._until_s,
+        )
+        for worker in silent:
+            worker.lease.assume(self._until_s)
 
     def replaced(self, worker_id: str) -> None:
         """Take in that another incarnation of a worker has begun: it has yet to say what runs there.
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -5,18 +5,16 @@
 import anyio
 import pytest
 
-from dahliaarch_kernel.codec import decode, encode
+from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.policies import compile_policy, SHIPPED
-from dahliaarch_kernel.scheduler import Moment, SchedulerSettings, WorkerProfile, WorkerState
+from dahliaarch_kernel.scheduler import Moment, SchedulerSettings, WorkerState
 from dahliaarch_kernel.scheduler.leaving import expire_leases
 from dahliaarch_kernel.scheduler.state import SchedulerState
 from dahliaarch_kernel.workload import Resources, StepSpec, TaskKey
-from dahliaarch_platform.incarnations import WorkerIncarnation
-from dahliaarch_platform.settings import Address
-from dahliaarch_platform.store import CommitResult, CommitStatus, Item, StoreUnansweredError
+from dahliaarch_platform.store import CommitResult, CommitStatus, StoreUnansweredError
 from dahliaarch_platform.workers import WorkerUnansweredError, WorkerUnreachableError
 
-from ...records import roster_key, ROSTER_PREFIX, RosterEntry
+from ...records import ROSTER_PREFIX, RosterEntry
 from .test_takeover import (
     decode_job_record,
     EPOCH,
@@ -25,6 +23,7 @@
     LAST,
     LONGEST_LEASE_S,
     NEW,
+    roster,
     submitted,
     take_over,
     worker_entry,
@@ -79,12 +78,6 @@
         raise self.silence('silent')
 
 
-def roster(worker_id, *, is_lapsed):
-    profile = WorkerProfile(worker_id, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
-    entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerIncarnation(worker_id), is_lapsed)
-    return Item(roster_key(0), encode([entry]), 2)
-
-
 @pytest.mark.parametrize('is_lapsed', [True, False])
 def test_jobs_of_the_owner_before_wait_for_a_silent_worker_only_if_it_may_run_them(is_lapsed):
     # After a takeover every such job stood for 8.2 s beside an idle pool, though the worker had long been given up.
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -22,6 +22,7 @@
 
 from ...records import OWNER_KEY, progress_key, RosterEntry
 from ...timing import StoreTiming
+from ..held_starts import HeldStarts
 from ..recorder import Recorder
 
 JOB = 'a' * 16
@@ -78,6 +79,7 @@
         timing,
         scheduler,
         EPOCH,
+        starts=HeldStarts(lambda start: None),
         mark=dict,
         kept=kept,
         shown=lambda job_id: None,
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -8,9 +8,11 @@
 
 from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_kernel.configuration import Queue
+from dahliaarch_kernel.scheduler import WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunSeen
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
-from dahliaarch_platform.settings import Bounds
+from dahliaarch_platform.incarnations import WorkerIncarnation
+from dahliaarch_platform.settings import Address, Bounds
 from dahliaarch_platform.store import CommitResult, CommitStatus, Item, Page, WORKERS_PREFIX
 from dahliaarch_platform.workers import (
     OrderReply,
@@ -21,7 +23,7 @@
 )
 
 from ...metrics import Metrics
-from ...records import cancel_key, job_key, JobRecord, JOBS_PREFIX
+from ...records import cancel_key, job_key, JobRecord, JOBS_PREFIX, roster_key, RosterEntry
 from ...timing import StoreTiming
 from .. import PoolOwner
 from ..messages import JobListed
@@ -113,6 +115,13 @@
     return Item(WORKERS_PREFIX + worker_id, msgspec.json.encode(entry), 1)
 
 
+def roster(worker_id, *, is_lapsed=False):
+    """Return a roster that no owner has written after which it kept assignments."""
+    profile = WorkerProfile(worker_id, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    entry = RosterEntry(profile, Address('127.0.0.1', 1), WorkerIncarnation(worker_id), is_lapsed)
+    return Item(roster_key(0), encode([entry]), 2)
+
+
 def kept_job(job_id, accepted_s, step=STEP):
     spec = JobSpec(job_id, 'acc', QUEUE.name, '20', (step,), accepted_s=accepted_s)
     return Item(job_key(job_id), encode(JobRecord(spec, QUEUE)), 1)
@@ -189,7 +198,8 @@
     """With one worker gone since the previous owner, urgent jobs began 1.2 s after a takeover and ended late."""
     workers = Workers()
     workers.silent_until_s['w0'] = float('inf')
-    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
+    # The previous owner kept no assignments, so that the job before may run on the silent worker.
+    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1'), roster('w0')])
     update = decode_job_record(kept_job(NEW, time.time()))
     anyio.run(take_over, store, workers, lambda owner: submitted(owner, update) and workers.starts, 0.8)
     assert workers.starts == [('w1', TaskKey(NEW, 0, 0, 0))]
@@ -199,7 +209,7 @@
     """They waited for its longest lease, as if it had stayed silent."""
     workers = Workers()
     workers.silent_until_s['w0'] = time.monotonic() + 1.6
-    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
+    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1'), roster('w0')])
     anyio.run(take_over, store, workers, lambda owner: workers.starts, LONGEST_LEASE_S - 1.0)
     assert [key for _, key in workers.starts] == [TaskKey(LAST, 0, 0, 0)]
 
@@ -231,7 +241,7 @@
     # Each answer that a worker owed was waited for twice as long as the one before, and every job of a previous owner
     # waited for the last worker.
     workers = LosingWorkers({'w0': 4})
-    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1')])
+    store = KeptStore([kept_job(LAST, time.time()), worker_entry('w0'), worker_entry('w1'), roster('w0')])
     anyio.run(take_over, store, workers, lambda owner: workers.starts, 2.0)
     assert [key for _, key in workers.starts] == [TaskKey(LAST, 0, 0, 0)]
 
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -26,7 +26,7 @@
 from ..registry import fence_of
 from ..settings import OwnerSettings
 from .sessions import Sessions
-from .test_takeover import EPOCH, KeptStore, LONGEST_LEASE_S, NEW, QUEUE, STEP, worker_entry
+from .test_takeover import EPOCH, KeptStore, LONGEST_LEASE_S, NEW, QUEUE, roster, STEP, worker_entry
 
 SUCCESSOR = EPOCH + 100
 JOB = TaskKey(NEW, 0, 0, 0)
@@ -83,7 +83,8 @@
 
     async def run():
         old = owner_of(EPOCH, KeptStore([worker_entry('w0')]), workers)
-        new = owner_of(SUCCESSOR, KeptStore([worker_entry('w0'), worker_entry('w1')]), workers)
+        # The old owner kept a roster, and no assignments that its successor could read.
+        new = owner_of(SUCCESSOR, KeptStore([worker_entry('w0'), worker_entry('w1'), roster('w0')]), workers)
         async with anyio.create_task_group() as tasks:
             for owner in (old, new):
                 tasks.start_soon(owner.run)
--- a/packages/node/dahliaarch_node/records/__init__.py
+++ b/packages/node/dahliaarch_node/records/__init__.py
@@ -1,6 +1,10 @@
 """Keys and values that the system keeps in the store."""
 
 from .core import (
+    ASSIGNER_KEY,
+    assignments_key,
+    assignments_part,
+    ASSIGNMENTS_PREFIX,
     cancel_key,
     CANCEL_SUFFIX,
     job_id_of,
@@ -19,6 +23,8 @@
 )
 
 __all__ = (
+    'ASSIGNER_KEY',
+    'ASSIGNMENTS_PREFIX',
     'CANCEL_SUFFIX',
     'JOBS_PREFIX',
     'JobRecord',
@@ -28,6 +34,8 @@
     'PROGRESS_PREFIX',
     'ROSTER_PREFIX',
     'RosterEntry',
+    'assignments_key',
+    'assignments_part',
     'cancel_key',
     'job_id_of',
     'job_key',
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -1,14 +1,14 @@
 """Layout of the system's keys in the store.
 
 Jobs and cancellations lie under one prefix, since the owner watches both;
-progress lies under another, since only the owner writes it and its own writes
-need not come back to it.
+progress and assignments lie under others, since only the owner writes them and its
+own writes need not come back to it.
 """
 
 from typing import NamedTuple
 
 from dahliaarch_kernel.configuration import Queue
-from dahliaarch_kernel.scheduler import WorkerProfile
+from dahliaarch_kernel.scheduler import AssignmentsPart, WorkerProfile
 from dahliaarch_kernel.workload import JobSpec
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
@@ -17,6 +17,9 @@
 MEMBERS_PREFIX = 'dahliaarch/members/'
 JOBS_PREFIX = 'dahliaarch/jobs/'
 PROGRESS_PREFIX = 'dahliaarch/progress/'
+ASSIGNMENTS_PREFIX = 'dahliaarch/assignments/'
+# Epoch of the last owner that kept assignments before it sent starts; written after its roster.
+ASSIGNER_KEY = f'{ASSIGNMENTS_PREFIX}.owner'
 ROSTER_PREFIX = 'dahliaarch/workers'
 CANCEL_SUFFIX = '.cancel'
 
@@ -107,6 +110,17 @@
     return PROGRESS_PREFIX + job_id
 
 
+def assignments_key(part: AssignmentsPart) -> str:
+    """Return the key of where tasks are assigned."""
+    return f'{ASSIGNMENTS_PREFIX}{part.job_id}.{part.occurrence}.{part.step}.{part.number}'
+
+
+def assignments_part(key: str) -> AssignmentsPart:
+    """Return whose assignments are under a key."""
+    job_id, occurrence, step, number = key.removeprefix(ASSIGNMENTS_PREFIX).split('.')
+    return AssignmentsPart(job_id, int(occurrence), int(step), int(number))
+
+
 def roster_key(number: int) -> str:
     """Return the key of a part of the list of workers."""
     return f'{ROSTER_PREFIX}/{number}'
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -18,6 +18,7 @@
 from dahliaarch_kernel.scheduler import EndKind, Moment, Scheduler, SchedulerSettings, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_node.owner.held_starts import HeldStarts
 from dahliaarch_node.owner.recorder import Recorder
 from dahliaarch_node.owner.takeover import read_workers
 from dahliaarch_node.records import Member, OWNER_KEY, RosterEntry
@@ -66,6 +67,7 @@
             TIMING,
             self.scheduler,
             self._epoch,
+            starts=HeldStarts(lambda held: None),
             mark=dict,
             kept=self._note,
             shown=lambda job_id: None,
