A survey whose answer is late is asked again beside it

What callers saw: with half of the answers of workers lost, jobs with room stood as "workers unavailable" after a change of the owner (LOST).

Cause: a worker counted as silent after two surveys without an answer, for 0.6 and 1.2 s, and then until the next, for up to 2.4 s; it gets no start meanwhile. With half of the answers lost a quarter of all workers is silent at any time, and their stops and ends are not known either.

Why this works: where answers are lost another question is what brings one; the first question stays open for a worker that is only slow. What is asked beside it renews and acknowledges nothing, so that nothing new can be carried out late. The waits of several lengths before a first answer are not needed any more.

--- a/packages/node/dahliaarch_node/owner/contact.py
+++ b/packages/node/dahliaarch_node/owner/contact.py
@@ -9,6 +9,7 @@
 from dahliaarch_platform.sessions import WorkerSession
 from dahliaarch_platform.workers import WorkerReplacedError
 
+from ..logs import log_event
 from .link_settings import LinkContext
 from .messages import WorkerOver, WorkerReplaced
 
@@ -72,6 +73,8 @@
 
     def answered(self) -> None:
         """Note that a survey was answered."""
+        if self.is_silent:
+            log_event('worker_answers_again', worker=self.worker_id, failures=self.failures)
         self.failures = 0
         answer, self.answer = self.answer, anyio.Event()
         answer.set()
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -35,6 +35,9 @@
     longest_answer_s : float
         The same after waits that were too short. A worker that answers later than
         this counts as silent, and its runs start elsewhere once its lease has ended.
+    hedge_s, first_hedge_s : float
+        After how long a survey whose answer is late is asked again, beside it, and
+        the same before the worker's first answer; twice as long after each time.
     order_s : float
         Longest wait for the answer to the first try of a start: a worker
         answers in milliseconds, and the same start may be ordered again.
@@ -60,6 +63,8 @@
     idle_wait_s: float = 2.0
     answer_s: float = 0.6
     longest_answer_s: float = 2.4
+    hedge_s: float = 0.2
+    first_hedge_s: float = 0.1
     order_s: float = 0.3
     order_tries: int = 3
     turn_wait_s: float = 0.4
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -72,6 +72,9 @@
         self._contact = Contact(self._session, incarnation.worker_id, lease, context)
         # Ends the survey that is under way, when there are updates of the worker.
         self._given_up: asyncio.Future[None] | None = None
+        # An answer to a hedge of the survey that is under way.
+        self._hedged: Survey | OrderStatus | None = None
+        self._hedges = anyio.CancelScope()
         self._orders = WorkerOrders(self._contact)
 
     @property
@@ -194,12 +197,16 @@
         return settings.draining_hold_s if self.is_draining else settings.hold_s
 
     async def _ask(self, until_s: float | None, wait_s: float) -> Survey | OrderStatus:
-        """Ask what runs; tell that the worker is silent as soon as a second answer is late."""
+        """Ask what runs, and ask again beside that when the answer is late; tell of a second late one."""
         context = self._context
         late_s = wait_s + context.settings.answer_s
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(late_s, self._answer_is_late)
+        timers = [
+            loop.call_later(late_s, self._answer_is_late),
+            loop.call_later(wait_s + self._hedge_s, self._hedge, self._answer_s() - self._hedge_s),
+        ]
         self._given_up = loop.create_future()
+        self._hedged = None
         acknowledged = self._to_acknowledge
         earlier_s = self.unanswered_at_s
         if acknowledged:
@@ -217,11 +224,49 @@
             # It was never sent: a worker is asked first which incarnation it is.
             self.unanswered_at_s = earlier_s
             raise
+        except WorkerUnansweredError:
+            if self._hedged is None:
+                raise
+            return self._hedged
         finally:
-            timer.cancel()
+            for timer in timers:
+                timer.cancel()
+            self._hedges.cancel()
         self.unanswered_at_s = earlier_s
         return survey
 
+    def _hedge(self, left_s: float) -> None:
+        """Ask again beside a survey whose answer is late: where answers are lost it never comes."""
+        if self._tasks is not None:
+            self._hedges = anyio.CancelScope()
+            self._tasks.start_soon(self._ask_beside, self._hedges, left_s)
+
+    async def _ask_beside(self, scope: anyio.CancelScope, left_s: float) -> None:
+        """Ask what runs, and nothing else, until an answer comes in some time."""
+        answer_s = self._hedge_s
+        with scope:
+            while left_s > 0:
+                try:
+                    self._hedged = await self._session.survey(
+                        acknowledged=0, lease_until_s=None, wait_s=0.0, timeout_s=min(answer_s, left_s)
+                    )
+                except WorkerUnansweredError:
+                    left_s -= answer_s
+                    answer_s += answer_s
+                    continue
+                except WORKER_FAILURES as error:
+                    # The survey itself fails likewise, or its answer comes.
+                    log_event('hedge_failed', worker=self._worker_id, why=str(error))
+                    return
+                self.look_again()
+                return
+
+    @property
+    def _hedge_s(self) -> float:
+        """How long an answer is late before the worker is asked again, beside."""
+        settings = self._context.settings
+        return settings.hedge_s if self._lease.has_reading else settings.first_hedge_s
+
     def _answer_is_late(self) -> None:
         if self._contact.failures:
             self._context.post(WorkerSilent(self._worker_id))
@@ -231,13 +276,9 @@
 
         It doubles with each failure: where answers come late, from the worker or to
         an owner that has little processor time, a wait that stays the same gets
-        none of them, and what they listed runs again elsewhere. Until the first
-        answer short waits stand between the longer ones: jobs of previous owners wait
-        for it, and an answer that was lost never comes.
+        none of them, and what they listed runs again elsewhere.
         """
         settings = self._context.settings
-        if not self._lease.has_reading:
-            return _FIRST_ANSWER_S[self._contact.failures % len(_FIRST_ANSWER_S)]
         doublings = min(self._contact.failures, _MOST_DOUBLINGS)
         return min(settings.answer_s * (1 << doublings), settings.longest_answer_s)
 
@@ -301,8 +342,6 @@
         await anyio.sleep(self._context.settings.retry_s)
 
 
-# How long the answers to the first surveys of a worker are waited for in turn, in seconds.
-_FIRST_ANSWER_S = (0.3, 0.3, 0.6, 0.3, 0.3, 1.2, 0.3, 0.3, 2.4)
 # Doublings of a wait after which only its bound counts.
 _MOST_DOUBLINGS = 8
 # Surveys in the duration of a lease, however seldom: one or two may be lost.
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -5,10 +5,12 @@
 import anyio
 import pytest
 
-from dahliaarch_kernel.scheduler import Lease
+from dahliaarch_kernel.scheduler import EndKind, Lease
+from dahliaarch_kernel.scheduler.events import RunEnd
+from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
-from dahliaarch_platform.workers import Survey, WorkerUnansweredError, WorkerUnreachableError
+from dahliaarch_platform.workers import ListedEnd, Survey, WorkerUnansweredError, WorkerUnreachableError
 
 from ...metrics import Metrics
 from ..link_settings import LinkContext, LinkSettings, StartTurns
@@ -161,3 +163,63 @@
         return owner.posted[before:]
 
     assert any(isinstance(message, WorkerSurveyed) for message in anyio.run(survey))
+
+
+class LossyWorker(Sessions):
+    """A worker of whose answers two of three are lost."""
+
+    def __init__(self):
+        self.surveys = []
+
+    async def survey(self, address, incarnation, *, timeout_s, wait_s, acknowledged, lease_until_s, **order):
+        self.surveys.append((acknowledged, lease_until_s))
+        if len(self.surveys) % 3:
+            await anyio.sleep(timeout_s)
+            raise WorkerUnansweredError('lost')
+        await anyio.sleep(wait_s)
+        ended = (ListedEnd(1, RunEnd('w', TaskKey('a' * 16, 0, 0, 0), 1, EndKind.DONE)),)
+        return Survey(100.0, (), ended)
+
+
+def play_lossy(seconds):
+    """Return a worker that loses answers, what its link told, and the link, after so long."""
+    owner, worker = Owner(), LossyWorker()
+
+    async def survey():
+        context = LinkContext(
+            worker,
+            7,
+            LinkSettings(wait_s=0.1, idle_wait_s=0.1),
+            Metrics(),
+            owner.post,
+            lambda: None,
+            time.monotonic,
+            StartTurns(anyio.Semaphore(8), anyio.Semaphore(8)),
+        )
+        link = WorkerLink(WorkerIncarnation('w'), Address('h', 1), Lease(), context)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with anyio.move_on_after(seconds):
+                while True:
+                    link.acknowledge(1)
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        return link
+
+    return worker, owner, anyio.run(survey)
+
+
+def test_a_worker_is_not_silent_where_two_of_three_of_its_answers_are_lost():
+    # After a change of the owner such workers got no starts for seconds, one after the other, beside an idle pool.
+    worker, owner, _ = play_lossy(4.0)
+    assert not owner.has_been_posted(WorkerSilent)
+    assert sum(isinstance(message, WorkerSurveyed) for message in owner.posted) >= 6
+
+
+def test_what_is_asked_beside_a_survey_renews_and_acknowledges_nothing():
+    worker, _, link = play_lossy(2.0)
+    renewing = [survey for survey in worker.surveys if survey[1] is not None]
+    assert all(acknowledged == 0 for acknowledged, lease in worker.surveys if lease is None)
+    assert any(acknowledged for acknowledged, _ in renewing)
+    # The acknowledgement that got no answer may be carried out late, though another question was answered.
+    assert link.unanswered_at_s > 0
