A hedge of a survey goes on where the greeting of its connection got no answer

A hedge needs a new connection while the survey holds the only one, and that is greeted first. A greeting without an answer counted as no connection, so that each survey had one hedge in place of two to four. WorkerUngreetedError tells the two apart; the regression test loses such answers now.

Tried and not kept: starts whose greeting got no answer are tried again at once.

--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -16,6 +16,7 @@
     WORKER_FAILURES,
     WorkerReplacedError,
     WorkerUnansweredError,
+    WorkerUngreetedError,
     WorkerUnreachableError,
 )
 
@@ -250,7 +251,7 @@
                     self._hedged = await self._session.survey(
                         acknowledged=0, lease_until_s=None, wait_s=0.0, timeout_s=min(answer_s, left_s)
                     )
-                except WorkerUnansweredError:
+                except (WorkerUnansweredError, WorkerUngreetedError):
                     left_s -= answer_s
                     answer_s += answer_s
                     continue
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -10,7 +10,13 @@
 from dahliaarch_kernel.workload import TaskKey
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
-from dahliaarch_platform.workers import ListedEnd, Survey, WorkerUnansweredError, WorkerUnreachableError
+from dahliaarch_platform.workers import (
+    ListedEnd,
+    Survey,
+    WorkerUnansweredError,
+    WorkerUngreetedError,
+    WorkerUnreachableError,
+)
 
 from ...metrics import Metrics
 from ..link_settings import LinkContext, LinkSettings, StartTurns
@@ -175,7 +181,8 @@
         self.surveys.append((acknowledged, lease_until_s))
         if len(self.surveys) % 3:
             await anyio.sleep(timeout_s)
-            raise WorkerUnansweredError('lost')
+            # What is asked beside another survey needs a new connection.
+            raise WorkerUnansweredError('lost') if lease_until_s else WorkerUngreetedError('lost')
         await anyio.sleep(wait_s)
         ended = (ListedEnd(1, RunEnd('w', TaskKey('a' * 16, 0, 0, 0), 1, EndKind.DONE)),)
         return Survey(100.0, (), ended)
