A hedge's answer ends a first question that waits for the greeting of its connection

Cause: before a worker's first answer a survey is the greeting of a new connection, which nothing but its own time limit ended. A hedge was answered beside it, and that answer was dropped when the greeting failed.

Now a greeting is given up like any other call, and a survey that fails takes the answer that a hedge has brought. The sessions in memory that tests use end a survey that is given up, as the real ones do.

--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -221,11 +221,13 @@
                 timeout_s=wait_s + self._answer_s(),
                 given_up=self._given_up,
             )
-        except (WorkerUnreachableError, WorkerReplacedError):
-            # It was never sent: a worker is asked first which incarnation it is.
+        except WorkerReplacedError:
             self.unanswered_at_s = earlier_s
             raise
-        except WorkerUnansweredError:
+        except (WorkerUnansweredError, WorkerUnreachableError) as error:
+            if isinstance(error, WorkerUnreachableError):
+                # It was never sent: a worker is asked first which incarnation it is.
+                self.unanswered_at_s = earlier_s
             if self._hedged is None:
                 raise
             return self._hedged
--- a/packages/node/dahliaarch_node/owner/tests/sessions.py
+++ b/packages/node/dahliaarch_node/owner/tests/sessions.py
@@ -1,5 +1,9 @@
 """Sessions with workers in memory."""
 
+import asyncio
+
+from dahliaarch_platform.workers import WorkerUnansweredError
+
 
 class Sessions:
     """What a worker in memory needs for sessions with it: calls name the incarnation and the fence."""
@@ -15,7 +19,15 @@
         self._fence = fence
 
     async def survey(self, *, given_up=None, **options):
-        return await self._workers.survey(*self._whom, fence=self._fence, **options)
+        call = asyncio.ensure_future(self._workers.survey(*self._whom, fence=self._fence, **options))
+        awaited = {call} if given_up is None else {call, given_up}
+        try:
+            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+            if call.done():
+                return call.result()
+        finally:
+            call.cancel()
+        raise WorkerUnansweredError('given up')
 
     async def start(self, order, *, timeout_s):
         return await self._workers.start(*self._whom, order, fence=self._fence, timeout_s=timeout_s)
