A start that is kept after its worker ended is not sent, and counts as no crash

Its log: RuntimeError "This task group is not active" from the release of a held start.

Cause: starts are sent from the task that keeps assignments, which may run between the end of an incarnation of a worker and the moment when that is taken in: its link has ended by then. And a start that is held when its worker ends, or is found silent, was still believed to be there: a crash under a task that was never sent counts against it.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -158,7 +158,15 @@
         """Take the pool over and decide until deposed or cancelled."""
         with self._scope, self._load_gauges:
             async with anyio.create_task_group() as tasks:
-                parts = IntakeParts(self.scheduler, self._links, self._previous, self._unserved, self.depose, _now)
+                parts = IntakeParts(
+                    self.scheduler,
+                    self._links,
+                    self._previous,
+                    self._unserved,
+                    self._effects.held_starts,
+                    self.depose,
+                    _now,
+                )
                 intake = Intake(parts, self.epoch, tasks)
                 jobs_revision = await self._load(intake, tasks)
                 await self._survey_all(intake)
--- a/packages/node/dahliaarch_node/owner/held_starts.py
+++ b/packages/node/dahliaarch_node/owner/held_starts.py
@@ -42,6 +42,13 @@
         """Never send a start; tell whether it was held."""
         return self._held_by_run.pop((key, run), None) is not None
 
+    def take_of_worker(self, worker_id: str) -> list[StartRun]:
+        """Return the starts that are held for a worker, and never send them."""
+        starts = [held.start for held in self._held_by_run.values() if held.start.worker_id == worker_id]
+        for start in starts:
+            self.withdraw(start.key, start.run)
+        return starts
+
     def runs_by_part(self) -> dict[AssignmentsPart, list[RunId]]:
         """Return the runs of the starts that are held, by where they are kept; the most urgent first."""
         found: dict[AssignmentsPart, list[RunId]] = {}
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -6,13 +6,14 @@
 
 from anyio.abc import TaskGroup
 
-from dahliaarch_kernel.scheduler import JobProgress, Moment, Scheduler, WorkerProfile
+from dahliaarch_kernel.scheduler import EndKind, JobProgress, Moment, Scheduler, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import step_summary, weighted_cores
 from dahliaarch_platform.incarnations import WorkerIncarnation
 from dahliaarch_platform.settings import Address
 
 from ..logs import log_event
+from .held_starts import HeldStarts
 from .links import WorkerLink
 from .messages import (
     AdviceFailed,
@@ -54,6 +55,8 @@
         What previous owners started.
     unserved : UnservedWorkers
         Workers of services that nobody configured.
+    held_starts : HeldStarts
+        Starts that are not sent yet.
     deposed : callable
         Called when a message tells of a newer owner.
     now : callable
@@ -64,6 +67,7 @@
     links: Links
     previous: PreviousWork
     unserved: UnservedWorkers
+    held_starts: HeldStarts
     deposed: Callable[[], None]
     now: Callable[[], Moment]
 
@@ -94,6 +98,7 @@
         self._links = parts.links
         self._previous = parts.previous
         self._unserved = parts.unserved
+        self._held_starts = parts.held_starts
         self._deposed = parts.deposed
         self._now = parts.now
         self._epoch = epoch
@@ -224,11 +229,13 @@
 
     @handle.register
     def _(self, message: WorkerSilent) -> None:
+        self._drop_held_starts(message.worker_id)
         self._scheduler.worker_silent(message.worker_id)
 
     @handle.register
     def _(self, message: WorkerOver) -> None:
         log_event('worker_over', worker=message.worker_id)
+        self._drop_held_starts(message.worker_id)
         self._scheduler.worker_over(message.worker_id, self._now())
         self._links.close(message.worker_id)
         self._previous.reported(message.worker_id)
@@ -236,6 +243,7 @@
     @handle.register
     def _(self, message: WorkerReplaced) -> None:
         log_event('worker_replaced', worker=message.worker_id, by=message.successor.worker_id)
+        self._drop_held_starts(message.worker_id)
         former = self._scheduler.worker_by_id.get(message.worker_id)
         link = self._links.get(message.worker_id)
         if former is not None and link is not None:
@@ -295,6 +303,11 @@
         link = self._links.named(name)
         return name if link is None else link.incarnation.worker_id
 
+    def _drop_held_starts(self, worker_id: str) -> None:
+        """Let starts never be sent to a worker that takes none any more: it does not crash under them."""
+        for start in self._held_starts.take_of_worker(worker_id):
+            self._take_in_end(RunEnd(worker_id, start.key, start.run, EndKind.REFUSED), self._now())
+
     def _take_in_end(self, end: RunEnd, now: Moment) -> None:
         log_event('run_ended', worker=end.worker_id, task=end.key, run=end.run, how=end.kind)
         self._scheduler.run_ended(end, now)
--- a/packages/node/dahliaarch_node/owner/tests/test_assignments.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_assignments.py
@@ -21,7 +21,7 @@
 )
 from ...timing import StoreTiming
 from .. import PoolOwner
-from ..messages import JobCancelled, WorkerOver
+from ..messages import JobCancelled, WorkerOver, WorkerSilent
 from ..settings import OwnerSettings
 from .test_takeover import (
     decode_job_record,
@@ -259,3 +259,39 @@
 
     store, _ = play(scenario, [worker_entry('w0')])
     assert store.assigned_at_roster == [False]
+
+
+def test_a_worker_does_not_crash_under_a_start_that_is_held():
+    # A task that was never sent to three workers that crashed would be given up for it.
+    crashes = []
+
+    async def scenario(owner, store, workers):
+        store.refuses = True
+        owner.post(decode_job_record(kept_job(NEW, time.time())))
+        await anyio.sleep(0.1)
+        owner.post(WorkerOver('w0'))
+        await anyio.sleep(0.1)
+        store.refuses = False
+        await anyio.sleep(0.5)
+        step = owner.scheduler.job_by_id[NEW].step_by_key[0, 0]
+        crashes.append((step.crashes_by_index, step.pending))
+
+    _, workers = play(scenario, [worker_entry('w0')])
+    assert crashes == [({}, {0})]
+    assert not workers.starts
+
+
+def test_a_start_that_is_held_for_a_worker_that_falls_silent_goes_to_another():
+    async def scenario(owner, store, workers):
+        store.refuses = True
+        owner.post(decode_job_record(kept_job(NEW, time.time())))
+        await anyio.sleep(0.1)
+        (run,) = owner.scheduler.job_by_id[NEW].runs()
+        workers.silent_until_s[run.worker_id] = float('inf')
+        owner.post(WorkerSilent(run.worker_id))
+        await anyio.sleep(0.1)
+        store.refuses = False
+        await until(lambda: workers.starts, 2.0)
+        assert [worker for worker, _ in workers.starts] == [{'w0': 'w1', 'w1': 'w0'}[run.worker_id]]
+
+    play(scenario, [worker_entry('w0'), worker_entry('w1')])
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -139,3 +139,25 @@
     anyio.run(run)
     assert not worker.starts
     assert RunNever('w', KEY, 1) in posted
+
+
+def test_a_start_after_the_end_of_its_worker_does_not_end_the_process():
+    # A start that was kept meanwhile came after the incarnation's end and before that was taken in.
+    worker = Worker()
+    posted = []
+
+    async def run():
+        link = WorkerLink(
+            WorkerIncarnation('w'), Address('h', 1), Lease(), context_of(worker)._replace(post=posted.append)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            await anyio.sleep(0.05)
+            link.close()
+            await anyio.sleep(0.05)
+            link.start(StartRun('w', KEY, 1, '', RANK_ORDINARY, 1.0, ''), '')
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert posted[-1] == RunNever('w', KEY, 1)
+    assert not worker.starts
