An owner that the store turns away makes its transactions through other instances

What callers saw: urgent jobs late. Since assignments are kept before starts are sent, nothing was started from the moment when the store turned the owner away until its lease had ended and another instance owned the pool.

Why this works: the conditions of a transaction, the owner's epoch among them, hold whoever makes it. The lease is not renewed that way: an owner that gets no updates of workers should hand the pool over.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -22,6 +22,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import Adviser, Ask
+from .committing import Commit, Committer
 from .effects import Effects
 from .end_notifier import EndNotifier
 from .feeds import Feed, follow_jobs, job_messages, WorkersFeed
@@ -62,6 +63,8 @@
         Calls of workers.
     askers : callable
         Returns the ways to ask the outside policy now.
+    relays : callable
+        Returns the ways to have a transaction made by other instances now.
     metrics : Metrics
         Counters.
     authority : Authority or None
@@ -76,6 +79,7 @@
         askers: Callable[[], Sequence[Ask]],
         metrics: Metrics,
         authority: Authority | None = None,
+        relays: Callable[[], Sequence[Commit]] = tuple,
     ) -> None:
         """Prepare; `run` takes the pool over."""
         self._authority = authority or lasting_authority()
@@ -112,7 +116,7 @@
         self._adviser = Adviser(askers, self.post, self._links.name_of, steady_s)
         self._effects = Effects(self.scheduler, self._links, self._adviser, self.post, metrics, _now)
         self._recorder = Recorder(
-            store,
+            Committer(store, relays),
             settings.timing,
             self.scheduler,
             settings.epoch,
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -15,7 +15,6 @@
     Condition,
     MAX_TRANSACTION_ENTRIES,
     STORE_FAILURES,
-    StoreClient,
     Write,
 )
 
@@ -34,6 +33,7 @@
     RosterEntry,
 )
 from ..timing import StoreTiming
+from .committing import Committer
 from .held_starts import HeldStarts, RunId
 
 # Ends of tasks that come within this time share a transaction, in seconds; they
@@ -105,8 +105,8 @@
 
     Parameters
     ----------
-    store : StoreClient
-        The store.
+    store : Committer
+        Makes transactions.
     timing : StoreTiming
         Timeouts and pauses.
     scheduler : Scheduler
@@ -127,7 +127,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: Committer,
         timing: StoreTiming,
         scheduler: Scheduler,
         epoch: int,
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -1,10 +1,12 @@
 """Messages between instances."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
 
 from dahliaarch_kernel.errors import ProtocolError
+from dahliaarch_platform.store import Condition, Item, Write
 
 from ..records import Member
 
@@ -189,6 +191,56 @@
     ticket_by_worker: dict[str, str] = {}
 
 
+class CommitFor(NamedTuple):
+    """Asks an instance to make a transaction for an owner that the store turns away.
+
+    Parameters
+    ----------
+    conditions : tuple of Condition
+        Revisions at which keys must be.
+    writes : tuple of Write
+        Keys to be written.
+    removals : tuple of str
+        Keys to be removed.
+    timeout_s : float
+        How long the owner waits for the answer.
+    """
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+    removals: tuple[str, ...]
+    timeout_s: float
+
+
+class CommitOutcome(StrEnum):
+    """What became of a transaction that was made for another instance."""
+
+    DONE = 'done'
+    CONDITION_FAILED = 'condition_failed'
+    LEASE_OVER = 'lease_over'
+    #: It was certainly not made.
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+class CommitReply(NamedTuple):
+    """What became of a transaction.
+
+    Parameters
+    ----------
+    outcome : CommitOutcome
+        What became of it.
+    revision : int
+        Revision of the change, when done.
+    current : tuple of Item
+        Present items of the conditions, when one failed.
+    """
+
+    outcome: CommitOutcome
+    revision: int = 0
+    current: tuple[Item, ...] = ()
+
+
 Message = (
     Hello
     | Heartbeat
@@ -205,6 +257,8 @@
     | PolicyReply
     | AskConfiguration
     | ConfigurationPart
+    | CommitFor
+    | CommitReply
 )
 
 _TYPES: tuple[type[Message], ...] = (
@@ -223,6 +277,8 @@
     PolicyReply,
     AskConfiguration,
     ConfigurationPart,
+    CommitFor,
+    CommitReply,
 )
 _NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
 
--- /dev/null
+++ b/packages/node/dahliaarch_node/relaying.py
@@ -0,0 +1,74 @@
+"""Transactions that another instance makes for this one, which the store turns away."""
+
+import random
+from collections.abc import Sequence
+from functools import partial
+
+from dahliaarch_platform.store import (
+    CommitResult,
+    CommitStatus,
+    Condition,
+    STORE_FAILURES,
+    StoreClient,
+    StoreRefusedError,
+    StoreUnansweredError,
+    StoreUnreachableError,
+    Write,
+)
+
+from .membership import Membership
+from .owner.committing import Commit
+from .peers import CommitFor, CommitOutcome, CommitReply, Mesh, PeerSilentError
+from .records import Member
+
+# Share of the time of a transaction that the other instance waits for the store: its answer takes some, too.
+_STORE_SHARE = 0.8
+_OUTCOME_BY_STATUS = {
+    CommitStatus.DONE: CommitOutcome.DONE,
+    CommitStatus.CONDITION_FAILED: CommitOutcome.CONDITION_FAILED,
+    CommitStatus.LEASE_OVER: CommitOutcome.LEASE_OVER,
+}
+_STATUS_BY_OUTCOME = {outcome: status for status, outcome in _OUTCOME_BY_STATUS.items()}
+
+
+def relays(mesh: Mesh, membership: Membership) -> Sequence[Commit]:
+    """Return the ways to have a transaction made by the other instances, in any order."""
+    peers = membership.peers()
+    random.shuffle(peers)
+    return [partial(_commit_through, mesh, peer) for peer in peers]
+
+
+async def make_for_peer(store: StoreClient, message: CommitFor) -> CommitReply:
+    """Make a transaction for another instance."""
+    if store.is_suspect:
+        return CommitReply(CommitOutcome.REFUSED)
+    try:
+        made = await store.commit(
+            message.conditions, message.writes, message.removals, timeout_s=message.timeout_s * _STORE_SHARE
+        )
+    except (StoreRefusedError, StoreUnreachableError):
+        return CommitReply(CommitOutcome.REFUSED)
+    except STORE_FAILURES:
+        return CommitReply(CommitOutcome.UNKNOWN)
+    return CommitReply(_OUTCOME_BY_STATUS[made.status], made.revision, made.current)
+
+
+async def _commit_through(
+    mesh: Mesh,
+    peer: Member,
+    conditions: Sequence[Condition],
+    writes: Sequence[Write],
+    removals: Sequence[str] = (),
+    *,
+    timeout_s: float,
+) -> CommitResult:
+    message = CommitFor(tuple(conditions), tuple(writes), tuple(removals), timeout_s)
+    try:
+        reply = await mesh.ask((peer.host, peer.port), message, timeout_s=timeout_s)
+    except PeerSilentError as error:
+        raise StoreUnansweredError(str(error)) from error
+    if not isinstance(reply, CommitReply) or reply.outcome is CommitOutcome.UNKNOWN:
+        raise StoreUnansweredError(f'{peer.instance} does not know')
+    if reply.outcome is CommitOutcome.REFUSED:
+        raise StoreRefusedError(f'{peer.instance} is refused too')
+    return CommitResult(_STATUS_BY_OUTCOME[reply.outcome], reply.revision, reply.current)
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -21,6 +21,7 @@
     AskPending,
     AskPolicy,
     AskState,
+    CommitFor,
     Heartbeat,
     HeartbeatReply,
     Hello,
@@ -31,6 +32,7 @@
     StateReply,
 )
 from .records import job_key, JobRecord
+from .relaying import make_for_peer
 
 # Longest try at a write for another instance, in seconds: what is left of the
 # time that it holds its caller.
@@ -145,6 +147,10 @@
             return PolicyReply(is_answered=False)
         return PolicyReply(True, dict(tickets))
 
+    @_reply.register
+    async def _(self, message: CommitFor) -> Message | None:
+        return await make_for_peer(self._store, message)
+
     def _pass_on(self, job_id: str, record: bytes, revision: int, *, is_cancel: bool) -> None:
         """Hand updates to the pool's owner, if it is here; else the watch brings them."""
         if self.owner is None:
