Tests of restarted workers bring about what they are about, whatever the load

Cause, from starts and ends of the stand-ins and logs of the daemons, five failures on: - the first test loses all answers of a worker once any end was listed. Beside load its tasks end in two ticks, 20 ms apart; those of the second were listed to nobody before the worker crashed. They run again, and have to: an end that was never listed is never acknowledged. Now answers are lost once the list holds the ends of all tasks there, which is also what its text says. - the others crash workers 14 ms after their ends were kept, while the acknowledgement is under way, so that the next incarnation is probed. Now they crash once that was answered.

Checks are unchanged.

--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -21,6 +21,10 @@
 ONE_TASK = [{**PARALLEL[0], 'Count': 1}]
 # Enough tasks that every worker has reported some ends.
 MANY_TASKS = [{**PARALLEL[0], 'Count': 32}]
+# How many of them each of the four workers has room for.
+ENDS_ON_A_WORKER = 8
+# Longest wait of an owner for the answer to a survey.
+ANSWER_S = 0.6
 
 
 def follow(running, job_id, most_starts):
@@ -40,6 +44,9 @@
     running.submit(MANY_TASKS)
     running.wait_for(running.job_ids[-1], 'succeeded')
     assert all(len(worker.ends) > MOST_ATTEMPTS for worker in running.workers)
+    # A worker that crashes beside an unanswered acknowledgement is probed, which starts a task more than once.
+    running.wait_until(lambda: all(len(worker.noted) == len(worker.ends) for worker in running.workers))
+    running.sleep(ANSWER_S)
 
     async def start_again():
         async with anyio.create_task_group() as tasks:
@@ -99,7 +106,9 @@
     worker = running.workers[0]
 
     def lose_what_acknowledges(step, is_done):
-        if step == '/hold' and is_done and worker.ends:
+        # Ends that no answer lists before the crash are known to nobody, and their tasks have to run again.
+        has_listed_all = is_done and len(worker.ends) >= ENDS_ON_A_WORKER and not worker.running
+        if step == '/hold' and has_listed_all:
             worker.faults.lost_share, worker.faults.late_s = 1.0, 1.2
 
     worker.faults.observer = lose_what_acknowledges
