Crashes of workers on which a task may not have run are discounted

Cause: each run that an owner believed in counted as one under which its worker crashed.

Why this works: a crash is discounted where the worker has listed its runs without the task since the start was sent, where only a previous owner's assignment says that the task was there, or where the run is expected to have ended before its worker stopped answering. Two are discounted at most and five in all fail the job, so that tasks which crash workers are not started more often than users bear: three times as before where the crash comes right after the start, four or five times around changes of the owner.

Stored records keep their form: a field has another name.

crash_counted logs each crash that counts, and whether it is discounted.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -45,6 +45,7 @@
     'stop_ordered': 'run {run} of task {task} on {worker} was ordered to stop: {why}',
     'run_ended': 'run {run} of task {task} on {worker} ended: {how}',
     'run_lost': 'run {run} of task {task} was lost with {worker} ({why}) after {ran_s} s beside {beside} others',
+    'crash_counted': 'a crash of {worker} counts against task {task} (discounted: {is_discounted})',
     'task_given_up': 'task {task} was given up and its job failed: workers crashed under it: {workers}',
     'start_turn_late': 'the start of run {run} of task {task} on {worker} waited {waited_s} s behind other starts',
     'start_refused': '{worker} refused run {run} of task {task}: {status}',
--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -13,7 +13,7 @@
 
 from ..workload import TaskKey
 from .clock import Moment
-from .events import TaskGivenUp
+from .events import CrashCounted, TaskGivenUp
 from .job_state import JobPhase, JobState, StepState
 from .progress import counted_crashes, Crash, is_suspect, OUTLIVED_S
 from .runs import Run
@@ -26,6 +26,8 @@
 # A task is given up after this many crashes, whatever ran beside it: users bear two
 # more starts once three workers have crashed, and one may be under way unknown.
 _MOST_CRASHES = 4
+# The same, discounted ones included.
+_MOST_CRASHES_IN_ALL = 5
 # Workers that are known to have crashed within this time did so together, in seconds:
 # they are back, and known to be, some tenths apart.
 _TOGETHER_S = 2.0
@@ -46,7 +48,7 @@
 
 def worker_crashed(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
     """Note the death of a worker for all tasks that were there; one that leaves as announced crashes under none."""
-    crash_by_task = _crash_by_task(worker)
+    crash_by_task = _crash_by_task(state, worker, now)
     silent = state.silent_loss_by_worker.pop(worker.worker_id, None)
     if silent is not None:
         crash_by_task |= silent.crash_by_task
@@ -68,7 +70,7 @@
         for worker_id, silent in state.silent_loss_by_worker.items()
         if now.steady_s - silent.at_s < _SILENCE_REMEMBERED_S
     }
-    crash_by_task = _crash_by_task(worker)
+    crash_by_task = _crash_by_task(state, worker, now)
     if crash_by_task and not worker.profile.draining:
         remembered[worker.worker_id] = SilentLoss(now.steady_s, crash_by_task)
     state.silent_loss_by_worker = remembered
@@ -104,15 +106,25 @@
         step.suspects.discard(run.key.task_index)
 
 
-def _crash_by_task(worker: WorkerState) -> dict[TaskKey, Crash]:
+def _crash_by_task(state: SchedulerState, worker: WorkerState, now: Moment) -> dict[TaskKey, Crash]:
     runs = list(worker.run_by_key.values())
     blamed = [run for run in runs if run.is_isolated] or runs
-    return {run.key: _crash(worker, run) for run in blamed}
+    crashed_s = now.steady_s if worker.silent_since_s is None else worker.silent_since_s
+    return {run.key: _crash(state, worker, run, crashed_s) for run in blamed}
 
 
-def _crash(worker: WorkerState, run: Run) -> Crash:
+def _crash(state: SchedulerState, worker: WorkerState, run: Run, crashed_s: float) -> Crash:
     is_conclusive = run.is_isolated or not worker.beside(run)
-    return Crash(run.number, worker.worker_id, run.ran_s, is_conclusive)
+    was_there = _was_surely_there(state, run, crashed_s)
+    return Crash(run.number, worker.worker_id, run.ran_s, is_conclusive, is_discounted=not was_there)
+
+
+def _was_surely_there(state: SchedulerState, run: Run, crashed_s: float) -> bool:
+    """Tell whether a run had begun when its worker crashed, and its end, if it had one, would have been listed."""
+    if not run.is_confirmed and (run.was_absent or run.is_inherited):
+        return False
+    step = state.step_of(run.key)
+    return step is None or step.spec.lasting or not run.may_have_ended(crashed_s)
 
 
 def check_kept_crashes(job: JobState, now: Moment) -> None:
@@ -152,11 +164,15 @@
     step = state.step_of(key)
     if step is None:
         return
-    crashes = step.crashes_by_index.get(key.task_index, ())
-    if sum(each.with_others for each in crashes) < _MOST_DISCOUNTED and step.discount_crash(key.task_index, crash.run):
+    if _may_discount(step, key) and step.discount_crash(key.task_index, crash.run):
         state.dirty_jobs.add(key.job_id)
 
 
+def _may_discount(step: StepState, key: TaskKey) -> bool:
+    crashes = step.crashes_by_index.get(key.task_index, ())
+    return sum(crash.is_discounted for crash in crashes) < _MOST_DISCOUNTED
+
+
 def _others(deaths: Iterable[Death], death: Death, key: TaskKey) -> int:
     """Return how many other workers crashed on which no task of a task's step ran."""
     return sum(
@@ -175,7 +191,11 @@
     step = state.step_of(key)
     if step is None or not _counts(step, key, crash):
         return
-    step.count_crash(key.task_index, crash)
+    if crash.is_discounted and not _may_discount(step, key):
+        crash = crash._replace(is_discounted=False)
+    if step.count_crash(key.task_index, crash):
+        note = CrashCounted(crash.worker_id, key, crash.run, crash.is_conclusive, crash.is_discounted)
+        state.notes.append(note)
     state.dirty_jobs.add(key.job_id)
     if is_suspect(step.crashes_by_index[key.task_index]):
         step.suspects.add(key.task_index)
@@ -200,6 +220,6 @@
 
 def _is_over_crash_limit(crashes: Sequence[Crash]) -> bool:
     counted = counted_crashes(crashes)
-    if len(counted) >= _MOST_CRASHES:
+    if len(counted) >= _MOST_CRASHES or len(crashes) >= _MOST_CRASHES_IN_ALL:
         return True
     return len(counted) >= _CONCLUSIVE_CRASHES and counted[-1].is_conclusive
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -77,6 +77,30 @@
     beside: int
 
 
+class CrashCounted(NamedTuple):
+    """A crash of a worker under a task, for the log.
+
+    Parameters
+    ----------
+    worker_id : str
+        Incarnation of the worker.
+    key : TaskKey
+        The task.
+    run : int
+        Number of the run.
+    is_conclusive : bool
+        Whether no other job was there, or none but the task was isolated.
+    is_discounted : bool
+        Whether it says nothing of the task, since the run may not have been there.
+    """
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    is_conclusive: bool
+    is_discounted: bool
+
+
 class TaskGivenUp(NamedTuple):
     """A task under which too many workers crashed; its job has failed by that.
 
@@ -150,7 +174,7 @@
     used_share: float
 
 
-Note = RunLost | TaskGivenUp | StepWaiting
+Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting
 
 
 class RunSeen(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -94,23 +94,24 @@
         failed.add(run)
         return len(failed)
 
-    def count_crash(self, index: int, crash: Crash) -> None:
-        """Record a crash of a worker under a task, once."""
+    def count_crash(self, index: int, crash: Crash) -> bool:
+        """Record a crash of a worker under a task, once; tell whether it is new."""
         crashes = self.crashes_by_index.setdefault(index, [])
         if any(known.run == crash.run for known in crashes):
-            return
+            return False
         crashes.append(crash)
         self.alone_until_s = None
         # What one owner counted and could not keep is a start more under the next: with
         # the store away, three owners in turn gave a task six.
         self.job.has_unkept_crashes = self.job.has_unkept_crashes or is_suspect(crashes)
+        return True
 
     def discount_crash(self, index: int, run: int) -> bool:
         """Record that the crash under a run said nothing of its task; tell whether that is new."""
         crashes = self.crashes_by_index.get(index, [])
         for number, crash in enumerate(crashes):
-            if crash.run == run and not crash.with_others:
-                crashes[number] = crash._replace(with_others=True)
+            if crash.run == run and not crash.is_discounted:
+                crashes[number] = crash._replace(is_discounted=True)
                 if not is_suspect(crashes):
                     self.suspects.discard(index)
                 return True
--- a/packages/kernel/dahliaarch_kernel/scheduler/progress.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/progress.py
@@ -22,21 +22,21 @@
         How long the run was known to run, in seconds.
     is_conclusive : bool
         Whether no other job ran there, or none but the task was isolated.
-    with_others : bool
-        Whether other workers, without this task's step, crashed at about that time:
-        then it says nothing of the task.
+    is_discounted : bool
+        Whether it says nothing of the task: other workers, without its step, crashed at
+        about that time, or the run may not have been there.
     """
 
     run: int
     worker_id: str
     ran_s: float
     is_conclusive: bool
-    with_others: bool = False
+    is_discounted: bool = False
 
 
 def counted_crashes(crashes: Sequence[Crash]) -> list[Crash]:
     """Return the crashes that say something of their task."""
-    return [crash for crash in crashes if not crash.with_others]
+    return [crash for crash in crashes if not crash.is_discounted]
 
 
 def is_suspect(crashes: Sequence[Crash]) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -48,6 +48,8 @@
     is_confirmed : bool
         Whether its worker acknowledged its start or listed it: before that the
         start may still be carried out, whatever a list of runs says.
+    was_absent : bool
+        Whether its worker has listed its runs since the start was sent, without it.
     is_inherited : bool
         Whether a previous owner assigned it, and its worker has not listed it since:
         a list that leaves it out rules it out, for orders of that owner are refused.
@@ -77,6 +79,7 @@
         'seen_s',
         'slowdown',
         'started_s',
+        'was_absent',
         'work_s',
         'worker_id',
     )
@@ -102,6 +105,7 @@
         self.began_from_checkpoint = False
         self.has_reported_pace = False
         self.is_confirmed = False
+        self.was_absent = False
         self.is_inherited = False
         self.assigned_s = 0.0
         self.isolation_s = 0.0
@@ -130,6 +134,7 @@
         self.started_s = started_s
         self.moved_s = started_s
         self.seen_s = started_s
+        self.was_absent = False
         if self._mark_s is not None:
             self._mark_s = started_s
 
@@ -157,6 +162,10 @@
         self.report_gain = max(0.0, percent - self._mark_percent)
         self._mark_s, self._mark_percent = now_s, percent
 
+    def may_have_ended(self, at_s: float) -> bool:
+        """Tell whether it is expected to have ended since it was listed, at a time by the steady clock."""
+        return at_s > self.seen_s and self.left_s(at_s) <= _LEAST_LEFT_S
+
     def left_s(self, now_s: float) -> float:
         """Return the expected time to its end."""
         by_plan_s = self.started_s + self.work_s - now_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -185,11 +185,11 @@
         for job in self._state.job_by_id.values():
             job.known_since_s = 0.0
 
-    def worker_silent(self, worker_id: str) -> None:
+    def worker_silent(self, worker_id: str, now: Moment) -> None:
         """Record that a worker does not answer."""
         worker = self._state.worker_by_id.get(worker_id)
-        if worker is not None:
-            worker.is_silent = True
+        if worker is not None and worker.silent_since_s is None:
+            worker.silent_since_s = now.steady_s
 
     def worker_replaced(self, worker_id: str, successor_id: str, late_until_s: float) -> None:
         """Record, before an incarnation of a worker is over, that another one has answered.
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -40,14 +40,17 @@
         The present.
     """
     worker.is_surveyed = True
-    worker.is_silent = False
+    worker.silent_since_s = None
     state.surveyed_workers.add(worker.worker_id)
     seen_keys = set()
     for seen in running:
         seen_keys.add((seen.key, seen.run))
         _take_in_run(state, worker, seen, now)
     for run in tuple(worker.run_by_key.values()):
-        if (run.key, run.number) in seen_keys or not _is_ruled_out(run, begun_s):
+        if (run.key, run.number) in seen_keys:
+            continue
+        if not _is_ruled_out(run, begun_s):
+            run.was_absent = run.was_absent or run.started_s < begun_s
             continue
         state.note_loss(worker, run, LossCause.NOT_LISTED)
         take_in_end(state, RunEnd(worker.worker_id, run.key, run.number, EndKind.LAPSED, run.checkpoint), now)
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crash_histories.py
@@ -0,0 +1,306 @@
+"""Owners in turn, any of which may end before it has kept, or learned of, a crash."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, rule, RuleBasedStateMachine
+
+from dahliaarch_kernel.scheduler import EndKind, WorkerProfile
+from dahliaarch_kernel.scheduler.events import RunEnd
+
+from .pool import ORDINARY, task, URGENT, WORKER
+from .recorded_owners import LeasedWorker, RecordedOwners
+
+# Starts of a task that crashes workers which its users bear: three that tell, two more.
+MOST_STARTS = 5
+# Crashes under a task after which users bear that its job is shown as failed.
+CRASHES_THAT_EXCUSE = 2
+# The same where no more is known than that the task was assigned to the workers.
+UNCERTAIN_CRASHES_THAT_EXCUSE = 5
+WORK_S = 2.0
+# Jobs and steps of one random history.
+MOST_JOBS = 4
+MOST_STEPS = 150
+
+
+class CrashingWorker(LeasedWorker):
+    """A worker that notes its starts, and whether one of them crashes it."""
+
+    def __init__(self, worker_id, crashing, starts):
+        super().__init__(worker_id)
+        self.crashing = crashing
+        self.starts = starts
+        self.must_crash = False
+
+    def start(self, order):
+        was_running = self.run_by_key.get(order.key)
+        super().start(order)
+        if self.run_by_key.get(order.key) != was_running:
+            self.starts[order.key] += 1
+            self.must_crash = self.must_crash or order.key.job_id in self.crashing
+
+
+class CrashingOwners(RecordedOwners):
+    """The same owners; workers crash, and are back under other names, and the store may be away."""
+
+    def __init__(self, workers):
+        self.crashing = set()
+        self.starts = Counter()
+        self.crashes = Counter()
+        self.crashes_where_assigned = Counter()
+        self.started_s_by_key = {}
+        self.has_store = True
+        self.held = []
+        # Incarnations that have crashed, which the owner does not know yet, with their next ones.
+        self.unknown_crashes = []
+        self.roster = set()
+        super().__init__(workers)
+
+    def take_over(self):
+        """Let another owner take over; the store is there then."""
+        self.has_store = True
+        self.held = []
+        self.unknown_crashes = []
+        self.workers = {worker_id: self.as_crashing(worker) for worker_id, worker in self.workers.items()}
+        gone = self.roster - self.workers.keys()
+        self.silent |= gone
+        self.workers |= {worker_id: self.new_worker(worker_id) for worker_id in gone}
+        super().take_over()
+        for worker_id in gone:
+            self.silent.discard(worker_id)
+            del self.workers[worker_id]
+            self.scheduler.worker_over(worker_id, self.now)
+
+    def new_worker(self, worker_id):
+        return CrashingWorker(worker_id, self.crashing, self.starts)
+
+    def as_crashing(self, worker):
+        return worker if isinstance(worker, CrashingWorker) else self.new_worker(worker.worker_id)
+
+    def keep(self):
+        if self.has_store:
+            super().keep()
+            self.roster = set(self.scheduler.worker_by_id)
+
+    def acknowledge(self, worker):
+        if self.has_store:
+            super().acknowledge(worker)
+
+    def send(self, start, fate):
+        self.held.append((start, fate))
+        if self.has_store:
+            self.release()
+
+    def release(self):
+        """Send the starts that were held, unless they are not wanted any more."""
+        held, self.held = self.held, []
+        for start, fate in held:
+            if self.scheduler.assignments.sent(start.worker_id, start.key, start.run, self.now):
+                self.send_kept(start, fate)
+
+    def percent_of(self, key):
+        return min(99.0, 100.0 * (self.now_s - self.started_s_by_key.get(key, self.now_s)) / WORK_S)
+
+    def send_kept(self, start, fate):
+        if start.worker_id not in self.workers:
+            # It has crashed, and the call fails.
+            self.refuse(start)
+            return
+        self.started_s_by_key[start.key] = self.now_s
+        super().send(start, fate)
+        self.crash_if_it_must(start.worker_id)
+
+    def refuse(self, start):
+        self.scheduler.run_ended(RunEnd(start.worker_id, start.key, start.run, EndKind.REFUSED), self.now)
+
+    def drop_held(self, worker_id):
+        """Give up the starts that are held for a worker which takes none any more."""
+        for start, _ in self.held:
+            if start.worker_id == worker_id:
+                self.refuse(start)
+        self.held = [(start, fate) for start, fate in self.held if start.worker_id != worker_id]
+
+    def crash_if_it_must(self, worker_id):
+        if self.workers[worker_id].must_crash:
+            self.crash(worker_id)
+
+    def crash(self, worker_id, *, is_seen=True):
+        """Let a worker crash; its owner may see at once that it takes no calls any more."""
+        if is_seen:
+            self.drop_held(worker_id)
+            self.scheduler.worker_silent(worker_id, self.now)
+        worker = self.workers.pop(worker_id)
+        self.crashes.update(worker.run_by_key.keys())
+        self.crashes_where_assigned.update(
+            part.first_task._replace(task_index=run.task_index)
+            for job_id in self.spec_by_id
+            for part, kept in self.assignments_of(job_id).items()
+            for run in kept.runs
+            if run.worker_id == worker_id
+        )
+        self.silent.discard(worker_id)
+        self.late = [order for order in self.late if order.worker_id != worker_id]
+        self.stops = [order for order in self.stops if order.worker_id != worker_id]
+        successor = f'{worker_id}+'
+        self.workers[successor] = self.new_worker(successor)
+        self.unknown_crashes.append((worker_id, successor))
+
+    def learn(self):
+        """Let the owner learn of crashes: the next incarnations answer."""
+        unknown, self.unknown_crashes = self.unknown_crashes, []
+        for worker_id, successor in unknown:
+            self.drop_held(worker_id)
+            self.scheduler.worker_over(worker_id, self.now)
+            self.scheduler.update_worker(WorkerProfile(successor, 'svc', 'z', WORKER, ('a', 'r0')), self.now)
+
+    def pass_time(self, seconds):
+        # Surveys of incarnations that the owner does not know yet have to wait.
+        unknown = {successor for _, successor in self.unknown_crashes} - self.silent
+        self.silent |= unknown
+        super().pass_time(seconds)
+        self.silent -= unknown
+
+    def failed_jobs(self):
+        return [job_id for job_id, job in self.scheduler.job_by_id.items() if job.phase == 'failed']
+
+
+class Crashes(RuleBasedStateMachine):
+    """Tasks that crash workers, workers that crash by themselves, owners that end and a store that is away."""
+
+    def __init__(self):
+        super().__init__()
+        self.owners = CrashingOwners(4)
+        self.jobs = 0
+
+    @rule(
+        queue=st.sampled_from((URGENT, ORDINARY)),
+        count=st.integers(1, 3),
+        accelerators=st.sampled_from((1, 8)),
+        is_crashing=st.booleans(),
+    )
+    def submit(self, queue, count, accelerators, is_crashing):
+        self.jobs += 1
+        job_id = f'{self.jobs:016x}'
+        if is_crashing:
+            self.owners.crashing.add(job_id)
+        self.owners.submit(job_id, [task(count, accelerators, work_s=WORK_S)], queue)
+
+    @rule(fate=st.sampled_from(('answered', 'answered', 'unanswered', 'late', 'owner ends')))
+    def decide(self, fate):
+        self.owners.decide(fate)
+
+    @rule(seconds=st.floats(0.0, 4.0), fate=st.sampled_from(('answered', 'answered', 'unanswered')))
+    def go_on(self, seconds, fate):
+        self.owners.learn()
+        self.owners.keep()
+        self.owners.pass_time(seconds)
+        self.owners.decide(fate)
+
+    @rule()
+    def change_owner(self):
+        self.owners.take_over()
+
+    @rule(is_away=st.booleans())
+    def change_store(self, is_away):
+        self.owners.has_store = not is_away
+        self.owners.keep()
+        if not is_away:
+            self.owners.release()
+
+    @rule(choice=st.randoms(use_true_random=False), is_seen=st.booleans())
+    def crash(self, choice, is_seen):
+        self.owners.crash(choice.choice(sorted(self.owners.workers)), is_seen=is_seen)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def crash_before_an_end_is_listed(self, choice):
+        running = sorted(self.owners.running())
+        if running:
+            worker_id, key = choice.choice(running)
+            self.owners.now_s += WORK_S
+            self.owners.workers[worker_id].end(key, EndKind.DONE)
+            self.owners.crash(worker_id, is_seen=False)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def crash_before_a_start_is_carried_out(self, choice):
+        if self.owners.late:
+            worker_id = choice.choice(self.owners.late).worker_id
+            self.owners.pass_time(0.5)
+            self.owners.crash(worker_id)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def carry_out_late(self, choice):
+        if self.owners.late:
+            order = choice.choice(self.owners.late)
+            self.owners.late.remove(order)
+            self.owners.workers[order.worker_id].start(order)
+            self.owners.crash_if_it_must(order.worker_id)
+
+    @rule(choice=st.randoms(use_true_random=False))
+    def end(self, choice):
+        running = sorted(self.owners.running())
+        if running:
+            worker_id, key = choice.choice(running)
+            self.owners.workers[worker_id].end(key, EndKind.DONE)
+            self.owners.learn()
+            self.owners.pass_time(0.1)
+
+    @invariant()
+    def no_task_that_crashes_workers_is_started_more_often_than_users_bear(self):
+        assert not [
+            key
+            for key, count in self.owners.starts.items()
+            if key.job_id in self.owners.crashing and count > MOST_STARTS
+        ]
+
+    @invariant()
+    def no_job_is_failed_without_a_task_under_which_workers_crashed(self):
+        owners = self.owners
+        excused = {key.job_id for key, count in owners.crashes.items() if count >= CRASHES_THAT_EXCUSE}
+        for key, count in owners.crashes_where_assigned.items():
+            if count >= UNCERTAIN_CRASHES_THAT_EXCUSE:
+                excused.add(key.job_id)
+        assert not set(owners.failed_jobs()) - excused
+
+    @invariant()
+    def no_task_runs_twice_at_a_time(self):
+        assert not [key for key, count in Counter(key for _, key in self.owners.running()).items() if count > 1]
+
+
+Crashes.TestCase.settings = settings(max_examples=200, stateful_step_count=60, deadline=None)
+TestCrashes = Crashes.TestCase
+
+
+def draw_rule(machine, luck):
+    """Apply a rule of the machine with other odds: more time passes, and more ends and starts are lost with workers."""
+    fate = luck.choice(('answered', 'answered', 'unanswered'))
+    rules = [
+        lambda: machine.submit(
+            luck.choice((URGENT, ORDINARY)), luck.randint(1, 2), luck.choice((1, 8)), luck.random() < 0.5
+        ),
+        lambda: machine.decide(luck.choice((fate, 'late', 'owner ends'))),
+        lambda: machine.go_on(luck.choice((0.1, 0.3, 1.0, 2.0, 4.0)), fate),
+        machine.change_owner,
+        lambda: machine.change_store(luck.random() < 0.4),
+        lambda: machine.crash(luck, luck.random() < 0.7),
+        lambda: machine.carry_out_late(luck),
+        lambda: machine.end(luck),
+        lambda: machine.crash_before_an_end_is_listed(luck),
+        lambda: machine.crash_before_a_start_is_carried_out(luck),
+    ]
+    odds = (1 if machine.jobs < MOST_JOBS else 0, 4, 12, 2, 2, 1, 2, 2, 3, 3)
+    (apply,) = luck.choices(rules, odds)
+    apply()
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_crashes_under_owners_in_turn_are_counted_where_tasks_were(seed):
+    luck = random.Random(seed)
+    machine = Crashes()
+    for _ in range(MOST_STEPS):
+        draw_rule(machine, luck)
+        machine.no_task_that_crashes_workers_is_started_more_often_than_users_bear()
+        machine.no_job_is_failed_without_a_task_under_which_workers_crashed()
+        machine.no_task_runs_twice_at_a_time()
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -159,7 +159,8 @@
         self.late_order_s = 0.0
         # When the last try of a start was sent that got no answer, whatever became of others; steady clock.
         self.unanswered_starts: dict[TaskKey, float] = {}
-        self.is_silent = False
+        # Since when it does not answer, steady clock.
+        self.silent_since_s: float | None = None
         # Whether its last lease has ended in silence, so that nothing runs there. The next owner may
         # have been told so: it gets no starts until that is taken back.
         self.is_lapsed = False
@@ -217,6 +218,11 @@
             return False
         return self.is_in_touch and not self.is_lapsed and not self.has_isolated_run
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it does not answer."""
+        return self.silent_since_s is not None
+
     @property
     def is_in_touch(self) -> bool:
         """Whether it has reported what runs there, and still answers."""
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 
 from dahliaarch_kernel.scheduler import AskAdvice, EndKind, Moment, Scheduler, StartRun, StopRun
-from dahliaarch_kernel.scheduler.events import RunLost, StepWaiting, TaskGivenUp
+from dahliaarch_kernel.scheduler.events import CrashCounted, RunLost, StepWaiting, TaskGivenUp
 
 from ..logs import log_event
 from ..metrics import Metrics
@@ -120,6 +120,17 @@
             beside=note.beside,
         )
 
+    @tell.register
+    def _(self, note: CrashCounted) -> None:
+        log_event(
+            'crash_counted',
+            worker=note.worker_id,
+            task=note.key,
+            run=note.run,
+            is_conclusive=note.is_conclusive,
+            is_discounted=note.is_discounted,
+        )
+
     @tell.register
     def _(self, note: TaskGivenUp) -> None:
         log_event('task_given_up', task=note.key, workers=note.worker_ids)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -230,7 +230,7 @@
     @handle.register
     def _(self, message: WorkerSilent) -> None:
         self._drop_held_starts(message.worker_id)
-        self._scheduler.worker_silent(message.worker_id)
+        self._scheduler.worker_silent(message.worker_id, self._now())
 
     @handle.register
     def _(self, message: WorkerOver) -> None:
--- a/packages/standins/dahliaarch_standins/comparison/decider.py
+++ b/packages/standins/dahliaarch_standins/comparison/decider.py
@@ -30,7 +30,7 @@
         """Take in a worker."""
         ...
 
-    def worker_silent(self, worker_id: str) -> None:
+    def worker_silent(self, worker_id: str, now: Moment) -> None:
         """Take in that a worker does not answer."""
         ...
 
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -192,7 +192,7 @@
 
     def _fall_silent(self, worker: PlayedWorker) -> None:
         if worker.is_cut_off:
-            self._scheduler.worker_silent(worker.profile.worker_id)
+            self._scheduler.worker_silent(worker.profile.worker_id, self._moment)
 
     def _recover(self, worker: PlayedWorker) -> None:
         worker.degradation = None
