--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -160,7 +160,7 @@
     state = SchedulerState(SchedulerSettings(), 1, compile_policy(SHIPPED['first-come']))
     worker = WorkerState(decode(roster('w0', is_lapsed=False).value, list[RosterEntry], 'roster')[0].profile)
     state.worker_by_id['w0'] = worker
-    worker.is_silent = True
+    worker.silent_since_s = now.steady_s
     worker.late_order_s = 12.0
     worker.lease.assume(99.0)
     worker.unanswered_starts[TASK] = 95.0
