--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -41,6 +41,8 @@
 # Starts under way at one time, urgent ones and others: over a link of 1 Mbit/s the last of them is answered
 # in 0.2 s, and none is given up before it has been sent.
 _MOST_STARTS = 32
+# Jobs that are taken in at a takeover between two turns of other tasks: callers are answered meanwhile.
+_JOBS_AT_A_TIME = 64
 # Longest time between two passes, in seconds: leases end and jobs fall due.
 _PASS_EVERY_S = 0.25
 # Shortest time between two passes, in seconds: updates that come together share one.
@@ -210,8 +212,10 @@
         # previous owner may have given while its authority lasted.
         lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
         self._previous.may_last(lease_s, steady_s())
-        for item in sorted(kept.jobs.items, key=lambda each: len(each.key)):
+        for number, item in enumerate(sorted(kept.jobs.items, key=lambda each: len(each.key))):
             intake.handle_all(job_messages(item))
+            if number % _JOBS_AT_A_TIME == 0:
+                await anyio.sleep(0)
         self._drain_inbox(intake)
         intake.progress_by_id = {}
         intake.assignments_by_id = {}
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -184,6 +184,18 @@
     assert phase_of_last(owner) == 'cancelled'
 
 
+def test_an_owner_does_not_stop_its_instance_while_it_takes_many_jobs_in():
+    # They were taken in without a pause, and nothing else was answered for tenths of a second.
+    known = set()
+
+    def note_known(owner):
+        known.add(len(owner.scheduler.job_by_id))
+        return owner.is_ready
+
+    anyio.run(take_over, KeptStore(many_jobs()), Workers(), note_known, 30.0)
+    assert len(known - {0, MANY + 1}) >= 3
+
+
 def test_a_worker_that_falls_silent_after_its_first_answer_keeps_the_lease_of_the_owner_before():
     """Its runs were given up at once and started elsewhere, while they ran on."""
     task = TaskKey(LAST, 0, 0, 0)
