dahliaarch account tells what jobs of previous owners waited for each new one

For each change of the owner: seconds without one; for jobs that it took over with nothing running and that had room, seconds from its readiness to their first start, and the gates that held them.

--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -1,6 +1,7 @@
 """Where time and core-seconds went, worked out from the logs of real processes."""
 
 from .histories import JobHistory, read_histories, RunHistory
+from .inherited import inherited_waits, InheritedWaits
 from .stops import report_stops, RoomUse, StoppedJob
 from .sums import Account, account, CostlyDecision, Loss, QueueRow, WindowRow
 from .takeovers import TakeOver, takeovers
@@ -8,6 +9,7 @@
 __all__ = (
     'Account',
     'CostlyDecision',
+    'InheritedWaits',
     'JobHistory',
     'Loss',
     'QueueRow',
@@ -17,6 +19,7 @@
     'TakeOver',
     'WindowRow',
     'account',
+    'inherited_waits',
     'read_histories',
     'takeovers',
     'report_stops',
--- /dev/null
+++ b/packages/cli/dahliaarch_cli/accounting/inherited.py
@@ -0,0 +1,125 @@
+"""How long jobs of previous owners waited for the next one, by what held them."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from operator import attrgetter
+from typing import NamedTuple
+
+from dahliaarch_kernel.scheduler.state import RUNS_PER_EPOCH
+
+from ..explaining import LogLine
+
+# Events that only an owner logs.
+_DECISIONS = frozenset(('run_ordered', 'stop_ordered', 'run_ended'))
+_TAIL = 0.99
+
+
+class InheritedWaits(NamedTuple):
+    """Waits of jobs that a new owner took over with nothing running, from its readiness on.
+
+    Jobs that had no room twice over when they were reported waiting are left out.
+
+    Parameters
+    ----------
+    at_s : float
+        When the new owner was ready, from the first line on.
+    owner : str
+        The instance.
+    epoch : int
+        Its epoch.
+    without_owner_s : float
+        From the last decision of the owner before to the readiness of this one.
+    jobs : int
+        Jobs that were started, or reported waiting, before the next change of the owner.
+    never_started : int
+        Those of them that were not started by then.
+    median_s, p99_s, longest_s : float
+        Until the first start, or the next change of the owner.
+    jobs_by_reason : mapping
+        Jobs that were reported waiting, by the last gate that was named.
+    """
+
+    at_s: float
+    owner: str
+    epoch: int
+    without_owner_s: float
+    jobs: int
+    never_started: int
+    median_s: float
+    p99_s: float
+    longest_s: float
+    jobs_by_reason: Mapping[str, int]
+
+
+def inherited_waits(lines: Iterable[LogLine]) -> list[InheritedWaits]:
+    """Return what jobs of previous owners waited for each owner but the first, in order of time."""
+    ordered = sorted(lines, key=attrgetter('at_s'))
+    ready = [line for line in ordered if line.event == 'owner_ready']
+    ends_s = [line.at_s for line in ready[2:]] + [line.at_s for line in ordered[-1:]]
+    return [_waits(line, ordered, end_s) for line, end_s in zip(ready[1:], ends_s, strict=False)]
+
+
+def _waits(ready: LogLine, lines: Sequence[LogLine], until_s: float) -> InheritedWaits:
+    """Return what jobs of previous owners waited for an owner, until the next one is ready or the log ends."""
+    epoch = int(ready.fields['epoch'])
+    own = [line for line in lines if line.instance == ready.instance and line.at_s <= until_s]
+    inherited = _without_runs(own, ready, epoch)
+    started_s = _first_starts(own, epoch, inherited)
+    reason_by_job = _reasons(own, ready, inherited)
+    with_room = {job for job in started_s.keys() | reason_by_job.keys() if reason_by_job.get(job, '') is not None}
+    waits_s = sorted(started_s.get(job, until_s) - ready.at_s for job in with_room)
+    decisions_s = [line.at_s for line in lines if line.event in _DECISIONS and line.at_s < ready.at_s]
+    return InheritedWaits(
+        ready.at_s - lines[0].at_s,
+        ready.instance,
+        epoch,
+        ready.at_s - max(decisions_s, default=ready.at_s),
+        len(with_room),
+        len(with_room - started_s.keys()),
+        _at_share(waits_s, 0.5),
+        _at_share(waits_s, _TAIL),
+        _at_share(waits_s, 1.0),
+        Counter(reason for job, reason in reason_by_job.items() if reason is not None),
+    )
+
+
+def _without_runs(own: Iterable[LogLine], ready: LogLine, epoch: int) -> set[str]:
+    """Return the jobs that were sent to previous owners, and of which nothing was assigned."""
+    known: set[str] = set()
+    running: set[str] = set()
+    for line in own:
+        if line.at_s > ready.at_s:
+            break
+        if line.event == 'job_known' and line.fields.get('owner_epoch') != epoch:
+            known.add(line.fields['job'])
+        elif line.event == 'job_inherited':
+            running.add(line.fields['job'])
+    return known - running
+
+
+def _first_starts(own: Iterable[LogLine], epoch: int, jobs: set[str]) -> dict[str, float]:
+    """Return when each job was first started by an owner."""
+    started_s: dict[str, float] = {}
+    for line in own:
+        if line.event == 'run_ordered' and line.fields['run'] // RUNS_PER_EPOCH == epoch:
+            job = line.fields['task'][0]
+            if job in jobs:
+                started_s.setdefault(job, line.at_s)
+    return started_s
+
+
+def _reasons(own: Iterable[LogLine], ready: LogLine, jobs: set[str]) -> dict[str, str | None]:
+    """Return the last gate that jobs were reported to wait at; none for those without room."""
+    reason_by_job: dict[str, str | None] = {}
+    for line in own:
+        if line.event != 'step_waiting' or line.at_s < ready.at_s or line.fields['job'] not in jobs:
+            continue
+        job = line.fields['job']
+        had_room = line.fields['has_room_twice'] and reason_by_job.get(job, '') is not None
+        reason_by_job[job] = line.fields['reason'] if had_room else None
+    return reason_by_job
+
+
+def _at_share(ordered: Sequence[float], share: float) -> float:
+    """Return the value below which a share of values in order lies."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
--- a/packages/cli/dahliaarch_cli/main.py
+++ b/packages/cli/dahliaarch_cli/main.py
@@ -14,7 +14,7 @@
 from dahliaarch_standins.demo import run_demo
 from dahliaarch_standins.soak import control_arm, draw_settings, PROTECTIONS, run_soak
 
-from .accounting import account, read_histories, report_stops, takeovers
+from .accounting import account, inherited_waits, read_histories, report_stops, takeovers
 from .client import CallFailure, Client
 from .explaining import explain_job, LogLine, read_lines
 from .printing import print_columns, print_effects, print_gap, print_table
@@ -90,7 +90,11 @@
     for path in logs:
         lines.extend(read_lines(path))
     histories = read_histories(lines)
-    found = {**account(histories)._asdict(), 'takeovers': takeovers(lines, histories)}
+    found = {
+        **account(histories)._asdict(),
+        'takeovers': takeovers(lines, histories),
+        'inherited_waits': inherited_waits(lines),
+    }
     if as_json:
         rows = {name: [row._asdict() for row in part] for name, part in found.items()}
         typer.echo(json.dumps(rows, indent=2))
--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..accounting import account, read_histories, report_stops, takeovers
+from ..accounting import account, inherited_waits, read_histories, report_stops, takeovers
 from ..explaining import LogLine
 
 URGENT, BATCH = 'a' * 16, 'b' * 16
@@ -193,3 +193,35 @@
 def test_without_a_change_of_the_owner_there_is_no_takeover():
     lines = [line(0.0, 'owner_ready', epoch=7), known(0.5, BATCH, 'batch'), ordered(0.6, BATCH, owner_run(7))]
     assert not takeovers(lines, read_histories(lines))
+
+
+def waiting(after_s, job, reason, *, has_room_twice):
+    return by('i2', line(after_s, 'step_waiting', job=job, reason=reason, has_room_twice=has_room_twice))
+
+
+def inherited(after_s, job):
+    return by('i2', known(after_s, job, 'batch')._replace(fields={**known(0.5, job, 'batch').fields, 'owner_epoch': 7}))
+
+
+def test_a_takeover_tells_what_jobs_of_previous_owners_waited_for():
+    started, late, full, never, running = (f'{number:016x}' for number in range(5))
+    lines = [
+        line(0.0, 'owner_ready', epoch=7),
+        ordered(1.0, running, owner_run(7)),
+        *(inherited(2.75, job) for job in (started, late, full, never, running)),
+        by('i2', line(2.8, 'job_inherited', job=running, runs=1, workers=['w'])),
+        by('i2', line(3.0, 'owner_ready', epoch=9)),
+        by('i2', ordered(3.25, started, owner_run(9))),
+        waiting(4.0, late, 'unknown start', has_room_twice=True),
+        waiting(4.0, full, 'no capacity', has_room_twice=False),
+        waiting(4.0, never, 'workers unavailable', has_room_twice=True),
+        by('i2', ordered(5.0, late, owner_run(9, 2))),
+        by('i2', ordered(6.0, full, owner_run(9, 3))),
+        line(7.0, 'stopped'),
+    ]
+    (waits,) = inherited_waits(lines)
+    assert (waits.at_s, waits.owner, waits.epoch) == (3.0, 'i2', 9)
+    assert waits.without_owner_s == pytest.approx(2.0)
+    assert (waits.jobs, waits.never_started) == (3, 1)
+    assert (waits.median_s, waits.longest_s) == (pytest.approx(2.0), pytest.approx(4.0))
+    assert waits.jobs_by_reason == {'unknown start': 1, 'workers unavailable': 1}
