step_waiting tells room as users see it, and apart from that what takes starts

has_room_twice counted only workers that take starts: it said false while users saw most of the room free, on workers that were silent or refused. It counts all listed workers now; has_takers_twice is what it was.

--- a/packages/cli/dahliaarch_cli/accounting/inherited.py
+++ b/packages/cli/dahliaarch_cli/accounting/inherited.py
@@ -17,7 +17,8 @@
 class InheritedWaits(NamedTuple):
     """Waits of jobs that a new owner took over with nothing running, from its readiness on.
 
-    Jobs that had no room twice over when they were reported waiting are left out.
+    Jobs that had no room twice over, on workers that take starts, when they were reported
+    waiting are left out.
 
     Parameters
     ----------
@@ -115,7 +116,7 @@
         if line.event != 'step_waiting' or line.at_s < ready.at_s or line.fields['job'] not in jobs:
             continue
         job = line.fields['job']
-        had_room = line.fields['has_room_twice'] and reason_by_job.get(job, '') is not None
+        had_room = line.fields['has_takers_twice'] and reason_by_job.get(job, '') is not None
         reason_by_job[job] = line.fields['reason'] if had_room else None
     return reason_by_job
 
--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -35,7 +35,8 @@
     'job_cancelled': 'the owner cancelled the job',
     'step_waiting': (
         'step {step} of {tasks} tasks waits, nothing of its job has run for {waited_s} s: {reason}'
-        ' (room for it twice: {has_room_twice}, share of the pool in use: {used_share})'
+        ' (room for it twice: {has_room_twice}, on workers that take starts: {has_takers_twice},'
+        ' share of the pool in use: {used_share})'
     ),
     'job_inherited': (
         'a previous owner had assigned {runs} of its tasks to workers, which were asked for them: {workers}'
--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -195,8 +195,8 @@
     assert not takeovers(lines, read_histories(lines))
 
 
-def waiting(after_s, job, reason, *, has_room_twice):
-    return by('i2', line(after_s, 'step_waiting', job=job, reason=reason, has_room_twice=has_room_twice))
+def waiting(after_s, job, reason, *, has_takers_twice):
+    return by('i2', line(after_s, 'step_waiting', job=job, reason=reason, has_takers_twice=has_takers_twice))
 
 
 def inherited(after_s, job):
@@ -212,9 +212,9 @@
         by('i2', line(2.8, 'job_inherited', job=running, runs=1, workers=['w'])),
         by('i2', line(3.0, 'owner_ready', epoch=9)),
         by('i2', ordered(3.25, started, owner_run(9))),
-        waiting(4.0, late, 'unknown start', has_room_twice=True),
-        waiting(4.0, full, 'no capacity', has_room_twice=False),
-        waiting(4.0, never, 'workers unavailable', has_room_twice=True),
+        waiting(4.0, late, 'unknown start', has_takers_twice=True),
+        waiting(4.0, full, 'no capacity', has_takers_twice=False),
+        waiting(4.0, never, 'workers unavailable', has_takers_twice=True),
         by('i2', ordered(5.0, late, owner_run(9, 2))),
         by('i2', ordered(6.0, full, owner_run(9, 3))),
         line(7.0, 'stopped'),
--- a/packages/cli/dahliaarch_cli/tests/test_explaining.py
+++ b/packages/cli/dahliaarch_cli/tests/test_explaining.py
@@ -44,7 +44,7 @@
 
 
 def waiting(at_s, reason):
-    counts = {'waited_s': at_s, 'tasks': 4, 'has_room_twice': True, 'used_share': 0.31}
+    counts = {'waited_s': at_s, 'tasks': 4, 'has_room_twice': True, 'has_takers_twice': True, 'used_share': 0.31}
     return {
         'at': at_s,
         'instance': 'i1',
@@ -59,7 +59,7 @@
 def test_what_a_step_waits_for_is_told_with_the_room_that_there_was(tmp_path):
     found = list(explain_job(A, lines(tmp_path, waiting(1.2, 'reserved'))))
     assert f"step ['{A}', 0, 1] of 4 tasks waits, nothing of its job has run for 1.2 s: reserved" in found[0]
-    assert '(room for it twice: True, share of the pool in use: 0.31)' in found[0]
+    assert '(room for it twice: True, on workers that take starts: True, share of the pool in use: 0.31)' in found[0]
 
 
 def test_the_last_reason_is_named_of_a_job_of_which_nothing_was_started(tmp_path):
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -160,18 +160,22 @@
         How long its job has had nothing running, in seconds.
     task_count : int
         Tasks that must find room together.
-    has_room_twice : bool
-        Whether free room, reserved or not, holds them twice.
     used_share : float
         Share of the pool's capacity that is in use.
+    has_room_twice : bool
+        Whether free room, reserved or not, holds them twice, also on workers that get no
+        starts now, as their users see it.
+    has_takers_twice : bool
+        The same on workers that take starts.
     """
 
     step: StepKey
     reason: WaitReason
     waited_s: float
     task_count: int
-    has_room_twice: bool
     used_share: float
+    has_room_twice: bool
+    has_takers_twice: bool
 
 
 Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting
--- a/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -6,6 +6,7 @@
 from .clock import Moment
 from .events import StepWaiting, WaitReason
 from .gates import job_gate, step_gate
+from .job_state import StepState
 from .placement import place, Request
 from .reservations import Reservations
 from .room import effective_demand, fitting, per_worker_limit, Room
@@ -69,9 +70,18 @@
         step = request.step
         stalls = self._state.stalls
         wanted = request.wanted_together
-        rooms = (
-            min(fitting(worker.free, effective_demand(step)), per_worker_limit(worker, step))
-            for worker in self._unreserved_room.admissible(step)
+        return StepWaiting(
+            step.identity,
+            reason,
+            stalls.waited_s(step, self._now.steady_s),
+            wanted,
+            stalls.used_share,
+            has_room_twice=_fitting(step, self._listed_room) >= 2 * wanted,
+            has_takers_twice=_fitting(step, self._unreserved_room) >= 2 * wanted,
         )
-        waited_s = stalls.waited_s(step, self._now.steady_s)
-        return StepWaiting(step.identity, reason, waited_s, wanted, sum(rooms) >= 2 * wanted, stalls.used_share)
+
+
+def _fitting(step: StepState, room: Room) -> int:
+    """Return how many tasks of a step fit into some room."""
+    demand = effective_demand(step)
+    return sum(min(fitting(worker.free, demand), per_worker_limit(worker, step)) for worker in room.admissible(step))
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -252,6 +252,16 @@
     assert pool.scheduler.load.waiting_by_reason == {WaitReason.NO_CAPACITY: 1}
 
 
+def test_room_on_workers_that_get_no_starts_is_told_as_users_see_it():
+    pool = AnsweringPool(4)
+    for worker_id in pool.profiles:
+        pool.scheduler.worker_silent(worker_id, pool.now)
+        pool.silent.add(worker_id)
+    pool.submit(JOB, task(1))
+    (note,) = reasons_of(pool, 6)
+    assert (note.reason, note.has_room_twice, note.has_takers_twice) == (WaitReason.UNAVAILABLE, True, False)
+
+
 def test_a_step_of_a_previous_owner_says_that_it_waits_for_that():
     pool = AnsweringPool(4)
     spec = JobSpec(JOB, 'acc', 'ordinary', 'payload', (task(1),), accepted_s=pool.now.wall_s)
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -145,5 +145,6 @@
             waited_s=round(note.waited_s, 2),
             tasks=note.task_count,
             has_room_twice=note.has_room_twice,
+            has_takers_twice=note.has_takers_twice,
             used_share=round(note.used_share, 2),
         )
