Evacuations: nothing starts in a failure domain that operators evacuate

Cause: nothing read the operators' requests.

What it does. The owner follows the keys by a watch of its own and reads them in full at a takeover and when the history is gone. That is not what makes it safe: the transaction that stores the assignments of a pass also has the condition that no failure domain in which it starts tasks is evacuated. A start is sent after its transaction, so that none goes out for a request that the store had acknowledged before, whatever the watch knows. A transaction that fails for it tells the owner at once. Starts that no worker has acknowledged are withdrawn, gangs as a whole; a start whose stop was ordered is not sent again (it was, while the stop had no answer). Runs go on to their ends. The domain's capacity does not count meanwhile: used share, places near data, wait reasons ('failure domain evacuated'), victims, reservations.

Ways weighed: one watch of op/ by all instances, which costs no call more, but a watch that also covers the configuration receives each document of up to a megabyte again after a peer delivered it (the watch is cancelled then and jumps to its revision, which would skip evacuations).

--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -116,6 +116,57 @@
     worker_ids: tuple[str, ...]
 
 
+class DomainEvacuated(NamedTuple):
+    """A failure domain is evacuated from now on, for the log.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain.
+    workers : int
+        Number of known workers there.
+    running : int
+        Number of runs there, which continue to their ends.
+    withdrawn : int
+        Number of starts there that no worker had acknowledged, and that are withdrawn.
+    """
+
+    domain: str
+    workers: int
+    running: int
+    withdrawn: int
+
+
+class DomainEmptied(NamedTuple):
+    """The last run in an evacuated failure domain has ended, for the log.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain.
+    evacuated_s : float
+        How long the evacuation has been known, in seconds.
+    """
+
+    domain: str
+    evacuated_s: float
+
+
+class DomainReopened(NamedTuple):
+    """The evacuation of a failure domain has ended, for the log.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain.
+    evacuated_s : float
+        How long the evacuation was known, in seconds.
+    """
+
+    domain: str
+    evacuated_s: float
+
+
 class WaitReason(StrEnum):
     """Why a ready step is not started."""
 
@@ -141,6 +192,8 @@
     LOCALITY = 'locality'
     #: There is free capacity, but on workers that get no starts now: silent, restarted or refusing ones.
     UNAVAILABLE = 'workers unavailable'
+    #: There is free capacity, but only in failure domains that are evacuated.
+    EVACUATED = 'failure domain evacuated'
     #: There is no free capacity.
     NO_CAPACITY = 'no capacity'
     #: Not determined yet.
@@ -178,7 +231,7 @@
     has_takers_twice: bool
 
 
-Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting
+Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting | DomainEvacuated | DomainEmptied | DomainReopened
 
 
 class ListedRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -201,9 +201,8 @@
             return False
         now_s = self._now.steady_s
         if now_s - step.near_capacity_checked_s >= _NEAR_CAPACITY_CHECK_INTERVAL_S:
-            workers = self._state.worker_by_id.values()
-            not_draining = (worker for worker in workers if worker.is_listed and not worker.profile.draining)
-            step.has_near_capacity = has_near_capacity(step, count if step.spec.gang else 1, not_draining)
+            workers = (worker for worker in self._state.worker_by_id.values() if worker.provides_capacity)
+            step.has_near_capacity = has_near_capacity(step, count if step.spec.gang else 1, workers)
             step.near_capacity_checked_s = now_s
         return not step.has_near_capacity
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -16,6 +16,7 @@
 )
 from .effects import Effect
 from .ends import apply_run_end
+from .evacuations import Evacuations
 from .events import EndKind, ListedRun, LossCause, Note, RunEnd
 from .health import assess_workers
 from .job_state import ENDED_PHASES, JobPhase, JobState
@@ -49,12 +50,15 @@
     ----------
     assignments : Assignments
         Assignments of tasks to workers, to be stored before the starts are sent.
+    evacuations : Evacuations
+        Failure domains in which nothing is started.
     """
 
     def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
         """Start without jobs and workers."""
         self._state = SchedulerState(settings, epoch, policy or compile_policy(SHIPPED_POLICIES['first-come']))
         self.assignments = Assignments(self._state)
+        self.evacuations = Evacuations(self._state)
 
     @property
     def job_by_id(self) -> Mapping[str, JobState]:
@@ -150,6 +154,7 @@
         if worker.profile.capacity != profile.capacity:
             self._state.failed_searches.grown_workers.add(profile.worker_id)
         worker.profile = profile
+        worker.is_evacuated = profile.domain in self._state.evacuation_by_domain
         worker.is_listed = True
         worker.has_published_profile = True
         worker.has_readable_entry = True
@@ -295,6 +300,7 @@
         for job in state.active_jobs():
             job.open_due(now.wall_s)
         drain_leaving_workers(state, now)
+        self.evacuations.report_emptied(now)
         assess_workers(state, now)
         if state.settings.has(Mechanism.WORKER_PACES):
             update_slowdowns(state.worker_by_id.values())
--- a/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -61,6 +61,8 @@
             return WaitReason.ADVICE
         if place(request._replace(allows_far_workers=True), self._listed_capacity).task_count:
             return WaitReason.UNAVAILABLE
+        if self._is_evacuated_capacity_needed(request):
+            return WaitReason.EVACUATED
         return WaitReason.NO_CAPACITY
 
     @cached_property
@@ -70,12 +72,27 @@
 
     @cached_property
     def _listed_capacity(self) -> FreeCapacity:
-        """Capacity that would be free if all listed workers that are not draining accepted starts."""
+        """Capacity that would be free if all workers that provide capacity accepted starts."""
+        workers = self._state.worker_by_id.values()
+        return FreeCapacity([worker for worker in workers if worker.provides_capacity], Reservations())
+
+    @cached_property
+    def _reopened_capacity(self) -> FreeCapacity:
+        """Capacity that would be free if, in addition, all evacuations ended."""
         workers = self._state.worker_by_id.values()
         return FreeCapacity(
             [worker for worker in workers if worker.is_listed and not worker.profile.draining], Reservations()
         )
 
+    def _is_evacuated_capacity_needed(self, request: PlacementRequest) -> bool:
+        """Return whether a step lacks only the capacity of evacuated failure domains, or may run only there."""
+        if not self._state.evacuation_by_domain:
+            return False
+        if place(request._replace(allows_far_workers=True), self._reopened_capacity).task_count:
+            return True
+        step = request.step
+        return not self._listed_capacity.admissible(step) and bool(self._reopened_capacity.admissible(step))
+
     def _build_report(self, request: PlacementRequest, reason: WaitReason) -> StepWaiting:
         step = request.step
         stalls = self._state.stalls
--- a/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stalls.py
@@ -130,9 +130,10 @@
 def used_share(workers: Iterable[WorkerState]) -> float:
     """Return the share of the listed workers' capacity that runs use; 1 without workers.
 
+    Workers in evacuated failure domains do not count, since nothing may be started there.
     The share is computed for accelerators and for weighted cores; the lower one is returned.
     """
-    listed = [worker for worker in workers if worker.is_listed]
+    listed = [worker for worker in workers if worker.is_listed and not worker.is_evacuated]
     return min(
         _share(listed, lambda resources: float(resources.accelerators)),
         _share(listed, weighted_cores),
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -103,6 +103,21 @@
     crash_by_task: dict[TaskKey, Crash]
 
 
+class Evacuation(NamedTuple):
+    """An evacuation of a failure domain.
+
+    Parameters
+    ----------
+    since_s : float
+        When this owner learned of it, in seconds since 1970.
+    is_empty : bool
+        Whether the last run in the domain has ended.
+    """
+
+    since_s: float
+    is_empty: bool = False
+
+
 class SchedulerState:
     """Jobs, workers, runs and the effects that are still to be sent.
 
@@ -138,6 +153,8 @@
         self.recent_crashes: list[WorkerCrash] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
+        # Failure domains in which nothing may be started.
+        self.evacuation_by_domain: dict[str, Evacuation] = {}
         # Services whose workers don't enforce their capacity, and when worker entries were last synced.
         self.services_without_capacity_check: frozenset[str] = frozenset()
         self.workers_synced_s = float('-inf')
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -47,8 +47,8 @@
     def now(self):
         return Moment(self.now_s, WALL_S + self.now_s - START_S)
 
-    def add_worker(self, worker_id, rack, labels=(), draining=False, leaves_in_s=None, capacity=WORKER):
-        profile = WorkerProfile(worker_id, 'svc', 'z', capacity, ('a', rack, *labels), draining, leaves_in_s)
+    def add_worker(self, worker_id, rack, labels=(), draining=False, leaves_in_s=None, capacity=WORKER, domain='z'):
+        profile = WorkerProfile(worker_id, 'svc', domain, capacity, ('a', rack, *labels), draining, leaves_in_s)
         self.profiles[worker_id] = profile
         self.scheduler.update_worker(profile, self.now)
         self.scheduler.worker_surveyed(worker_id, (), self.now_s, self.now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/recorded_owners.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/recorded_owners.py
@@ -62,7 +62,7 @@
         self.pending_stops = []
         self.scheduler = Scheduler(SchedulerSettings(), self.epoch)
         for worker_id in self.workers:
-            self.scheduler.update_worker(WorkerProfile(worker_id, 'svc', 'z', WORKER, ('a', 'r0')), self.now)
+            self.scheduler.update_worker(self.profile_of(worker_id), self.now)
             self.scheduler.worker_by_id[worker_id].lease.assume_until(self.now_s + MAX_LEASE_S)
         for job_id, (spec, queue) in self.spec_by_id.items():
             self.scheduler.add_job(
@@ -78,6 +78,9 @@
             else:
                 self.survey(worker_id)
 
+    def profile_of(self, worker_id):
+        return WorkerProfile(worker_id, 'svc', 'z', WORKER, ('a', 'r0'))
+
     def submit(self, job_id, steps, queue=ORDINARY):
         spec = JobSpec(job_id, 'acc', queue.name, '', tuple(steps), accepted_s=self.now.wall_s)
         self.spec_by_id[job_id] = (spec, queue)
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -148,6 +148,8 @@
         # Runs of tasks under which workers crashed; most workers have none.
         self._suspects: list[Run] = []
         self.is_listed = True
+        # Whether operators are evacuating its failure domain, so that nothing may be started there.
+        self.is_evacuated = False
         # False until this incarnation has published its profile, which may differ from that of the previous one.
         self.has_published_profile = True
         # False while its entry was overwritten by another writer and describes no worker.
@@ -216,10 +218,17 @@
 
         A worker that answers is alive even if its entry is missing: entries expire while the store is unavailable.
         """
-        if not self.has_published_profile or not self.has_readable_entry or self.profile.draining:
+        if not self.has_published_profile or not self.has_readable_entry:
+            return False
+        if self.profile.draining or self.is_evacuated:
             return False
         return self.is_reporting and not self.is_lapsed and not self.has_isolated_run
 
+    @property
+    def provides_capacity(self) -> bool:
+        """Whether its capacity counts as part of the pool: it is listed, and neither leaving nor evacuated."""
+        return self.is_listed and not self.profile.draining and not self.is_evacuated
+
     @property
     def is_silent(self) -> bool:
         """Whether the worker has stopped answering."""
--- a/packages/node/dahliaarch_node/configuration/store_feed.py
+++ b/packages/node/dahliaarch_node/configuration/store_feed.py
@@ -4,14 +4,8 @@
 
 import anyio
 
-from dahliaarch_platform.store import (
-    CONFIGURATION_KEY,
-    Item,
-    Page,
-    STORE_FAILURES,
-    StoreClient,
-    StoreReplyTooLargeError,
-)
+from dahliaarch_platform.operators import CONFIGURATION_KEY
+from dahliaarch_platform.store import Item, Page, STORE_FAILURES, StoreClient, StoreReplyTooLargeError
 
 from ..logs import log_event
 from ..timing import StoreTiming
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -121,6 +121,16 @@
             ['reason'],
             registry=self.registry,
         )
+        self.evacuated_domains = Gauge(
+            'dahliaarch_evacuated_domains',
+            'Failure domains in which nothing is started because operators evacuate them',
+            registry=self.registry,
+        )
+        self.evacuated_runs = Gauge(
+            'dahliaarch_evacuated_runs',
+            'Runs in these failure domains, which continue to their ends',
+            registry=self.registry,
+        )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
     def observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -25,6 +25,7 @@
 from .committing import CommitFunction, Committer
 from .effects import EffectExecutor
 from .end_notifier import EndNotifier
+from .evacuations import EvacuationsFeed
 from .feeds import FeedContext, follow_jobs, job_messages, WorkersFeed
 from .heap import GarbageCollectionTuner
 from .intake import HandlerDependencies, MessageHandler
@@ -102,6 +103,7 @@
         self._send, self._receive = anyio.create_memory_object_stream[OwnerMessage](math.inf)
         self._feed = FeedContext(store, settings.timing, self.post)
         self._workers_feed = WorkersFeed(self._feed)
+        self._evacuations_feed = EvacuationsFeed(self._feed)
         self._unserved = UnservedWorkers()
         self._previous = PreviousWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
@@ -128,6 +130,7 @@
             processed_ends=self._links.last_processed_ends,
             on_persisted=self._links.acknowledge,
             on_end_persisted=self.end_notifier.notify,
+            on_evacuated=self._evacuations_feed.record_items,
             on_deposed=self.depose,
         )
         self.is_deposed = False
@@ -209,6 +212,8 @@
         self._previous.knows_all_assignments = are_assignments_complete(workers, stored)
         if self._previous.knows_all_assignments:
             handler.assignments_by_id = stored.assignments_by_id
+        self._evacuations_feed.record_listing(stored.evacuations)
+        tasks.start_soon(self._evacuations_feed.run, stored.evacuations.revision)
         self._recorder.revision_by_key = workers.revision_by_key | stored.revision_by_key
         # A silent worker may run jobs of previous owners until its lease expires, and the
         # previous owner may have granted that lease at any time until its authority ended.
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -4,7 +4,15 @@
 from functools import singledispatchmethod
 
 from dahliaarch_kernel.scheduler import AskAdvice, EndKind, Moment, Scheduler, StartRun, StopRun
-from dahliaarch_kernel.scheduler.events import CrashCounted, RunLost, StepWaiting, TaskGivenUp
+from dahliaarch_kernel.scheduler.events import (
+    CrashCounted,
+    DomainEmptied,
+    DomainEvacuated,
+    DomainReopened,
+    RunLost,
+    StepWaiting,
+    TaskGivenUp,
+)
 
 from ..logs import log_event
 from ..metrics import Metrics
@@ -135,6 +143,24 @@
     def _(self, note: TaskGivenUp) -> None:
         log_event('task_given_up', task=note.key, workers=note.worker_ids)
 
+    @log_note.register
+    def _(self, note: DomainEvacuated) -> None:
+        log_event(
+            'domain_evacuated',
+            domain=note.domain,
+            workers=note.workers,
+            running=note.running,
+            withdrawn=note.withdrawn,
+        )
+
+    @log_note.register
+    def _(self, note: DomainEmptied) -> None:
+        log_event('domain_emptied', domain=note.domain, evacuated_s=round(note.evacuated_s, 2))
+
+    @log_note.register
+    def _(self, note: DomainReopened) -> None:
+        log_event('domain_reopened', domain=note.domain, evacuated_s=round(note.evacuated_s, 2))
+
     @log_note.register
     def _(self, note: StepWaiting) -> None:
         log_event(
--- a/packages/node/dahliaarch_node/owner/held_starts.py
+++ b/packages/node/dahliaarch_node/owner/held_starts.py
@@ -49,6 +49,10 @@
             self.withdraw(start.key, start.run)
         return starts
 
+    def workers_of(self, runs: Iterable[RunId]) -> set[str]:
+        """Return the workers of the held starts among some runs."""
+        return {self._held_by_run[run].start.worker_id for run in runs if run in self._held_by_run}
+
     def runs_by_part(self) -> dict[AssignmentsPart, list[RunId]]:
         """Return the runs of held starts by the part of the assignments that contains them, most urgent first."""
         found: dict[AssignmentsPart, list[RunId]] = {}
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -18,6 +18,7 @@
 from .messages import (
     AdviceFailed,
     AdviceGiven,
+    EvacuationsChanged,
     JobCancelled,
     JobListed,
     OwnerMessage,
@@ -266,6 +267,10 @@
     def _(self, message: RunRuledOut) -> None:
         self._handle_run_end(RunEnd(message.worker_id, message.key, message.run, message.kind), self._now())
 
+    @handle.register
+    def _(self, message: EvacuationsChanged) -> None:
+        self._scheduler.evacuations.replace(message.domains, self._now())
+
     @handle.register
     def _(self, message: AdviceGiven) -> None:
         self._scheduler.advice_given(message.step, message.asked, message.ticket_by_worker, message.until_s)
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -39,6 +39,9 @@
         self._metrics.active_jobs.set(load.active_jobs)
         for reason in WaitReason:
             self._metrics.waiting_steps.labels(reason.value).set(load.waiting_by_reason.get(reason, 0))
+        self._metrics.evacuated_domains.set(len(self._scheduler.evacuations.by_domain))
+        evacuated = (worker for worker in self._scheduler.worker_by_id.values() if worker.is_evacuated)
+        self._metrics.evacuated_runs.set(sum(len(worker.run_by_key) for worker in evacuated))
         ages_s = [now_s - run.started_s for run in self._unconfirmed_runs()]
         self._metrics.unconfirmed_runs.set(len(ages_s))
         self._metrics.unconfirmed_run_s.set(max(ages_s, default=0.0))
@@ -53,6 +56,8 @@
         for reason in WaitReason:
             self._metrics.waiting_steps.labels(reason.value).set(0)
         self._metrics.held_starts.set(0)
+        self._metrics.evacuated_domains.set(0)
+        self._metrics.evacuated_runs.set(0)
         self._metrics.unconfirmed_runs.set(0)
         self._metrics.unconfirmed_run_s.set(0)
 
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -143,6 +143,12 @@
     kind: EndKind = EndKind.REFUSED
 
 
+class EvacuationsChanged(NamedTuple):
+    """These failure domains, and no others, are evacuated."""
+
+    domains: frozenset[str]
+
+
 class AdviceGiven(NamedTuple):
     """The external policy answered which workers may run a step.
 
@@ -184,6 +190,7 @@
     | WorkerReplaced
     | StartAcknowledged
     | RunRuledOut
+    | EvacuationsChanged
     | AdviceGiven
     | AdviceFailed
 )
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -149,7 +149,8 @@
         """Return whether an attempt of a start may be sent now that it has a slot."""
         context = self._contact.context
         if is_retry:
-            return (effect.key, effect.run) in self._unanswered and context.may_order()
+            run = effect.key, effect.run
+            return run in self._unanswered and not self._is_stop_ordered(run) and context.may_order()
         if self._drop_if_obsolete(effect, context.clock() - ordered_s):
             return False
         if not context.may_order():
@@ -158,12 +159,16 @@
             return False
         return True
 
+    def _is_stop_ordered(self, run: RunId) -> bool:
+        """Return whether a run is to be stopped, or is stopped and not known to be gone yet."""
+        return run in self._pending_stops or run in self._stopped_at_by_run
+
     def _drop_if_obsolete(self, effect: StartRun, waited_s: float) -> bool:
         """Drop a start that became obsolete while it waited for a slot; return whether it was dropped."""
         is_unavailable = self._contact.is_silent or self._contact.is_draining or self._contact.is_overcommitted
         if self._start_limiter.is_last_attempt_unanswered and waited_s > self._contact.context.settings.max_slot_wait_s:
             is_unavailable = True
-        if not is_unavailable and (effect.key, effect.run) not in self._pending_stops:
+        if not is_unavailable and not self._is_stop_ordered((effect.key, effect.run)):
             return False
         kind = EndKind.REFUSED if is_unavailable else EndKind.STOPPED
         self._contact.context.post(RunRuledOut(self._contact.worker_id, effect.key, effect.run, kind))
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -2,7 +2,7 @@
 
 import zlib
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 import anyio
@@ -10,9 +10,12 @@
 from dahliaarch_kernel.codec import encode
 from dahliaarch_kernel.errors import DahliaarchError
 from dahliaarch_kernel.scheduler import AssignmentsPart, JobState, parts_of, Scheduler
+from dahliaarch_platform.operators import evacuated_domain
 from dahliaarch_platform.store import (
+    CommitResult,
     CommitStatus,
     Condition,
+    Item,
     MAX_TRANSACTION_ENTRIES,
     STORE_FAILURES,
     Write,
@@ -33,6 +36,7 @@
     RosterEntry,
 )
 from ..timing import StoreTiming
+from .changes import batches, Change, domain_conditions, DomainEvacuatedError
 from .committing import Committer
 from .held_starts import HeldStarts, RunId
 
@@ -40,9 +44,6 @@
 # be acknowledged within 0.1 s of being listed. The end of a job is persisted without
 # this delay, because the job's submitter waits for it.
 _BATCH_DELAY_S = 0.03
-# Maximum number of changes in one transaction. Each change adds a condition on its
-# own key, in addition to the condition on the owner's key.
-_MAX_CHANGES_PER_TRANSACTION = (MAX_TRANSACTION_ENTRIES - 1) // 2
 # Maximum time that the assignment of an ended run stays in the store, in seconds. The next
 # owner would wait for its worker if that worker is silent.
 _MAX_FLUSH_INTERVAL_S = 0.5
@@ -61,14 +62,6 @@
     """Keys are at unexpected revisions because a delayed write was applied."""
 
 
-class _Change(NamedTuple):
-    """A write to a key or, if `value` is None, its removal."""
-
-    key: str
-    value: bytes | None
-    part: AssignmentsPart | None = None
-
-
 class _PendingChanges(NamedTuple):
     """Changes to jobs that have not been persisted yet.
 
@@ -121,6 +114,8 @@
         Called with the result of `processed_ends` once everything up to it is persisted.
     on_end_persisted : callable
         Called with a job whose end is persisted and may now be shown to clients.
+    on_evacuated : callable
+        Called with the requests to evacuate failure domains that a transaction encountered.
     on_deposed : callable
         Called when another owner has taken over the pool.
     """
@@ -136,6 +131,7 @@
         processed_ends: Callable[[], dict[str, int]],
         on_persisted: Callable[[dict[str, int]], None],
         on_end_persisted: Callable[[str], None],
+        on_evacuated: Callable[[Iterable[Item]], None],
         on_deposed: Callable[[], None],
     ) -> None:
         """Start without pending changes."""
@@ -158,6 +154,7 @@
         self._processed_ends = processed_ends
         self._on_persisted = on_persisted
         self._on_end_persisted = on_end_persisted
+        self._on_evacuated = on_evacuated
         self._on_deposed = on_deposed
 
     def set_roster(self, roster: list[RosterEntry]) -> int:
@@ -201,13 +198,19 @@
         # Jobs come first: a worker is removed from the roster only once no stored assignment names it.
         changes = [*self._job_changes(pending), *roster]
         try:
-            for first in range(0, len(changes), _MAX_CHANGES_PER_TRANSACTION):
-                batch = changes[first : first + _MAX_CHANGES_PER_TRANSACTION]
+            for batch in batches(changes):
                 if not await self._commit(batch):
                     return
                 self._mark_persisted(batch, pending)
                 if not roster:
                     self._release(pending, [change.part for change in batch if change.part])
+        except DomainEvacuatedError as error:
+            log_event('starts_in_evacuated_domain', why=str(error), starts=len(self._held_starts))
+            self._requeue(pending, changes)
+            self._on_evacuated(error.requests)
+            # The scheduling task withdraws these starts meanwhile.
+            await anyio.sleep(_BATCH_DELAY_S)
+            return
         except RevisionConflictError as error:
             log_event('progress_moved', why=str(error), jobs=len(pending.job_ids))
             self._requeue(pending, changes)
@@ -226,15 +229,16 @@
         for part in parts:
             self._held_starts.release(pending.runs_by_part.pop(part, ()))
 
-    def _requeue(self, pending: _PendingChanges, changes: Iterable[_Change]) -> None:
+    def _requeue(self, pending: _PendingChanges, changes: Iterable[Change]) -> None:
         """Queue changes that failed for another write; an unanswered write may still be applied later."""
         for change in changes:
             self._persisted_part_by_key.pop(change.key, None)
         self._scheduler.mark_dirty(pending.job_ids)
-        self._scheduler.assignments.mark_unsaved(pending.parts)
+        # Each start is sent after a transaction that excludes an evacuation of its failure domain.
+        self._scheduler.assignments.mark_unsaved(pending.parts.union(pending.runs_by_part))
         self.flush_requested.set()
 
-    def _mark_persisted(self, batch: Iterable[_Change], pending: _PendingChanges) -> None:
+    def _mark_persisted(self, batch: Iterable[Change], pending: _PendingChanges) -> None:
         """Mark a batch as persisted: it is not rewritten if a later transaction fails, and job ends may be shown."""
         for change in batch:
             if change.part is not None:
@@ -250,10 +254,10 @@
             log_event('job_ended', job=job_id, phase=self._scheduler.job_by_id[job_id].phase)
             self._on_end_persisted(job_id)
 
-    async def _commit(self, batch: Sequence[_Change]) -> bool:
+    async def _commit(self, batch: Sequence[Change]) -> bool:
         conditions = [Condition(change.key, self._revision(change.key)) for change in batch]
         outcome = await self._store.commit(
-            [Condition(OWNER_KEY, self._epoch), *conditions],
+            [Condition(OWNER_KEY, self._epoch), *domain_conditions(batch), *conditions],
             [Write(change.key, change.value) for change in batch if change.value is not None],
             [change.key for change in batch if change.value is None],
             timeout_s=self._timing.write_timeout_s,
@@ -262,16 +266,23 @@
             for change in batch:
                 self._record_revision(change.key, 0 if change.value is None else outcome.revision)
             return True
-        present = {item.key: item.revision for item in outcome.current}
-        if present.get(OWNER_KEY) == self._epoch:
-            # An earlier unanswered write has been applied in the meantime.
-            for change in batch:
-                self._record_revision(change.key, present.get(change.key, 0))
-            raise RevisionConflictError(f'one or more of {len(batch)} keys at an unexpected revision')
+        if _is_owner(outcome, self._epoch):
+            self._handle_conflict(batch, outcome)
         log_event('progress_refused', status=outcome.status, epoch=self._epoch)
         self._on_deposed()
         return False
 
+    def _handle_conflict(self, batch: Collection[Change], outcome: CommitResult) -> None:
+        """Record the revisions that made a transaction fail, and raise the error that tells why it failed."""
+        present = {item.key: item.revision for item in outcome.current}
+        for change in batch:
+            self._record_revision(change.key, present.get(change.key, 0))
+        requests = tuple(item for item in outcome.current if evacuated_domain(item.key) is not None)
+        if requests:
+            raise DomainEvacuatedError(requests)
+        # An earlier unanswered write has been applied in the meantime.
+        raise RevisionConflictError(f'one or more of {len(batch)} keys at an unexpected revision')
+
     def _revision(self, key: str) -> int:
         return self.revision_by_key.get(key, 0)
 
@@ -282,7 +293,7 @@
         else:
             self.revision_by_key.pop(key, None)
 
-    def _job_changes(self, pending: _PendingChanges) -> Iterator[_Change]:
+    def _job_changes(self, pending: _PendingChanges) -> Iterator[Change]:
         """Yield the changes of each job: its progress, then its assignments."""
         parts_by_job = pending.parts_by_job()
         for job_id in pending.ordered_ids():
@@ -290,34 +301,41 @@
             if job is None:
                 continue
             if job_id in pending.job_ids:
-                yield _Change(progress_key(job_id), encode(job.progress()))
-            parts = parts_by_job.get(job_id, [])
-            yield from self._assignment_changes(self._stored_parts(job) if job.has_ended else parts)
+                yield Change(progress_key(job_id), encode(job.progress()))
+            parts = self._stored_parts(job) if job.has_ended else parts_by_job.get(job_id, [])
+            yield from self._assignment_changes(parts, pending)
 
-    def _assignment_changes(self, parts: Iterable[AssignmentsPart]) -> Iterator[_Change]:
+    def _assignment_changes(self, parts: Iterable[AssignmentsPart], pending: _PendingChanges) -> Iterator[Change]:
         """Yield changes of assignments; a part without assignments is removed."""
         for part in parts:
             key = assignments_key(part)
             assignments = self._scheduler.assignments.for_part(part)
             if any(assignments):
-                yield _Change(key, encode(assignments), part)
+                domains = self._domains_of(pending.runs_by_part.get(part, ()))
+                yield Change(key, encode(assignments), part, domains)
             elif self._revision(key):
-                yield _Change(key, None, part)
+                yield Change(key, None, part)
+
+    def _domains_of(self, runs: Iterable[RunId]) -> frozenset[str]:
+        """Return the failure domains in which held starts are sent."""
+        workers = self._scheduler.worker_by_id
+        worker_ids = self._held_starts.workers_of(runs)
+        return frozenset(workers[worker_id].profile.domain for worker_id in worker_ids if worker_id in workers)
 
     def _stored_parts(self, job: JobState) -> list[AssignmentsPart]:
         """Return the parts of a job that the store is known to hold."""
         parts = (part for step in job.step_by_key.values() for part in parts_of(step))
         return [part for part in parts if self._revision(assignments_key(part))]
 
-    def _roster_changes(self) -> list[_Change]:
+    def _roster_changes(self) -> list[Change]:
         """Return the changed parts of the roster, followed by the mark that this owner stores assignments."""
         if self.roster is not self._encoded_roster:
             self._part_by_key = self._roster_parts()
             self._encoded_roster = self.roster
         parts = sorted(self._part_by_key.items())
-        changes = [_Change(key, part) for key, part in parts if part != self._persisted_part_by_key.get(key)]
+        changes = [Change(key, part) for key, part in parts if part != self._persisted_part_by_key.get(key)]
         if changes:
-            changes.append(_Change(ASSIGNMENTS_EPOCH_KEY, encode(self._epoch)))
+            changes.append(Change(ASSIGNMENTS_EPOCH_KEY, encode(self._epoch)))
         return changes
 
     def _roster_parts(self) -> dict[str, bytes]:
@@ -348,3 +366,8 @@
         for job_id in job_ids:
             self.revision_by_key.pop(progress_key(job_id), None)
             self._scheduler.forget_job(job_id)
+
+
+def _is_owner(outcome: CommitResult, epoch: int) -> bool:
+    """Return whether the pool still belongs to an owner whose transaction failed on a condition."""
+    return any(item.key == OWNER_KEY and item.revision == epoch for item in outcome.current)
--- a/packages/node/dahliaarch_node/owner/takeover.py
+++ b/packages/node/dahliaarch_node/owner/takeover.py
@@ -8,6 +8,7 @@
 from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.errors import ProtocolError
 from dahliaarch_kernel.scheduler import AssignmentsPart, JobProgress, StepAssignments
+from dahliaarch_platform.operators import EVACUATIONS_PREFIX
 from dahliaarch_platform.store import Page, StoreClient, WORKERS_PREFIX
 
 from ..logs import log_event
@@ -46,7 +47,7 @@
 
 
 class StoredJobs(NamedTuple):
-    """Jobs in the store with their progress and assignments.
+    """Jobs in the store with their progress and assignments, and the evacuations that bind their starts.
 
     Parameters
     ----------
@@ -60,6 +61,8 @@
         Revisions of the progress and assignment keys, which only owners write.
     is_readable : bool
         Whether all assignments could be decoded.
+    evacuations : Page
+        Requests to evacuate failure domains.
     """
 
     jobs: Page
@@ -67,6 +70,7 @@
     assignments_by_id: AssignmentsById
     revision_by_key: dict[str, int]
     is_readable: bool
+    evacuations: Page
 
 
 def are_assignments_complete(workers: KnownWorkers, stored: StoredJobs) -> bool:
@@ -90,10 +94,12 @@
     Only owners write progress and assignments, and no previous owner can write any more,
     so the progress and assignments read here belong to jobs that are already in the store.
     """
-    progress, assignments, jobs = await _read_prefixes(store, timing, PROGRESS_PREFIX, ASSIGNMENTS_PREFIX, JOBS_PREFIX)
+    progress, assignments, jobs, evacuations = await _read_prefixes(
+        store, timing, PROGRESS_PREFIX, ASSIGNMENTS_PREFIX, JOBS_PREFIX, EVACUATIONS_PREFIX
+    )
     assignments_by_id, is_readable = _assignments_by_id(assignments)
     revision_by_key = _revision_by_key(progress) | _revision_by_key(assignments)
-    return StoredJobs(jobs, _progress_by_id(progress), assignments_by_id, revision_by_key, is_readable)
+    return StoredJobs(jobs, _progress_by_id(progress), assignments_by_id, revision_by_key, is_readable, evacuations)
 
 
 async def _read_prefixes(store: StoreClient, timing: StoreTiming, *prefixes: str) -> list[Page]:
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -83,6 +83,7 @@
         processed_ends=dict,
         on_persisted=on_persisted,
         on_end_persisted=lambda job_id: None,
+        on_evacuated=lambda requests: None,
         on_deposed=lambda: deposed.append(True),
     )
 
--- a/packages/node/dahliaarch_node/status.py
+++ b/packages/node/dahliaarch_node/status.py
@@ -1,9 +1,10 @@
 """Status page for operators."""
 
 from collections import Counter
+from datetime import datetime, UTC
 from typing import Any
 
-from dahliaarch_kernel.scheduler import JobState, WorkerState
+from dahliaarch_kernel.scheduler import JobState, Scheduler, WorkerState
 from dahliaarch_kernel.scheduler.stalls import Load
 from dahliaarch_platform.store import StoreClient
 
@@ -34,6 +35,7 @@
         status['waiting'] = _waiting(jobs)
         status['waiting_steps'] = _waiting_steps(owner.scheduler.load)
         status['accounts'] = _accounts(jobs)
+        status['evacuations'] = _evacuations(owner.scheduler)
         status['workers'] = [_worker(worker) for worker in owner.scheduler.worker_by_id.values()]
     return status
 
@@ -55,6 +57,19 @@
     return [{'account': name, 'accelerators': count} for name, count in sorted(used.items())]
 
 
+def _evacuations(scheduler: Scheduler) -> list[dict[str, Any]]:
+    workers = scheduler.worker_by_id.values()
+    return [
+        {
+            'domain': domain,
+            'since': datetime.fromtimestamp(evacuation.since_s, UTC).isoformat(timespec='seconds'),
+            'workers': sum(worker.profile.domain == domain for worker in workers),
+            'runs': sum(len(worker.run_by_key) for worker in workers if worker.profile.domain == domain),
+        }
+        for domain, evacuation in sorted(scheduler.evacuations.by_domain.items())
+    ]
+
+
 def _worker(worker: WorkerState) -> dict[str, Any]:
     return {
         'worker': worker.worker_id,
@@ -69,6 +84,8 @@
         return 'silent'
     if worker.profile.draining:
         return 'draining'
+    if worker.is_evacuated:
+        return 'evacuated'
     if worker.failed_jobs:
         return f'failed {len(worker.failed_jobs)} jobs in turn'
     return 'slow' if worker.slowness > _SLOW_FACTOR else 'sound'
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
@@ -5,8 +5,9 @@
 
 from dahliaarch_node.peers import AskPending, Mesh, PeerSilentError, PendingReply
 from dahliaarch_platform.http import HttpClient, HttpServer, RequestUnansweredError, Response
+from dahliaarch_platform.operators import CONFIGURATION_KEY
 from dahliaarch_platform.settings import Address, StoreSettings
-from dahliaarch_platform.store import CONFIGURATION_KEY, STORE_FAILURES, StoreClient, StoreUnansweredError
+from dahliaarch_platform.store import STORE_FAILURES, StoreClient, StoreUnansweredError
 from dahliaarch_standins.deployment.core import free_ports
 from dahliaarch_standins.platform import StoreStandIn
 from dahliaarch_standins.proxy import FaultProxy, SlowLink
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -31,8 +31,9 @@
 from dahliaarch_node.replies import PeerReplies
 from dahliaarch_node.timing import StoreTiming
 from dahliaarch_platform.http import HttpClient
+from dahliaarch_platform.operators import CONFIGURATION_KEY
 from dahliaarch_platform.settings import Address, StoreSettings
-from dahliaarch_platform.store import CONFIGURATION_KEY, StoreClient
+from dahliaarch_platform.store import StoreClient
 from dahliaarch_standins.deployment.core import free_ports
 from dahliaarch_standins.platform import StoreStandIn
 from dahliaarch_standins.proxy import FaultProxy, SlowLink
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -11,8 +11,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from dahliaarch_platform.operators import CONFIGURATION_KEY
 from dahliaarch_platform.settings import Address
-from dahliaarch_platform.store import CONFIGURATION_KEY
 
 from ..deployment import Deployment
 from ..hosts import instance_host, proxy_host
