--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -41,7 +41,7 @@
     worker = state.worker_by_id.get(end.worker_id)
     if worker is not None:
         worker.failed_jobs.clear()
-    if run is not None and worker is not None and not (run.began_from_checkpoint or run.is_inherited):
+    if run is not None and worker is not None and run.shows_run_time:
         ran_s = now.steady_s - run.started_s
         state.times.observe(job.queue.name, step.spec, ran_s / run.slowdown)
         observe_pace(step, run, worker, ran_s, 1.0)
--- a/packages/kernel/dahliaarch_kernel/scheduler/health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/health.py
@@ -71,6 +71,10 @@
 
 
 def _assess(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
+    if worker.is_cold:
+        # It is expected to be slow, and to recover by itself.
+        worker.slowness = 1.0
+        return
     evidence_by_run = {run: _evidence(state, run) for run in worker.run_by_key.values()}
     independent = [
         each for run, each in evidence_by_run.items() if each is not None and not _is_on_several_workers(state, run)
--- a/packages/kernel/dahliaarch_kernel/scheduler/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/learning.py
@@ -62,9 +62,12 @@
     """Update the pace of a worker from the share of its work that a run did in a time.
 
     Each run counts once, when enough of its work is done. Runs that resumed from a checkpoint
-    don't count, nor do members of a gang, which are all as fast as the slowest of them.
+    or started while their worker was warming up don't count, nor do members of a gang, which
+    are all as fast as the slowest of them.
     """
-    if run.has_reported_pace or run.began_from_checkpoint or step.spec.gang or step.spec.lasting:
+    if run.began_cold or step.spec.gang or step.spec.lasting:
+        return
+    if run.has_reported_pace or run.began_from_checkpoint:
         return
     if share * 100.0 < _CONCLUSIVE_PERCENT or elapsed_s <= 0:
         return
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -278,6 +278,7 @@
                 run.rank = request.rank
                 run.isolation_s = request.isolation_s
                 run.slowdown = run_slowdown
+                run.began_cold = allocation.worker.is_cold
                 run.assigned_s = self._now.wall_s
                 self._state.start(step, index, run)
                 self._free_capacity.allocate(allocation.worker, demand)
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -271,17 +271,18 @@
     return [allocation for _, allocation in sorted(scored, key=lambda pair: pair[0])]
 
 
-def _preference(worker: WorkerState, free: Resources, request: PlacementRequest) -> tuple[bool, bool, int, int]:
+def _preference(worker: WorkerState, free: Resources, request: PlacementRequest) -> tuple[bool, bool, bool, int, int]:
     """Return a sort key that prefers healthy workers, then full ones, so that whole workers stay free.
 
-    Urgent work, which has little slack, prefers fast workers to full ones.
+    Workers that are warming up come after those that are warm. Urgent work, which has little
+    slack, prefers fast workers to full ones.
     """
     settings = request.settings
     is_urgent = request.step.job.queue.priority == 0
     is_last = worker.may_hide_ends or (is_suspect(worker) and settings.has(Mechanism.SUSPECTS_LAST))
     prefers_empty = not settings.has(Mechanism.PACKING)
     accelerators = -free.accelerators if prefers_empty else free.accelerators
-    return (is_last, is_urgent and is_slow(worker), accelerators, free.memory_mb)
+    return (is_last, worker.is_cold, is_urgent and is_slow(worker), accelerators, free.memory_mb)
 
 
 def _fill(allocations: list[WorkerAllocation], count: int, step: StepState) -> tuple[WorkerAllocation, ...]:
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -37,6 +37,8 @@
         Factor by which the run is expected to take longer on its worker than on a sound one.
     began_from_checkpoint : bool
         Whether it resumed from a checkpoint.
+    began_cold : bool
+        Whether it started while its worker was warming up, so that its run time tells little about others.
     has_reported_pace : bool
         Whether its worker's pace was learned from it.
     report_span_s, report_gain : float
@@ -63,6 +65,7 @@
         'assigned_s',
         'is_inherited',
         'isolation_s',
+        'began_cold',
         'began_from_checkpoint',
         'checkpoint',
         'demand',
@@ -103,6 +106,7 @@
         self.phase = RunPhase.STARTING
         self.checkpoint = ''
         self.began_from_checkpoint = False
+        self.began_cold = False
         self.has_reported_pace = False
         self.is_confirmed = False
         self.was_unlisted = False
@@ -129,6 +133,11 @@
         """Whether its task is a suspect and the run has not outlasted its isolation time yet."""
         return self.isolation_s > 0 and self.ran_s <= self.isolation_s
 
+    @property
+    def shows_run_time(self) -> bool:
+        """Whether the time from its start to its end is the usual run time of its task."""
+        return not (self.began_from_checkpoint or self.began_cold or self.is_inherited)
+
     def mark_sent(self, started_s: float) -> None:
         """Set the start time, on the steady clock, when the order is sent: it waited for the assignment to be saved."""
         self.started_s = started_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -144,8 +144,18 @@
         if job is not None:
             job.release()
 
-    def update_worker(self, profile: WorkerProfile, now: Moment) -> bool:
-        """Update a worker from its published profile; return True if the worker is new."""
+    def update_worker(self, profile: WorkerProfile, now: Moment, cold_left_s: float = 0.0) -> bool:
+        """Update a worker from its published profile; return True if the worker is new.
+
+        Parameters
+        ----------
+        profile : WorkerProfile
+            The profile.
+        now : Moment
+            Current time.
+        cold_left_s : float
+            How much longer tasks take longer on the worker, because it is warming up, in seconds.
+        """
         worker = self._state.worker_by_id.get(profile.worker_id)
         is_new = worker is None
         if worker is None:
@@ -154,6 +164,7 @@
         if worker.profile.capacity != profile.capacity:
             self._state.failed_searches.grown_workers.add(profile.worker_id)
         worker.profile = profile
+        worker.record_cold_time(cold_left_s, now.steady_s)
         worker.is_evacuated = profile.domain in self._state.evacuation_by_domain
         worker.is_listed = True
         worker.has_published_profile = True
@@ -295,6 +306,8 @@
     def decide(self, now: Moment) -> list[Effect]:
         """Run one scheduling pass and return the resulting orders."""
         state = self._state
+        for worker in state.worker_by_id.values():
+            worker.update_cold(now.steady_s)
         expire_leases(state, now)
         apply_crash_limit(state, now)
         for job in state.active_jobs():
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -170,6 +170,10 @@
         # the next owner: the worker gets no starts until that record is withdrawn.
         self.is_lapsed = False
         self.leaves_at_s: float | None = None
+        # Whether it is still warming up, so that tasks take longer there than they will later.
+        self.is_cold = False
+        self._cold_left_s = 0.0
+        self._cold_until_s = 0.0
         self.failed_jobs: set[str] = set()
         self.slowness = 1.0
         self.pace = Pace()
@@ -193,6 +197,17 @@
         """Resources that no run holds."""
         return self.profile.capacity.minus(self.used)
 
+    def record_cold_time(self, cold_left_s: float, now_s: float) -> None:
+        """Record how much longer the worker says that it is cold; a repeated report does not extend that time."""
+        if cold_left_s != self._cold_left_s:
+            self._cold_left_s = cold_left_s
+            self._cold_until_s = now_s + cold_left_s
+        self.update_cold(now_s)
+
+    def update_cold(self, now_s: float) -> None:
+        """Determine whether the worker is still cold."""
+        self.is_cold = now_s < self._cold_until_s
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its demand."""
         self.run_by_key[run.key] = run
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -152,7 +152,7 @@
             yield WorkerUnreadable(name)
             return
         self._known.add(item.key)
-        yield WorkerListed(entry.profile, entry.address, entry.incarnation)
+        yield WorkerListed(entry.profile, entry.address, entry.incarnation, entry.cold_left_s)
 
     def _removal_message(self, key: str) -> WorkerUnlisted:
         self._known.discard(key)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -175,7 +175,7 @@
         if not is_known and self._unserved.set_aside(message):
             log_event('worker_unserved', worker=profile.worker_id, service=profile.service)
             return
-        link = self._update_worker(profile, message.incarnation, message.address)
+        link = self._update_worker(profile, message.incarnation, message.address, message.cold_left_s)
         if not is_known or link.is_draining != profile.draining:
             log_event(
                 'worker_listed', worker=profile.worker_id, draining=profile.draining, leaves_in_s=profile.leaves_in_s
@@ -279,9 +279,11 @@
     def _(self, message: AdviceFailed) -> None:
         self._scheduler.advice_failed(message.step, self._now())
 
-    def _update_worker(self, profile: WorkerProfile, incarnation: WorkerIncarnation, address: Address) -> WorkerLink:
+    def _update_worker(
+        self, profile: WorkerProfile, incarnation: WorkerIncarnation, address: Address, cold_left_s: float = 0.0
+    ) -> WorkerLink:
         """Pass a worker's profile to the scheduler; return the link to the worker."""
-        self._scheduler.update_worker(profile, self._now())
+        self._scheduler.update_worker(profile, self._now(), cold_left_s)
         return self._open_link(incarnation, address)
 
     def _open_link(self, incarnation: WorkerIncarnation, address: Address) -> WorkerLink:
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -44,6 +44,8 @@
     profile: WorkerProfile
     address: Address
     incarnation: WorkerIncarnation
+    # How much longer the worker is slow because it is warming up.
+    cold_left_s: float = 0.0
 
     def for_incarnation(self, incarnation: WorkerIncarnation) -> 'WorkerListed':
         """Return a copy of the entry for the incarnation that is known under its name."""
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -26,6 +26,8 @@
 HOST = '127.0.0.1'
 PREFIX_BY_QUEUE = {'urgent': '/urgent/', 'ordinary': '/ordinary/'}
 ADVISED_QUEUE = 'ordinary'
+# Failure domains, to which the workers belong in turn.
+DOMAINS = ('z0', 'z1', 'z2')
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 8.0
 
@@ -117,6 +119,8 @@
         """Create the stand-ins and reserve ports; nothing is started yet."""
         self.store = StoreStandIn()
         self.workers = [WorkerStandIn(f'w{number}', 'svc', f'r{number // 8}', self.store) for number in range(workers)]
+        for number, worker in enumerate(self.workers):
+            worker.domain = DOMAINS[number % len(DOMAINS)]
         self.version = 0
         self._folder = folder
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -166,6 +166,8 @@
         self.max_hold_s = 10.0
         # Whether the worker keeps its id after a crash caused by a task.
         self.keeps_id_after_crash = False
+        # Failure domain, as published.
+        self.domain = 'z'
         self._service = service
         self._rack = rack
         self._store = store
@@ -221,7 +223,7 @@
         entry = {
             'Service': self._service,
             'Addr': f'{address.host}:{address.port}',
-            'Zone': 'z',
+            'Zone': self.domain,
             'Version': 'v1',
             'Slots': 8,
             'State': 'draining' if self.is_draining else 'ready',
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -13,6 +13,7 @@
 from ..deployment import Caller
 from ..deployment.core import API_KEY, PREFIX_BY_QUEUE
 from ..deployment.jobs import draw_steps, step_specs
+from .evacuations import starts_in_evacuated_domains
 from .following import APPLY_S, ConfigurationCheck, SLOW_APPLY_S
 from .plans import draw_plan, Fault, inject
 from .probing import probe_forever
@@ -164,6 +165,7 @@
         *(Violation('no process ends by itself', name) for name in system.unexpected_exits),
         *(Violation('an instance becomes ready', name) for name in unready),
         *duplicate_runs(system.deployment.workers),
+        *starts_in_evacuated_domains(system.evacuations.periods, system.deployment.workers),
         *await _find_still_running(system, states),
         *excess_crash_starts(submissions, system.deployment.workers),
         *refused_jobs_that_ran(submissions, system.deployment.workers),
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -7,7 +7,9 @@
 
 from dahliaarch_node.owner.registry import epoch_of, fence_of
 
+from ..deployment.core import DOMAINS
 from ..proxy import FaultProxy
+from .evacuations import EVACUATE_S
 from .plans import Fault, register
 from .system import System
 
@@ -258,6 +260,18 @@
             await worker.restart(rng.uniform(*_DOWNTIME_RANGE_S))
 
 
+@register
+async def evacuate_domains(system: System, fault: Fault, rng: random.Random) -> None:
+    """Evacuate some or all failure domains, for longer than the bound on starts there."""
+    domains = rng.sample(DOMAINS, rng.randint(1, len(DOMAINS)))
+    for domain in domains:
+        system.evacuations.begin(domain)
+        await anyio.sleep(rng.uniform(0.0, 0.5))
+    await anyio.sleep(EVACUATE_S + fault.for_s)
+    for each in domains:
+        system.evacuations.end(each)
+
+
 def _owner_or_any(system: System, rng: random.Random) -> str:
     """Return the owner in half of all cases, otherwise a random instance."""
     owner = system.deployment.current_owner()
--- a/packages/standins/dahliaarch_standins/soak/plans.py
+++ b/packages/standins/dahliaarch_standins/soak/plans.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from .settings import CONFIGURATION_KINDS, SoakSettings
+from .settings import CONFIGURATION_KINDS, EVACUATION_KINDS, SoakSettings
 from .system import System
 
 # Range of the duration of a fault, in seconds: it covers the owner's lease of 2 s and a
@@ -51,10 +51,14 @@
 def draw_plan(settings: SoakSettings) -> list[Fault]:
     """Return random faults, which may overlap, sorted by time."""
     rng = random.Random(settings.seed)
-    names = settings.kinds or sorted(_INJECTION_BY_NAME)
+    names = settings.kinds or sorted(set(_INJECTION_BY_NAME).difference(EVACUATION_KINDS))
     plan = [_draw_fault(rng, names, settings.faults_s) for _ in range(settings.faults)]
     for _ in range(settings.changes):
         plan.append(_draw_fault(rng, CONFIGURATION_KINDS, settings.faults_s + _CHANGES_AFTER_FAULTS_S))
+    # A separate generator, so that the other faults of a seed do not change.
+    evacuations = random.Random(f'{settings.seed} evacuations')
+    for _ in range(settings.evacuations):
+        plan.append(_draw_fault(evacuations, EVACUATION_KINDS, settings.faults_s))
     return sorted(plan, key=attrgetter('at_s'))
 
 
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -7,6 +7,10 @@
 # Kinds of faults that change the configuration. They are drawn in addition to the other
 # faults, which may hide that an instance does not follow a change.
 CONFIGURATION_KINDS = ('change_keys', 'grow_configuration')
+# Kinds of faults that evacuate failure domains. They are drawn in addition to the other faults.
+EVACUATION_KINDS = ('evacuate_domains',)
+# Seeds below this number have no evacuations, so that those that are kept as regressions play as before.
+FIRST_SEED_WITH_EVACUATIONS = 10_000
 # Rate of a permanently slow link, in bytes per second: the slowest link of the platform
 # has 5 Mbit/s.
 SLOW_BYTES_PER_S = 600_000
@@ -30,6 +34,8 @@
         Number of random faults.
     changes : int
         Number of random configuration changes in addition to the faults.
+    evacuations : int
+        Number of random evacuations of failure domains in addition to the faults.
     faults_s : float
         Period in which the faults begin.
     settle_s : float
@@ -54,6 +60,7 @@
     slow_links: int = 0
     faults: int = 6
     changes: int = 3
+    evacuations: int = 0
     faults_s: float = 8.0
     settle_s: float = 30.0
     kinds: tuple[str, ...] = ()
@@ -68,6 +75,7 @@
     rng = random.Random(f'{seed} sizes')
     slow_links = rng.choice((0, rng.randint(1, instances - 1)))
     share = instances / 3
+    evacuations = rng.randint(0, 2) if seed >= FIRST_SEED_WITH_EVACUATIONS else 0
     return SoakSettings(
         seed,
         instances=instances,
@@ -75,6 +83,7 @@
         callers=int(4 * share),
         slow_links=slow_links,
         faults=int(6 * share),
+        evacuations=evacuations,
         faults_s=8.0 + 2.0 * (share - 1),
         crashing_share=_CRASHING_SHARE,
         keeping_ids=rng.randint(0, workers),
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -19,6 +19,7 @@
 from ..platform import StoreStandIn, WorkerStandIn
 from ..proxy import FaultProxy, HostLinks, PeerProxy, SlowLink
 from .contact import DisturbanceTracker
+from .evacuations import EvacuationRequests
 from .settings import SLOW_BYTES_PER_S, SoakSettings
 from .versions import Operator
 
@@ -53,6 +54,7 @@
         slow_names = self.deployment.names[: settings.slow_links]
         self.disturbances = DisturbanceTracker(self.deployment.names, slow_names)
         self.operator = Operator(self.deployment, settings.seed)
+        self.evacuations = EvacuationRequests(self.deployment.store)
         self.deployment.store.checks_conditions = settings.without != 'conditions'
         self.deployment.store.muted_prefix = CONFIGURATION_KEY if settings.without == 'updates' else ''
         for worker in self.deployment.workers[: settings.keeping_ids]:
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -70,6 +70,8 @@
     draw_settings(9440)._replace(kinds=_FOURTH_KINDS),
 )
 UNRESTRICTED_SETTINGS = draw_settings(1)
+EVACUATION_SETTINGS = draw_settings(10_001)
+ALL_SETTINGS = (UNRESTRICTED_SETTINGS, EVACUATION_SETTINGS, *REGRESSIONS)
 TASK = f'{"a" * 16}.0.0.0'
 # Each soak starts 3 daemons.
 _PARALLEL_SOAKS = 3
@@ -78,10 +80,10 @@
 @pytest.fixture(scope='module')
 def soaks():
     with ProcessPoolExecutor(_PARALLEL_SOAKS, multiprocessing.get_context('spawn')) as pool:
-        yield {settings: pool.submit(run_soak, settings) for settings in (UNRESTRICTED_SETTINGS, *REGRESSIONS)}
+        yield {settings: pool.submit(run_soak, settings) for settings in ALL_SETTINGS}
 
 
-@pytest.mark.parametrize('settings', [UNRESTRICTED_SETTINGS, *REGRESSIONS], ids=lambda settings: settings.seed)
+@pytest.mark.parametrize('settings', ALL_SETTINGS, ids=lambda settings: settings.seed)
 def test_promises_are_kept_under_random_faults(settings, soaks):
     result = soaks[settings].result()
     assert result.accepted
