--- a/packages/node/dahliaarch_node/tests/test_status.py
+++ b/packages/node/dahliaarch_node/tests/test_status.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from dahliaarch_kernel.configuration import Queue
-from dahliaarch_kernel.scheduler import Moment, Scheduler, SchedulerSettings
+from dahliaarch_kernel.scheduler import Moment, Scheduler, SchedulerSettings, WorkerProfile
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec
 
 from ..status import build_status
@@ -30,3 +30,23 @@
     for tick in range(10):
         scheduler.decide(Moment(1000.0 + 0.25 * tick, 0.25 * tick))
     assert pool_status(scheduler)['waiting_steps'] == [{'reason': 'no capacity', 'steps': 1}]
+
+
+def test_evacuated_failure_domains_are_shown_with_what_still_runs_there():
+    scheduler = Scheduler(SchedulerSettings(), 7)
+    now = Moment(1000.0, 1_700_000_000.0)
+    profile = WorkerProfile('w0', 'svc', 'east', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    scheduler.update_worker(profile, now)
+    scheduler.worker_surveyed('w0', (), now.steady_s, now)
+    step = StepSpec(2, Resources(4000, 16_000, 1), 1.0)
+    scheduler.add_job(JobSpec(JOB, 'acc', 'ordinary', 'payload', (step,)), QUEUE, now)
+    for effect in scheduler.decide(now):
+        scheduler.run_started(effect.worker_id, effect.key, effect.run, now)
+    scheduler.evacuations.replace({'east', 'unknown'}, now)
+    status = pool_status(scheduler)
+    since = '2023-11-14T22:13:20+00:00'
+    assert status['evacuations'] == [
+        {'domain': 'east', 'since': since, 'workers': 1, 'runs': 2},
+        {'domain': 'unknown', 'since': since, 'workers': 0, 'runs': 0},
+    ]
+    assert status['workers'][0]['state'] == 'evacuated'
