Stand-in of the store: one revision for the writes and removals of a transaction

Cause: each removal of a transaction got a revision of its own, so that the answer named a later revision than that of the keys written with it, and their next write failed once.

--- a/packages/standins/dahliaarch_standins/platform/store.py
+++ b/packages/standins/dahliaarch_standins/platform/store.py
@@ -79,9 +79,14 @@
         return self.revision
 
     def remove(self, key: str) -> None:
-        """Remove a key."""
-        if self._item_by_key.pop(key, None) is not None:
+        """Remove a key under a new revision."""
+        if key in self._item_by_key:
             self.revision += 1
+            self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        """Remove a key under the current revision."""
+        if self._item_by_key.pop(key, None) is not None:
             self._record({'Key': key, 'Revision': self.revision, 'Removed': True})
 
     def value(self, key: str) -> bytes | None:
@@ -182,12 +187,12 @@
         writes = body.get('Writes', ())
         if any(row.get('Lease') and row['Lease'] not in self._lease_ends for row in writes):
             return Response(404)
-        # All writes of a transaction share one revision.
+        # All changes of a transaction share one revision.
         self.revision += 1
         for row in writes:
             self._put(row['Key'], base64.b64decode(row['Value']), row.get('Lease', 0))
         for key in body.get('Remove', ()):
-            self.remove(key)
+            self._remove(key)
         return _json({'Revision': self.revision})
 
     def _grant_lease(self, request: Request) -> Response:
