--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -124,3 +124,29 @@
     encoded = msgspec.json.encode(body)
     reply = await HttpClient().call(worker.address, 'POST', path, encoded, timeout_s=0.1, headers=headers)
     return msgspec.json.decode(reply.body)
+
+
+def test_an_order_that_is_under_way_is_not_carried_out_during_the_downtime_of_a_restart():
+    """Its run was dropped without an end when the downtime was over, and counted as running for ever."""
+
+    async def scenario():
+        worker = WorkerStandIn('w0', 'svc', 'r0', StoreStandIn())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(worker.run)
+            while not worker.address.port:
+                await anyio.sleep(0.01)
+            worker.faults.delay_s = 0.2
+            tasks.start_soon(call_unanswered, worker)
+            await anyio.sleep(0.05)
+            await worker.restart(0.4)
+            tasks.cancel_scope.cancel()
+        worker.server.close()
+        return worker
+
+    worker = anyio.run(scenario)
+    assert not worker.starts
+
+
+async def call_unanswered(worker):
+    with pytest.raises(RequestUnansweredError):
+        await call(worker, '/run-start', start(fence=1), incarnation='w0')
