Workers that hold back ends are probed four at a time, and asked sooner

Cause, from its logs: w3 had started again and held on to an acknowledgement of the incarnation before, so that it never listed its first ends. It was probed with one start at a time, each stopped at once, and a probe took 0.27 s: the survey under way waited up to 0.15 s at the worker, the next one too. With 25 hidden ends the worker was out of use from 11 s to 18.4 s, and with it a fifth of the pool. Now four starts are probed at a time and surveys wait 0.08 s there. The number of stopped starts stays that of the hidden ends (up to three more); what may go wrong at one probe does not depend on how many there are at a time.

--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -7,6 +7,9 @@
 from .standing import SortKey
 from .workers import WorkerState
 
+# Maximum number of concurrent starts on a worker that may hide ends. Each is stopped immediately and
+# reveals whether its end is listed; one at a time kept a worker with 25 hidden ends out of use for 8 s.
+_MAX_PROBES = 4
 # Larger than any number of tasks: the result where no resource limits it.
 _UNLIMITED = 1_000_000
 
@@ -115,7 +118,7 @@
 def per_worker_limit(worker: WorkerState, step: StepState) -> int:
     """Return the maximum number of further tasks of a step on a worker."""
     if worker.may_hide_ends:
-        return 0 if worker.run_by_key or step.spec.gang or step.spec.lasting else 1
+        return 0 if step.spec.gang or step.spec.lasting else max(0, _MAX_PROBES - len(worker.run_by_key))
     if not step.spec.max_per_worker:
         return _UNLIMITED
     return max(0, step.spec.max_per_worker - sum(_belongs_to_step(run, step) for run in worker.run_by_key.values()))
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -155,8 +155,8 @@
         # False while its entry was overwritten by another writer and describes no worker.
         self.has_readable_entry = True
         self.is_surveyed = False
-        # Whether the worker may never list ends of runs. Until it has listed one, it gets one start at a time, which is
-        # stopped immediately.
+        # Whether the worker may never list ends of runs. Until it has listed one, it gets few starts at a time, which
+        # are stopped immediately.
         self.may_hide_ends = False
         # How long a later incarnation of the same name may still carry out an unanswered start, in seconds, counted
         # from the last attempt to send it or, if that is unknown, from now. It is 0 if later incarnations have other
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -305,12 +305,12 @@
         # Acknowledgements are sent without a wait to keep the time in which they are unanswered short.
         if has_updates or self._contact.failures or self._last_acknowledgeable_end:
             return 0.0
+        if self._contact.may_hide_ends:
+            return _HIDDEN_END_POLL_S
         if self._orders.has_unresolved_stops:
             return _STOP_POLL_S
         settings = self._context.settings
         longest_s = settings.idle_survey_wait_s if self._is_idle else settings.survey_wait_s
-        if self._contact.may_hide_ends:
-            longest_s = _HIDDEN_END_POLL_S
         return min(longest_s, self._orders.max_survey_wait_s())
 
     async def _await_acknowledgement(self, survey: Survey) -> None:
@@ -367,5 +367,6 @@
 # answers as soon as the run ends. Polling at the same interval without a wait reported
 # the end 0.08 s later on average, and delayed the urgent work waiting for it by as much.
 _STOP_POLL_S = 0.15
-# Longest wait of a survey at a worker that may not report ends, in seconds.
-_HIDDEN_END_POLL_S = 0.4
+# Longest wait of a survey at a worker that may not report ends, in seconds. The end of a probe does not
+# wake such a survey, and the next probe waits for its outcome.
+_HIDDEN_END_POLL_S = 0.08
