An instance with few resources leaves a pool without an owner to one with more

Cause, from its logs: the six instances with 2.15 cores were up at 36.3 s and waited for the dead owner's lease; one with half a core came up at 36.8 s just when the key had gone, knew of no owner, and claimed it without a wait. Its takeover of 247 jobs and 176 workers took 1.41 s. An instance with few resources now waits as long before the first claim as before any other, and looks at the key again instead of taking a lease for nothing.

--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -41,7 +41,8 @@
         How long other instances wait before they claim a key that was removed, so that an owner
         whose lease expired during an outage of the store can claim it again first.
     slow_claim_delay_s : float
-        The same delay on an instance with few resources.
+        The same delay on an instance with few resources, which also waits when it has just started:
+        when all instances restart together, one with more resources owns the pool soonest.
     """
 
     lease_s: float = 2.0
@@ -95,6 +96,7 @@
         self._timing = timing
         self._settings = settings
         self._authority = authority
+        self._is_preferred = is_preferred
         self._claim_delay_s = settings.claim_delay_s if is_preferred else settings.slow_claim_delay_s
         self._lease = 0
         self._had_owner = False
@@ -205,9 +207,13 @@
         if self.is_leaving:
             await anyio.sleep(self._timing.mean_retry_pause_s)
             return
-        if self._had_owner and not self.is_owner:
+        if not self._is_preferred or (self._had_owner and not self.is_owner):
             await anyio.sleep(self._claim_delay_s)
-        await self._claim(0)
+        if self._is_preferred or await self._is_key_absent():
+            await self._claim(0)
+
+    async def _is_key_absent(self) -> bool:
+        return await self._store.get(OWNER_KEY, timeout_s=self._timing.call_timeout_s) is None
 
     async def _claim(self, revision: int) -> None:
         """Write the owner's key if it is still at the given revision (0: absent)."""
