--- a/packages/node/dahliaarch_node/owner/tests/test_hidden_ends.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_hidden_ends.py
@@ -7,9 +7,9 @@
 
 from dahliaarch_kernel.scheduler import EndKind
 from dahliaarch_kernel.workload import Resources, StepSpec
-from dahliaarch_platform.workers import Survey, WorkerUnansweredError
+from dahliaarch_platform.workers import WorkerUnansweredError
 
-from .test_incarnations import job, RestartingWorker, run_actions, SECOND, tracks, worker_listed
+from .restarting_workers import job, RestartingWorker, run_actions, SECOND, tracks, worker_listed
 from .test_takeover import decode_job_record, INHERITED_JOB_ID, job_item, NEW_JOB_ID
 
 TASKS = StepSpec(8, Resources(1000, 1000, 1), 20.0)
