--- a/packages/cli/dahliaarch_cli/tests/test_accounting.py
+++ b/packages/cli/dahliaarch_cli/tests/test_accounting.py
@@ -73,7 +73,7 @@
     assert saved == {'done': pytest.approx(80.0), 'makes room (work saved)': pytest.approx(35.0)}
 
 
-def test_costliest_decision_reports_its_reason_and_the_affected_jobs():
+def test_the_costliest_decision_reports_reason_and_jobs():
     found = preemption_report(checkpoints=False).decisions
     assert [(each.why, each.runs, each.jobs) for each in found] == [(f'makes room for {URGENT}', 1, (BATCH,))]
     assert found[0].core_s == pytest.approx(35.0)
@@ -84,7 +84,7 @@
     assert preemption_report(checkpoints=False).decisions[0].at_s == pytest.approx(3.0)
 
 
-def test_preemptions_are_reported_by_job_and_by_use_of_the_freed_capacity():
+def test_preemptions_are_reported_by_job_and_use_of_capacity():
     found = preemption_report(checkpoints=False)
     assert [(row.job, row.ended, row.stops, row.most_of_one_task) for row in found.stopped] == [
         (BATCH, 'succeeded', 1, 1)
@@ -128,7 +128,7 @@
     assert not describe_preemptions(None)
 
 
-def test_timeliness_is_measured_against_the_latency_objective_of_the_job():
+def test_timeliness_is_measured_against_the_latency_objective():
     rows = {row.queue: row for row in preemption_report(checkpoints=False).queues}
     assert (rows['urgent'].in_time, rows['urgent'].late) == (1, 0)
     assert rows['urgent'].worth_in_time == pytest.approx(1.0)
@@ -173,7 +173,7 @@
     return each._replace(instance=instance)
 
 
-def test_takeover_reports_waits_and_overlapping_starts_of_two_owners():
+def test_a_takeover_reports_waits_and_starts_of_two_owners():
     lines = [
         log_line(0.0, 'owner_ready', epoch=7),
         job_known(0.5, BATCH, 'batch'),
--- a/packages/cli/dahliaarch_cli/tests/test_explaining.py
+++ b/packages/cli/dahliaarch_cli/tests/test_explaining.py
@@ -33,7 +33,7 @@
     assert 'no line names this job' in next(explain_job(JOB_ID, write_and_read_log(tmp_path)))
 
 
-def test_lost_run_is_explained_with_the_number_of_concurrent_runs(tmp_path):
+def test_a_lost_run_is_explained_with_concurrent_runs(tmp_path):
     task = [JOB_ID, 0, 0, 0]
     ordered = {'at': 3.0, 'instance': 'i1', 'event': 'run_ordered', 'task': task, 'worker': 'w', 'run': 9}
     lost = {'at': 4.0, 'instance': 'i1', 'event': 'run_lost', 'task': task, 'worker': 'w', 'run': 9}
@@ -72,7 +72,7 @@
     assert found[-1].endswith(f"""the last reason known is "locality" (step ['{JOB_ID}', 0, 1], 3.400)""")
 
 
-def test_job_without_starts_or_wait_reason_refers_to_the_queue_status(tmp_path):
+def test_a_job_without_starts_refers_to_the_queue_status(tmp_path):
     known = {'at': 0.0, 'instance': 'i1', 'event': 'job_known', 'job': JOB_ID, 'queue': 'q', 'revision': 5}
     assert 'see its queue in the status' in list(explain_job(JOB_ID, write_and_read_log(tmp_path, known)))[-1]
 
--- a/packages/kernel/dahliaarch_kernel/policies/tests/test_policies.py
+++ b/packages/kernel/dahliaarch_kernel/policies/tests/test_policies.py
@@ -20,7 +20,7 @@
         compile_policy(PolicySettings('mine', priority=program))
 
 
-def test_a_program_that_fails_at_run_time_falls_back_to_the_default():
+def test_a_program_that_fails_falls_back_to_the_default():
     failed_programs = []
     settings = PolicySettings('mine', priority='waited_s > 1e7 ? double("x") : waited_s')
     policy = Policy(settings, lambda name, error: failed_programs.append(name))
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_advice.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_advice.py
@@ -27,7 +27,7 @@
     return [effect for effect in effects if isinstance(effect, StartRun)]
 
 
-def test_the_policy_is_asked_once_about_every_worker_and_nothing_starts_before():
+def test_the_policy_is_asked_once_before_anything_starts():
     pool = Pool(workers=4)
     advice_request, *others = submit(pool, task(2))
     assert not others
@@ -51,7 +51,7 @@
     assert not starts_in(pool.scheduler.decide(pool.now))
 
 
-def test_tickets_that_expired_are_asked_for_again_once_there_is_room():
+def test_expired_tickets_are_asked_for_again_once_there_is_room():
     pool = Pool(workers=2)
     (advice_request,) = submit(pool, task(1, accelerators=8))
     grant_tickets(pool, advice_request, 'w1', valid_s=0.1)
@@ -72,7 +72,7 @@
     assert advice_requests_in(pool.scheduler.decide(pool.now))
 
 
-def test_a_policy_that_does_not_answer_is_asked_again_after_a_pause():
+def test_an_unanswering_policy_is_asked_again_after_a_pause():
     pool = Pool(workers=2)
     (advice_request,) = submit(pool, task(1))
     pool.scheduler.advice_failed(advice_request.step, pool.now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_assignments.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_assignments.py
@@ -38,7 +38,7 @@
     assert [start.worker_id for start in owners.decide()] == ['w1']
 
 
-def test_a_task_waits_for_the_silent_worker_that_it_was_assigned_to_until_its_lease_has_ended():
+def test_a_task_waits_for_the_lease_of_its_silent_worker():
     owners, (start,) = start_then_lose_contact()
     owners.submit(B, [task()])
     assert [each.key.job_id for each in owners.decide()] == [B]
@@ -49,7 +49,7 @@
     assert [each.key for each in owners.decide()] == [start.key]
 
 
-def test_a_task_does_not_wait_once_its_worker_has_listed_its_runs_without_it():
+def test_a_task_that_its_worker_does_not_list_does_not_wait():
     owners = StoreBackedOwners(2)
     owners.submit(A, [task()])
     (start,) = owners.decide('late')
@@ -85,7 +85,7 @@
 
 
 @pytest.mark.parametrize('is_over', [True, False])
-def test_a_crash_that_no_owner_lived_to_see_counts_against_the_tasks_that_were_assigned(is_over):
+def test_a_crash_that_no_owner_saw_counts_against_assigned_tasks(is_over):
     owners, (start,) = start_then_lose_contact()
     if is_over:
         owners.scheduler.worker_over(start.worker_id, owners.now)
@@ -104,7 +104,7 @@
     assert not owners.assigned_runs(A)
 
 
-def test_one_change_in_a_large_step_does_not_save_all_its_assignments_again():
+def test_a_change_in_a_large_step_saves_one_part_of_it():
     owners = StoreBackedOwners(100)
     owners.submit(A, [task(700)])
     starts = owners.decide()
@@ -116,7 +116,7 @@
     assert owners.scheduler.assignments.take_unsaved() == {part_of(starts[0].key)}
 
 
-def test_a_run_list_that_the_previous_owner_awaited_is_still_awaited():
+def test_a_run_list_awaited_by_the_previous_owner_is_awaited():
     owners = StoreBackedOwners(2)
     owners.submit(A, [task()])
     (start,) = owners.decide('late')
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_crashes.py
@@ -45,7 +45,7 @@
     return pool.scheduler.job_by_id[job_id].phase
 
 
-def test_a_task_that_crashes_each_worker_that_starts_it_is_given_up():
+def test_a_task_that_crashes_every_worker_is_given_up():
     pool = Pool()
     pool.submit(A, task(1))
     assert crash_on_each_start(pool, TaskKey(A, 0, 0, 0)) == 3
@@ -54,7 +54,7 @@
 
 @pytest.mark.parametrize('ran_s', [0.0, 0.4, 2.5, 6.0])
 @pytest.mark.parametrize('queue', [URGENT, PATIENT])
-def test_a_crashing_task_is_given_up_regardless_of_run_time_and_unrelated_tasks_are_not(ran_s, queue):
+def test_only_the_crashing_task_is_given_up_at_any_run_time(ran_s, queue):
     """Seven tasks of unrelated jobs fit on each worker beside the crashing one."""
     pool = Pool(workers=4)
     for number in range(28):
@@ -65,7 +65,7 @@
     assert all(phase(pool, f'{number:016x}') != 'failed' for number in range(28))
 
 
-def test_a_suspect_runs_isolated_until_it_has_outlasted_its_earlier_runs():
+def test_a_suspect_is_isolated_until_it_outlasts_earlier_runs():
     pool = Pool(workers=2)
     pool.submit(A, task(1))
     first_start = pool.advance()[0]
@@ -91,7 +91,7 @@
     assert any(has_started)
 
 
-def test_a_gang_is_given_up_for_the_member_that_crashes_its_workers():
+def test_a_gang_is_given_up_for_a_member_that_crashes_workers():
     pool = Pool(workers=12)
     pool.submit(A, task(6, accelerators=8, gang=True, work_s=9.0))
     crashed = 0
@@ -152,7 +152,7 @@
     assert pool.advance(0.1)
 
 
-def test_a_task_that_is_not_a_suspect_does_not_wait_for_the_store():
+def test_only_a_suspect_waits_for_the_store():
     pool = Pool()
     pool.submit(A, task(1))
     worker_id = pool.advance(0.1)[0].worker_id
@@ -175,7 +175,7 @@
     pool.advance(6.0)
 
 
-def test_a_worker_that_was_only_unreachable_counts_against_no_task():
+def test_an_unreachable_worker_counts_against_no_task():
     pool = Pool(workers=12)
     pool.submit(A, task(1))
     pool.advance(0.1)
@@ -189,7 +189,7 @@
     assert pool.running
 
 
-def test_a_worker_that_was_given_up_counts_once_another_incarnation_answers_there():
+def test_a_worker_given_up_counts_once_its_successor_answers():
     pool = Pool(workers=12)
     pool.submit(A, task(1))
     pool.advance(0.1)
@@ -201,7 +201,7 @@
     assert [crash.worker_id for crash in step.crashes_by_index[0]] == [worker_id]
 
 
-def test_a_worker_that_leaves_as_announced_counts_against_no_task():
+def test_a_worker_that_leaves_counts_against_no_task():
     pool = Pool(workers=12)
     pool.submit(A, task(1, work_s=20.0))
     for _ in range(6):
@@ -211,14 +211,14 @@
     assert not pool.scheduler.job_by_id[A].step_by_key[0, 0].crashes_by_index
 
 
-def test_a_lasting_task_is_not_given_up_for_worker_crashes_during_its_run():
+def test_a_lasting_task_outlasts_worker_crashes_during_its_run():
     pool = Pool()
     pool.submit(A, task(1, lasting=True))
     assert crash_on_each_start(pool, CRASHING_TASK, ran_s=60.0) == 12
     assert phase(pool) == 'running'
 
 
-def test_a_lasting_task_is_given_up_if_it_crashes_workers_at_its_start():
+def test_a_lasting_task_that_crashes_at_its_start_is_given_up():
     pool = Pool()
     pool.submit(A, task(1, lasting=True))
     assert crash_on_each_start(pool, CRASHING_TASK) == 3
@@ -283,7 +283,7 @@
     assert not unrelated
 
 
-def test_few_unrelated_jobs_are_given_up_where_workers_also_crash_on_their_own():
+def test_few_unrelated_jobs_are_given_up_beside_other_crashes():
     """With a fifth of the workers crashing every ten seconds, at most 1% of all jobs are given up without a cause."""
     given_up = jobs = 0
     for seed in range(100, 115):
@@ -294,7 +294,7 @@
     assert given_up <= jobs / 100
 
 
-def test_few_unrelated_jobs_are_given_up_where_workers_crash_together():
+def test_few_unrelated_jobs_are_given_up_in_common_crashes():
     """Guards against failing jobs for crashes that their tasks did not cause.
 
     With a third of the workers crashing every four seconds, two to six of sixty jobs were shown as failed. Three
@@ -310,7 +310,7 @@
     assert given_up <= jobs / 100
 
 
-def test_a_step_whose_tasks_crash_their_workers_together_is_not_discounted():
+def test_crashes_of_one_step_together_are_not_discounted():
     pool = Pool(workers=12)
     pool.submit(A, task(4, accelerators=8, work_s=9.0))
     for _ in range(12):
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_decisions.py
@@ -32,7 +32,7 @@
     assert job.shown_phase == 'succeeded'
 
 
-def test_a_failed_task_is_retried_on_other_workers_and_its_job_fails_after_max_attempts():
+def test_a_failed_task_is_retried_elsewhere_up_to_max_attempts():
     pool = Pool()
     pool.submit(A, task(), queue=ORDINARY)
     workers = []
@@ -96,7 +96,7 @@
     assert leaving not in started
 
 
-def test_runs_of_a_previous_owner_are_adopted_and_not_started_again():
+def test_runs_of_a_previous_owner_are_adopted():
     pool = Pool(workers=2)
     pool.submit(A, task(3))
     pool.advance()
@@ -176,7 +176,7 @@
     assert len(again) == 1
 
 
-def test_a_gang_is_not_moved_because_of_a_late_start_and_a_wrong_estimate():
+def test_a_gang_is_not_moved_for_a_late_start_and_wrong_estimate():
     pool = Pool(workers=2)
     pool.submit(A, task(2, accelerators=8, gang=True, work_s=1.4), queue=URGENT)
     pool.advance()
@@ -187,7 +187,7 @@
     assert not pool.stops
 
 
-def test_a_worker_whose_runs_are_stalled_gets_no_starts_before_they_are_moved():
+def test_a_worker_with_stalled_runs_gets_no_starts():
     pool = Pool(workers=2)
     pool.submit(A, task(work_s=6.0))
     stalled_worker = pool.advance()[0].worker_id
@@ -201,7 +201,7 @@
     assert pool.advance()[0].worker_id != stalled_worker
 
 
-def test_workers_that_take_longer_for_similar_tasks_are_classified_as_slow():
+def test_workers_that_take_longer_for_like_tasks_are_slow():
     pool = Pool(workers=6)
     train_worker_paces(pool, {'w1', 'w4'})
     known = {worker_id for worker_id, worker in pool.scheduler.worker_by_id.items() if worker.slowdown > 1.15}
@@ -215,7 +215,7 @@
     assert {effect.worker_id for effect in pool.advance(0.1)} == {'w2', 'w3', 'w4', 'w5'}
 
 
-def test_a_step_that_found_no_capacity_starts_once_a_run_of_another_job_ends():
+def test_a_waiting_step_starts_once_another_run_ends():
     pool = Pool(workers=1)
     pool.submit(A, task(1, accelerators=8), queue=PATIENT)
     pool.submit(B, task(1, accelerators=8), queue=PATIENT)
@@ -225,7 +225,7 @@
     assert [effect.key.job_id for effect in pool.advance(0.01)] == [B]
 
 
-def test_a_start_without_an_answer_that_is_stopped_blocks_its_task_until_the_worker_reports_its_end():
+def test_a_stopped_unanswered_start_blocks_its_task():
     """A survey without the run does not show that it ended: the start may still be executed late."""
     pool = Pool(workers=2)
     pool.submit(A, task(2, accelerators=8, gang=True))
@@ -239,7 +239,7 @@
     assert len(pool.advance(0.5)) == 2
 
 
-def test_a_task_whose_start_was_stopped_before_the_reply_waits_until_the_worker_reports_the_end():
+def test_a_task_stopped_before_the_reply_waits_for_its_end():
     """Guards against two simultaneous runs of one task under one owner.
 
     An urgent gang preempted the run 26 ms after its start was sent, and the first attempts of the start and of the
@@ -278,7 +278,7 @@
     assert not pool.stops
 
 
-def test_within_a_rank_what_came_first_starts_first_regardless_of_size():
+def test_within_a_rank_what_came_first_starts_first():
     """Wide steps waited for all small steps that arrived later, and ended too late to be of use."""
     pool = Pool(workers=1)
     pool.submit('f' * 16, task(1, accelerators=8, work_s=1.0))
@@ -291,7 +291,7 @@
     assert {effect.key.job_id for effect in pool.advance(0.1)} == {A}
 
 
-def test_the_cache_of_failed_searches_does_not_grow_with_cancelled_jobs():
+def test_cancelled_jobs_do_not_grow_the_cache_of_failed_searches():
     pool = Pool(workers=1)
     pool.submit(A, task(1, accelerators=8, work_s=500.0), queue=URGENT)
     pool.advance()
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_discounted_crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_discounted_crashes.py
@@ -66,7 +66,7 @@
 
 
 @pytest.mark.parametrize('crash', [crash_without_starting, crash_after_end])
-def test_a_job_is_not_failed_for_crashes_at_which_its_task_may_not_have_run(crash):
+def test_a_job_is_not_failed_for_crashes_elsewhere(crash):
     # Two such crashes used to count like the one under the task: three in all, and the job was shown as failed.
     pool = Pool()
     pool.submit(A, task(1, work_s=WORK_S))
@@ -88,7 +88,7 @@
 
 
 @pytest.mark.parametrize('crash', [crash_without_starting, crash_after_end])
-def test_a_task_whose_crashes_are_all_uncertain_is_not_started_forever(crash):
+def test_a_task_with_uncertain_crashes_is_not_started_forever(crash):
     pool = Pool()
     pool.submit(A, task(1, work_s=WORK_S))
     for _ in range(MAX_STARTS):
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_evacuations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_evacuations.py
@@ -57,7 +57,7 @@
     return reasons
 
 
-def test_nothing_starts_in_an_evacuated_domain_until_it_is_reopened():
+def test_nothing_starts_in_a_domain_until_it_is_reopened():
     pool = DividedPool()
     pool.evacuate(EAST)
     pool.submit(JOB, task(4, accelerators=8))
@@ -99,7 +99,7 @@
     assert pool.domains_of(JOB) == {EAST, WEST}
 
 
-def test_an_unacknowledged_start_in_an_evacuated_domain_is_withdrawn():
+def test_an_unacknowledged_start_of_an_evacuation_is_withdrawn():
     # It would be sent again, and carried out after the request to start nothing more.
     pool = DividedPool()
     pool.submit(JOB, task(4, accelerators=8))
@@ -110,7 +110,7 @@
     assert {(stop.key, stop.run) for stop in stops} < {(start.key, start.run) for start in ordered}
 
 
-def test_a_gang_that_is_partly_sent_to_an_evacuated_domain_is_withdrawn_as_a_whole():
+def test_a_gang_partly_sent_to_an_evacuated_domain_is_withdrawn():
     pool = DividedPool()
     pool.submit(JOB, task(4, accelerators=8, gang=True))
     ordered = pool.order(JOB)
@@ -159,7 +159,7 @@
     assert pool.domains_of(JOB) == {WEST}
 
 
-def test_work_that_may_run_only_in_an_evacuated_domain_is_told_so_and_starts_once_it_is_reopened():
+def test_work_bound_to_an_evacuated_domain_waits_and_is_told_so():
     pool = DividedPool()
     pool.evacuate(EAST)
     pool.submit(JOB, task(1, label=f'only-{EAST}'))
@@ -169,14 +169,14 @@
     assert pool.domains_of(JOB) == {EAST}
 
 
-def test_work_that_lacks_only_the_capacity_of_an_evacuated_domain_is_told_so():
+def test_work_that_lacks_only_evacuated_capacity_is_told_so():
     pool = DividedPool()
     pool.evacuate(EAST)
     pool.submit(JOB, task(3, accelerators=8, gang=True))
     assert advance_until_reported(pool) == [WaitReason.EVACUATED]
 
 
-def test_the_capacity_of_an_evacuated_domain_does_not_count_as_idle():
+def test_capacity_of_an_evacuated_domain_does_not_count_as_idle():
     pool = DividedPool()
     pool.evacuate(EAST)
     pool.submit(JOB, task(2, accelerators=8, work_s=20.0))
@@ -190,7 +190,7 @@
     assert waiting.used_share > 0.5
 
 
-def test_the_begin_the_last_end_and_the_end_of_an_evacuation_are_reported_once():
+def test_each_stage_of_an_evacuation_is_reported_once():
     pool = DividedPool()
     pool.submit(JOB, task(4, accelerators=8))
     pool.advance()
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_health.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_health.py
@@ -34,7 +34,7 @@
     return pool.advance()
 
 
-def test_a_run_that_is_stalled_for_some_seconds_is_not_moved_when_its_job_has_time():
+def test_a_stalled_run_is_not_moved_when_its_job_has_time():
     pool = Pool(workers=2)
     run_jobs_that_take(pool, ORDINARY, 8.0, lambda number: 8.0)
     pool.submit(A, task(work_s=8.0))
@@ -44,7 +44,7 @@
     assert not pool.stops
 
 
-def test_a_stalled_urgent_run_is_moved_at_once_when_only_a_move_lets_its_job_end_in_time():
+def test_a_stalled_urgent_run_is_moved_if_only_that_is_in_time():
     pool = Pool(workers=2)
     run_jobs_that_take(pool, URGENT, 4.0, lambda number: 4.0)
     pool.submit(A, task(work_s=4.0), queue=URGENT)
@@ -55,7 +55,7 @@
     assert pool.advance(0.3)[0].worker_id != worker
 
 
-def test_an_urgent_run_that_would_end_late_after_a_move_is_not_moved():
+def test_an_urgent_run_is_not_moved_if_that_ends_late():
     """After a move it would still end late, and the progress made so far would be lost."""
     pool = Pool(workers=2)
     run_jobs_that_take(pool, URGENT, 2.0, lambda number: 2.0)
@@ -66,7 +66,7 @@
     assert not pool.stops
 
 
-def test_workers_are_not_suspected_because_of_a_slow_gang_member_on_another_worker():
+def test_a_slow_gang_member_makes_no_other_worker_a_suspect():
     pool = Pool(workers=3)
     run_jobs_that_take(pool, ORDINARY, 8.0, lambda number: 8.0)
     pool.submit(A, task(2, accelerators=8, gang=True, work_s=8.0))
@@ -87,7 +87,7 @@
     assert {effect.worker_id for effect in pool.advance(0.01)} == ({'w0', 'w1'} - {slow})
 
 
-def test_a_worker_is_not_suspected_because_of_a_queue_with_unreliable_estimates():
+def test_unreliable_estimates_make_no_worker_a_suspect():
     """Estimates of 0.3 to 12 s for tasks of 3 s made workers appear ten times too slow."""
     pool = Pool(workers=1)
     run_jobs_that_take(pool, URGENT, 3.0, lambda number: (0.3, 1.0, 3.0, 12.0)[number % 4], jobs=24)
@@ -99,7 +99,7 @@
     assert not is_suspect(pool.scheduler.worker_by_id['w0'])
 
 
-def test_stalled_runs_are_not_moved_when_the_mechanism_is_disabled():
+def test_stalled_runs_are_not_moved_without_the_mechanism():
     without = frozenset((Mechanism.MOVES_OF_STALLED,))
     pool = Pool(workers=2, settings=SchedulerSettings(without=without))
     pool.submit(A, task(work_s=6.0))
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_late_starts.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_late_starts.py
@@ -34,7 +34,7 @@
         simulation.deliver_stop(order, is_answered=True)
 
 
-def test_a_start_that_is_executed_after_its_job_was_cancelled_is_stopped():
+def test_a_late_start_of_a_cancelled_job_is_stopped():
     simulation = OwnerSimulation(WORKERS)
     order = submit_with_delayed_start(simulation)
     simulation.cancel(A)
@@ -43,7 +43,7 @@
     assert not simulation.runs_to_stop()
 
 
-def test_a_start_that_is_executed_after_its_stop_was_acknowledged_is_refused():
+def test_a_start_after_its_acknowledged_stop_is_refused():
     simulation = OwnerSimulation(WORKERS)
     order = submit_with_delayed_start(simulation)
     simulation.cancel(A)
@@ -56,7 +56,7 @@
 @pytest.mark.parametrize('is_removed', [False, True])
 @pytest.mark.parametrize('has_reported', [False, True])
 @pytest.mark.parametrize('is_listed', [False, True])
-def test_a_late_start_of_a_previous_owner_is_stopped_by_the_next_owner(is_removed, has_reported, is_listed):
+def test_the_next_owner_stops_a_late_start_of_the_previous_one(is_removed, has_reported, is_listed):
     """Also if the next owner does not know the job, or the worker is listed only later."""
     simulation = OwnerSimulation(WORKERS)
     order = submit_with_delayed_start(simulation)
@@ -73,7 +73,7 @@
     assert not simulation.runs_to_stop()
 
 
-def test_a_late_start_that_was_adopted_is_stopped_once_its_job_is_cancelled():
+def test_an_adopted_late_start_is_stopped_with_its_job():
     simulation = OwnerSimulation(WORKERS)
     order = submit_with_delayed_start(simulation)
     simulation.take_over(silent_worker_ids=(), unlisted_worker_ids=())
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_preemption.py
@@ -7,7 +7,7 @@
 A, B, C = 'a' * 16, 'b' * 16, 'c' * 16
 
 
-def test_urgent_work_within_its_guarantee_preempts_and_starts_on_the_freed_capacity():
+def test_guaranteed_work_preempts_and_starts_on_freed_capacity():
     pool = Pool(workers=2)
     pool.scheduler.set_guarantees({'acc': 16})
     pool.submit(A, task(16, checkpoints=True), queue=PATIENT)
@@ -19,7 +19,7 @@
     assert [effect.key.job_id for effect in started] == [B, B]
 
 
-def test_guaranteed_work_that_first_finds_no_victims_preempts_as_soon_as_victims_exist():
+def test_guaranteed_work_preempts_as_soon_as_victims_exist():
     """Capacity remained reserved for seconds while no run was preempted."""
     pool = Pool(workers=2)
     pool.scheduler.set_guarantees({'acc': 8, 'other': 8})
@@ -59,7 +59,7 @@
     assert any(key.job_id == A for _, key in pool.running)
 
 
-def test_the_holder_of_a_reservation_is_tried_although_that_reservation_blocked_a_similar_gang():
+def test_a_holder_is_tried_though_its_reservation_blocked_others():
     """The cached failed search of a smaller gang with the same search key blocked both gangs forever."""
     pool = Pool(workers=3)
     wide = {'accelerators': 8, 'gang': True, 'work_s': 6.0}
@@ -89,7 +89,7 @@
     assert started == {B, C}
 
 
-def test_guaranteed_work_preempts_patient_work_before_urgent_work_of_other_accounts():
+def test_guaranteed_work_preempts_patient_work_first():
     pool = Pool(workers=2)
     pool.scheduler.set_guarantees({'acc': 8})
     pool.submit(A, task(1, accelerators=8), queue=PATIENT)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_shrinking_room.py
@@ -25,7 +25,7 @@
     assert not pool.advance(0.1)
 
 
-def test_no_run_is_preempted_for_work_that_could_not_start_there_afterwards():
+def test_no_run_is_preempted_where_work_could_not_start():
     """The runs use six accelerators of two: one was preempted for a CPU-only task, which still could not start."""
     pool = Pool(workers=1)
     pool.submit(A, task(6), queue=PATIENT)
@@ -64,7 +64,7 @@
     pool.scheduler.workers_synced(pool.now)
 
 
-def test_a_worker_without_capacity_check_gets_no_starts_while_its_entry_is_outdated():
+def test_a_worker_without_capacity_check_needs_a_current_entry():
     """Its capacity may have shrunk since its entry was last synced, and it executes every start that it receives."""
     pool = Pool(workers=1)
     disable_capacity_check(pool)
@@ -75,7 +75,7 @@
     assert pool.advance(0.01)
 
 
-def test_a_worker_with_capacity_check_gets_starts_while_entries_are_not_synced():
+def test_a_worker_that_checks_capacity_needs_no_synced_entry():
     pool = Pool(workers=1)
     pool.scheduler.set_services_without_capacity_check(set())
     pool.scheduler.workers_synced(pool.now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_stalled_steps.py
@@ -86,7 +86,7 @@
     assert len(pool.running) == workers
 
 
-def test_gangs_whose_reservations_overlap_do_not_wait_for_each_other():
+def test_gangs_with_common_reservations_do_not_block_each_other():
     # Each of three gangs was blocked by the reservations of the other two while three quarters of the pool were idle.
     pool = TimedPool(16, slow_worker_ids=('w0', 'w2', 'w5', 'w9'))
     occupy(pool, 16, work_s=4.0)
@@ -101,7 +101,7 @@
         assert pool.runs_of(job_id) or pool.tick_until_started(job_id, 10.0) <= LONGEST_STALL_S
 
 
-def test_small_work_is_not_held_up_by_a_reservation_beside_idle_capacity():
+def test_no_reservation_holds_up_small_work_beside_idle_capacity():
     # Workers reserved for a gang as wide as the pool stayed idle until the last of them was free.
     pool = TimedPool(10)
     occupy(pool, 1, work_s=30.0)
@@ -112,7 +112,7 @@
     assert pool.tick_until_started(JOB, 10.0) <= LONGEST_STALL_S
 
 
-def test_work_does_not_wait_for_the_rack_of_its_data_beside_idle_capacity():
+def test_work_waits_for_no_rack_beside_idle_capacity():
     # The task waited for 1.5 times its own run time even when the other racks were idle.
     pool = TimedPool(40)
     pool.submit('b' * 16, task(8, accelerators=8, work_s=60.0, data_rack='r0'))
@@ -133,7 +133,7 @@
     assert pool.tick_until_started(JOB, 35.0) <= TICK_S
 
 
-def test_a_gang_does_not_wait_for_a_single_rack_while_capacity_is_idle():
+def test_a_gang_waits_for_no_single_rack_beside_idle_capacity():
     pool = TimedPool(40)
     for rack in range(5):
         pool.submit(f'{rack:016x}', task(1, accelerators=8, work_s=60.0, data_rack=f'r{rack}'))
@@ -258,7 +258,7 @@
     assert pool.scheduler.load.waiting_by_reason == {WaitReason.NO_CAPACITY: 1}
 
 
-def test_free_capacity_of_unavailable_workers_is_reported_separately():
+def test_capacity_of_unavailable_workers_is_reported_separately():
     pool = TimedPool(4)
     for worker_id in pool.profiles:
         pool.scheduler.worker_silent(worker_id, pool.now)
@@ -268,7 +268,7 @@
     assert (note.reason, note.has_room_twice, note.has_takers_twice) == (WaitReason.UNAVAILABLE, True, False)
 
 
-def test_a_step_that_waits_for_the_runs_of_a_previous_owner_is_reported():
+def test_a_step_that_waits_for_a_previous_owner_is_reported():
     pool = TimedPool(4)
     spec = JobSpec(JOB, 'acc', 'ordinary', 'payload', (task(1),), accepted_s=pool.now.wall_s)
     pool.spec_by_id[JOB] = spec
@@ -277,7 +277,7 @@
     assert [(note.reason, note.has_room_twice) for note in notes] == [(WaitReason.PREVIOUS_OWNER, True)]
 
 
-def test_a_failed_search_is_repeated_although_no_capacity_has_grown():
+def test_a_failed_search_is_repeated_without_new_capacity():
     # The result of a placement filter may change while nothing runs, but the failed search stayed cached forever.
     pool = TimedPool(1, policy=PolicySettings('mine', placement_filter='!suspect'))
     worker = pool.scheduler.worker_by_id['w0']
@@ -291,7 +291,7 @@
     assert pool.tick_until_started(JOB, 20.0) <= LONGEST_STALL_S
 
 
-def test_a_lasting_task_that_ended_is_restarted_while_others_of_its_step_run():
+def test_an_ended_lasting_task_is_restarted_beside_others():
     # The step had running tasks, so it did not count as stalled and the task waited for the rack of its data.
     pool = TimedPool(16)
     pool.submit(JOB, task(9, accelerators=8, work_s=600.0, data_rack='r0', lasting=True))
@@ -311,7 +311,7 @@
     assert [note.reason for note in collect_waiting_notes(pool, 12)] == [WaitReason.UNAVAILABLE]
 
 
-def test_a_gang_as_wide_as_the_pool_starts_despite_occasional_small_tasks():
+def test_a_gang_as_wide_as_the_pool_starts_despite_small_tasks():
     # Small tasks that had waited while capacity was idle were repeatedly placed on capacity reserved for the gang.
     pool = TimedPool(10)
     pool.submit('b' * 16, task(1, accelerators=8, work_s=10.0))
@@ -337,7 +337,7 @@
     assert pool.tick_until_started('b' * 16, 20.0) <= LONGEST_STALL_S
 
 
-def test_a_task_returns_to_a_worker_on_which_it_failed_rather_than_wait_while_capacity_is_idle():
+def test_a_task_returns_where_it_failed_if_only_that_is_idle():
     pool = TimedPool(2)
     pool.submit('b' * 16, task(1, accelerators=8, work_s=120.0))
     pool.tick()
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -39,7 +39,7 @@
     return [effect for effect in pool.advance(0.3) if isinstance(effect, StartRun)] or pool.starts[1:]
 
 
-def test_the_task_waits_for_the_next_survey_and_starts_if_it_lists_no_run():
+def test_a_task_starts_if_the_next_survey_lists_no_run():
     pool = Pool(workers=2)
     start = replace_with_unacknowledged_start(pool)
     assert not starts_after(pool, 5.0)
@@ -74,7 +74,7 @@
     assert len(starts_after(pool, 0.0)) == 1
 
 
-def test_the_task_starts_once_the_next_incarnation_is_over_without_a_successor():
+def test_a_task_starts_once_the_last_incarnation_is_over():
     pool = Pool(workers=2)
     start = replace_with_unacknowledged_start(pool)
     pool.scheduler.worker_over(f'{start.worker_id}+', pool.now)
@@ -100,7 +100,7 @@
     return start
 
 
-def test_the_task_waits_for_an_unanswered_attempt_although_a_later_one_was_acknowledged():
+def test_a_task_waits_for_an_attempt_before_an_acknowledged_one():
     """The run ended with its incarnation and the task ran elsewhere when the next one executed the first attempt."""
     pool = Pool(workers=2)
     start = start_with_unanswered_first_attempt(pool, 1.0)
@@ -111,7 +111,7 @@
     assert len(starts_after(pool, 0.0)) == 1
 
 
-def test_the_task_waits_for_an_unanswered_attempt_of_a_start_that_was_stopped():
+def test_a_task_waits_for_an_unanswered_attempt_that_was_stopped():
     """The next incarnation does not know of the stop that the previous one acknowledged."""
     pool = Pool(workers=1)
     start = start_with_unanswered_first_attempt(pool, 1.0)
@@ -124,7 +124,7 @@
 
 
 @pytest.mark.parametrize(('sent_ago_s', 'count'), [(LATE_S - 2.0, 0), (LATE_S, 1)])
-def test_the_task_waits_for_an_unanswered_attempt_no_longer_than_it_may_be_delayed(sent_ago_s, count):
+def test_a_task_waits_no_longer_than_an_attempt_may_be_delayed(sent_ago_s, count):
     pool = Pool(workers=2)
     start = start_with_unanswered_first_attempt(pool, sent_ago_s)
     replace_incarnation(pool, start.worker_id)
@@ -132,7 +132,7 @@
     assert len(starts_after(pool, 0.0)) == count
 
 
-def test_other_tasks_do_not_wait_for_an_unanswered_attempt_whose_task_has_succeeded():
+def test_no_other_task_waits_for_an_attempt_of_a_done_task():
     pool = Pool(workers=1)
     pool.submit(A, task(2, accelerators=8))
     (start,) = pool.advance()
@@ -163,7 +163,7 @@
 
 @pytest.mark.parametrize('is_listed', [False, True])
 @pytest.mark.parametrize(('after_s', 'count'), [(LATE_S - 1.0, 0), (LATE_S, 1)])
-def test_its_task_waits_when_the_incarnation_was_given_up_in_silence(is_listed, after_s, count):
+def test_its_task_waits_for_an_incarnation_given_up_in_silence(is_listed, after_s, count):
     """The next incarnation completed the task before its first survey, and the task ran again 1.4 s later."""
     pool = Pool(workers=2)
     give_up_with_unacknowledged_start(pool, is_listed)
@@ -171,7 +171,7 @@
     assert len(starts_after(pool, after_s)) == count
 
 
-def test_the_task_waits_when_the_next_incarnation_is_given_up_before_its_first_survey():
+def test_a_task_waits_for_a_successor_given_up_without_a_survey():
     pool = Pool(workers=2)
     start = replace_with_unacknowledged_start(pool)
     successor = f'{start.worker_id}+'
@@ -181,7 +181,7 @@
     assert len(starts_after(pool, 1.0)) == 1
 
 
-def test_the_task_starts_once_the_next_incarnation_has_listed_its_runs():
+def test_a_task_starts_once_the_successor_has_listed_its_runs():
     pool = Pool(workers=2)
     start = give_up_with_unacknowledged_start(pool, is_listed=False)
     assert not pool.advance(0.1)
@@ -191,7 +191,7 @@
     assert len(starts_after(pool, 0.0)) == 1
 
 
-def test_the_task_starts_once_the_same_incarnation_has_listed_its_runs():
+def test_a_task_starts_once_its_incarnation_has_listed_its_runs():
     """The incarnation was only unreachable and still knows of the stop."""
     pool = Pool(workers=2)
     start = give_up_with_unacknowledged_start(pool, is_listed=False)
@@ -201,7 +201,7 @@
     assert len(starts_after(pool, 0.0)) == 1
 
 
-def test_the_task_starts_at_once_when_later_incarnations_have_other_names():
+def test_a_task_starts_at_once_if_successors_have_other_names():
     pool = Pool(workers=2)
     start = give_up_with_unacknowledged_start(pool, is_listed=False)
     pool.scheduler.worker_by_id[start.worker_id].late_order_s = 0.0
@@ -214,7 +214,7 @@
     pool.scheduler.worker_by_id[worker_id].may_hide_ends = True
 
 
-def test_a_late_start_is_stopped_on_an_incarnation_that_may_hide_its_end():
+def test_a_late_start_is_stopped_where_its_end_may_be_hidden():
     """The end of the run was never listed, and the task ran again."""
     pool = Pool(workers=2)
     start = replace_with_unacknowledged_start(pool)
@@ -232,7 +232,7 @@
     [(task(8), 4), (task(2, gang=True), 0), (task(1, lasting=True), 0)],
     ids=['tasks', 'gang', 'lasting'],
 )
-def test_an_incarnation_that_may_hide_ends_gets_few_starts_at_a_time(step, count):
+def test_an_incarnation_that_may_hide_ends_gets_few_starts(step, count):
     pool = Pool(workers=1)
     set_may_hide_ends(pool, 'w0')
     pool.submit(A, step)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_surveys.py
@@ -7,7 +7,7 @@
 A = 'a' * 16
 
 
-def test_a_run_that_is_neither_listed_nor_reported_as_ended_is_noted_as_lost():
+def test_a_run_without_an_end_that_is_not_listed_is_lost():
     pool = Pool(workers=1)
     pool.submit(A, task())
     pool.advance()
--- a/packages/node/dahliaarch_node/owner/tests/test_advising.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_advising.py
@@ -46,7 +46,7 @@
         answered.set()
 
 
-def test_an_owner_with_a_single_asker_gets_an_answer_to_every_question():
+def test_a_single_asker_is_enough_for_every_question():
     outcomes = []
 
     async def scenario():
--- a/packages/node/dahliaarch_node/owner/tests/test_assignments.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_assignments.py
@@ -84,7 +84,7 @@
         'with an unreadable assignment of another job',
     ],
 )
-def test_a_job_waits_for_a_silent_worker_only_if_it_may_run_there(items, starts):
+def test_a_job_waits_only_for_silent_workers_that_may_run_it(items, starts):
     # All jobs of previous owners waited for every silent worker, for up to 8 s while the pool was idle.
     workers = silent_workers('w0')
     store = InMemoryStore([job_item(INHERITED_JOB_ID, time.time()), *WORKER_ITEMS, *items])
@@ -189,7 +189,7 @@
     return store, workers
 
 
-def test_a_start_is_sent_only_once_the_store_holds_its_assignment():
+def test_a_start_is_sent_once_its_assignment_is_stored():
     async def scenario(owner, store, workers):
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time())))
         await wait_until(lambda: workers.starts, 2.0)
@@ -198,7 +198,7 @@
     assert workers.checks_at_start == [True, True, True]
 
 
-def test_starts_are_held_while_the_store_refuses_writes_and_sent_once_afterwards():
+def test_starts_are_held_while_the_store_refuses_writes():
     start_counts = []
 
     async def scenario(owner, store, workers):
@@ -215,7 +215,7 @@
     assert start_counts == [0, 1]
 
 
-def test_a_start_is_not_sent_once_its_job_was_cancelled_while_it_was_held():
+def test_a_held_start_is_not_sent_once_its_job_is_cancelled():
     async def scenario(owner, store, workers):
         store.refuses_writes = True
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time())))
@@ -255,7 +255,7 @@
     assert assignments_key_of(NEW_JOB_ID) not in store.item_by_key
 
 
-def test_a_worker_is_removed_from_the_roster_after_the_assignments_of_its_tasks():
+def test_a_worker_leaves_the_roster_after_its_assignments():
     # Otherwise the next owner finds a task assigned to an unknown worker and cannot tell the reason.
     async def scenario(owner, store, workers):
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time())))
@@ -288,7 +288,7 @@
     assert not workers.starts
 
 
-def test_a_held_start_for_a_worker_that_falls_silent_moves_to_another():
+def test_a_held_start_leaves_a_worker_that_falls_silent():
     async def scenario(owner, store, workers):
         store.refuses_writes = True
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time())))
--- a/packages/node/dahliaarch_node/owner/tests/test_committing.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_committing.py
@@ -75,7 +75,7 @@
 
 @pytest.mark.parametrize('refusal', [StoreRefusedError('503'), StoreUnreachableError('reset')])
 @pytest.mark.parametrize('answer', [DONE, FAILED])
-def test_a_transaction_is_relayed_while_the_store_refuses_only_the_owner(refusal, answer):
+def test_a_transaction_is_relayed_for_a_refused_owner(refusal, answer):
     # Until its lease ended, 2.2 s later, no decision of the owner was stored and no run was started.
     other = Store(answer)
     assert commit(Store(refusal), other) == answer
@@ -97,7 +97,7 @@
         (Store(StoreUnansweredError('no answer')), StoreUnansweredError),
     ],
 )
-def test_the_error_of_a_relayed_transaction_tells_whether_it_may_have_been_applied(other, failure):
+def test_a_relayed_transaction_tells_if_it_may_have_been_applied(other, failure):
     with pytest.raises(failure):
         commit(Store(StoreRefusedError('503')), other)
 
--- a/packages/node/dahliaarch_node/owner/tests/test_end_notifier.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_end_notifier.py
@@ -81,7 +81,7 @@
     return answers[0]
 
 
-def test_a_state_request_waits_until_the_end_of_the_last_run_is_saved():
+def test_a_state_request_waits_for_the_saving_of_the_last_end():
     owner = OwnerStandIn(ONE_STEP)
     owner.start(0, 0)
     owner.start(0, 1)
@@ -91,7 +91,7 @@
     assert took_s < 0.3
 
 
-def test_an_unsaved_end_is_not_reported_even_when_the_wait_expires():
+def test_an_unsaved_end_is_not_reported_after_the_wait():
     owner = OwnerStandIn(ONE_STEP)
     owner.start(0, 0)
     owner.start(0, 1)
@@ -102,14 +102,14 @@
     assert took_s == pytest.approx(0.05, abs=0.04)
 
 
-def test_a_state_request_for_a_job_with_tasks_to_start_is_answered_at_once():
+def test_the_state_of_a_job_with_tasks_to_start_is_told_at_once():
     owner = OwnerStandIn(TWO_STEPS)
     owner.start(0, 0)
     _, took_s = anyio.run(ask, make_replies(owner))
     assert took_s < 0.1
 
 
-def test_a_state_request_for_a_job_whose_end_is_saved_is_answered_at_once():
+def test_the_state_of_a_job_with_a_saved_end_is_told_at_once():
     owner = OwnerStandIn((StepSpec(1, DEMAND),))
     owner.start(0, 0)
     owner.end(0, 0)
@@ -119,7 +119,7 @@
     assert took_s < 0.1
 
 
-def test_all_waiting_requests_are_notified_and_expired_ones_leave_no_event():
+def test_waiting_requests_are_notified_and_leave_no_event():
     owner = OwnerStandIn((StepSpec(1, DEMAND),))
     owner.start(0, 0)
 
--- a/packages/node/dahliaarch_node/owner/tests/test_evacuations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_evacuations.py
@@ -89,7 +89,7 @@
         assert feed.domains == expected
 
 
-def test_transactions_hold_the_conditions_of_all_their_domains_and_stay_below_the_limit():
+def test_transactions_with_all_conditions_stay_below_the_limit():
     rng = random.Random(5)
     domains = [f'd{number}' for number in range(9)]
     changes = [
@@ -104,7 +104,7 @@
         assert 1 + len(conditions) + 2 * len(batch) <= MAX_TRANSACTION_ENTRIES
 
 
-def test_no_start_is_sent_into_a_domain_that_is_evacuated_before_its_assignment_is_stored():
+def test_no_start_is_sent_for_an_assignment_that_is_too_late():
     # The watch of the operators' keys is behind: only the transaction tells of the request.
     async def scenario(owner, store, workers):
         store.item_by_key[EAST_KEY] = request('east', store.revision)
@@ -117,7 +117,7 @@
     assert [worker_id for worker_id, _ in workers.starts] == ['w1']
 
 
-def test_an_evacuation_that_the_next_owner_finds_holds_from_its_first_start():
+def test_the_first_start_of_an_owner_respects_evacuations():
     async def scenario(owner, store, workers):
         assert list(owner.scheduler.evacuations.by_domain) == ['east']
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time(), TWO_TASKS)))
@@ -147,7 +147,7 @@
     assert waits_s[0] < 0.2
 
 
-def test_an_unanswered_start_is_not_sent_again_once_its_domain_is_evacuated():
+def test_an_unanswered_start_is_not_repeated_in_an_evacuation():
     attempts = []
 
     async def scenario(owner, store, workers):
@@ -165,7 +165,7 @@
     assert attempts == [1]
 
 
-def test_a_withdrawn_start_does_not_count_as_a_refusal_of_its_worker():
+def test_a_withdrawn_start_is_no_refusal_of_its_worker():
     async def scenario(owner, store, workers):
         store.item_by_key[EAST_KEY] = request('east', store.revision)
         owner.post(decode_job_record(job_item(NEW_JOB_ID, time.time())))
--- a/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_foreign_entries.py
@@ -78,7 +78,7 @@
     assert set(workers.surveys) == {'w'}
 
 
-def test_a_worker_whose_entry_becomes_unreadable_gets_no_starts_until_it_is_readable_again():
+def test_a_worker_gets_no_starts_while_its_entry_is_unreadable():
     workers = InMemoryWorkers()
     store = InMemoryStore([worker_entry_item('w')])
 
@@ -111,7 +111,7 @@
     return job_messages(job_item(INHERITED_JOB_ID, 1.0)._replace(revision=owner.epoch + 1))
 
 
-def test_the_next_owner_surveys_a_worker_whose_entry_is_unreadable():
+def test_the_next_owner_surveys_a_worker_of_unreadable_entry():
     """The previous owner used the worker; unless it is surveyed, its task is started a second time elsewhere."""
     workers = InMemoryWorkers({'w': ()})
     store = InMemoryStore([malformed_entry('w'), roster_item('w'), worker_entry_item('x')])
@@ -120,7 +120,7 @@
     assert not owner.scheduler.worker_by_id['w'].takes_starts
 
 
-def test_the_next_owner_grants_short_leases_to_a_draining_worker_without_an_entry():
+def test_a_draining_worker_without_an_entry_gets_short_leases():
     """With the longest leases, its runs would be restarted elsewhere seconds later."""
     workers = InMemoryWorkers({'w': ()})
     owner = run_takeover(
@@ -136,7 +136,7 @@
     assert set(workers.surveys) == {'x'}
 
 
-def test_a_worker_of_a_service_that_only_a_queue_names_is_surveyed():
+def test_a_worker_of_a_service_named_by_a_queue_is_surveyed():
     workers = InMemoryWorkers()
     queue_configuration = build_configuration(ConfigurationParts(1, queues=[QUEUE]))
     run_takeover(
@@ -149,7 +149,7 @@
     assert set(workers.surveys) == {'w'}
 
 
-def test_a_worker_of_a_removed_service_is_surveyed_by_the_next_owner():
+def test_the_next_owner_surveys_a_worker_of_a_removed_service():
     """Tasks of jobs that were accepted before the removal may be running on it."""
     workers = InMemoryWorkers()
     store = InMemoryStore([entry_with_service('w', 'dropped'), roster_item('w', 'dropped')])
@@ -168,7 +168,7 @@
     assert not unserved.set_services({'b', 'c'})
 
 
-def test_an_entry_that_is_removed_after_it_became_unreadable_counts_as_lapsed():
+def test_an_unreadable_entry_that_is_removed_counts_as_lapsed():
     workers = InMemoryWorkers()
     store = InMemoryStore([worker_entry_item('w')])
 
--- a/packages/node/dahliaarch_node/owner/tests/test_heap.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_heap.py
@@ -32,7 +32,7 @@
     gc.callbacks.remove(record)
 
 
-def test_no_full_collection_traverses_many_jobs_during_or_after_loading(full_collections):
+def test_no_full_collection_traverses_many_jobs(full_collections):
     def collect_once_ready(owner):
         if owner.is_ready:
             gc.collect()
@@ -52,7 +52,7 @@
     return cyclic
 
 
-def test_cycles_among_frozen_objects_are_found_once_twice_as_many_are_frozen():
+def test_cycles_among_frozen_objects_are_found_later():
     with GarbageCollectionTuner(Metrics()) as tuner:
         tuner.finish_loading()
         in_use = gc.get_freeze_count()
@@ -63,7 +63,7 @@
         assert gc.get_freeze_count() < in_use * 1.1
 
 
-def test_collection_thresholds_are_restored_when_an_owner_is_replaced():
+def test_collection_thresholds_are_restored_after_an_owner():
     thresholds = gc.get_threshold()
     with GarbageCollectionTuner(Metrics()) as tuner:
         tuner.finish_loading()
--- a/packages/node/dahliaarch_node/owner/tests/test_hidden_ends.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_hidden_ends.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize('hidden', [1, 33])
-def test_a_worker_that_holds_back_ends_is_in_use_again_before_its_work_stalls(hidden):
+def test_a_worker_that_holds_back_ends_is_soon_in_use_again(hidden):
     """It was probed with one start every 0.27 s: with 25 hidden ends, ready jobs waited 8 s beside an idle worker."""
     worker = WaitingWorker()
     worker.acknowledgement_error = WorkerUnansweredError('no answer')
--- a/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_incarnations.py
@@ -62,7 +62,7 @@
     assert (step.done, len(step.failed_runs_by_index)) in [({0}, 0), (set(), 0), (set(), 1)]
 
 
-def test_an_incarnation_gets_no_acknowledgement_of_ends_that_it_has_not_listed():
+def test_only_listed_ends_are_acknowledged():
     worker = RestartingWorker()
     run_actions(
         worker,
@@ -90,9 +90,7 @@
 
 
 @pytest.mark.parametrize(('unanswered', 'is_awaited'), [(1, True), (0, False)])
-def test_a_task_whose_first_start_attempt_was_unanswered_waits_for_the_survey_of_the_next_incarnation(
-    unanswered, is_awaited
-):
+def test_a_task_with_an_unanswered_start_waits_for_the_successor(unanswered, is_awaited):
     """The next incarnation may carry out the first attempt, but the task was started on another worker.
 
     Only the second attempt had been acknowledged.
@@ -134,7 +132,7 @@
     assert FIRST.worker_id not in owner.scheduler.worker_by_id
 
 
-def test_an_incarnation_gets_no_starts_before_its_capacity_is_known():
+def test_an_incarnation_of_unknown_capacity_gets_no_starts():
     """The earlier incarnation has eight accelerators, the later one none."""
     worker = RestartingWorker()
     run_actions(
@@ -147,7 +145,7 @@
     assert not worker.starts
 
 
-def test_a_late_entry_of_an_earlier_incarnation_does_not_update_the_later_one():
+def test_a_late_entry_does_not_update_a_later_incarnation():
     worker = RestartingWorker()
     owner = run_actions(
         worker,
@@ -160,7 +158,7 @@
     assert list(owner.scheduler.worker_by_id) == [SECOND.worker_id]
 
 
-def test_the_incarnation_that_answered_last_is_the_later_one_even_if_its_start_time_is_earlier():
+def test_the_incarnation_that_answered_last_is_the_later_one():
     """The clock of the later incarnation was behind when it started."""
     worker = RestartingWorker()
     worker.incarnation = THIRD
@@ -187,7 +185,7 @@
     assert list(owner.scheduler.worker_by_id) == [THIRD.worker_id]
 
 
-def test_a_pending_entry_is_used_once_the_earlier_incarnation_is_given_up():
+def test_a_pending_entry_is_used_after_its_predecessor():
     """The earlier incarnation fell silent and was given up; the changed entry is not written again."""
     worker = RestartingWorker()
     run_actions(
@@ -200,7 +198,7 @@
     assert worker.starts == [(SECOND.worker_id, TASK)]
 
 
-def test_orders_to_a_later_incarnation_carry_a_higher_fence_than_those_to_an_earlier_one():
+def test_orders_to_a_later_incarnation_carry_a_higher_fence():
     """A later incarnation knows no earlier stops or fences, and would carry out orders to its predecessor."""
     worker = RestartingWorker()
     run_actions(worker, (lambda owner: worker.restart(SECOND), lambda owner: SECOND.worker_id in dict(worker.fences)))
@@ -209,7 +207,7 @@
 
 
 @pytest.mark.parametrize('entries', [(), (entry_item(FIRST),), (entry_item(SECOND),)], ids=['none', 'earlier', 'later'])
-def test_a_new_owner_surveys_the_current_incarnation_before_it_starts_inherited_jobs(entries):
+def test_inherited_jobs_wait_for_the_survey_of_an_incarnation(entries):
     """The previous owner started a task on it, but the roster still names the earlier incarnation."""
     worker = RestartingWorker()
     worker.restart(SECOND, (ListedRun(TASK, 1, '', 10.0),))
@@ -223,7 +221,7 @@
     assert worker.running
 
 
-def test_inherited_jobs_wait_for_the_survey_of_an_incarnation_that_replaces_another():
+def test_inherited_jobs_wait_for_the_survey_of_a_successor():
     """The worker counted as contacted once the earlier incarnation ended, and its task was started elsewhere too."""
     worker, idle = RestartingWorker(), RestartingWorker()
     worker.restart(SECOND, (ListedRun(TASK, 1, '', 10.0),))
@@ -242,7 +240,7 @@
     assert not idle.starts
 
 
-def test_a_roster_of_an_earlier_version_without_incarnations_is_read():
+def test_a_roster_without_incarnations_is_read():
     profile = worker_listed(WorkerIncarnation('w')).profile
     earlier = Item(f'{ROSTER_PREFIX}/0', encode([(profile, Address('127.0.0.1', 1))]), 1)
     worker = RestartingWorker()
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -79,7 +79,7 @@
 
 
 @pytest.mark.parametrize('is_lapsed', [True, False])
-def test_jobs_of_the_previous_owner_wait_for_a_silent_worker_only_if_it_may_run_them(is_lapsed):
+def test_previous_jobs_wait_only_for_workers_that_may_run_them(is_lapsed):
     # Every job of the previous owner waited 8.2 s beside an idle pool although the worker had lapsed long before.
     workers = InMemoryWorkers()
     workers.silent_until_s['w0'] = float('inf')
@@ -93,7 +93,7 @@
     assert workers.starts == ([('w1', TASK)] if is_lapsed else [])
 
 
-def test_a_lapsed_worker_gets_no_start_before_the_store_holds_that_it_may():
+def test_a_lapsed_worker_gets_no_start_before_the_store_permits():
     # Otherwise the next owner would start the tasks of that worker elsewhere while they run there.
     workers = InMemoryWorkers()
     store = RecordingStore(
@@ -114,7 +114,7 @@
     assert store.recorded_rosters[-1] == (False, 0)
 
 
-def test_a_worker_that_answers_after_its_lease_ended_gets_starts_once_the_store_holds_that():
+def test_a_worker_that_answers_after_its_lease_ended_returns():
     workers = InMemoryWorkers()
     store = RecordingStore([worker_entry_item('w0')], workers)
     update = decode_job_record(job_item(NEW_JOB_ID, time.time()))
@@ -134,7 +134,7 @@
     assert store.recorded_rosters[-1] == (False, 0)
 
 
-def test_a_lapsed_worker_that_answers_gets_starts_though_the_roster_keeps_changing():
+def test_a_lapsed_worker_returns_although_the_roster_changes():
     # Starts were held until the stored roster equaled the current one, which never happens while it keeps changing.
     workers = InMemoryWorkers()
     store = SlowCommitStore([worker_entry_item('w0'), worker_entry_item('w1'), roster_item('w0', is_lapsed=True)])
@@ -164,7 +164,7 @@
     assert all(is_lapsed for is_lapsed, _ in store.recorded_rosters)
 
 
-def test_a_worker_is_not_lapsed_while_a_late_start_may_begin_on_its_next_incarnation():
+def test_a_worker_is_not_lapsed_while_a_late_start_may_begin():
     now = Moment(100.0, 0.0)
     state = SchedulerState(SchedulerSettings(), 1, compile_policy(SHIPPED_POLICIES['first-come']))
     worker = WorkerState(decode(roster_item('w0', is_lapsed=False).value, list[RosterEntry], 'roster')[0].profile)
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -84,7 +84,7 @@
     return anyio.run(run_link)
 
 
-def test_a_draining_worker_is_not_over_while_its_connections_fail():
+def test_a_draining_worker_outlasts_failed_connections():
     """A task ran on two workers at once, one of them draining and partitioned from the pool.
 
     The worker announces that it drains; then a network partition separates it from
@@ -102,7 +102,7 @@
 
 @pytest.mark.parametrize('failure', [WorkerUnreachableError('refused'), WorkerUnansweredError('silence')])
 @pytest.mark.parametrize('is_draining', [True, False])
-def test_a_new_owner_waits_for_the_lease_that_its_predecessor_may_have_granted(failure, is_draining):
+def test_a_new_owner_waits_for_leases_of_its_predecessor(failure, is_draining):
     """A task could run on two workers after a takeover, one of them disconnected.
 
     The previous owner granted the worker the longest lease. The new owner gets one
@@ -133,7 +133,7 @@
 
 
 @pytest.mark.parametrize('timeout_multiple', [1.5, 3.5])
-def test_a_worker_that_answers_late_is_contacted_before_its_lease_ends(timeout_multiple):
+def test_a_late_worker_is_contacted_before_its_lease_ends(timeout_multiple):
     """A task ran again although its worker had listed its end in several answers.
 
     The owner was short of CPU time and read answers later than the 0.6 s timeout of a
@@ -223,7 +223,7 @@
     return owner, anyio.run(run_link)
 
 
-def test_a_worker_is_not_silent_where_two_of_three_of_its_answers_are_lost():
+def test_a_worker_that_loses_two_of_three_answers_is_not_silent():
     # After a takeover such workers, one after the other, got no starts for seconds while the pool was idle.
     owner, _ = run_lossy_link(LossyWorker(), 4.0)
     assert not owner.has_posted(WorkerSilent)
--- a/packages/node/dahliaarch_node/owner/tests/test_probing.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_probing.py
@@ -43,9 +43,7 @@
     ('failure', 'is_unacknowledged'),
     [(WorkerUnansweredError('no answer'), True), (WorkerUnreachableError('unreachable'), False), (None, False)],
 )
-def test_an_incarnation_is_probed_if_it_may_have_processed_an_acknowledgement_to_its_predecessor(
-    failure, is_unacknowledged
-):
+def test_a_lost_acknowledgement_makes_the_successor_probed(failure, is_unacknowledged):
     """A probe is needed after an unanswered acknowledgement, but not after one that was never sent."""
     worker = RestartingWorker()
     worker.acknowledgement_error = failure
@@ -61,7 +59,7 @@
     assert len(worker.stopped) == is_unacknowledged
 
 
-def test_an_incarnation_is_probed_if_it_is_detected_while_an_acknowledgement_is_pending():
+def test_a_pending_acknowledgement_makes_the_successor_probed():
     """The other call closed the link, and the pending acknowledgement was not counted as unanswered."""
     worker = RestartingWorker()
     worker.acknowledgement_delay_s = 60.0
@@ -85,9 +83,7 @@
 
 
 @pytest.mark.parametrize(('late_s', 'is_unacknowledged'), [(5.0, True), (0.3, False)])
-def test_an_incarnation_is_not_probed_if_its_predecessor_answered_until_the_acknowledgement_expired(
-    late_s, is_unacknowledged, monkeypatch
-):
+def test_an_expired_acknowledgement_needs_no_probe(late_s, is_unacknowledged, monkeypatch):
     monkeypatch.setattr(registry, '_MAX_ORDER_DELAY_S', late_s)
     worker = RestartingWorker()
     worker.acknowledgement_error = WorkerUnansweredError('no answer')
@@ -103,7 +99,7 @@
     assert len(worker.stopped) == is_unacknowledged
 
 
-def test_a_start_that_an_incarnation_refuses_while_it_is_probed_is_not_stopped():
+def test_a_refused_probe_is_not_stopped():
     worker = RestartingWorker()
     worker.acknowledgement_error = WorkerUnansweredError('no answer')
 
@@ -123,7 +119,7 @@
     assert worker.stop_order_count == len(worker.stopped) == 1
 
 
-def test_an_incarnation_gets_few_starts_at_a_time_and_no_gang_member_before_it_lists_an_end():
+def test_an_incarnation_is_probed_with_few_starts_and_no_gang():
     worker = RestartingWorker()
     worker.acknowledgement_error = WorkerUnansweredError('no answer')
     gang = job_item('d' * 16, time.time(), StepSpec(2, Resources(1000, 1000, 1), 20.0, gang=True))
@@ -148,7 +144,7 @@
 
 
 @pytest.mark.parametrize('late_acknowledgement', [0, 1, 3])
-def test_a_task_does_not_end_on_an_incarnation_that_never_tells_of_that(late_acknowledgement, monkeypatch):
+def test_a_task_does_not_end_where_its_end_is_never_listed(late_acknowledgement, monkeypatch):
     """The incarnation had carried out a late acknowledgement before its first answer, and applied it from then on.
 
     Waiting until no such acknowledgement can arrive any more did not help: the incarnation still did not list
@@ -172,7 +168,7 @@
 
 
 @pytest.mark.parametrize('late_acknowledgement', [0, 2])
-def test_an_incarnation_that_started_before_a_takeover_is_probed_by_the_new_owner(late_acknowledgement):
+def test_a_new_owner_probes_an_incarnation_new_to_the_roster(late_acknowledgement):
     """The new owner does not know which acknowledgements of the previous owner were unanswered."""
     worker = RestartingWorker()
     worker.restart(SECOND, late_acknowledgement=late_acknowledgement)
@@ -189,7 +185,7 @@
     assert len(worker.stopped) == late_acknowledgement + 1
 
 
-def test_the_roster_names_the_earlier_incarnation_until_its_successor_has_listed_an_end():
+def test_the_roster_names_the_predecessor_while_it_is_probed():
     worker = RestartingWorker()
     worker.acknowledgement_error = WorkerUnansweredError('no answer')
     roster_incarnations = []
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -105,7 +105,7 @@
     return scheduler
 
 
-def test_a_late_write_of_the_same_owner_does_not_undo_a_newer_one():
+def test_a_late_write_does_not_undo_a_newer_one():
     store, deposed = LateStore(), []
     scheduler = scheduler_with_job()
     recorder = make_recorder(store, scheduler, deposed)
@@ -118,7 +118,7 @@
     assert not deposed
 
 
-def test_a_write_that_was_applied_but_unanswered_does_not_depose_its_owner():
+def test_an_unanswered_write_does_not_depose_its_owner():
     store, deposed = LateStore(), []
     scheduler = scheduler_with_job()
     recorder = make_recorder(store, scheduler, deposed)
@@ -153,7 +153,7 @@
         return self.apply(conditions, writes)
 
 
-def test_persisted_progress_is_not_written_again_when_a_later_write_fails():
+def test_persisted_progress_is_not_written_twice():
     """After a store outage the ends of hundreds of jobs were written repeatedly and none was acknowledged.
 
     The ends take about twenty transactions. After a failed one all jobs were written again from the first: with one
@@ -190,7 +190,7 @@
     return time.monotonic() - begun_s
 
 
-def test_the_end_of_a_job_is_persisted_at_once_and_ends_of_tasks_are_batched():
+def test_ends_of_jobs_are_persisted_at_once_those_of_tasks_later():
     """The end of a job is reported only once it is persisted; batching for 0.03 s made urgent jobs late."""
     scheduler = scheduler_with_job()
     assert anyio.run(measure_persist_delay, scheduler, 0) > 0.025
@@ -199,7 +199,7 @@
     assert anyio.run(measure_persist_delay, scheduler, 3) < 0.02
 
 
-def test_an_unanswered_roster_write_is_overwritten_by_the_previous_roster():
+def test_an_unanswered_roster_write_is_overwritten():
     # If it is applied late, the unanswered write would give the next owner an outdated state of a worker.
     store = LateStore()
     recorder = make_recorder(store, Scheduler(SchedulerSettings(), EPOCH), [])
--- a/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_repeated_orders.py
@@ -84,7 +84,7 @@
     anyio.run(run)
 
 
-def test_stops_are_not_repeated_while_their_worker_answers_nothing():
+def test_stops_are_not_repeated_to_an_unanswering_worker():
     worker = Worker()
 
     async def scenario(link):
@@ -116,7 +116,7 @@
 
 
 @pytest.mark.parametrize('change', ['is_draining', 'is_overcommitted'])
-def test_a_start_that_waited_for_a_slot_is_not_sent_to_a_draining_or_overcommitted_worker(change):
+def test_a_start_is_not_sent_to_a_worker_filled_up_meanwhile(change):
     """A start may wait seconds for a slot behind hundreds of unanswered ones; its run would be lost with the worker."""
     worker = Worker()
     posted = []
@@ -140,7 +140,7 @@
     assert RunRuledOut('w', KEY, 1) in posted
 
 
-def test_a_start_after_the_end_of_its_worker_does_not_end_the_process():
+def test_a_start_after_its_worker_ended_does_not_crash():
     # A held start was released after the incarnation had ended and before the owner had processed that end.
     worker = Worker()
     posted = []
--- a/packages/node/dahliaarch_node/owner/tests/test_start_turns.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_start_turns.py
@@ -59,7 +59,7 @@
 
 
 @pytest.mark.parametrize(('rank', 'queue'), [(RANK_URGENT, 'urgent'), (RANK_ORDINARY, 'other')])
-def test_starts_that_wait_for_a_slot_are_counted_with_their_waits(rank, queue, log_lines):
+def test_waits_for_a_slot_are_counted(rank, queue, log_lines):
     harness = LimiterHarness()
     assert anyio.run(harness.run_starts, 0.4, 3, rank) == 3
     assert harness.metric_value('waiting_starts', queue=queue) == 0
@@ -68,7 +68,7 @@
     assert not log_lines
 
 
-def test_starts_that_waited_for_more_than_a_second_are_logged_once_a_second(log_lines):
+def test_long_waits_for_a_slot_are_logged_once_a_second(log_lines):
     harness = LimiterHarness()
 
     async def run():
@@ -96,7 +96,7 @@
     assert harness.metric_value('waiting_starts', queue='other') == 0
 
 
-def test_runs_without_an_answer_are_shown_until_they_are_confirmed_or_the_owner_is_replaced():
+def test_unconfirmed_runs_are_shown_until_confirmed():
     now = Moment(1000.0, 0.0)
     scheduler = Scheduler(SchedulerSettings(), 7)
     scheduler.update_worker(WorkerProfile('w', 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0')), now)
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -115,7 +115,7 @@
     assert run_suspended_owner(clock, authority, confirm).starts == [TaskKey(NEW_JOB_ID, 0, 0, 0)]
 
 
-def test_a_suspended_owner_renews_no_worker_lease_before_it_is_confirmed(clock):
+def test_a_suspended_owner_renews_no_lease_unconfirmed(clock):
     """A successor waits for the leases that were granted before its takeover, not for later ones."""
     resumed_at_s = []
 
@@ -129,7 +129,7 @@
     assert max(workers.renewed_at_s) < resumed_at_s[0]
 
 
-def test_a_start_that_gets_its_slot_after_the_machine_resumed_is_not_sent(clock):
+def test_a_start_with_a_slot_after_a_suspension_is_not_sent(clock):
     async def start(owner):
         owner._links.get('w0').start(StartRun('w0', TaskKey(NEW_JOB_ID, 0, 0, 0), 1, ''), '')
         await anyio.sleep(0.2)
@@ -195,13 +195,13 @@
     ],
     ids=['alone', 'most', 'few', 'none', 'a newer owner'],
 )
-def test_while_the_store_is_unavailable_a_majority_of_instances_confirms_an_owner(replies, holds):
+def test_a_majority_confirms_an_owner_without_the_store(replies, holds):
     authority = Authority(LEASE_S)
     anyio.run(make_membership(StubPeers(replies), authority)._heartbeat_all, EPOCH)
     assert authority.is_valid(steady_s()) is holds
 
 
-def test_an_owner_that_is_told_of_a_newer_one_is_deposed_for_good():
+def test_an_owner_told_of_a_newer_one_is_deposed_for_good():
     """An outdated owner kept sending heartbeats after its peers had reported a newer epoch.
 
     Peers remember the owner's epoch in memory only: after a restart they would confirm the first owner that contacts
@@ -217,7 +217,7 @@
     assert outdated == [EPOCH + 1] * 2
 
 
-def test_an_instance_that_is_told_of_a_newer_owner_gives_up_ownership():
+def test_an_instance_told_of_a_newer_owner_steps_down():
     member = Member('i0', 'a', 'h', 1)
     ownership = Ownership(
         member, SilentStore(), StoreTiming(), OwnershipSettings(), Authority(LEASE_S), is_preferred=True
--- a/packages/node/dahliaarch_node/owner/tests/test_takeover.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_takeover.py
@@ -189,7 +189,7 @@
     assert phase_of_last(owner) == 'cancelled'
 
 
-def test_an_owner_does_not_block_its_instance_while_it_adds_many_jobs():
+def test_adding_many_jobs_does_not_block_an_instance():
     # Jobs were added without yielding to the event loop, and nothing else was answered for tenths of a second.
     job_counts = set()
 
@@ -201,7 +201,7 @@
     assert len(job_counts - {0, OTHER_JOB_COUNT + 1}) >= 3
 
 
-def test_a_worker_that_falls_silent_after_its_first_answer_keeps_the_lease_of_the_previous_owner():
+def test_a_worker_silent_after_an_answer_keeps_the_lease():
     """Its runs were given up at once and started elsewhere while they were still running."""
     task = TaskKey(INHERITED_JOB_ID, 0, 0, 0)
     workers = InMemoryWorkers({'w0': (ListedRun(task, 1, '', 10.0),)})
@@ -211,7 +211,7 @@
     assert not workers.starts
 
 
-def test_a_job_that_comes_after_a_takeover_does_not_wait_for_workers_that_are_silent():
+def test_a_job_after_a_takeover_waits_for_no_silent_worker():
     """With one worker lost since the previous owner, urgent jobs started 1.2 s after a takeover and ended late."""
     workers = InMemoryWorkers()
     workers.silent_until_s['w0'] = float('inf')
@@ -224,7 +224,7 @@
     assert workers.starts == [('w1', TaskKey(NEW_JOB_ID, 0, 0, 0))]
 
 
-def test_jobs_of_the_previous_owner_start_once_the_last_silent_worker_has_answered():
+def test_previous_jobs_start_once_all_silent_workers_answered():
     """They waited for the longest lease of that worker, as if it had stayed silent."""
     workers = InMemoryWorkers()
     workers.silent_until_s['w0'] = time.monotonic() + 1.6
@@ -258,7 +258,7 @@
         return await super().survey(address, incarnation, **options)
 
 
-def test_jobs_of_the_owner_before_do_not_wait_long_where_some_answers_are_lost():
+def test_jobs_of_the_owner_before_wait_briefly_for_lost_answers():
     # The survey timeout doubled with each missing answer, and every job of the previous owner waited until the last
     # worker had answered.
     workers = LossyWorkers({'w0': 4})
@@ -278,7 +278,7 @@
         return await super().survey(address, incarnation, **options)
 
 
-def test_a_job_that_never_began_does_not_wait_for_a_worker_that_refuses_every_call():
+def test_a_job_that_never_began_waits_for_no_refusing_worker():
     # A new owner has no record that the job was never started, so for all it knows it runs on that worker.
     workers = UnhealthyWorkers()
     store = InMemoryStore([job_item(INHERITED_JOB_ID, time.time()), worker_entry_item('w0'), worker_entry_item('w1')])
--- a/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_two_owners.py
@@ -110,16 +110,16 @@
     return workers.starts
 
 
-def test_a_job_that_the_previous_owner_was_told_of_waits_for_workers_that_may_run_it():
+def test_a_job_of_the_previous_owner_waits_for_possible_runs():
     assert starts_with_two_owners(EPOCH, MAX_LEASE_S - 1.0) == [('w0', JOB, fence_of(EPOCH, 1))]
 
 
-def test_a_job_accepted_without_a_known_owner_waits_for_workers_that_may_run_it():
+def test_a_job_without_a_known_owner_waits_for_possible_runs():
     """The old owner may have learned of it through its own watch on the store."""
     assert len(starts_with_two_owners(0, MAX_LEASE_S - 1.0)) == 1
 
 
-def test_an_owner_that_learns_of_a_job_of_its_successor_does_not_start_it():
+def test_an_owner_does_not_start_a_job_of_its_successor():
     assert starts_with_two_owners(SUCCESSOR, 0.5) == [('w1', JOB, fence_of(SUCCESSOR, 1))]
 
 
--- a/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_unanswered_starts.py
@@ -135,7 +135,7 @@
     anyio.run(run)
 
 
-def test_starts_do_not_wait_for_slots_held_by_unresponsive_workers():
+def test_starts_do_not_wait_for_slots_of_unresponsive_workers():
     workers = [Worker(answers_stops=True) for _ in range(UNRESPONSIVE_WORKERS)]
     workers.append(Worker(answers_starts=True))
 
@@ -152,7 +152,7 @@
     run_scenario(workers, scenario)
 
 
-def test_starts_that_wait_behind_unanswered_ones_of_their_worker_are_ruled_out_in_time():
+def test_starts_behind_unanswered_ones_are_ruled_out_in_time():
     """Their tasks could run on other workers meanwhile."""
 
     async def scenario(pool):
@@ -170,7 +170,7 @@
 
 
 @pytest.mark.parametrize('answers_stops', [True, False])
-def test_a_run_whose_start_got_no_answer_is_given_up_once_it_can_not_start_any_more(answers_stops):
+def test_an_unanswered_start_is_given_up_once_it_can_not_begin(answers_stops):
     """If stops were not answered either, it blocked its task and occupied capacity forever."""
 
     async def scenario(pool):
@@ -201,7 +201,7 @@
 
 @pytest.mark.parametrize('answers_stops', [True, False])
 @pytest.mark.parametrize('start_delay_s', [0.0, 0.4])
-def test_a_run_whose_end_a_survey_listed_is_neither_stopped_nor_given_up(answers_stops, start_delay_s):
+def test_a_run_with_a_listed_end_is_not_stopped_or_given_up(answers_stops, start_delay_s):
     """Its start got no answer, but the survey shows its outcome."""
     worker = Worker(answers_stops=answers_stops, start_delay_s=start_delay_s, work_s=0.05)
 
--- a/packages/node/dahliaarch_node/peers/tests/test_mesh.py
+++ b/packages/node/dahliaarch_node/peers/tests/test_mesh.py
@@ -33,7 +33,7 @@
     raise AssertionError('received a reply from an unused address')
 
 
-def test_forgetting_a_peer_during_a_request_raises_peer_silent_error():
+def test_forgetting_a_peer_in_a_request_raises_peer_silent_error():
     """The daemon crashed: after the timeout, the request reconnected a socket that `disconnect` had closed."""
     anyio.run(ask_and_forget)
 
--- a/packages/node/dahliaarch_node/tests/test_ownership.py
+++ b/packages/node/dahliaarch_node/tests/test_ownership.py
@@ -68,7 +68,7 @@
     await ownership.run()
 
 
-def test_an_instance_with_few_resources_that_restarts_first_leaves_the_pool_to_one_with_more():
+def test_a_small_instance_leaves_the_pool_to_a_large_one():
     """All instances had lost power; the pool of 176 workers went to one with half a core, and was ready 1 s later."""
     store = EmptyStore()
     small = make_ownership(store, 'small', is_preferred=False)
@@ -82,7 +82,7 @@
     assert run_together((make_ownership(EmptyStore(), 'alone', is_preferred=is_preferred), 0.0)) == 'alone'
 
 
-def test_an_instance_with_few_resources_claims_again_what_its_previous_process_owned():
+def test_a_small_instance_claims_what_its_previous_process_owned():
     store = EmptyStore()
     store.item = Item(OWNER_KEY, encode(Member('small', 'earlier', '127.0.0.1', 1)), 3)
     small = make_ownership(store, 'small', is_preferred=False)
--- a/packages/node/dahliaarch_node/tests/test_status.py
+++ b/packages/node/dahliaarch_node/tests/test_status.py
@@ -32,7 +32,7 @@
     assert pool_status(scheduler)['waiting_steps'] == [{'reason': 'no capacity', 'steps': 1}]
 
 
-def test_evacuated_failure_domains_are_shown_with_what_still_runs_there():
+def test_evacuated_failure_domains_are_shown_with_their_runs():
     scheduler = Scheduler(SchedulerSettings(), 7)
     now = Moment(1000.0, 1_700_000_000.0)
     profile = WorkerProfile('w0', 'svc', 'east', Resources(64_000, 262_144, 8), ('a', 'r0'))
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_ablation.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_ablation.py
@@ -19,7 +19,7 @@
     assert found[0].margin > 0
 
 
-def test_every_mechanism_can_be_switched_off_on_drawn_deployments():
+def test_every_mechanism_can_be_off_on_drawn_deployments():
     found = ablate((1,), deployments=[DRAWN])
     assert [effect.mechanism for effect in found] == list(Mechanism)
 
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_bound.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_bound.py
@@ -34,7 +34,7 @@
 
 
 @pytest.mark.parametrize(('load', 'least', 'most'), [(1.0, 0.99, 1.0), (5.0, 0.5, 0.9)])
-def test_the_bound_falls_where_the_pool_is_asked_for_more_than_it_has(load, least, most):
+def test_the_bound_falls_where_the_pool_is_too_small(load, least, most):
     assert least <= bound(draw_day(DEPLOYMENTS['zones'], 1, load)) <= most + 1e-6
 
 
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_comparison.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_comparison.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize('deployment', SMALL)
-def test_owners_get_more_than_from_best_fit_and_urgent_work_is_in_time_more_often(deployment):
+def test_owners_get_more_than_from_best_fit(deployment):
     found = rows(deployment, range(1, 7))
     assert found['ours'].net > found['best-fit'].net
     assert found['ours'].urgent_in_time > found['best-fit'].urgent_in_time
@@ -49,7 +49,7 @@
 
 
 @pytest.mark.parametrize('kind', tuple(Degradation))
-def test_all_that_can_be_done_is_done_after_a_time_of_degraded_workers(kind):
+def test_all_work_is_done_after_a_time_of_degraded_workers(kind):
     degraded = DegradedWorkers(Span(5.0, 10.0), kind, share=0.2, factor=7.0)
     simulation = play('zones', 3, Troubles(degraded=(degraded,)))
     owed = {job.spec.job_id for job in draw_day(DEPLOYMENTS['zones'], 3).jobs if job.is_owed}
@@ -58,7 +58,7 @@
     assert len(late) <= 1
 
 
-def test_work_goes_on_from_a_checkpoint_and_not_from_the_beginning():
+def test_work_goes_on_from_a_checkpoint():
     """Tasks that save their progress and are stopped lose less than those that do not."""
     ledger = play('zones', 4).ledger
     assert 0 < ledger.wasted < ledger.worked
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_drawing.py
@@ -8,14 +8,14 @@
 from dahliaarch_standins.comparison.troubles import Degradation, DegradedWorkers, Span
 
 
-def test_a_deployment_repeats_by_its_seed_and_differs_from_others():
+def test_a_deployment_is_determined_by_its_seed():
     drawn = [draw_deployment(seed) for seed in range(1, 9)]
     assert drawn == [draw_deployment(seed) for seed in range(1, 9)]
     assert len({deployment.pool for deployment in drawn}) == len(drawn)
     assert {kind.priority for deployment in drawn for kind in deployment.kinds} == {0, 1, 2}
 
 
-def test_the_first_run_of_a_task_has_the_same_luck_under_every_scheduler():
+def test_the_first_run_of_a_task_is_alike_under_every_scheduler():
     day = draw_day(draw_deployment(3), 3)
     firsts = []
     for name in SCHEDULERS:
--- a/packages/standins/dahliaarch_standins/comparison/tests/test_orders.py
+++ b/packages/standins/dahliaarch_standins/comparison/tests/test_orders.py
@@ -40,7 +40,7 @@
     assert {orders.stop_takes_s(stop, now_s) for stop in STOPS} == {0.0}
 
 
-def test_some_orders_are_answered_late_and_a_few_starts_are_taken_back():
+def test_some_orders_are_late_and_a_few_starts_taken_back():
     orders = Orders((LOST,), Chances(1))
     starts = [orders.start(start, 7.0) for start in STARTS]
     late = [outcome for outcome in starts if outcome.is_certain and outcome.takes_s]
@@ -66,7 +66,7 @@
 
 @settings(max_examples=8, deadline=None)
 @given(name=st.sampled_from((DRAWN, DRAWN_LOADED)), seed=st.integers(1, 10_000))
-def test_never_more_is_stopped_than_the_urgent_work_that_it_made_room_for(name, seed):
+def test_never_more_is_stopped_than_the_urgent_work_done(name, seed):
     """A stop is for what is worth more; more stopped than done of it means that it served nobody."""
     day, ledger = play(name, seed)
     assert ledger.stopped_by_cause['makes room'] <= core_s_of_urgent_work(day, ledger)
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_evacuations.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_evacuations.py
@@ -39,7 +39,7 @@
         running.sleep(seconds / JOBS_PER_PERIOD)
 
 
-def test_nothing_is_started_in_an_evacuated_domain_soon_after_the_request(running):
+def test_nothing_starts_in_a_domain_soon_after_its_evacuation(running):
     delays_s = []
     used = 0
     for number in range(EVACUATIONS):
@@ -70,7 +70,7 @@
     assert not running.tasks_run_twice()
 
 
-def test_work_waits_while_all_domains_are_evacuated_and_starts_when_one_is_reopened(running):
+def test_work_waits_until_one_of_all_evacuated_domains_reopens(running):
     for domain in DOMAINS:
         running.portal.call(evacuate, running, domain)
     running.sleep(0.3)
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_failing_starts.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_failing_starts.py
@@ -66,12 +66,12 @@
 
 
 @pytest.mark.parametrize('failing', [refuse, fail, leave_unanswered, leave_all_orders_unanswered])
-def test_a_task_does_not_wait_for_a_worker_that_carries_out_no_start(running, failing):
+def test_a_task_waits_for_no_worker_that_carries_out_no_start(running, failing):
     failing(chosen_workers(running, ONE_TASK)[0])
     assert time_to_run_s(running, ONE_TASK) < MAX_START_DELAY_S
 
 
 @pytest.mark.parametrize('failing', [refuse, fail, leave_unanswered, leave_all_orders_unanswered])
-def test_a_gang_does_not_wait_for_a_worker_that_carries_out_no_start(running, failing):
+def test_a_gang_waits_for_no_worker_that_carries_out_no_start(running, failing):
     failing(chosen_workers(running, GANG)[0])
     assert time_to_run_s(running, GANG) < MAX_START_DELAY_S
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_ports.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_ports.py
@@ -5,7 +5,7 @@
 from dahliaarch_standins.deployment.core import _reserve_port, free_ports
 
 
-def test_a_kept_port_is_given_to_nobody_else_and_can_be_bound_by_its_daemon():
+def test_a_reserved_port_is_left_to_its_daemon():
     """Guards against a killed daemon that cannot restart because another deployment was given its port."""
     port = free_ports(1)[0]
     assert not _reserve_port(port)
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_restarted_workers.py
@@ -56,7 +56,7 @@
     running.portal.call(restart)
 
 
-def test_a_task_that_ends_on_a_worker_that_has_started_again_runs_once(running):
+def test_a_task_that_ends_on_a_restarted_worker_runs_once(running):
     """Guards against a succeeded task that runs again because the owner acknowledged its end without reading it.
 
     This happened on a worker that had crashed and restarted under the same id. The owner's log then had `run_ordered`
@@ -67,7 +67,7 @@
     assert wait_for_end(running, job_id, max_starts=1) == 'succeeded'
 
 
-def test_failed_runs_count_also_on_workers_that_have_started_again(running):
+def test_failed_runs_count_also_on_restarted_workers(running):
     """Guards against a failed run that is not counted: a job started a fifth time after the four that its queue allows.
 
     One run had failed on a worker that had crashed and restarted under the same id. In the owner's log it was the only
@@ -78,7 +78,7 @@
     assert wait_for_end(running, job_id, max_starts=MAX_ATTEMPTS) == 'failed'
 
 
-def test_a_start_that_got_no_answer_is_not_carried_out_by_the_next_incarnation(running):
+def test_a_successor_does_not_carry_out_an_unanswered_start(running):
     """A new incarnation knows neither the stop that revoked the start nor the owner that sent it."""
     running.submit(MANY_TASKS, '0.1')
     running.wait_for(running.job_ids[-1], 'succeeded')
@@ -95,7 +95,7 @@
     assert not running.tasks_run_twice()
 
 
-def test_an_acknowledgement_that_got_no_answer_does_not_cost_the_next_incarnation_its_ends(running):
+def test_a_lost_acknowledgement_costs_the_successor_no_ends(running):
     """Guards against a late acknowledgement that reaches a new incarnation before it has answered any request.
 
     The worker then dropped ends that nobody had read, and succeeded tasks ran again. The fence of an incarnation
@@ -129,7 +129,7 @@
     assert not running.tasks_run_twice()
 
 
-def test_a_task_that_crashes_workers_is_given_up_though_they_keep_their_ids(running):
+def test_a_task_that_crashes_workers_of_lasting_ids_is_given_up(running):
     """Two crashes of the same worker count as two crashes."""
     for worker in running.workers:
         worker.keeps_id_after_crash = True
@@ -138,7 +138,7 @@
     assert {start.worker for start in running.starts() if start.task.startswith(job_id)} <= {'w0', 'w1', 'w2', 'w3'}
 
 
-def test_the_next_owner_adopts_what_runs_on_workers_that_have_started_again(running):
+def test_the_next_owner_adopts_runs_on_restarted_workers(running):
     """The worker list that the new owner inherits includes their incarnations."""
     restart_all_workers(running)
     job_id = running.submit(PARALLEL, '6')
--- a/packages/standins/dahliaarch_standins/platform/tests/test_store.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_store.py
@@ -15,7 +15,7 @@
     return msgspec.json.decode(reply.body)
 
 
-def test_the_writes_and_removals_of_a_transaction_share_the_revision_of_its_answer():
+def test_all_changes_of_a_transaction_share_its_revision():
     """Each removal had a revision of its own, so that the next write of a key written with it failed once."""
     store = StoreStandIn()
     store.put('a', b'')
--- a/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
+++ b/packages/standins/dahliaarch_standins/platform/tests/test_workers.py
@@ -51,7 +51,7 @@
 
 
 @pytest.mark.parametrize(('crashes', 'runs'), [(False, 1), (True, 0)], ids=['same incarnation', 'another incarnation'])
-def test_an_order_that_is_carried_out_late_is_not_by_another_incarnation(crashes, runs):
+def test_a_late_order_is_not_carried_out_by_another_incarnation(crashes, runs):
     """A start sent to a crashed worker was carried out by its next incarnation while the task ran elsewhere."""
 
     async def crash(worker):
@@ -61,7 +61,7 @@
     assert count_starts_after(crash) == runs
 
 
-def test_a_late_order_is_carried_out_by_the_next_incarnation_with_the_same_id():
+def test_a_late_order_is_carried_out_by_a_successor_of_its_id():
     """The id does not distinguish the incarnations, and the later one has lost the fence of the earlier one."""
 
     async def restart(worker):
@@ -71,7 +71,7 @@
     assert count_starts_after(restart) == 1
 
 
-def test_a_worker_that_restarts_under_its_id_has_no_previous_state():
+def test_a_worker_restarted_under_its_id_has_no_earlier_state():
     async def scenario():
         worker = WorkerStandIn('w0', 'svc', 'r0', StoreStandIn())
         async with anyio.create_task_group() as tasks:
@@ -126,7 +126,7 @@
     return msgspec.json.decode(reply.body)
 
 
-def test_an_order_that_is_under_way_is_not_carried_out_during_the_downtime_of_a_restart():
+def test_no_order_is_carried_out_in_the_downtime_of_a_restart():
     """Its run was dropped without an end when the downtime was over, and counted as running for ever."""
 
     async def scenario():
--- a/packages/standins/dahliaarch_standins/platform/workers.py
+++ b/packages/standins/dahliaarch_standins/platform/workers.py
@@ -280,10 +280,8 @@
             if request.path == '/run-start':
                 self.late_starts.append(body['Task'])
             await anyio.sleep(self.faults.late_s)
-            if self._has_stale_fence(body) or not self._matches_expected_worker(request):
-                # A newer owner has sent orders in the meantime, or the worker has crashed.
-                return await self.faults.lose()
-        if self._is_down:
+        if self._is_down or self._has_stale_fence(body) or not self._matches_expected_worker(request):
+            # A newer owner has sent orders in the meantime, or the worker has crashed.
             return await self.faults.lose()
         self.faults.observe(request.path, is_done=False)
         response = await self._dispatch(request.path, body)
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_takeovers.py
@@ -73,7 +73,7 @@
             await anyio.sleep(0.02)
 
 
-def test_a_takeover_completes_although_the_store_refuses_a_third_of_the_calls():
+def test_a_takeover_completes_beside_refused_store_calls():
     async def scenario():
         store = StoreStandIn()
         put_jobs(store, MANY_JOBS)
@@ -99,7 +99,7 @@
     anyio.run(scenario)
 
 
-def test_runs_survive_a_takeover_that_reads_for_longer_than_the_leases():
+def test_runs_survive_a_takeover_longer_than_their_leases():
     async def scenario():
         store = StoreStandIn()
         put_jobs(store, 2_000, payload='30' + ' ' * 1_000)
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -99,7 +99,7 @@
     anyio.run(run)
 
 
-def test_the_progress_of_a_job_of_many_tasks_is_persisted_over_a_link_of_5_mbit_s():
+def test_the_progress_of_many_tasks_is_persisted_over_5_mbit_s():
     async def scenario(harness, tasks):
         spec = JobSpec(JOB, '', 'q', '', (StepSpec(TASK_COUNT, Resources(1, 1, 1)),))
         harness.scheduler.add_job(spec, Queue('q', 'h', '/', 'svc'), Moment(0.0, 0.0))
@@ -111,7 +111,7 @@
     run_scenario(600_000, scenario)
 
 
-def test_the_list_of_1400_workers_is_persisted_over_a_link_of_1_mbit_s():
+def test_the_list_of_1400_workers_is_persisted_over_1_mbit_s():
     async def scenario(harness, tasks):
         harness.recorder.roster = [roster_entry(number) for number in range(WORKER_COUNT)]
         await harness.flush_and_wait()
@@ -120,7 +120,7 @@
     run_scenario(125_000, scenario)
 
 
-def test_a_changed_worker_is_persisted_without_the_unchanged_ones():
+def test_only_changed_workers_are_persisted():
     async def scenario(harness, tasks):
         harness.recorder.roster = [roster_entry(number) for number in range(WORKER_COUNT)]
         await harness.flush_and_wait()
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_silent_connections.py
@@ -29,7 +29,7 @@
     return proxy
 
 
-def test_a_call_after_an_unanswered_one_uses_no_pooled_connection():
+def test_a_call_after_an_unanswered_one_uses_a_new_connection():
     async def scenario():
         server = HttpServer(answer_call)
         await server.listen(LOOPBACK)
@@ -55,7 +55,7 @@
     return await client.call(address, 'GET', '/', timeout_s=0.5)
 
 
-def test_a_message_after_an_unanswered_one_goes_over_a_new_connection():
+def test_a_message_after_an_unanswered_one_uses_a_new_connection():
     async def scenario():
         port = free_ports(1)[0]
         async with anyio.create_task_group() as tasks:
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize('is_one_way', [False, True])
-def test_keep_alive_probes_show_a_connection_that_falls_silent_while_an_answer_is_awaited(is_one_way):
+def test_keep_alive_probes_show_a_silent_connection(is_one_way):
     async def scenario():
         # The connection is silenced once the request has arrived: one that is not established yet can't be.
         received = anyio.Event()
@@ -139,7 +139,7 @@
     assert paths == ['/before', '/cut']
 
 
-def test_a_watch_that_a_silent_store_received_is_abandoned_when_the_store_recovers():
+def test_a_watch_of_a_silent_store_ends_when_it_recovers():
     """Guards against instances that receive no new configuration for up to 7 s after an outage of the store.
 
     During the outage the store received each instance's next watch and never answered it. After the store had
@@ -171,7 +171,7 @@
         await client.watch(CONFIGURATION_KEY, 0, wait_s=6, timeout_s=7)
 
 
-def test_a_partly_received_answer_is_not_abandoned_when_the_store_recovers():
+def test_a_partly_received_answer_outlasts_a_store_recovery():
     """On a slow link another call may time out while a large answer is being received."""
 
     async def scenario():
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -160,7 +160,7 @@
     anyio.run(run)
 
 
-def test_each_version_of_a_growing_configuration_is_in_force_in_time():
+def test_versions_of_a_growing_configuration_apply_in_time():
     async def scenario(pair, tasks):
         pair.write_configuration(1, 40)
         await pair.start(tasks)
@@ -193,7 +193,7 @@
 
 
 @pytest.mark.parametrize('after_s', [0.0, 0.9])
-def test_a_large_configuration_is_read_over_a_slow_link_from_the_store_alone(after_s):
+def test_a_large_configuration_is_read_from_the_store_alone(after_s):
     """Read at startup, or delivered by a watch that is about to time out: the transfer takes 1.9 s."""
 
     async def scenario(pair, tasks):
@@ -209,7 +209,7 @@
     run_scenario(scenario)
 
 
-def test_of_several_versions_that_were_missed_only_the_newest_is_read():
+def test_of_several_missed_versions_only_the_newest_is_read():
     """A watch would return all of them at once: 4 MB, which take 7 s on this link."""
 
     async def scenario(pair, tasks):
@@ -239,7 +239,7 @@
     run_scenario(scenario)
 
 
-def test_an_instance_cut_off_from_the_store_receives_versions_from_its_peers():
+def test_peers_send_versions_to_an_instance_without_the_store():
     async def scenario(pair, tasks):
         pair.write_configuration(1, ROUTE_COUNT * 3)
         await pair.start(tasks, TIMING._replace(call_timeout_s=0.2))
@@ -252,7 +252,7 @@
     run_scenario(scenario)
 
 
-def test_an_owner_cut_off_from_the_store_receives_versions_from_its_peers():
+def test_peers_send_versions_to_an_owner_without_the_store():
     async def scenario(pair, tasks):
         pair.write_configuration(1, 40)
         await pair.start(tasks)
--- a/packages/standins/dahliaarch_standins/soak/tests/test_evacuations.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_evacuations.py
@@ -48,7 +48,7 @@
     assert not store.keys('op/')
 
 
-def test_seeds_that_are_kept_have_no_evacuations_and_the_same_other_faults():
+def test_kept_seeds_have_no_evacuations_and_the_same_faults():
     settings = draw_settings(FIRST_SEED_WITH_EVACUATIONS + 2)
     assert not draw_settings(FIRST_SEED_WITH_EVACUATIONS - 1).evacuations
     with_evacuations = draw_plan(settings._replace(evacuations=2))
--- a/packages/standins/dahliaarch_standins/soak/tests/test_following.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_following.py
@@ -65,7 +65,7 @@
 
 
 @pytest.mark.parametrize('status', [503, 504, 429])
-def test_an_answer_that_does_not_identify_a_version_is_not_checked(checked, status):
+def test_an_answer_without_a_clear_version_is_not_checked(checked, status):
     assert not checked.violated_promises('only-2', status, 20.0)
     assert not checked.check.checked
 
@@ -83,14 +83,14 @@
     assert checked.violated_promises('only-2', 404, 20.0) == [IN_FORCE_IN_TIME]
 
 
-def test_an_instance_is_exempt_until_the_last_of_overlapping_disturbances_ends(checked):
+def test_overlapping_disturbances_exempt_until_the_last_ends(checked):
     checked.contact.begin(('a',))
     checked.contact.begin(('a',))
     checked.contact.end(('a',), 12.0)
     assert not checked.violated_promises('only-2', 404, 20.0)
 
 
-def test_a_request_sent_during_or_before_a_past_disturbance_is_not_checked(checked):
+def test_a_request_that_a_disturbance_may_affect_is_not_checked(checked):
     checked.contact.begin(('a',))
     checked.contact.end(('a',), 20.5)
     assert not checked.violated_promises('only-2', 404, 20.0)
@@ -102,7 +102,7 @@
     assert checked.violated_promises('only-2', 404, 11.0 + QUIET_PERIOD_S + 0.1) == [IN_FORCE_IN_TIME]
 
 
-def test_a_slow_instance_is_exempt_while_no_fast_instance_is_undisturbed():
+def test_a_slow_instance_is_exempt_while_fast_ones_are_disturbed():
     checked = CheckedVersions(slow_names=('a',))
     checked.contact.begin(('b',))
     assert not checked.violated_promises('only-2', 404, 20.0)
@@ -120,7 +120,7 @@
     assert not checked.violated_promises('only-1', 400, 10.2, incarnation=INCARNATION + 1)
 
 
-def test_a_disturbed_instance_must_not_return_to_an_older_version(checked):
+def test_a_disturbed_instance_must_not_return_to_old_versions(checked):
     checked.contact.begin(('a',))
     assert not checked.violated_promises('only-2', 400, 10.1)
     assert checked.violated_promises('only-2', 404, 10.2) == [NO_OLDER_VERSION]
--- a/packages/standins/dahliaarch_standins/soak/tests/test_ready_work.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_ready_work.py
@@ -55,7 +55,7 @@
         return [each.promise for each in self.violations()] == [PROMISE]
 
 
-def test_a_ready_job_that_waits_despite_idle_capacity_is_reported_after_the_bound():
+def test_a_ready_job_beside_idle_capacity_is_reported():
     pool = Pool(job())
     pool.advance(BOUND_S - 0.2)
     assert not pool.violations()
@@ -169,7 +169,7 @@
     assert pool.has_violation is has_violation
 
 
-def test_the_five_longest_waits_are_reported_with_the_total_count():
+def test_the_longest_waits_are_reported_with_the_total_count():
     pool = Pool(*(job(name) for name in 'abcdefgh'))
     pool.advance(BOUND_S + 0.5)
     pool.workers[0].running['a.0.0.0'] = 1
--- a/packages/standins/dahliaarch_standins/soak/tests/test_reports.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_reports.py
@@ -29,7 +29,7 @@
 
 
 @pytest.mark.parametrize('violation', [DOUBLED, Violation('an accepted job is done', f'{JOB}: running')])
-def test_a_report_has_the_timeline_of_the_tasks_named_by_violations(tmp_path, violation):
+def test_a_report_has_the_timeline_of_violating_tasks(tmp_path, violation):
     plan = draw_plan(SETTINGS)
     path = write_report(tmp_path, SETTINGS, plan, [violation], [restarted_worker()], Origin(10.0, 1000.0))
     report = json.loads(path.read_text())
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -121,7 +121,7 @@
     ],
     ids=['two crashes', 'one each of two tasks', 'none', 'not known', 'not done'],
 )
-def test_a_job_may_be_shown_as_failed_only_after_two_crashes_under_a_task(job_id, state, is_false):
+def test_a_job_is_shown_as_failed_only_after_two_crashes(job_id, state, is_false):
     excused = jobs_that_may_be_given_up([CrashedWorker('a.0.0.0', 'b.0.0.0'), CrashedWorker('a.0.0.0', 'b.0.0.1')])
     found = list(wrong_final_states({job_id: state}, [Submission(job_id, 'urgent', 1, (200,))], {}, excused))
     assert bool(found) is is_false
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize(
     'options', [['tests/test_suite.py'], [SOUND], ['-k', 'sound'], ['--deselect', SOUND], ['--ignore', 'tests/none']]
 )
-def test_partial_runs_do_not_fail_for_entries_that_they_leave_out(project, options):
+def test_partial_runs_may_leave_out_listed_tests(project, options):
     listed = [FAILED_SEED, FAILED_SETUP, SOUND]
     if options[0] not in {'-k', '--deselect'}:
         listed.append('tests/test_other.py::test_other')
