A step that failed avoids workers on which other jobs failed

Load pattern: many workers fail all that they start, while the pool is full otherwise. Cause: such a worker is idle, so that the next attempt finds it. Workers on which jobs failed are used last, which helps nothing when they are the only idle ones; a gang of two lost its four attempts on four of them in 0.8 s. And a job that failed on two workers cleared them, since it was taken to be at fault itself.

--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -77,10 +77,14 @@
 
 
 def _attribute_failure(state: SchedulerState, step: StepState, end: RunEnd) -> None:
-    """Attribute a failure to the worker, or to the job if it has failed on several workers without a success."""
+    """Attribute a failure to the worker, or to the job if it has failed on several workers without a success.
+
+    Workers on which other jobs failed as well are no evidence against the job.
+    """
     job = step.job
-    job.failed_worker_ids.add(end.worker_id)
     worker = state.worker_by_id.get(end.worker_id)
+    if worker is None or worker.failed_jobs <= {job.spec.job_id}:
+        job.failed_worker_ids.add(end.worker_id)
     if worker is None:
         return
     if len(job.failed_worker_ids) >= _FAULTY_JOB_MIN_WORKERS and not job.has_success:
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -132,10 +132,17 @@
 
 
 def without_failed(step: StepState, eligible: list[WorkerState]) -> list[WorkerState]:
-    """Exclude workers on which a step failed, unless fewer than half would remain."""
+    """Exclude workers on which a step failed, unless fewer than half would remain.
+
+    A step that has used up an attempt also avoids workers on which other jobs failed. Workers that
+    fail all they start are idle: in a full pool, a job lost all its attempts there within a second.
+    """
     if not step.failed_worker_ids:
         return eligible
     others = [worker for worker in eligible if worker.worker_id not in step.failed_worker_ids]
+    if step.failed_runs_by_index:
+        sound = [worker for worker in others if not worker.failed_jobs]
+        others = sound if len(sound) * 2 >= len(eligible) else others
     return others if len(others) * 2 >= len(eligible) else eligible
 
 
