Leases on workers are 6 s where workers allow 10 s

Load pattern: workers go down and up by turns, or are cut off, while the pool is loaded. Cause: each survey granted the longest lease that workers allow, so that runs survive a takeover and an outage; the tasks of a silent worker start elsewhere when it has ended. A takeover takes 2 to 4 s, also with 298 instances (3.2 s from the loss of the owner to the next acknowledgement, docs/CAPACITY.md), and an owner that is cut off from the store alone goes on renewing leases. So 6 s are enough for it; the bound of what a previous owner may have granted stays that of the workers. Where workers allow 6 s nothing changes. What it costs: with the store away and the owner lost at the same time runs lapse after 6 s instead of 10 s.

--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -29,7 +29,7 @@
 from .feeds import FeedContext, follow_jobs, job_messages, WorkersFeed
 from .heap import GarbageCollectionTuner
 from .intake import HandlerDependencies, MessageHandler
-from .link_settings import LinkContext, LinkSettings, StartLimits
+from .link_settings import link_settings, LinkContext, StartLimits
 from .load_gauges import LoadGauges
 from .messages import OwnerMessage, WorkerInherited, WorkersSynced
 from .previous_work import PreviousWork
@@ -110,7 +110,7 @@
         context = LinkContext(
             workers,
             settings.epoch,
-            LinkSettings(lease_s=settings.bounds.max_hold_s),
+            link_settings(settings.bounds.max_hold_s),
             metrics,
             self.post,
             self.depose,
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -17,8 +17,12 @@
     Parameters
     ----------
     lease_s : float
-        Duration of the lease granted by each survey: the maximum that workers
-        allow, so that runs survive a takeover or an outage.
+        Duration of the lease granted by each survey: long enough that runs survive a
+        takeover, and short because the tasks of a worker that falls silent start
+        elsewhere only when it has ended.
+    max_lease_s : float
+        Maximum duration of a lease that workers allow. A previous owner, perhaps of
+        another version, may have granted it.
     draining_lease_s : float
         Lease duration on a draining worker: short, so that its runs start
         elsewhere soon after it is gone.
@@ -60,6 +64,7 @@
     """
 
     lease_s: float = 6.0
+    max_lease_s: float = 6.0
     draining_lease_s: float = 2.0
     start_lease_s: float = 2.0
     survey_wait_s: float = 1.0
@@ -76,6 +81,12 @@
     acknowledgement_wait_per_end_s: float = 0.04
 
 
+def link_settings(max_lease_s: float) -> LinkSettings:
+    """Return the settings for workers that allow leases of a maximum duration, in seconds."""
+    defaults = LinkSettings()
+    return defaults._replace(lease_s=min(defaults.lease_s, max_lease_s), max_lease_s=max_lease_s)
+
+
 class StartLimits(NamedTuple):
     """Concurrency limits of start requests; urgent ones have their own, so that others never delay them."""
 
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -179,7 +179,7 @@
         self.last_contact_s = context.clock()
         if not self._lease.has_reading:
             # Before this answer a previous owner may have granted the longest possible lease.
-            self._lease.assume_granted(settings.lease_s, context.clock())
+            self._lease.assume_granted(settings.max_lease_s, context.clock())
         self._contact.record_clock(survey.clock_s)
         self._process_survey(survey, survey_start)
         if lease_end_s is not None or not context.may_order():
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -111,7 +111,7 @@
     @property
     def max_late_run_s(self) -> float:
         """Maximum time after its sending until which a delayed start may run: its delay plus the longest lease."""
-        return _MAX_ORDER_DELAY_S + self._context.settings.lease_s
+        return _MAX_ORDER_DELAY_S + self._context.settings.max_lease_s
 
     def save_entry(self, entry: WorkerListed) -> None:
         """Store the latest entry read under a worker's name."""
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -19,7 +19,7 @@
 )
 
 from ...metrics import Metrics
-from ..link_settings import LinkContext, LinkSettings, StartLimits
+from ..link_settings import link_settings, LinkContext, LinkSettings, StartLimits
 from ..links import WorkerLink
 from ..messages import WorkerOver, WorkerSilent, WorkerSurveyed
 from .sessions import InMemorySessions
@@ -247,3 +247,44 @@
     assert any(acknowledged for acknowledged, _ in worker.surveys)
     assert any(lease is None for _, lease in worker.surveys[1:])
     assert link.unanswered_acknowledgement_s < 0
+
+
+class LeaseRecorder(InMemorySessions):
+    """A worker that records the ends of the leases it is granted, on its clock, and falls silent on request."""
+
+    def __init__(self):
+        self.lease_ends_s = []
+        self.is_silent = False
+
+    async def survey(self, address, incarnation, *, timeout_s, wait_s, lease_until_s, **order):
+        if self.is_silent:
+            await anyio.sleep(timeout_s)
+            raise WorkerUnansweredError('silent')
+        await anyio.sleep(min(wait_s, 0.02))
+        if lease_until_s:
+            self.lease_ends_s.append(lease_until_s - time.monotonic())
+        return Survey(time.monotonic(), (), ())
+
+
+def run_recorded_link(worker, lease, settings, seconds):
+    owner = RecordingOwner()
+    limits = StartLimits(anyio.Semaphore(8), anyio.Semaphore(8))
+
+    async def run_link():
+        context = LinkContext(worker, 7, settings, Metrics(), owner.post, lambda: None, time.monotonic, limits)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(WorkerLink(WorkerIncarnation('w'), Address('h', 1), lease, context).run)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run_link)
+
+
+@pytest.mark.parametrize(('max_lease_s', 'granted_s'), [(10.0, 6.0), (6.0, 6.0), (3.0, 3.0)])
+def test_tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease(max_lease_s, granted_s):
+    """Workers allow leases of 10 s, and the tasks of a worker that had crashed waited for that long."""
+    worker, lease = LeaseRecorder(), Lease()
+    run_recorded_link(worker, lease, link_settings(max_lease_s), 0.3)
+    assert max(worker.lease_ends_s) <= granted_s < max(worker.lease_ends_s) + 0.5
+    # A previous owner may have granted the longest lease just before the first answer.
+    assert lease.latest_end_s() - time.monotonic() > max_lease_s - 0.5
