--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -70,6 +70,7 @@
             processed_ends=dict,
             on_persisted=self._count_flush,
             on_end_persisted=lambda job_id: None,
+            on_evacuated=lambda requests: None,
             on_deposed=lambda: None,
         )
         tasks.start_soon(self.recorder.run)
