--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -93,7 +93,7 @@
         return run.duration_s * (self.cores_by_step[step] if step < len(self.cores_by_step) else 1.0)
 
     def resumes_from_checkpoint(self, run: RunHistory) -> bool:
-        """Tell whether the next run continues the work of a stopped run from its checkpoint."""
+        """Return whether the next run continues the work of a stopped run from its checkpoint."""
         return bool(run.stop_reason) and self.cancelled_s is None and self.has_checkpoints_by_step[run.task[2]]
 
     @property
--- a/packages/cli/dahliaarch_cli/accounting/takeovers.py
+++ b/packages/cli/dahliaarch_cli/accounting/takeovers.py
@@ -93,7 +93,7 @@
 
 
 def _waited_for_takeover(job: JobHistory, ready: LogLine, epoch: int) -> bool:
-    """Tell whether a job was submitted before an owner was ready, and first received and started by it."""
+    """Return whether a job was submitted before an owner was ready, and first received and started by it."""
     if not job.runs or job.received_by != ready.instance or job.submitted_s >= ready.at_s:
         return False
     return _epoch_of_run(job.runs[0].number) == epoch
--- a/packages/kernel/dahliaarch_kernel/policies/core.py
+++ b/packages/kernel/dahliaarch_kernel/policies/core.py
@@ -79,7 +79,7 @@
         return self._evaluate_number('priority', self._priority, job, _default_priority)
 
     def admits(self, candidate: CandidateVariables) -> bool:
-        """Tell whether a worker passes the placement filter."""
+        """Return whether a worker passes the placement filter."""
         if self._filter is None:
             return True
         try:
--- a/packages/kernel/dahliaarch_kernel/workload/core.py
+++ b/packages/kernel/dahliaarch_kernel/workload/core.py
@@ -41,7 +41,7 @@
         return Resources(self.cpu_millis * count, self.memory_mb * count, self.accelerators * count)
 
     def covers(self, requested: 'Resources') -> bool:
-        """Tell whether ``requested`` fits into this amount."""
+        """Return whether ``requested`` fits into this amount."""
         return (
             requested.cpu_millis <= self.cpu_millis
             and requested.memory_mb <= self.memory_mb
--- a/packages/standins/dahliaarch_standins/comparison/ablation.py
+++ b/packages/standins/dahliaarch_standins/comparison/ablation.py
@@ -1,4 +1,4 @@
-"""What each mechanism that decides is worth: the same days with it switched off."""
+"""Gain of each scheduling mechanism: the same days simulated with and without it."""
 
 import statistics
 from collections.abc import Iterator, Mapping, Sequence
@@ -10,12 +10,12 @@
 from .days import Play, play_all
 from .drawing import deployment_named, DRAWN
 
-# Standard errors on each side of a mean that hold its true value 95 times of 100.
+# Half-width of a 95% confidence interval, in standard errors.
 _MARGIN_ERRORS = 1.96
 
 
 class Effect(NamedTuple):
-    """What a mechanism is worth somewhere.
+    """Gain of a mechanism on one deployment.
 
     Parameters
     ----------
@@ -45,7 +45,7 @@
     deployments: Sequence[str] = ('zones', 'meters', 'cars', DRAWN),
     workers: int = 1,
 ) -> list[Effect]:
-    """Return what each mechanism is worth on the same days.
+    """Return the gain of each mechanism on the same days.
 
     Parameters
     ----------
--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -1,4 +1,4 @@
-"""A plain scheduler to compare with: first come, first served, best fit, backfill.
+"""Baseline scheduler: first come, first served, best fit, with backfill.
 
 Jobs start in the order of their arrival on the fullest workers that hold them;
 the first gang that does not fit keeps the room that is expected to be free
@@ -21,7 +21,7 @@
 
 
 class BestFit(Scheduler):
-    """Keeps the books of the scheduler and decides in its own, plain way.
+    """Uses the scheduler's state with a simple decision rule.
 
     Parameters
     ----------
@@ -35,7 +35,7 @@
         self._policy = compile_policy(SHIPPED_POLICIES['first-come'])
 
     def decide(self, now: Moment) -> list[Effect]:
-        """Start what fits, in the order of arrival."""
+        """Start what fits, in order of arrival."""
         state = self._state
         reservations = Reservations()
         expire_leases(state, now)
--- a/packages/standins/dahliaarch_standins/comparison/bound.py
+++ b/packages/standins/dahliaarch_standins/comparison/bound.py
@@ -1,4 +1,4 @@
-"""What no scheduler could exceed on a drawn day.
+"""Upper bound on the net credit of any scheduler on a drawn day.
 
 A linear program over a relaxation of the day. Time is cut into slices; in each a
 step may do any part of its work, up to all of its tasks at once, wherever the
@@ -26,14 +26,14 @@
 from .workload import DrawnJob
 
 _UNTIL_S = TRAFFIC_S + AFTER_S
-# Length of a slice of time in seconds.
+# Length of a time slice, in seconds.
 _SLICE_S = 1.0
-# Up to so many tasks a worker are counted as whole ones.
+# Maximum number of tasks per worker that are counted as whole tasks.
 _MOST_WHOLE = 4
 
 
 class _Aim(NamedTuple):
-    """A job may earn so much if it is done by then."""
+    """Credit that a job earns if it is done by a deadline."""
 
     job: DrawnJob
     worth: float
@@ -41,7 +41,7 @@
 
 
 class _Program:
-    """A linear program: maximise, under rows that are at most their limits.
+    """A linear program: maximizes a gain subject to upper limits on rows.
 
     Attributes
     ----------
@@ -73,11 +73,11 @@
         return number
 
     def add(self, row: int, variable: int, factor: float) -> None:
-        """Let a variable count in a row."""
+        """Add a variable to a row."""
         self._entries.append((row, variable, factor))
 
     def maximum(self) -> float:
-        """Return the largest total gain."""
+        """Return the maximum total gain."""
         rows, variables, factors = zip(*self._entries, strict=True)
         shape = (len(self.limits), len(self.gains))
         matrix = coo_array((factors, (rows, variables)), shape=shape).tocsr()
@@ -89,12 +89,12 @@
 
 
 def bound(day: Day) -> float:
-    """Return what counts, less the price of waste, at most: no scheduler exceeds it on the day."""
+    """Return the maximum credit less the price of waste that any scheduler can reach on the day."""
     return _Relaxation(day).program.maximum()
 
 
 class _Relaxation:
-    """Builds the program of a day."""
+    """Builds the linear program of a day."""
 
     def __init__(self, day: Day) -> None:
         self.program = _Program()
@@ -103,14 +103,14 @@
         self._owed_by_id = worth_of(day.jobs)
         self._owed = [job for job in day.jobs if job.is_owed]
         self._room_rows = self._add_room(day)
-        # What each job earns, as pairs of a variable and its factor.
+        # Credit of each job, as pairs of a variable and its factor.
         self._earned_by_id: dict[str, list[tuple[int, float]]] = {}
         for job in self._owed:
             self._add_job(job)
         self._add_gains()
 
     def _add_room(self, day: Day) -> list[dict['_Measure', int]]:
-        """Add a row for each slice and each way to measure room in it; return them by slice."""
+        """Add a row for each slice and each measure of its capacity; return the rows by slice."""
         degraded = draw_degraded_places(self._pool, day.troubles.degraded, self._chances)
         strength = np.zeros(int(_UNTIL_S / _SLICE_S))
         for span, workers in stretches(self._pool, draw_speeds(self._pool, self._chances), degraded, _UNTIL_S):
@@ -124,7 +124,7 @@
         """Add the shares of a job that are done in time and late, and their work."""
         owed = self._owed_by_id[job.spec.job_id]
         if self._fails_once(job):
-            # The time of such a run counts to its objective: it may never be late.
+            # Failed runs extend its objective, so that it may never be late.
             aims = [_Aim(job, owed, _UNTIL_S)]
         else:
             aims = [
@@ -138,7 +138,7 @@
             self._add_work(share, aim)
 
     def _add_work(self, share: int, aim: _Aim) -> None:
-        """Let each step of a share be worked on between its earliest begin and its latest end."""
+        """Allow work on each step of a share between its earliest start and its latest end."""
         due_s = min(aim.due_s - SHOWN_AFTER_S, _UNTIL_S)
         before_s = 0.0
         chain_s = aim.job.chain_s
@@ -152,7 +152,7 @@
         done = []
         for number, length_s in _slices(begin_s, end_s):
             part = self.program.variable()
-            # No more than all of its tasks at once.
+            # All of its tasks run at once at most.
             self.program.row(0.0, (part, 1.0), (share, -step.task_count * length_s))
             for measure, row in self._room_rows[number].items():
                 self.program.add(row, part, measure.size(step.demand, self._pool))
@@ -160,13 +160,13 @@
         self.program.row(0.0, (share, work_s), *done)
 
     def _fails_once(self, job: DrawnJob) -> bool:
-        """Tell whether a run of a step that runs as one unit fails by its own fault."""
+        """Return whether a run of a gang or of a single task fails by its own fault."""
         units = [number for number, step in enumerate(job.spec.steps) if step.gang or step.task_count == 1]
         lucks = (self._chances.about(FAILURE, *TaskKey(job.spec.job_id, 0, number, 0), 0) for number in units)
         return any(failing_share(luck, job) is not None for luck in lucks)
 
     def _add_gains(self) -> None:
-        """Let shares earn as the users weigh them: each part is a sum, or the least of some sums."""
+        """Weight shares by the users' measures: each part is a sum, or the minimum of several sums."""
         weights = parts_weights()
         self._add_share(weights.day, self._owed)
         for groups, weight in (
@@ -182,7 +182,7 @@
             self.program.gains[variable] += weight * factor
 
     def _add_least(self, weight: float, groups: Sequence[Sequence[DrawnJob]], count: int) -> None:
-        """Earn the mean of the smallest shares: a level, less how far below it each group is."""
+        """Add the mean of the smallest shares: a level, less the shortfall of each group."""
         if not groups:
             self.program.variable(0.0)
             return
@@ -193,13 +193,13 @@
             self.program.row(0.0, (level, 1.0), (below, -1.0), *terms)
 
     def _terms(self, jobs: Sequence[DrawnJob]) -> list[tuple[int, float]]:
-        """Return the share that jobs earn of what they are owed, as variables and factors."""
+        """Return the credit that jobs earn as a share of the credit owed, as variables and factors."""
         owed = sum(self._owed_by_id[job.spec.job_id] for job in jobs)
         return [(variable, factor / owed) for job in jobs for variable, factor in self._earned_by_id[job.spec.job_id]]
 
 
 class _Measure(NamedTuple):
-    """A way to measure how much of a worker a task takes.
+    """A measure of the part of a worker that a task takes.
 
     Tasks that run together on a worker sum to no more than one: by their share of
     one resource, or by whole tasks, where more than ``whole`` of a size never fit.
@@ -217,7 +217,7 @@
         return share if fitting.is_integer() else int(fitting) / self.whole
 
     def binds(self, demands: Iterable[Resources], pool: Pool) -> bool:
-        """Tell whether it may tell more than the plain share of the resource."""
+        """Return whether its limit is tighter than that of the plain share of the resource."""
         return not self.whole or any(
             self.size(demand, pool) > self._replace(whole=0).size(demand, pool) for demand in demands
         )
@@ -230,7 +230,7 @@
 
 
 def _slices(begin_s: float, end_s: float) -> Iterator[tuple[int, float]]:
-    """Yield the slices that a time touches, and how much of each."""
+    """Yield the slices that a time span overlaps, and the overlap with each."""
     number = int(begin_s / _SLICE_S)
     while number * _SLICE_S < end_s:
         length_s = min(end_s, (number + 1) * _SLICE_S) - max(begin_s, number * _SLICE_S)
--- a/packages/standins/dahliaarch_standins/comparison/chances.py
+++ b/packages/standins/dahliaarch_standins/comparison/chances.py
@@ -1,4 +1,4 @@
-"""Chances that don't depend on what a scheduler does.
+"""Random draws that do not depend on the decisions of a scheduler.
 
 Each is drawn from the day's seed and the name of what it is about, so that two
 schedulers meet the same luck wherever they do the same: a run that fails at its
@@ -10,7 +10,7 @@
 
 
 class Chances:
-    """Draws by name.
+    """Draws random values by name.
 
     Parameters
     ----------
@@ -19,18 +19,18 @@
     """
 
     def __init__(self, seed: int) -> None:
-        """Start; nothing is drawn in advance."""
+        """Initialize; nothing is drawn in advance."""
         self._seed = seed
         self._count_by_names: Counter[tuple[object, ...]] = Counter()
 
     def about(self, *names: object) -> random.Random:
-        """Return the source of what is drawn about something."""
+        """Return the random generator for a name."""
         return random.Random(f'{self._seed}/{"/".join(map(str, names))}')
 
     def nth_about(self, *names: object) -> random.Random:
-        """Return the source of what is drawn for the n-th time, n being how often it has come to pass."""
+        """Return the random generator for the current occurrence of a recurring event."""
         return self.about(*names, self._count_by_names[names])
 
     def has_come(self, *names: object) -> None:
-        """Note that something has come to pass: the next time is drawn anew."""
+        """Count an occurrence of a recurring event: the next one is drawn from another generator."""
         self._count_by_names[names] += 1
--- a/packages/standins/dahliaarch_standins/comparison/core.py
+++ b/packages/standins/dahliaarch_standins/comparison/core.py
@@ -1,4 +1,4 @@
-"""Compares what owners get from several schedulers on the same days."""
+"""Compares several schedulers on the same days."""
 
 import statistics
 from collections.abc import Sequence
@@ -10,7 +10,7 @@
 
 
 class Comparison(NamedTuple):
-    """What one scheduler made of some days.
+    """Results of one scheduler over several days.
 
     Parameters
     ----------
--- a/packages/standins/dahliaarch_standins/comparison/days.py
+++ b/packages/standins/dahliaarch_standins/comparison/days.py
@@ -1,4 +1,4 @@
-"""Plays days: each scheduler meets the same jobs and the same troubles."""
+"""Simulates days: each scheduler gets the same jobs and the same troubles."""
 
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -14,7 +14,7 @@
 from .troubles import draw_loaded, draw_troubles, Troubles
 from .workload import draw_jobs, DrawnJob
 
-# Length of a day's traffic and of the time after it, in seconds.
+# Length of a day's traffic, and of the time simulated after it, in seconds.
 TRAFFIC_S = 36.0
 AFTER_S = 25.0
 
@@ -41,7 +41,7 @@
 
 
 class Play(NamedTuple):
-    """A day to be played by a scheduler.
+    """A day and the scheduler to simulate it with.
 
     Parameters
     ----------
@@ -74,14 +74,14 @@
 
 
 def play_day(day: Day, scheduler: Decider) -> Simulation:
-    """Play a day and return what became of it."""
+    """Simulate a day and return its ledger."""
     simulation = Simulation(day.deployment, day.jobs, day.troubles, scheduler, day.seed)
     simulation.run(TRAFFIC_S + AFTER_S)
     return simulation
 
 
 def play(wanted: Play) -> DayScore:
-    """Play a day and return what it was worth."""
+    """Simulate a day and return its score."""
     day = draw_day(wanted.deployment, wanted.seed, wanted.load)
     scheduler = SCHEDULERS[wanted.scheduler](wanted.deployment, wanted.settings)
     ledger = play_day(day, scheduler).ledger
@@ -89,7 +89,7 @@
 
 
 def play_all(plays: Sequence[Play], workers: int = 1) -> list[DayScore]:
-    """Play days on so many cores; the order of the plays is kept."""
+    """Simulate days on several cores; results are in the order of the plays."""
     if workers == 1:
         return [play(each) for each in plays]
     with ProcessPoolExecutor(workers) as executor:
@@ -97,7 +97,7 @@
 
 
 def settings_for(deployment: Deployment, settings: SchedulerSettings) -> SchedulerSettings:
-    """Return settings with what the deployment's platform says of itself."""
+    """Return settings with the limits of the deployment's platform."""
     pool = deployment.pool
     return settings._replace(far_factor=pool.far_factor, stop_timeout_s=pool.largest_stop_s)
 
--- a/packages/standins/dahliaarch_standins/comparison/decider.py
+++ b/packages/standins/dahliaarch_standins/comparison/decider.py
@@ -1,4 +1,4 @@
-"""What a comparison needs of a scheduler."""
+"""Interface of a scheduler in a comparison."""
 
 from collections.abc import Mapping
 from typing import Protocol
@@ -11,7 +11,7 @@
 
 
 class Decider(Protocol):
-    """What a comparison needs of a scheduler."""
+    """Interface of a scheduler in a comparison."""
 
     @property
     def worker_by_id(self) -> Mapping[str, WorkerState]:
@@ -19,7 +19,7 @@
         ...
 
     def add_job(self, spec: JobSpec, queue: Queue, now: Moment) -> bool:
-        """Take in an accepted job."""
+        """Add an accepted job."""
         ...
 
     def cancel(self, job_id: str, now: Moment) -> bool:
@@ -27,29 +27,29 @@
         ...
 
     def update_worker(self, profile: WorkerProfile, now: Moment) -> bool:
-        """Take in a worker."""
+        """Add or update a worker."""
         ...
 
     def worker_silent(self, worker_id: str, now: Moment) -> None:
-        """Take in that a worker does not answer."""
+        """Record that a worker does not answer."""
         ...
 
     def worker_over(self, worker_id: str, now: Moment) -> None:
-        """Take in that a worker has ended."""
+        """Record that a worker has ended."""
         ...
 
     def worker_surveyed(self, worker_id: str, running: list[ListedRun], requested_s: float, now: Moment) -> None:
-        """Take in what runs on a worker."""
+        """Record the runs that a worker lists."""
         ...
 
     def run_started(self, worker_id: str, key: TaskKey, run: int, now: Moment) -> None:
-        """Take in that a run has begun."""
+        """Record that a run has started."""
         ...
 
     def run_ended(self, end: RunEnd, now: Moment) -> None:
-        """Take in the end of a run."""
+        """Record the end of a run."""
         ...
 
     def decide(self, now: Moment) -> list[Effect]:
-        """Decide what to start and stop."""
+        """Return the starts and stops to order."""
         ...
--- a/packages/standins/dahliaarch_standins/comparison/degradation.py
+++ b/packages/standins/dahliaarch_standins/comparison/degradation.py
@@ -1,4 +1,4 @@
-"""Which workers degrade, and what a pool can do in each stretch of a day."""
+"""Degradations of workers, and the capacity of a pool over a day."""
 
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
@@ -7,12 +7,12 @@
 from .shapes import Pool
 from .troubles import Degradation, DegradedWorkers, Span
 
-# From the end of a worker that left until another comes in its place, in seconds.
+# Time from the end of a worker that left until its replacement joins, in seconds.
 REPLACED_AFTER_S = 4.0
 
 
 class DegradedPlace(NamedTuple):
-    """The worker at a place of the pool is degraded for a while.
+    """Degradation of one worker of the pool for a period.
 
     Parameters
     ----------
@@ -33,12 +33,12 @@
 
     @property
     def over_s(self) -> float:
-        """When a sound worker is there again."""
+        """Time from which a sound worker is available again."""
         return self.span.end_s + (REPLACED_AFTER_S if self.kind is Degradation.LEAVING else 0.0)
 
 
 def draw_degraded_places(pool: Pool, troubles: Sequence[DegradedWorkers], chances: Chances) -> list[DegradedPlace]:
-    """Return who degrades, by time; nobody has two degradations at once."""
+    """Return the degradations in order of time; no worker has two at once."""
     found: list[DegradedPlace] = []
     for number, trouble in enumerate(sorted(troubles, key=lambda each: each.span)):
         taken = {each.place for each in found if each.over_s > trouble.span.begin_s}
@@ -50,7 +50,7 @@
 
 
 class Stretch(NamedTuple):
-    """A time in which a pool's strength does not change.
+    """A period of constant capacity of a pool.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
 def stretches(
     pool: Pool, speeds: Sequence[float], degraded: Sequence[DegradedPlace], until_s: float
 ) -> Iterator[Stretch]:
-    """Yield what the pool can do, from the beginning until a time.
+    """Yield the periods of constant capacity, from the beginning until a time.
 
     Parameters
     ----------
@@ -90,7 +90,7 @@
 
 
 def _lost(degraded: DegradedPlace, speed: float, at_s: float) -> float:
-    """Return what a pool does less for a degraded worker; one that is cut off or fails may work on."""
+    """Return the capacity that a pool loses by a degraded worker; one that is cut off or fails may continue to work."""
     if not degraded.span.begin_s <= at_s < degraded.over_s:
         return 0.0
     if degraded.kind is Degradation.SLOW:
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -4,16 +4,16 @@
 
 from .shapes import Deployment, JobKind, Pool
 
-# Accelerators of a gang's tasks, each as often as the others.
+# Accelerators of a gang's tasks, drawn with equal probability.
 GANG_ACCELERATORS = (1, 2, 4, 8, 8)
-# Some workers take longer than others.
+# Factors of run time on different workers.
 _UNEQUAL = (1.0, 1.0, 1.3)
-# Workers of a grown pool that are there on an ordinary day with trouble.
+# Number of workers of a grown pool on an ordinary day with trouble.
 _GROWN_WORKERS = 160
 
 
 def _gangs(name: str, rate_per_s: float, work_s: float, largest_s: float, demand: Resources, widths: int) -> JobKind:
-    """Return work of priority 1: a few large tasks that run together."""
+    """Return work of priority 1: gangs of a few large tasks."""
     return JobKind(
         name,
         priority=1,
@@ -41,7 +41,7 @@
 
 
 def _urgent(name: str, rate_per_s: float, demand: Resources, width: float, widths: int) -> JobKind:
-    """Return work of priority 0: short gangs that somebody waits for."""
+    """Return work of priority 0: short gangs with a tight objective."""
     return JobKind(
         name,
         priority=0,
@@ -66,7 +66,7 @@
 
 
 def _many(name: str, rate_per_s: float, work_s: float, largest_s: float, demand: Resources, width: float) -> JobKind:
-    """Return work of priority 2: many small tasks, one by one."""
+    """Return work of priority 2: many small independent tasks."""
     return JobKind(
         name,
         priority=2,
@@ -111,7 +111,7 @@
 
 
 def _grown(kinds: tuple[JobKind, ...], shapes: tuple[tuple[float, float, float], ...]) -> tuple[JobKind, ...]:
-    """Return kinds at other rates and widths (mean and largest)."""
+    """Return kinds with other rates and widths (mean and maximum)."""
     pairs = zip(kinds, shapes, strict=True)
     return tuple(
         kind._replace(rate_per_s=rate, mean_width=mean, largest_width=largest) for kind, (rate, mean, largest) in pairs
@@ -154,5 +154,5 @@
     ),
 }
 
-# Each once more, with days on which all troubles come together.
+# The same deployments on days on which all troubles coincide.
 DEPLOYMENTS = _PLAIN | {f'{name}-loaded': deployment._replace(is_loaded=True) for name, deployment in _PLAIN.items()}
--- a/packages/standins/dahliaarch_standins/comparison/drawing.py
+++ b/packages/standins/dahliaarch_standins/comparison/drawing.py
@@ -1,4 +1,4 @@
-"""Deployments that nobody has written down, drawn by a seed.
+"""Random deployments, drawn by a seed.
 
 They differ in all that a deployment may differ in: size of the pool, racks and
 workers, kinds of requests, how urgent, wide, long and well estimated they are, what
@@ -13,9 +13,9 @@
 from .deployments import DEPLOYMENTS
 from .shapes import Deployment, JobKind, Pool
 
-# Name of the days that are each on a deployment of their own.
+# Name of the days that are each simulated on another random deployment.
 DRAWN = 'drawn'
-# The same, with all troubles together.
+# The same, with all troubles at once.
 DRAWN_LOADED = 'drawn-loaded'
 
 _WORKERS = (12, 20, 32, 48, 72)
@@ -33,7 +33,7 @@
 # Share of that load by priority, before they are made to sum to one.
 _SHARES = ((0.15, 0.4), (0.2, 0.6), (0.2, 0.6))
 _PRIORITIES = 3
-# Share of the kinds of requests, beside urgent ones, whose tasks run together.
+# Share of the kinds of requests, other than urgent ones, whose tasks are gangs.
 _GANG_SHARE = 0.5
 
 
@@ -115,7 +115,7 @@
 
 
 def _draw_demand(choice: random.Random, capacity: Resources) -> Resources:
-    """Return what a task needs beside accelerators: a few fit on a worker."""
+    """Return the cores and memory of a task, so that a few fit on a worker."""
     return Resources(
         int(capacity.cpu_millis * choice.uniform(0.05, 0.4)),
         int(capacity.memory_mb * choice.uniform(0.05, 0.4)),
@@ -123,7 +123,7 @@
 
 
 def _worker_s(kind: JobKind, pool: Pool) -> float:
-    """Return the worker-seconds that a job takes in the mean."""
+    """Return the mean worker-seconds of a job."""
     shares = [dominant_share(kind.demand._replace(accelerators=count), pool.capacity) for count in kind.accelerators]
     steps = 1.0 + kind.second_step_share
     return steps * kind.mean_width * kind.mean_work_s * math.fsum(shares) / len(shares)
--- a/packages/standins/dahliaarch_standins/comparison/executions.py
+++ b/packages/standins/dahliaarch_standins/comparison/executions.py
@@ -1,4 +1,4 @@
-"""What runs on the workers of a played pool, and how far it is."""
+"""Runs on the workers of a simulated pool, and their progress."""
 
 from dahliaarch_kernel.scheduler import StartRun, WorkerProfile
 from dahliaarch_kernel.workload import NO_RESOURCES, Resources, StepSpec, TaskKey, weighted_cores
@@ -26,7 +26,7 @@
     """
 
     def __init__(self, start: StartRun, job: DrawnJob, worker: 'PlayedWorker', begun_s: float) -> None:
-        """Begin."""
+        """Initialize the run."""
         self.start = start
         self.job = job
         self.worker = worker
@@ -45,17 +45,17 @@
 
     @property
     def demand(self) -> Resources:
-        """What it holds."""
+        """Resources that it holds."""
         return self.step.demand
 
     @property
     def cores(self) -> float:
-        """What it holds, in weighted cores."""
+        """Resources that it holds, in weighted cores."""
         return weighted_cores(self.demand)
 
 
 class Unit:
-    """Runs that work together: the members of a gang, or one task.
+    """Runs that progress together: the members of a gang, or one task.
 
     Parameters
     ----------
@@ -66,36 +66,36 @@
     """
 
     def __init__(self, first: Execution, saved_s: float) -> None:
-        """Begin with one member; work begins once all are there."""
+        """Initialize with one member; work starts once all members have started."""
         step = first.step
         self.members: list[Execution] = []
         self.size = step.task_count if step.gang else 1
         key = first.start.key
-        # The task that stands for it: the first of a gang.
+        # The task that identifies it: the first of a gang.
         self.key = key._replace(task_index=0) if step.gang else key
         self.work_s = first.job.work_s[key.step][key.task_index]
         self.saved_s = saved_s
         self.done_s = saved_s
-        # Work done in a second, and since when.
+        # Work done per second, and since when.
         self.rate = 0.0
         self.since_s = first.begun_s
-        # Grows whenever what was planned for it does not hold any more.
+        # Incremented whenever its scheduled events become invalid.
         self.plan = 0
-        # Work after which it fails, if it does.
+        # Amount of work after which it fails, if it does.
         self.fails_at_s: float | None = None
 
     @property
     def is_complete(self) -> bool:
-        """Whether all of its members are there."""
+        """Whether all of its members have started."""
         return len(self.members) == self.size
 
     def blamed(self) -> Execution:
-        """Return the member that fails when the unit does: one on a worker that fails all, if there is any."""
+        """Return the member that fails when the unit does: one on a worker that fails all its runs, if there is any."""
         failing = [each for each in self.members if each.worker.degradation is Degradation.FAILING]
         return (failing or self.members)[0]
 
     def advance(self, now_s: float) -> None:
-        """Take in the work done until now."""
+        """Add the work done until now."""
         self.done_s = min(self.work_s, self.done_s + max(0.0, now_s - self.since_s) * self.rate)
         self.since_s = max(self.since_s, now_s)
 
@@ -105,7 +105,7 @@
         return int(100 * self.done_s / self.work_s)
 
     def checkpoint(self, every_s: float, *, is_stop: bool) -> str:
-        """Return what is saved of its work: all at a stop, else what was done by the last checkpoint."""
+        """Return its saved work: all of it at a stop, otherwise that of the last checkpoint."""
         if not self.members[0].step.checkpoints:
             return ''
         kept_s = self.done_s if is_stop else max(self.saved_s, self.done_s // every_s * every_s)
@@ -113,7 +113,7 @@
 
 
 def saved_work_s(checkpoint: str) -> float:
-    """Return the work that a checkpoint holds."""
+    """Return the work saved in a checkpoint."""
     return float(checkpoint or 0) / _MS
 
 
@@ -129,7 +129,7 @@
     """
 
     def __init__(self, profile: WorkerProfile, speed: float) -> None:
-        """Start sound and empty."""
+        """Initialize without runs."""
         self.profile = profile
         self.speed = speed
         self.degradation: Degradation | None = None
@@ -140,30 +140,30 @@
 
     @property
     def rate(self) -> float:
-        """Work done there in a second."""
+        """Work done there per second."""
         if self.degradation is Degradation.STALLED:
             return 0.0
         return 1.0 / (self.speed * self.factor)
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether it receives and sends nothing."""
+        """Whether it is cut off from the network."""
         return self.degradation is Degradation.CUT_OFF
 
     def units(self) -> tuple[Unit, ...]:
-        """Return what works there, each once and in the order of its begin."""
+        """Return the units that work there, each once, in order of their starts."""
         return tuple(dict.fromkeys(self.unit_by_run.values()))
 
     def has_room(self, demand: Resources) -> bool:
-        """Tell whether a task fits."""
+        """Return whether a task fits into its free capacity."""
         return self.profile.capacity.covers(self.used.plus(demand))
 
     def add(self, execution: Execution, unit: Unit) -> None:
-        """Let a run hold its room."""
+        """Allocate the resources of a run."""
         self.unit_by_run[execution.key] = unit
         self.used = self.used.plus(execution.demand)
 
     def remove(self, execution: Execution) -> None:
-        """Free what a run held."""
+        """Free the resources of a run."""
         if self.unit_by_run.pop(execution.key, None) is not None:
             self.used = self.used.minus(execution.demand)
--- a/packages/standins/dahliaarch_standins/comparison/gap.py
+++ b/packages/standins/dahliaarch_standins/comparison/gap.py
@@ -1,4 +1,4 @@
-"""How far the scheduler is from what no scheduler could exceed, and why."""
+"""Gap between the scheduler and the upper bound, and its causes."""
 
 import statistics
 from collections import defaultdict
@@ -14,7 +14,7 @@
 
 
 class Gap(NamedTuple):
-    """Means over days, all as shares of what counts.
+    """Means over days, as shares of the maximum score.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
 
     @property
     def beyond_reach(self) -> float:
-        """What no scheduler could earn, which the losses hold too."""
+        """Credit that no scheduler could earn; it is part of the losses."""
         return 1.0 - self.bound
 
 
@@ -43,7 +43,7 @@
 
 
 def measure_gap(plays: Sequence[Play], workers: int = 1) -> Gap:
-    """Return the gap over some plays, on so many cores."""
+    """Return the gap over several plays, simulated on several cores."""
     with ProcessPoolExecutor(workers) as executor:
         return _mean(list(executor.map(_gap, plays)))
 
--- a/packages/standins/dahliaarch_standins/comparison/ledger.py
+++ b/packages/standins/dahliaarch_standins/comparison/ledger.py
@@ -1,4 +1,4 @@
-"""What became of each job of a played day, and what was thrown away."""
+"""Outcome of each job of a simulated day, and the work that was lost."""
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
@@ -15,7 +15,7 @@
 
 
 class Cause(StrEnum):
-    """Why time or work was lost, where no stop was ordered: a stop has the reason of its decision."""
+    """Causes of lost time or work other than stops, which have the reason of their decision."""
 
     RUN_FAILED = 'run failed'
     WORKER_LOST = 'worker lost'
@@ -49,7 +49,7 @@
 
 
 class Ledger:
-    """Notes begins, ends and stops.
+    """Records starts, ends and stops.
 
     Parameters
     ----------
@@ -84,7 +84,7 @@
     """
 
     def __init__(self, pool: Pool, job_by_id: Mapping[str, DrawnJob]) -> None:
-        """Start with nothing noted."""
+        """Initialize without records."""
         self.begun_s_by_job: dict[str, float] = {}
         self.ended_s_by_job: dict[str, float] = {}
         self.done_by_job: dict[str, set[TaskKey]] = {}
@@ -103,22 +103,22 @@
 
     @property
     def wasted(self) -> float:
-        """Weighted core-seconds that were thrown away."""
+        """Lost work, in weighted core-seconds."""
         return sum(self.wasted_by_cause.values())
 
     def note_stop(self, stop: StopRun) -> None:
-        """Note why a run is stopped."""
-        # The reason names a job where room is made for it.
+        """Record why a run is stopped."""
+        # The reason names the job for which runs are preempted.
         cause = stop.reason.split(' for ')[0]
         self._why_by_run[stop.key, stop.run] = cause
         self.stops_by_cause[cause] += 1
 
     def note_begin(self, job_id: str, now_s: float) -> None:
-        """Note that a run of a job has begun."""
+        """Record the start of a run of a job."""
         self.begun_s_by_job.setdefault(job_id, now_s)
 
     def note_end(self, member: Execution, unit: Unit, end: RunEnd, cause: Cause | None, now_s: float) -> None:
-        """Note the end of a run and what of its time is lost.
+        """Record the end of a run and the part of its time that is lost.
 
         Parameters
         ----------
@@ -151,14 +151,14 @@
             self.failed_s_by_job[key.job_id] += spent_s
 
     def _kept_s(self, unit: Unit, end: RunEnd, spent_s: float) -> float:
-        """Return how much of a run's time the next one need not spend again."""
+        """Return the part of a run's time that the next run need not repeat."""
         if not unit.rate:
             return 0.0
         saved_s = max(0.0, saved_work_s(end.checkpoint) - unit.saved_s)
         return min(spent_s, saved_s / unit.rate)
 
     def note_idle(self, now_s: float, workers: Iterable[PlayedWorker]) -> None:
-        """Note the share of accelerators that are free while a gang waits."""
+        """Record the share of accelerators that are free while a gang waits."""
         capacity = self._pool.workers * self._pool.capacity.accelerators
         used = sum(worker.used.accelerators for worker in workers)
         self.free_by_time.append((now_s, capacity - used))
@@ -166,7 +166,7 @@
             self.idle_while_waiting.append(1.0 - used / capacity)
 
     def _waits(self, job: DrawnJob, now_s: float) -> bool:
-        """Tell whether a job is a gang that was submitted and has not begun."""
+        """Return whether a job is a gang that was submitted and has not started."""
         job_id = job.spec.job_id
         has_come = job.at_s <= now_s and (job.cancel_at_s is None or job.cancel_at_s > now_s)
         return has_come and job.spec.steps[0].gang and job_id not in self.begun_s_by_job
--- a/packages/standins/dahliaarch_standins/comparison/losses.py
+++ b/packages/standins/dahliaarch_standins/comparison/losses.py
@@ -1,4 +1,4 @@
-"""Why worth was lost on a played day, without a rest.
+"""Attribution of all lost worth of a simulated day to causes.
 
 Each job that earned less than its worth in time was delayed: on the way to its
 last task it waited, ran for nothing, or ran where work takes longer. What it lost
@@ -16,7 +16,7 @@
 
 
 class Loss(NamedTuple):
-    """What a cause cost.
+    """Worth lost to one cause.
 
     Parameters
     ----------
@@ -42,7 +42,7 @@
 
 
 def losses(score: DayScore, scores: Sequence[JobScore], ledger: Ledger, until_s: float) -> list[Loss]:
-    """Return what each cause cost; all together are what is short of one."""
+    """Return the worth lost to each cause; the sum is one less the worth earned."""
     cost_by_id = costs_of_loss(scores)
     worth_by_cause: dict[str, float] = defaultdict(float)
     for each in scores:
@@ -60,7 +60,7 @@
 
 
 class _Delays:
-    """What delayed one job, along the chain of the tasks that were done last."""
+    """Delays of one job, along the chain of the tasks that were done last."""
 
     def __init__(self, job: DrawnJob, ledger: Ledger, until_s: float) -> None:
         self._job = job
@@ -87,7 +87,7 @@
         return _Task([each for each in attempts if each.task_index == last], self._job.work_s[number][last], wanted)
 
     def _follow(self, task: _Task, ready_s: float) -> float:
-        """Note what delayed a task, and return when it was done."""
+        """Record the delays of a task, and return when it was done."""
         why = ''
         for attempt in task.attempts:
             self._wait(why, task, ready_s, attempt.begun_s)
@@ -102,7 +102,7 @@
         return self._until_s
 
     def _wait(self, why: str, task: _Task, from_s: float, until_s: float) -> None:
-        """Note a wait: after a run that came to nothing for that reason, else for room."""
+        """Record a wait: for the reason that the previous run ended early, otherwise for lack of capacity."""
         if why:
             self._delay_s_by_cause[why] += until_s - from_s
             return
@@ -111,7 +111,7 @@
         self._delay_s_by_cause[Cause.WAITED_FOR_ROOM] += until_s - from_s - idle_s
 
     def _idle_s(self, wanted: int, from_s: float, until_s: float) -> float:
-        """Return for how long at least so many accelerators were free, wherever they were."""
+        """Return for how long at least a number of accelerators were free across the pool."""
         free_by_time = self._ledger.free_by_time
         first = max(0, bisect_left(free_by_time, (from_s, 0)) - 1)
         idle_s = 0.0
--- a/packages/standins/dahliaarch_standins/comparison/orders.py
+++ b/packages/standins/dahliaarch_standins/comparison/orders.py
@@ -1,4 +1,4 @@
-"""Orders to workers that leave some of them unanswered."""
+"""Orders to workers, some of which get no answer."""
 
 import random
 from collections.abc import Sequence
@@ -9,7 +9,7 @@
 from .chances import Chances
 from .troubles import LostOrders
 
-# When each try of a start is made, and when it is taken back, in seconds after the first.
+# Times of the attempts of a start, and of its withdrawal, in seconds after the first.
 _START_TRIES_S = (0.0, 0.3, 0.9)
 _UNACKNOWLEDGED_S = 1.5
 # Time between two tries of a stop, in seconds, and from its answer until a list of
@@ -19,7 +19,7 @@
 
 
 class Outcome(NamedTuple):
-    """What becomes of a start.
+    """Outcome of a start.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
 
 
 class Orders:
-    """Draws which tries of an order get no answer.
+    """Draws which attempts of an order get no answer.
 
     Those tries are carried out late, when the lease that a start carries has ended.
 
@@ -47,12 +47,12 @@
     """
 
     def __init__(self, lost: Sequence[LostOrders], chances: Chances) -> None:
-        """Start without orders."""
+        """Initialize without orders."""
         self._lost = lost
         self._chances = chances
 
     def start(self, order: StartRun, now_s: float) -> Outcome:
-        """Return what becomes of a start."""
+        """Return the outcome of a start."""
         share = self._share(order.worker_id, now_s)
         if not share:
             return Outcome(is_certain=True, takes_s=0.0)
@@ -63,7 +63,7 @@
         return Outcome(is_certain=False, takes_s=_UNACKNOWLEDGED_S + _tries_s(share, luck) + _LIST_S)
 
     def stop_takes_s(self, order: StopRun, now_s: float) -> float:
-        """Return how long it takes until a stop reaches its worker."""
+        """Return the time until a stop reaches its worker."""
         share = self._share(order.worker_id, now_s)
         luck = self._chances.about('stop order', order.worker_id, *order.key, order.run)
         return _tries_s(share, luck)
@@ -78,7 +78,7 @@
 
 
 def _tries_s(share: float, luck: random.Random) -> float:
-    """Return how long a stop is repeated until one gets through."""
+    """Return the time for which a stop is repeated until one is answered."""
     tries = 0
     while luck.random() < share:
         tries += 1
--- a/packages/standins/dahliaarch_standins/comparison/plotting.py
+++ b/packages/standins/dahliaarch_standins/comparison/plotting.py
@@ -1,18 +1,18 @@
-"""Plots of what was compared."""
+"""Plots of comparisons."""
 
 from collections.abc import Sequence
 from pathlib import Path
 
 from .ablation import Effect
 
-# Height of one row of a plot, and width of it all, in inches.
+# Height of one row of a plot and width of the figure, in inches.
 _ROW_IN = 0.35
 _WIDTH_IN = 8.0
 
 
 def plot_effects(effects: Sequence[Effect], path: Path) -> None:
-    """Draw what each mechanism is worth, with its margin, one column a deployment."""
-    # The plotting library takes a second to import, which other commands need not wait for.
+    """Plot the gain of each mechanism with its margin, one column per deployment."""
+    # The plotting library takes a second to import.
     from matplotlib.backends.backend_agg import FigureCanvasAgg
     from matplotlib.figure import Figure
 
--- a/packages/standins/dahliaarch_standins/comparison/scoring.py
+++ b/packages/standins/dahliaarch_standins/comparison/scoring.py
@@ -1,4 +1,4 @@
-"""What a day was worth to the owners of its jobs, in the users' measures."""
+"""Score of a day by the users' measures."""
 
 import heapq
 import statistics
@@ -12,12 +12,12 @@
 from .shapes import Deployment, JobKind
 from .workload import DrawnJob
 
-# A fixed part of a job's worth and one by its size.
+# Fixed part of a job's worth, and the part in proportion to its size.
 _FIXED_PART = 0.3
 _LARGEST_SIZE_FACTOR = 4.0
 # A job is late up to this multiple of its objective.
 LATE_FACTOR = 3.0
-# From a job's end until its owner has been shown it, in seconds.
+# Time from a job's end until its owner learns of it, in seconds.
 SHOWN_AFTER_S = 0.03
 # Weights of the whole day, the worst windows, the worst kind of request and the
 # worst tenth of accounts.
@@ -25,12 +25,12 @@
 _WEIGHT_OF_WINDOWS = 0.15
 _WEIGHT_OF_KIND = 0.15
 _WEIGHT_OF_ACCOUNT = 0.2
-# How many of the worst windows count.
+# Number of worst windows that count.
 WORST_WINDOWS = 2
 
 
 class JobScore(NamedTuple):
-    """What came of one owed job.
+    """Outcome of one owed job.
 
     Parameters
     ----------
@@ -49,7 +49,7 @@
 
     @property
     def lost(self) -> float:
-        """What it did not earn."""
+        """Worth that it did not earn."""
         return self.owed - self.earned
 
 
@@ -88,7 +88,7 @@
 
     @property
     def net(self) -> float:
-        """What counts less the price of waste."""
+        """Credit less the price of waste."""
         return self.parts - self.price
 
 
@@ -102,7 +102,7 @@
 
 
 def score_jobs(jobs: Sequence[DrawnJob], ledger: Ledger) -> list[JobScore]:
-    """Return what came of each owed job."""
+    """Return the outcome of each owed job."""
     owed_by_id = worth_of(jobs)
     found = []
     for job in jobs:
@@ -117,7 +117,7 @@
 
 
 def score_day(deployment: Deployment, jobs: Sequence[DrawnJob], ledger: Ledger, until_s: float) -> DayScore:
-    """Return what a day was worth."""
+    """Return the score of a day."""
     scores = score_jobs(jobs, ledger)
     urgent = [score for score in scores if not score.job.kind.priority]
     owed = sum(score.owed for score in scores)
@@ -149,7 +149,7 @@
 
 
 class PartsWeights(NamedTuple):
-    """What counts, as shares of one.
+    """Weights of the parts of a score.
 
     Parameters
     ----------
@@ -164,13 +164,13 @@
 
 
 def parts_weights() -> PartsWeights:
-    """Return the weights of what counts; they sum to one."""
+    """Return the weights of the parts; they sum to one."""
     weights = (_WEIGHT_OF_DAY, _WEIGHT_OF_WINDOWS, _WEIGHT_OF_KIND, _WEIGHT_OF_ACCOUNT)
     return PartsWeights(*(weight / sum(weights) for weight in weights))
 
 
 def costs_of_loss(scores: Sequence[JobScore]) -> dict[str, float]:
-    """Return by job how much each unit of its worth counts to the day, where the worst groups are as they are."""
+    """Return the weight of one unit of worth of each job in the score of the day, for the given worst groups."""
     weights = parts_weights()
     cost_by_id: dict[str, float] = defaultdict(float)
     worst = (
--- a/packages/standins/dahliaarch_standins/comparison/shapes.py
+++ b/packages/standins/dahliaarch_standins/comparison/shapes.py
@@ -1,4 +1,4 @@
-"""What a deployment is made of: kinds of requests and a pool of workers."""
+"""Deployments: kinds of requests and a pool of workers."""
 
 from typing import NamedTuple
 
--- a/packages/standins/dahliaarch_standins/comparison/simulation.py
+++ b/packages/standins/dahliaarch_standins/comparison/simulation.py
@@ -1,4 +1,4 @@
-"""Plays a day of jobs against a scheduler under a fake clock."""
+"""Simulates a day of jobs under a scheduler with a fake clock."""
 
 import heapq
 import random
@@ -19,17 +19,17 @@
 from .troubles import Degradation, Troubles
 from .workload import DrawnJob, queue_of, SERVICE, WALL_S
 
-# Time from an order to what it does, in seconds: one message each way.
+# Delay between an order and its effect, in seconds: one message.
 _ORDER_S = 0.005
-# Updates within this time share a pass, in seconds.
+# Updates within this time share a scheduling pass, in seconds.
 _GATHER_S = 0.01
-# Longest time between two passes, in seconds.
+# Maximum time between two scheduling passes, in seconds.
 _PASS_EVERY_S = 0.25
-# How often workers tell of progress, in seconds.
+# Interval of progress reports of workers, in seconds.
 _SURVEY_S = 1.0
-# Name of the chance that a run fails by its own fault: the same until it has failed.
+# Name of the draw whether a run fails by its own fault; it is repeated only after a failure.
 FAILURE = 'failure'
-# From the last answer of a worker that is cut off until it counts as silent.
+# Time from the last answer of a worker that is cut off until it counts as silent, in seconds.
 _SILENT_AFTER_S = 2.2
 # A run on a worker that fails all that it runs ends after this time, in seconds.
 _FAILS_AFTER_S = (0.1, 0.6)
@@ -37,7 +37,7 @@
 
 
 class Simulation:
-    """A pool of workers that carries out what a scheduler decides.
+    """A pool of workers that executes the orders of a scheduler.
 
     Parameters
     ----------
@@ -66,7 +66,7 @@
         scheduler: Decider,
         seed: int,
     ) -> None:
-        """Prepare the pool."""
+        """Create the workers of the pool."""
         self._pool = deployment.pool
         self._scheduler = scheduler
         self._chances = Chances(seed)
@@ -75,10 +75,10 @@
         self._worker_by_id = {worker.profile.worker_id: worker for worker in self._worker_by_place}
         self._unit_by_gang: dict[tuple[str, int, int, int], Unit] = {}
         self._orders = Orders(troubles.lost_orders, self._chances)
-        # Runs that have begun, and those that were stopped before they had.
+        # Runs that have started, and runs that were stopped before they started.
         self._begun: set[RunKey] = set()
         self._forbidden: set[RunKey] = set()
-        # What a worker that is cut off will tell and do once it is back.
+        # Reports and actions of workers that are cut off, deferred until they are reachable.
         self._later_by_worker: dict[str, list[Callable[[], None]]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
@@ -93,7 +93,7 @@
             self._at(each.span.begin_s, partial(self._degrade, each))
 
     def run(self, until_s: float) -> None:
-        """Play until a time."""
+        """Simulate until a time."""
         for worker in self._worker_by_place:
             self._join(worker)
         self._ask_pass(0.0)
@@ -109,7 +109,7 @@
         heapq.heappush(self._events, (at_s, next(self._numbers), act))
 
     def _ask_pass(self, after_s: float) -> None:
-        """Have a pass soon; one that comes sooner takes its place."""
+        """Schedule a pass; an earlier one replaces it."""
         at_s = self._now_s + after_s
         if self._pass_at_s > self._now_s and self._pass_at_s <= at_s:
             return
@@ -229,7 +229,7 @@
         if worker.is_gone:
             return
         if worker.is_cut_off:
-            # It is taken back once the worker answers again.
+            # It is withdrawn once the worker answers again.
             self._later(worker, partial(self._refuse, start))
             return
         if (start.key, start.run) in self._forbidden:
@@ -252,7 +252,7 @@
         self._ask_pass(_GATHER_S)
 
     def _never_begins(self, order: StartRun | StopRun) -> None:
-        """Tell that a run was stopped before it began."""
+        """Report that a run was stopped before it started."""
         if self._worker_by_id[order.worker_id].is_gone:
             return
         self._forbidden.add((order.key, order.run))
@@ -272,7 +272,7 @@
         return known
 
     def _begin_work(self, unit: Unit) -> None:
-        """Let a unit work from now on, once it has its saved work back."""
+        """Start the work of a unit, after its checkpoint is restored."""
         first = unit.members[0]
         unit.since_s = self._now_s + (self._pool.restore_s if unit.saved_s else 0.0)
         luck = self._chances.nth_about(FAILURE, *unit.key)
@@ -284,7 +284,7 @@
         self._plan(unit)
 
     def _plan(self, unit: Unit) -> None:
-        """Work out anew when a unit ends."""
+        """Reschedule the end of a unit."""
         unit.advance(self._now_s)
         unit.plan += 1
         unit.rate = _rate(unit, self._pool.far_factor) if unit.is_complete else 0.0
@@ -312,7 +312,7 @@
             self._never_begins(stop)
 
     def _end_unit(self, unit: Unit, kind: EndKind, lost_on: PlayedWorker | None = None) -> None:
-        """End all members of a unit; one of a failed gang takes the blame."""
+        """End all members of a unit; one member of a failed gang ends as failed."""
         if not unit.members or unit.members[0].is_over:
             return
         unit.advance(self._now_s)
@@ -347,12 +347,12 @@
         self._scheduler.run_ended(end, self._moment)
 
     def _later(self, worker: PlayedWorker, act: Callable[[], None]) -> None:
-        """Do something once a worker that is cut off is back."""
+        """Defer an action until a worker that is cut off is reachable."""
         self._later_by_worker.setdefault(worker.profile.worker_id, []).append(act)
 
 
 def _rate(unit: Unit, far_factor: float) -> float:
-    """Return the work that a unit does in a second: its slowest member's, less when it is spread over racks."""
+    """Return the work that a unit does per second: that of its slowest member, less when it is spread over racks."""
     slowest = min(member.worker.rate for member in unit.members)
     racks = {member.worker.profile.labels[1] for member in unit.members}
     is_far = unit.members[0].step.same_rack and len(racks) > 1
@@ -360,13 +360,13 @@
 
 
 def failing_share(luck: random.Random, job: DrawnJob) -> float | None:
-    """Return after which share of its work a run fails by its own fault, if it does."""
+    """Return the share of its work after which a run fails by its own fault, or None."""
     fails = luck.random() < job.kind.failing_share
     return luck.random() if fails or job.is_hopeless else None
 
 
 def draw_speeds(pool: Pool, chances: Chances) -> list[float]:
-    """Return by place how many times as long work takes."""
+    """Return the factor of run time of each worker of the pool."""
     speeds = [pool.speeds[place % len(pool.speeds)] for place in range(pool.workers)]
     chances.about('speeds').shuffle(speeds)
     return speeds
--- a/packages/standins/dahliaarch_standins/comparison/troubles.py
+++ b/packages/standins/dahliaarch_standins/comparison/troubles.py
@@ -1,4 +1,4 @@
-"""Troubles of a day, of the kinds that touch decisions, drawn by a seed."""
+"""Random troubles of a day, of the kinds that affect decisions."""
 
 import random
 from collections.abc import Iterator, Sequence
@@ -7,42 +7,42 @@
 
 
 class Span(NamedTuple):
-    """A time on the comparison's clock, in seconds."""
+    """A time span on the comparison's clock, in seconds."""
 
     begin_s: float
     end_s: float
 
     def holds(self, at_s: float) -> bool:
-        """Tell whether a time lies in it."""
+        """Return whether a time is within the span."""
         return self.begin_s <= at_s < self.end_s
 
 
 class Burst(NamedTuple):
-    """So many times as much comes of one priority."""
+    """An increase of the rate of one priority by a factor."""
 
     span: Span
     priority: int
     factor: float
 
     def hits(self, priority: int, at_s: float) -> bool:
-        """Tell whether it multiplies what comes of a priority at a time."""
+        """Return whether it applies to a priority at a time."""
         return priority == self.priority and self.span.holds(at_s)
 
 
 class Cancellations(NamedTuple):
-    """A share of the jobs that come is cancelled soon after they came."""
+    """Cancellations of a share of the jobs soon after their submission."""
 
     span: Span
     share: float
     within_s: float
 
     def hits(self, at_s: float) -> bool:
-        """Tell whether it may touch a job that comes at a time."""
+        """Return whether it may apply to a job submitted at a time."""
         return self.span.holds(at_s)
 
 
 class Degradation(StrEnum):
-    """What befalls a worker."""
+    """Kinds of degradation of a worker."""
 
     SLOW = 'slow'
     STALLED = 'stalled'
@@ -52,7 +52,7 @@
 
 
 class DegradedWorkers(NamedTuple):
-    """A share of the workers is degraded for a while.
+    """Degradation of a share of the workers for a period.
 
     Parameters
     ----------
@@ -73,7 +73,7 @@
 
 
 class LostOrders(NamedTuple):
-    """A share of the workers leaves a share of the orders unanswered for a while."""
+    """Loss of a share of the orders to a share of the workers for a period."""
 
     span: Span
     workers_share: float
@@ -103,7 +103,7 @@
 }
 _SLOW_FACTOR = (6.5, 8.6)
 _DEGRADED_S = (5.0, 7.0)
-# From a worker's notice until it is gone.
+# Time from a worker's notice until it is gone, in seconds.
 _NOTICE_S = (2.0, 6.0)
 # On one of so many days orders are lost, to which share of the workers and how many.
 _DAYS_FOR_LOST_ORDERS = 4
@@ -120,9 +120,9 @@
     (Degradation.CUT_OFF, 18.5, 7.0, 0.4),
 )
 _LOADED_LOST_ORDERS = (3.0, 26.0, 0.5, 0.4)
-# Largest change of a moment of a loaded day, in seconds.
+# Maximum random shift of a time of a loaded day, in seconds.
 _LOADED_SHIFT_S = 2.0
-# Of three degradations, how many befall a day's workers.
+# Maximum number of degradations of a day.
 _MOST_DEGRADATIONS = 3
 
 
@@ -146,7 +146,7 @@
 
 
 def draw_loaded(priorities: Sequence[int], seed: int) -> Troubles:
-    """Return the troubles of a day on which everything comes together, its moments drawn.
+    """Return the troubles of a day on which all kinds coincide, at random times.
 
     Bursts of each priority overlap, workers leave and are cut off, and half of them
     leave orders unanswered.
@@ -171,7 +171,7 @@
 
 
 def _draw_lost_orders(length_s: float, seed: int) -> Iterator[LostOrders]:
-    """Yield times of lost orders, from a source of their own: days without any stay as they were."""
+    """Yield losses of orders, drawn from a separate generator so that other troubles of a seed do not change."""
     choice = random.Random(f'{seed}/orders')
     if choice.randrange(_DAYS_FOR_LOST_ORDERS) == 0:
         span = _draw_span(choice, length_s, _LOST_S)
--- a/packages/standins/dahliaarch_standins/comparison/workload.py
+++ b/packages/standins/dahliaarch_standins/comparison/workload.py
@@ -13,21 +13,21 @@
 from .troubles import Burst, Cancellations
 
 SERVICE = 'svc'
-# Time of day when the clock of a comparison stands at 0, seconds since 1970.
+# Wall-clock time at the start of a comparison, in seconds since 1970.
 WALL_S = 1_700_000_000.0
-# Runs of a task that may fail by their own fault before its job is given up.
+# Number of runs of a task that may fail before its job fails.
 _MAX_ATTEMPTS = 4
-# Length of a window in seconds: those in which least is earned count by themselves.
+# Length of a scoring window, in seconds: the worst windows are a part of the score.
 _WINDOW_S = 2.0
-# How much later than its acceptance an owner cancels a job, in seconds.
+# Delay between the acceptance of a job and its cancellation, in seconds.
 _CANCEL_AFTER_S = (1.0, 12.0)
 _WIDTH_SPREAD = 0.8
-# Most tasks of one step on a worker, where a job limits them.
+# Maximum number of tasks of one step per worker, where a job limits it.
 _APART = 2
 
 
 class DrawnJob(NamedTuple):
-    """A job, what its owner knows of it and what is true.
+    """A job with its declared and its true properties.
 
     Parameters
     ----------
@@ -54,22 +54,22 @@
 
     @property
     def is_owed(self) -> bool:
-        """Whether its owner waits for it, and it can be done."""
+        """Whether credit is owed for it: it is not cancelled and can be done."""
         return not self.is_hopeless and self.cancel_at_s is None
 
     @property
     def window(self) -> int:
-        """The window in which it came."""
+        """Scoring window in which it was submitted."""
         return int(self.at_s // _WINDOW_S)
 
     @property
     def chain_s(self) -> float:
-        """Longest chain of its work on sound workers."""
+        """Longest chain of its work on sound workers, in seconds."""
         return sum(max(work) for work in self.work_s)
 
     @property
     def objective_s(self) -> float:
-        """Time in which its owner wants it to end."""
+        """Objective of its completion time, in seconds."""
         return self.kind.stretch * self.chain_s + self.kind.slack_s
 
 
@@ -168,11 +168,11 @@
         same_rack=choice.random() < kind.one_rack_share and is_gang and fits_in_rack,
         max_per_worker=_APART if choice.random() < kind.apart_share else 0,
     )
-    # Members of a gang advance together; other tasks are uneven.
+    # Members of a gang progress together; other tasks vary.
     uneven = 0.0 if is_gang else kind.uneven
     return step, tuple(work_s * max(0.1, choice.gauss(1.0, uneven)) for _ in range(width))
 
 
 def _log_normal(choice: random.Random, mean: float, spread: float) -> float:
-    """Return a value with a mean and a spread of its logarithm."""
+    """Return a log-normal value with a given mean and spread."""
     return choice.lognormvariate(math.log(mean) - spread * spread / 2, spread)
