A crash beside a suspect counts against tasks that had just started there

What callers see: a task that crashes the workers that start it is started six times (rule BUDGET; users bear five). Cause, from the history: the task started on a worker, and in the same pass a suspect started there, isolated, since it had waited for an empty worker for as long as it may. The worker crashed at once. A crash on a worker with an isolated run counted against that run alone, so that nobody counted it against the task that had caused it. Why this works: nothing starts beside an isolated run after it, so that the only other runs that are new are those that started shortly before it; these count now, and then no crash is conclusive. Runs that had lasted longer stay cleared, as before.

--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -5,7 +5,8 @@
 run isolated, one at a time: a suspect starts on an empty worker or, after a bounded
 wait, on a worker without another isolated run, and nothing else starts there until the
 run has outlasted the task's earlier runs. If the worker crashes before that, the crash
-counts against the isolated task only. When several workers crash together, an external
+counts against the isolated task, and otherwise only against tasks that started on that worker
+shortly before. When several workers crash together, an external
 cause is assumed unless tasks of one step ran on several of them: the crashes are
 discounted for tasks that had been running for a while.
 """
@@ -110,16 +111,32 @@
 
 
 def _crash_by_task(state: SchedulerState, worker: WorkerState, now: Moment) -> dict[TaskKey, Crash]:
-    runs = list(worker.run_by_key.values())
-    counted_runs = [run for run in runs if run.is_isolated] or runs
     crashed_s = now.steady_s if worker.silent_since_s is None else worker.silent_since_s
-    return {run.key: _make_crash(state, worker, run, crashed_s) for run in counted_runs}
+    counted_runs = _runs_that_may_have_crashed(worker)
+    is_conclusive = len({run.key.job_id for run in counted_runs}) == 1
+    return {
+        run.key: Crash(
+            run.number,
+            worker.worker_id,
+            run.ran_s,
+            is_conclusive,
+            is_discounted=not _counts_as_running(state, run, crashed_s),
+        )
+        for run in counted_runs
+    }
 
 
-def _make_crash(state: SchedulerState, worker: WorkerState, run: Run, crashed_s: float) -> Crash:
-    is_conclusive = run.is_isolated or not worker.count_runs_of_other_jobs(run)
-    was_running = _counts_as_running(state, run, crashed_s)
-    return Crash(run.number, worker.worker_id, run.ran_s, is_conclusive, is_discounted=not was_running)
+def _runs_that_may_have_crashed(worker: WorkerState) -> list[Run]:
+    """Return the runs against which a crash of their worker counts.
+
+    Beside an isolated run only those count that had just started when it did.
+    """
+    runs = list(worker.run_by_key.values())
+    isolated = [run for run in runs if run.is_isolated]
+    if not isolated:
+        return runs
+    cleared_s = min(run.started_s for run in isolated) - SUSPICION_S
+    return [run for run in runs if run.is_isolated or run.started_s > cleared_s]
 
 
 def _counts_as_running(state: SchedulerState, run: Run, crashed_s: float) -> bool:
