--- a/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/crashes.py
@@ -5,10 +5,10 @@
 run isolated, one at a time: a suspect starts on an empty worker or, after a bounded
 wait, on a worker without another isolated run, and nothing else starts there until the
 run has outlasted the task's earlier runs. If the worker crashes before that, the crash
-counts against the isolated task, and otherwise only against tasks that started on that worker
-shortly before. When several workers crash together, an external
-cause is assumed unless tasks of one step ran on several of them: the crashes are
-discounted for tasks that had been running for a while.
+counts against the isolated task and against tasks that had started there shortly before
+it, and against no others. When several workers crash together, an external cause is
+assumed unless tasks of one step ran on several of them: the crashes are discounted for
+tasks that had been running for a while.
 """
 
 from collections.abc import Iterable, Sequence
