The lease on workers is a setting; deployments with long leases keep them

Cause: since leases on workers became 6 s, the deployment of these scenarios, whose workers allow 10 s, no longer has what it promises: takeovers beside load took longer than 6 s. The lease is a setting of the project's own now (workers.lease_s, default 6.0, at least 3.0), and these scenarios set 10 s, as they had before.

--- a/packages/node/dahliaarch_node/own_settings.py
+++ b/packages/node/dahliaarch_node/own_settings.py
@@ -22,6 +22,8 @@
 _PLATFORM_FIELDS = frozenset(('far_factor', 'stop_timeout_s', 'early_s'))
 _WITHOUT = 'without'
 _MAX_FILE_BYTES = 65_536
+# Runs on a worker must outlast a few surveys that fail, in seconds.
+_MIN_WORKER_LEASE_S = 3.0
 
 
 class MetricsSettings(NamedTuple):
@@ -37,6 +39,20 @@
     port: int = 0
 
 
+class WorkerSettings(NamedTuple):
+    """Settings of the leases on workers.
+
+    Parameters
+    ----------
+    lease_s : float
+        Duration of the lease that a survey grants to the runs on a worker, in seconds; less
+        where workers allow less. Runs survive a takeover or an outage that is shorter, and
+        the tasks of a worker that falls silent start elsewhere only after it.
+    """
+
+    lease_s: float = 6.0
+
+
 class OwnSettings(NamedTuple):
     """Settings chosen by the project's operators.
 
@@ -50,12 +66,15 @@
         Durations for the owner's lease.
     metrics : MetricsSettings
         Settings of the metrics endpoint.
+    workers : WorkerSettings
+        Settings of the leases on workers.
     """
 
     policy: PolicySettings = SHIPPED_POLICIES['first-come']
     scheduler: SchedulerSettings = SchedulerSettings()
     ownership: OwnershipSettings = OwnershipSettings()
     metrics: MetricsSettings = MetricsSettings()
+    workers: WorkerSettings = WorkerSettings()
 
 
 def read_own_settings() -> OwnSettings:
@@ -101,6 +120,7 @@
         scheduler,
         OwnershipSettings()._replace(**ownership),
         MetricsSettings()._replace(**metrics),
+        _parse_workers(document),
     )
 
 
@@ -124,6 +144,13 @@
     return SchedulerSettings()._replace(without=without, **numbers)
 
 
+def _parse_workers(document: Mapping[str, Any]) -> WorkerSettings:
+    workers = WorkerSettings()._replace(**_parse_numbers('workers', document, WorkerSettings(), frozenset()))
+    if workers.lease_s < _MIN_WORKER_LEASE_S:
+        raise SettingsError('workers.lease_s', f'{workers.lease_s!r} is less than {_MIN_WORKER_LEASE_S}')
+    return workers
+
+
 def _parse_mechanisms(names: object) -> frozenset[Mechanism]:
     known = ', '.join(Mechanism)
     if not isinstance(names, list):
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -110,7 +110,7 @@
         context = LinkContext(
             workers,
             settings.epoch,
-            link_settings(settings.bounds.max_hold_s),
+            link_settings(settings.own.workers, settings.bounds.max_hold_s),
             metrics,
             self.post,
             self.depose,
--- a/packages/node/dahliaarch_node/owner/link_settings.py
+++ b/packages/node/dahliaarch_node/owner/link_settings.py
@@ -8,6 +8,7 @@
 from dahliaarch_platform.sessions import WorkerClient
 
 from ..metrics import Metrics
+from ..own_settings import WorkerSettings
 from .messages import OwnerMessage
 
 
@@ -81,10 +82,9 @@
     acknowledgement_wait_per_end_s: float = 0.04
 
 
-def link_settings(max_lease_s: float) -> LinkSettings:
+def link_settings(workers: WorkerSettings, max_lease_s: float) -> LinkSettings:
     """Return the settings for workers that allow leases of a maximum duration, in seconds."""
-    defaults = LinkSettings()
-    return defaults._replace(lease_s=min(defaults.lease_s, max_lease_s), max_lease_s=max_lease_s)
+    return LinkSettings(lease_s=min(workers.lease_s, max_lease_s), max_lease_s=max_lease_s)
 
 
 class StartLimits(NamedTuple):
--- a/packages/node/dahliaarch_node/owner/tests/test_links.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_links.py
@@ -19,6 +19,7 @@
 )
 
 from ...metrics import Metrics
+from ...own_settings import WorkerSettings
 from ..link_settings import link_settings, LinkContext, LinkSettings, StartLimits
 from ..links import WorkerLink
 from ..messages import WorkerOver, WorkerSilent, WorkerSurveyed
@@ -284,7 +285,7 @@
 def test_tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease(max_lease_s, granted_s):
     """Workers allow leases of 10 s, and the tasks of a worker that had crashed waited for that long."""
     worker, lease = LeaseRecorder(), Lease()
-    run_recorded_link(worker, lease, link_settings(max_lease_s), 0.3)
+    run_recorded_link(worker, lease, link_settings(WorkerSettings(), max_lease_s), 0.3)
     assert max(worker.lease_ends_s) <= granted_s < max(worker.lease_ends_s) + 0.5
     # A previous owner may have granted the longest lease just before the first answer.
     assert lease.latest_end_s() - time.monotonic() > max_lease_s - 0.5
--- a/packages/node/dahliaarch_node/tests/test_own_settings.py
+++ b/packages/node/dahliaarch_node/tests/test_own_settings.py
@@ -39,6 +39,7 @@
         ('[scheduler]\nwithout = ["unpacking"]', 'scheduler.without'),
         ('[ownership]\nlease_s = true', 'ownership.lease_s'),
         ('ownership = 3', 'ownership'),
+        ('[workers]\nlease_s = 2', 'workers.lease_s'),
         ('[metrics]\nport = "ninety"', 'metrics.port'),
         ('[', 'file'),
     ],
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from dahliaarch_kernel.codec import decode
+from dahliaarch_node import own_settings
 from dahliaarch_node.records import Member, OWNER_KEY
 from dahliaarch_platform.http import HttpClient, Reply, RequestNotSentError, RequestUnansweredError
 from dahliaarch_platform.settings import Address, PATH_VARIABLE
@@ -131,6 +132,8 @@
         self._policy_address: Address | None = None
         # Longest lease that workers grant, in seconds.
         self.max_hold_s = 3.0
+        # Settings of the project's own, in TOML; the defaults if empty.
+        self.own_settings = ''
         # Store address per instance where it differs from the default, such as that of a proxy.
         self.store_address_by_name: dict[str, Address] = {}
         # Hosts on which instances listen for messages of their peers; `HOST` by default.
@@ -210,10 +213,12 @@
         """Write an instance's settings file and start its daemon."""
         path = self._folder / f'{name}.conf'
         path.write_text(self._settings(name), encoding='utf-8')
+        own_path = self._folder / 'own.toml'
+        own_path.write_text(self.own_settings, encoding='utf-8')
         log = self._log_path(name).open('ab')
         self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - a module of this project
             [sys.executable, '-m', self.program],
-            env={**os.environ, PATH_VARIABLE: str(path)},
+            env={**os.environ, PATH_VARIABLE: str(path), own_settings.PATH_VARIABLE: str(own_path)},
             stdout=log,
             stderr=log,
         )
--- a/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/conftest.py
@@ -33,5 +33,6 @@
     with start_blocking_portal() as portal:
         deployment = portal.call(Deployment, tmp_path)
         deployment.max_hold_s = 10.0
+        deployment.own_settings = '[workers]\nlease_s = 10.0\n'
         with portal.wrap_async_context_manager(RunningDeployment(deployment, portal)) as started:
             yield started
