One loop follows the store's feeds; own settings of a stand-in deployment per instance

Events, their fields and pauses are as before. The stand-in deployment wrote one file of own settings for all instances anew at each launch, which another instance could read while it was empty, and hid a file that the environment names. It writes one for each instance now, and only where settings are given.

--- a/packages/node/dahliaarch_node/owner/evacuations.py
+++ b/packages/node/dahliaarch_node/owner/evacuations.py
@@ -3,14 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-import anyio
-
 from dahliaarch_platform.operators import evacuated_domain, EVACUATIONS_PREFIX
-from dahliaarch_platform.store import Item, Page, STORE_FAILURES
+from dahliaarch_platform.store import Item, Page
 
-from ..logs import log_event
 from ..watching import next_updates
-from .feeds import FeedContext
+from .feeds import FeedContext, follow
 from .messages import EvacuationsChanged
 
 
@@ -67,12 +64,7 @@
 
     async def run(self, revision: int) -> None:
         """Follow the changes after a revision, until cancelled."""
-        while True:
-            try:
-                revision = await self._watch(revision)
-            except STORE_FAILURES as error:
-                log_event('evacuations_unreachable', why=str(error), revision=revision)
-                await anyio.sleep(self._feed.timing.retry_pause_s())
+        await follow(self._feed, self._watch, revision, 'evacuations_unreachable')
 
     async def _watch(self, revision: int) -> int:
         updates = await next_updates(self._feed.store, self._feed.timing, EVACUATIONS_PREFIX, revision)
--- a/packages/node/dahliaarch_node/owner/feeds.py
+++ b/packages/node/dahliaarch_node/owner/feeds.py
@@ -1,6 +1,7 @@
 """Watches jobs, cancellations and worker entries in the store."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
 from typing import NamedTuple
 
 import anyio
@@ -58,16 +59,33 @@
     post: Post
 
 
-async def follow_jobs(feed: FeedContext, revision: int) -> None:
-    """Post jobs and cancellations written after a revision, until cancelled."""
+async def follow(feed: FeedContext, watch: Callable[[int], Awaitable[int]], revision: int, failure_event: str) -> None:
+    """Repeat a watch of the store, until cancelled.
+
+    Parameters
+    ----------
+    feed : FeedContext
+        Its timing sets the pause after a failure.
+    watch : callable
+        Processes the updates after a revision; returns the revision to continue from.
+    revision : int
+        Revision to begin from.
+    failure_event : str
+        Event to log when the store can't be reached.
+    """
     while True:
         try:
-            revision = await _watch_jobs(feed, revision)
+            revision = await watch(revision)
         except STORE_FAILURES as error:
-            log_event('jobs_unreachable', why=str(error), revision=revision)
+            log_event(failure_event, why=str(error), revision=revision)
             await anyio.sleep(feed.timing.retry_pause_s())
 
 
+async def follow_jobs(feed: FeedContext, revision: int) -> None:
+    """Post jobs and cancellations written after a revision, until cancelled."""
+    await follow(feed, partial(_watch_jobs, feed), revision, 'jobs_unreachable')
+
+
 async def _watch_jobs(feed: FeedContext, revision: int) -> int:
     page = (await next_updates(feed.store, feed.timing, JOBS_PREFIX, revision)).page
     for item in page.items:
@@ -126,12 +144,7 @@
 
     async def run(self, revision: int) -> None:
         """Post updates written after a revision, until cancelled."""
-        while True:
-            try:
-                revision = await self._watch(revision)
-            except STORE_FAILURES as error:
-                log_event('workers_unreachable', why=str(error), revision=revision)
-                await anyio.sleep(self._feed.timing.retry_pause_s())
+        await follow(self._feed, self._watch, revision, 'workers_unreachable')
 
     async def _watch(self, revision: int) -> int:
         updates = await next_updates(self._feed.store, self._feed.timing, WORKERS_PREFIX, revision)
--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -132,7 +132,7 @@
         self._policy_address: Address | None = None
         # Longest lease that workers grant, in seconds.
         self.max_hold_s = 3.0
-        # Settings of the project's own, in TOML; the defaults if empty.
+        # Settings of the project's own, in TOML; those of the environment if empty.
         self.own_settings = ''
         # Store address per instance where it differs from the default, such as that of a proxy.
         self.store_address_by_name: dict[str, Address] = {}
@@ -213,12 +213,15 @@
         """Write an instance's settings file and start its daemon."""
         path = self._folder / f'{name}.conf'
         path.write_text(self._settings(name), encoding='utf-8')
-        own_path = self._folder / 'own.toml'
-        own_path.write_text(self.own_settings, encoding='utf-8')
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
+        if self.own_settings:
+            own_path = self._folder / f'{name}.toml'
+            own_path.write_text(self.own_settings, encoding='utf-8')
+            environment[own_settings.PATH_VARIABLE] = str(own_path)
         log = self._log_path(name).open('ab')
         self._process_by_name[name] = subprocess.Popen(  # noqa: S603 - a module of this project
             [sys.executable, '-m', self.program],
-            env={**os.environ, PATH_VARIABLE: str(path), own_settings.PATH_VARIABLE: str(own_path)},
+            env=environment,
             stdout=log,
             stderr=log,
         )
