Scheduler: packages for accounts, prediction, paces and departures; names of mechanisms

Cause: the parts of the work on heavy load are built side by side and need places and names agreed first. Change: estimates and run times move to prediction/, paces to paces/, leaving workers to departures/; six names of mechanisms are added, without effect yet. No decision changes.

--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Fair sharing of the pool between client accounts."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
@@ -1,12 +1,12 @@
 """Drains workers that are about to leave, and gives up silent workers whose leases have ended."""
 
-from .clock import Moment
-from .crashes import retain_silent_loss
-from .events import LossCause
-from .runs import RunPhase
-from .state import SchedulerState
-from .successors import note_given_up
-from .workers import WorkerState
+from ..clock import Moment
+from ..crashes import retain_silent_loss
+from ..events import LossCause
+from ..runs import RunPhase
+from ..state import SchedulerState
+from ..successors import note_given_up
+from ..workers import WorkerState
 
 # Margin between the last possible stop and a worker's departure, in seconds.
 _LEAVE_MARGIN_S = 0.3
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -9,7 +9,7 @@
 from .clock import Moment
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
-from .learning import observe_pace
+from .paces.learning import observe_pace
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -24,3 +24,15 @@
     CHEAP_VICTIMS = 'cheap_victims'
     #: Fill the fullest workers first.
     PACKING = 'packing'
+    #: Order work by the shares of client accounts, and reclaim from those over their share first.
+    ACCOUNT_SHARES = 'account_shares'
+    #: Order ordinary work by the priorities of its queues.
+    PRIORITY_ORDER = 'priority_order'
+    #: Plan with quantiles of run times rather than with one expected time.
+    RUN_TIME_QUANTILES = 'run_time_quantiles'
+    #: Learn paces from gangs, and place gangs on workers of like pace.
+    GANG_PACES = 'gang_paces'
+    #: Move runs off leaving workers as soon as there is capacity elsewhere.
+    EARLY_MOVES = 'early_moves'
+    #: Refuse jobs that cannot start in time, and compute when callers should return.
+    ADMISSION = 'admission'
--- a/packages/kernel/dahliaarch_kernel/scheduler/objectives.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/objectives.py
@@ -2,7 +2,7 @@
 
 from ..workload import JobSpec
 from .job_state import JobState, StepState
-from .learning import RunTimes
+from .prediction import RunTimes
 
 
 def critical_path_s(job: JobState, times: RunTimes) -> float:
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -14,15 +14,15 @@
     record_silent_worker_crash,
     record_worker_crash,
 )
+from .departures import drain_leaving_workers, expire_leases
 from .effects import Effect
 from .ends import apply_run_end
 from .evacuations import Evacuations
 from .events import EndKind, ListedRun, LossCause, Note, RunEnd
 from .health import assess_workers
 from .job_state import ENDED_PHASES, JobPhase, JobState
-from .learning import update_slowdowns
-from .leaving import drain_leaving_workers, expire_leases
 from .mechanisms import Mechanism
+from .paces.learning import update_slowdowns
 from .passes import SchedulingPass
 from .progress import JobProgress
 from .runs import RunPhase
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -8,9 +8,9 @@
 from .effects import Effect, StartRun, StopRun
 from .events import LossCause, Note, RunLost
 from .job_state import JobPhase, JobState, StepState
-from .learning import RunTimes
 from .mechanisms import Mechanism
 from .memory import FailedSearches
+from .prediction import RunTimes
 from .progress import Crash
 from .reservations import Reservations
 from .runs import Run, RunPhase
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -6,7 +6,7 @@
 from .crashes import clear_suspect
 from .ends import apply_run_end
 from .events import EndKind, ListedRun, LossCause, RunEnd
-from .learning import observe_pace
+from .paces.learning import observe_pace
 from .ranks import rank_of_queue
 from .room import effective_demand
 from .runs import Run, RunPhase
--- a/packages/kernel/dahliaarch_kernel/scheduler/variables.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/variables.py
@@ -3,8 +3,8 @@
 from ..policies import CandidateVariables, JobVariables, VictimVariables
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
-from .learning import RunTimes
 from .objectives import slack_s
+from .prediction import RunTimes
 from .runs import Run
 from .standing import SortKey
 from .workers import WorkerState
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..workload import NO_RESOURCES, Resources, TaskKey
-from .pace import Pace
+from .paces.pace import Pace
 from .runs import Run
 
 # Bound of how much faster the owner's clock may be: a worker's steady clock may be 2% slow,
--- a/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_lapsed_workers.py
@@ -8,7 +8,7 @@
 from dahliaarch_kernel.codec import decode
 from dahliaarch_kernel.policies import compile_policy, SHIPPED_POLICIES
 from dahliaarch_kernel.scheduler import Moment, SchedulerSettings, WorkerState
-from dahliaarch_kernel.scheduler.leaving import expire_leases
+from dahliaarch_kernel.scheduler.departures import expire_leases
 from dahliaarch_kernel.scheduler.state import SchedulerState
 from dahliaarch_kernel.workload import Resources, StepSpec, TaskKey
 from dahliaarch_platform.store import CommitResult, CommitStatus, StoreUnansweredError
--- a/packages/standins/dahliaarch_standins/comparison/baselines.py
+++ b/packages/standins/dahliaarch_standins/comparison/baselines.py
@@ -8,8 +8,8 @@
 
 from dahliaarch_kernel.policies import compile_policy, SHIPPED_POLICIES
 from dahliaarch_kernel.scheduler import Effect, Moment, Scheduler, SchedulerSettings
+from dahliaarch_kernel.scheduler.departures import expire_leases
 from dahliaarch_kernel.scheduler.job_state import StepState
-from dahliaarch_kernel.scheduler.leaving import expire_leases
 from dahliaarch_kernel.scheduler.objectives import begin_s
 from dahliaarch_kernel.scheduler.openings import earliest_reservation
 from dahliaarch_kernel.scheduler.placement import place, PlacementRequest
