Admission control: Retry-After from learned outages, refusals for load by the owner's digest

Change: package admission in the kernel (lengths of outages, Retry-After spread by the job id, the digest of the backlog, a lower bound of the start, the verdict); the owner sends the digest with its heartbeats as a message of its own, since instances of earlier versions reject a heartbeat with an unknown field.

--- a/packages/cli/dahliaarch_cli/explaining.py
+++ b/packages/cli/dahliaarch_cli/explaining.py
@@ -29,6 +29,7 @@
 
 _TEMPLATE_BY_EVENT = {
     'request_answered': "a caller's {operation} was answered {status} after {took_s} s (configuration {configuration})",
+    'request_refused': 'the request was refused ({reason}), to be sent again after {retry_after_s} s',
     'job_rejected': 'the job was refused as malformed: {why}',
     'job_known': 'the owner learnt of the job on queue {queue} (store revision {revision})',
     'job_ended': 'the end of the job was kept and is shown from now on: {phase}',
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -52,11 +52,14 @@
         Assignments of tasks to workers, to be stored before the starts are sent.
     evacuations : Evacuations
         Failure domains in which nothing is started.
+    state : SchedulerState
+        State of the scheduler, for summaries, which must not change it.
     """
 
     def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
         """Start without jobs and workers."""
         self._state = SchedulerState(settings, epoch, policy or compile_policy(SHIPPED_POLICIES['first-come']))
+        self.state = self._state
         self.assignments = Assignments(self._state)
         self.evacuations = Evacuations(self._state)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -29,6 +29,13 @@
         How long ready work of a job with nothing running respects the reservations of
         others and waits for free capacity near its data or its gang, while less than
         half of the pool is in use.
+    worthless_factor : float
+        Factor on a job's objective after which the job has no value.
+    max_digest_age_s : float
+        Age of the owner's digest above which no job is refused for load.
+    certain_work_share : float
+        Share of its expected run time that a waiting task certainly takes, in decisions on
+        refusals for load.
     without : frozenset of Mechanism
         Mechanisms that are disabled.
     """
@@ -41,6 +48,9 @@
     far_after_share: float = 1.5
     reservations: int = 4
     idle_wait_s: float = 2.5
+    worthless_factor: float = 3.0
+    max_digest_age_s: float = 2.5
+    certain_work_share: float = 0.5
     without: frozenset[Mechanism] = frozenset()
 
     def has(self, mechanism: Mechanism) -> bool:
--- a/packages/node/dahliaarch_node/front/__init__.py
+++ b/packages/node/dahliaarch_node/front/__init__.py
@@ -1,5 +1,6 @@
 """HTTP API for callers: checks, stores and answers requests."""
 
+from .admission import AdmissionControl
 from .core import Front
 
-__all__ = ('Front',)
+__all__ = ('AdmissionControl', 'Front')
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -6,13 +6,15 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+import anyio
 import msgspec
 
+from dahliaarch_kernel.admission import Verdict
 from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_kernel.configuration import AccessDeniedError, authorize, find_queue, Queue, RouteNotFoundError
 from dahliaarch_kernel.errors import JobRejectedError
 from dahliaarch_kernel.scheduler import JobProgress
-from dahliaarch_kernel.workload import check_job
+from dahliaarch_kernel.workload import check_job, JobSpec
 from dahliaarch_platform.documents import decode_job
 from dahliaarch_platform.http import Request, Response
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
@@ -36,6 +38,7 @@
 )
 from ..records import job_key, JobRecord, progress_key
 from .acceptance import STORE_WRITE_TIMEOUT_S, write_cancellation, write_job, WriteOutcome, WriteStatus
+from .admission import AdmissionControl, RefusedCall
 
 # Timeout of requests to the owner, in seconds: long enough for the retransmission of
 # a lost packet, and short enough to query the store afterwards.
@@ -48,8 +51,9 @@
 _LOCAL_WRITE_TIMEOUT_S = 0.35
 # Timeout of reads from the store, in seconds.
 _STORE_READ_TIMEOUT_S = 0.6
-# Value of the Retry-After header of refusals, in whole seconds.
-_RETRY_AFTER_S = 1
+# How long a refusal for load is held back, in seconds: an attempt through another instance that began
+# before has then been written, if it ever is, and the store shows it.
+_SETTLE_S = STORE_WRITE_TIMEOUT_S
 _JOB_ID_LENGTH = 16
 _HEX_DIGITS = frozenset('0123456789abcdef')
 _TOKEN_SCHEME = 'Token '  # noqa: S105
@@ -66,6 +70,10 @@
     account: str
     job_id: str
 
+    def refused(self, reason: str) -> RefusedCall:
+        """Return the description of this request as a refused one."""
+        return RefusedCall(reason, self.request.target, self.job_id, self.queue, self.account)
+
 
 class Front:
     """Checks, stores and answers requests of callers.
@@ -82,6 +90,8 @@
         Sends messages to the owner.
     metrics : Metrics
         Counts requests and measures their latency.
+    admission : AdmissionControl
+        Decides on refusals for load, and when refused callers should return.
     """
 
     def __init__(
@@ -91,6 +101,7 @@
         ownership: Ownership,
         mesh: Mesh,
         metrics: Metrics,
+        admission: AdmissionControl,
     ) -> None:
         """Store the collaborators."""
         self._store = store
@@ -98,6 +109,7 @@
         self._ownership = ownership
         self._mesh = mesh
         self._metrics = metrics
+        self._admission = admission
 
     async def answer(self, request: Request) -> Response:
         """Answer one request; exceptions result in status 500."""
@@ -123,7 +135,7 @@
     async def _route(self, request: Request) -> tuple[str, Response]:
         configuration = self._follower.current
         if configuration is None:
-            return 'no_configuration', _unavailable()
+            return 'no_configuration', self._admission.refuse(RefusedCall('no configuration', request.target))
         try:
             queue = find_queue(configuration, request.header('host'), request.path)
         except RouteNotFoundError:
@@ -158,13 +170,43 @@
         except JobRejectedError as error:
             log_event('job_rejected', job=call.job_id, why=str(error))
             return _json(HTTPStatus.BAD_REQUEST, {'error': str(error)})
+        refusal = await self._refuse_for_load(call, spec)
+        if refusal is not None:
+            return refusal
         owner = self._ownership.owner
         record = encode(JobRecord(spec, call.queue, 0 if owner is None else owner.epoch))
         write_to_store = partial(write_job, self._store, call.job_id, record)
+        is_first_attempt = self._admission.record_attempt(call.job_id)
         outcome = await self._write(write_to_store, AcceptJob(call.job_id, record))
         if outcome.status is WriteStatus.KEPT and outcome.revision:
             self._notify_owner(JobUpdate(call.job_id, record, outcome.revision, is_cancel=False))
-        return _write_response(outcome)
+        if outcome.status is WriteStatus.NOT_KEPT and is_first_attempt:
+            self._admission.forget_attempt(call.job_id)
+        return self._write_response(call, outcome)
+
+    async def _refuse_for_load(self, call: _AuthorizedRequest, spec: JobSpec) -> Response | None:
+        """Return the refusal of a job that can't begin in time, or None if it is to be accepted.
+
+        A job that may have been accepted before, by a caller's earlier attempt, is not refused.
+        The store is read only for jobs that would be refused otherwise.
+        """
+        if not self._assess(call, spec).is_refused or self._admission.may_have_been_written(call.job_id):
+            return None
+        await anyio.sleep(_SETTLE_S)
+        try:
+            item = await self._store.get(job_key(call.job_id), timeout_s=_STORE_READ_TIMEOUT_S)
+        except STORE_FAILURES:
+            return None
+        verdict = self._assess(call, spec)
+        if item is not None or not verdict.is_refused or self._admission.may_have_been_written(call.job_id):
+            return None
+        return self._admission.refuse(call.refused('load')._replace(verdict=verdict))
+
+    def _assess(self, call: _AuthorizedRequest, spec: JobSpec) -> Verdict:
+        configuration = self._follower.current
+        owner = self._ownership.owner
+        account_by_name = {} if configuration is None else configuration.account_by_name
+        return self._admission.assess(spec, call.queue, account_by_name, None if owner is None else owner.epoch)
 
     async def _cancel(self, call: _AuthorizedRequest) -> Response:
         reply = await self._ask_owner(AskState(call.job_id))
@@ -172,20 +214,20 @@
             if reply.has_ended:
                 return Response(HTTPStatus.OK)
         elif self._store.is_suspect:
-            return _write_response(await self._write_through_owner(AcceptCancel(call.job_id)))
+            return self._write_response(call, await self._write_through_owner(AcceptCancel(call.job_id)))
         else:
             try:
                 item = await self._store.get(job_key(call.job_id), timeout_s=_STORE_READ_TIMEOUT_S)
             except STORE_FAILURES as error:
                 log_event('cancel_outcome_unknown', job=call.job_id, why=str(error))
-                return _write_response(await self._write_through_owner(AcceptCancel(call.job_id)))
+                return self._write_response(call, await self._write_through_owner(AcceptCancel(call.job_id)))
             if item is None:
                 return Response(HTTPStatus.GONE)
         write_to_store = partial(write_cancellation, self._store, call.job_id)
         outcome = await self._write(write_to_store, AcceptCancel(call.job_id))
         if outcome.status is WriteStatus.KEPT:
             self._notify_owner(JobUpdate(call.job_id, b'', outcome.revision, is_cancel=True))
-        return _write_response(outcome)
+        return self._write_response(call, outcome)
 
     async def _state(self, call: _AuthorizedRequest) -> Response:
         reply = await self._ask_owner(AskState(call.job_id, _END_WAIT_S), _END_WAIT_S)
@@ -193,12 +235,12 @@
             return _json(HTTPStatus.OK, {'State': reply.phase})
         if self._store.is_suspect:
             log_event('state_unknown', job=call.job_id, why='the store does not answer')
-            return _unavailable()
+            return self._admission.refuse(call.refused('state unknown'))
         try:
             return await self._state_in_store(call.job_id)
         except STORE_FAILURES as error:
             log_event('state_unknown', job=call.job_id, why=str(error))
-            return _unavailable()
+            return self._admission.refuse(call.refused('state unknown'))
 
     async def _state_in_store(self, job_id: str) -> Response:
         """Read a job's state from the store; only a current read may report that the job doesn't exist."""
@@ -215,7 +257,7 @@
         if isinstance(reply, PendingReply) and reply.is_ready:
             return _json(HTTPStatus.OK, {'Pending': reply.job_count})
         log_event('pending_unknown', queue=call.queue.name)
-        return _unavailable()
+        return self._admission.refuse(call.refused('pending unknown'))
 
     async def _ask_owner(self, message: Message, wait_s: float = 0.0) -> Message | None:
         owner = self._ownership.owner
@@ -259,6 +301,11 @@
             return WriteOutcome(WriteStatus.KEPT)
         return WriteOutcome(WriteStatus.NOT_KEPT if reply.is_certain else WriteStatus.UNKNOWN)
 
+    def _write_response(self, call: _AuthorizedRequest, outcome: WriteOutcome) -> Response:
+        if outcome.status is WriteStatus.NOT_KEPT:
+            return self._admission.refuse(call.refused('not written'))
+        return Response(_HTTP_STATUS_BY_WRITE_STATUS[outcome.status])
+
     def _notify_owner(self, update: JobUpdate) -> None:
         owner = self._ownership.owner
         if owner is not None:
@@ -268,21 +315,10 @@
 _LOGGED_OPERATIONS = frozenset(('submit', 'cancel'))
 _HTTP_STATUS_BY_WRITE_STATUS = {
     WriteStatus.KEPT: HTTPStatus.OK,
-    WriteStatus.NOT_KEPT: HTTPStatus.SERVICE_UNAVAILABLE,
     WriteStatus.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
     WriteStatus.NO_SUCH_JOB: HTTPStatus.GONE,
 }
 
 
-def _write_response(outcome: WriteOutcome) -> Response:
-    if outcome.status is WriteStatus.NOT_KEPT:
-        return _unavailable()
-    return Response(_HTTP_STATUS_BY_WRITE_STATUS[outcome.status])
-
-
-def _unavailable() -> Response:
-    return Response(HTTPStatus.SERVICE_UNAVAILABLE, header_by_name={'Retry-After': str(_RETRY_AFTER_S)})
-
-
 def _json(status: HTTPStatus, fields: dict[str, object]) -> Response:
     return Response(status, msgspec.json.encode(fields))
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -20,7 +20,7 @@
 from .asking import policy_queries
 from .authority import Authority
 from .configuration import ConfigurationFollower, PeerFeed, StoreFeed
-from .front import Front
+from .front import AdmissionControl, Front
 from .logs import log_event, LogWriter
 from .membership import Membership
 from .metrics import Metrics
@@ -75,7 +75,8 @@
         self._metrics = Metrics()
         self._timing = StoreTiming()
         self._http = HttpClient()
-        self._store = StoreClient(settings.store, self._http, self._metrics.observe_store_call)
+        self._admission = AdmissionControl(own_settings.scheduler, self._metrics)
+        self._store = StoreClient(settings.store, self._http, self._observe_store_call)
         self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
         self._follower = ConfigurationFollower(self._metrics)
         self._store_feed = StoreFeed(self._follower, self._store, self._timing)
@@ -91,7 +92,7 @@
         self._advice = AdviceClient(self._http, settings.advice) if settings.advice else None
         self._replies = PeerReplies(self._store, self._follower, self._ownership, self._advice)
         self._mesh = Mesh(self._replies.answer, self._metrics.observe_peer_message)
-        self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics)
+        self._front = Front(self._store, self._follower, self._ownership, self._mesh, self._metrics, self._admission)
         self._peer_feed = PeerFeed(self._follower, self._mesh)
         self._membership = Membership(
             self._member,
@@ -104,6 +105,7 @@
             self._ownership.observe_newer_epoch,
         )
         self._replies.membership = self._membership
+        self._replies.admission = self._admission
         self._front_server = HttpServer(
             self._front.answer,
             max_connections=max(64, settings.max_fds - _RESERVED_FDS),
@@ -131,6 +133,18 @@
             await self._wait_for_signals(tasks)
         self._log_writer.flush()
 
+    def _observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
+        """Record a call to the store in the metrics and in the lengths of its outages."""
+        self._metrics.observe_store_call(call, outcome, took_s, answer_bytes)
+        self._admission.observe_store_call(call, outcome, took_s)
+
+    def _make_digest(self, owner: PoolOwner) -> bytes:
+        """Return the digest to send to the other instances, which this one uses as well."""
+        digest = owner.make_digest()
+        if digest:
+            self._admission.receive_digest(owner.epoch, digest)
+        return digest
+
     async def _listen(self) -> None:
         """Listen for client requests, readiness checks and, if a port is configured, metrics."""
         await self._front_server.listen(self._settings.front)
@@ -180,7 +194,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._forward_configuration, owner)
-                tasks.start_soon(self._membership.send_heartbeats, epoch)
+                tasks.start_soon(self._membership.send_heartbeats, epoch, partial(self._make_digest, owner))
                 tasks.start_soon(self._depose_when_replaced, owner, epoch)
                 await owner.run()
                 tasks.cancel_scope.cancel()
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -12,7 +12,7 @@
 from .clock import steady_s
 from .configuration import ConfigurationFollower, PeerFeed
 from .logs import log_event
-from .peers import Heartbeat, HeartbeatReply, Hello, Mesh, PeerSilentError
+from .peers import Heartbeat, HeartbeatReply, Hello, Mesh, PeerSilentError, PoolDigest
 from .records import Member, member_key, MEMBERS_PREFIX
 from .timing import StoreTiming
 from .watching import read_all
@@ -127,12 +127,21 @@
         """Record the version of the configuration that a peer follows, so that newer ones are fetched."""
         self._peer_feed.announce(member, version)
 
-    async def send_heartbeats(self, epoch: int) -> None:
-        """Send periodic heartbeats to every instance, until cancelled."""
+    async def send_heartbeats(self, epoch: int, make_digest: Callable[[], bytes] = bytes) -> None:
+        """Send periodic heartbeats to every instance, until cancelled.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of this owner.
+        make_digest : callable
+            Returns the encoded digest to send with each round of heartbeats; empty for none.
+        """
         await self._load_members()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._announce_changes, epoch)
             while True:
+                self._send_digest(epoch, make_digest())
                 await self._heartbeat_all(epoch)
                 await self._remove_silent_peers()
 
@@ -144,6 +153,12 @@
             for peer in tuple(self._peer_by_instance.values()):
                 self._mesh.send((peer.member.host, peer.member.port), heartbeat)
 
+    def _send_digest(self, epoch: int, data: bytes) -> None:
+        """Send a digest to the instances that answer; one that is lost is replaced by the next."""
+        if data:
+            for member in self.peers():
+                self._mesh.send((member.host, member.port), PoolDigest(epoch, data))
+
     async def _heartbeat_all(self, epoch: int) -> None:
         heartbeat_round = _HeartbeatRound(steady_s(), len(self._peer_by_instance) + 1, self._authority)
         heartbeat_round.add_agreement()
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -4,6 +4,8 @@
 
 # Upper bounds of latency buckets in seconds, from the latency of a local call to a timeout.
 _LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+# Values of Retry-After, in whole seconds.
+_RETRY_AFTER_BUCKETS_S = (1.0, 2.0, 3.0, 4.0, 5.0)
 
 
 class Metrics:
@@ -25,6 +27,27 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.refusals = Counter(
+            'dahliaarch_refusals',
+            'Refusals that say when to return',
+            ['reason'],
+            registry=self.registry,
+        )
+        self.retry_after_s = Histogram(
+            'dahliaarch_retry_after_seconds',
+            'Time after which refused callers are asked to return',
+            buckets=_RETRY_AFTER_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.digest_s = Histogram(
+            'dahliaarch_digest_seconds',
+            'Time to summarize the backlog for the instances',
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.digest_bytes = Gauge(
+            'dahliaarch_digest_bytes', 'Size of the last summary of the backlog', registry=self.registry
+        )
         self.store_calls = Counter(
             'dahliaarch_store_calls',
             'Calls of the store',
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -11,9 +11,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from dahliaarch_kernel.admission import encode_digest, summarize
 from dahliaarch_kernel.configuration import Configuration
 from dahliaarch_kernel.policies import Policy
-from dahliaarch_kernel.scheduler import Moment, Scheduler
+from dahliaarch_kernel.scheduler import Mechanism, Moment, Scheduler
 from dahliaarch_platform.sessions import WorkerClient
 from dahliaarch_platform.store import StoreClient
 
@@ -148,6 +149,16 @@
         """
         self._send.send_nowait(message)
 
+    def make_digest(self) -> bytes:
+        """Return the encoded summary of the backlog; empty before the takeover is complete or if disabled."""
+        if not self.is_ready or not self._settings.own.scheduler.has(Mechanism.ADMISSION):
+            return b''
+        started_s = time.perf_counter()
+        data = encode_digest(summarize(self.scheduler, _now()))
+        self._metrics.digest_s.observe(time.perf_counter() - started_s)
+        self._metrics.digest_bytes.set(len(data))
+        return data
+
     def depose(self) -> None:
         """Stop immediately because another instance owns the pool."""
         if not self.is_deposed:
--- a/packages/node/dahliaarch_node/peers/__init__.py
+++ b/packages/node/dahliaarch_node/peers/__init__.py
@@ -20,6 +20,7 @@
     Message,
     PendingReply,
     PolicyReply,
+    PoolDigest,
     StateReply,
 )
 
@@ -44,5 +45,6 @@
     'PeerSilentError',
     'PendingReply',
     'PolicyReply',
+    'PoolDigest',
     'StateReply',
 )
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -242,6 +242,24 @@
     current: tuple[Item, ...] = ()
 
 
+class PoolDigest(NamedTuple):
+    """Summary of the owner's backlog, sent with its heartbeats.
+
+    It is a message of its own because instances of earlier versions reject a heartbeat that
+    has more fields than they know, and would then count as silent.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the owner.
+    data : bytes
+        The encoded digest, which may have a form that the receiver does not know.
+    """
+
+    epoch: int
+    data: bytes
+
+
 Message = (
     Hello
     | Heartbeat
@@ -260,6 +278,7 @@
     | ConfigurationPart
     | CommitFor
     | CommitReply
+    | PoolDigest
 )
 
 _TYPES: tuple[type[Message], ...] = (
@@ -280,6 +299,7 @@
     ConfigurationPart,
     CommitFor,
     CommitReply,
+    PoolDigest,
 )
 _NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -7,6 +7,7 @@
 from dahliaarch_platform.store import STORE_FAILURES, StoreClient
 
 from .configuration import ConfigurationFollower
+from .front import AdmissionControl
 from .front.acceptance import write_cancellation, write_job, WriteOutcome, WriteStatus
 from .logs import log_event
 from .membership import Membership
@@ -29,6 +30,7 @@
     Message,
     PendingReply,
     PolicyReply,
+    PoolDigest,
     StateReply,
 )
 from .records import job_key, JobRecord
@@ -63,10 +65,11 @@
         ownership: Ownership,
         advice: AdviceClient | None,
     ) -> None:
-        """Initialize without a pool owner; `owner` and `membership` are set later."""
+        """Initialize without a pool owner; `owner`, `membership` and `admission` are set later."""
         self._advice = advice
         self.owner: PoolOwner | None = None
         self.membership: Membership | None = None
+        self.admission: AdmissionControl | None = None
         self._store = store
         self._follower = follower
         self._ownership = ownership
@@ -92,6 +95,11 @@
         known = self._ownership.owner
         return HeartbeatReply(self._follower.version, 0 if known is None else known.epoch)
 
+    @_reply.register
+    async def _(self, message: PoolDigest) -> None:
+        if self.admission is not None:
+            self.admission.receive_digest(message.epoch, message.data)
+
     @_reply.register
     async def _(self, message: AskConfiguration) -> Message | None:
         return self._follower.updates.build_part(message, self._follower.current, self._follower.revision)
@@ -117,6 +125,8 @@
 
     @_reply.register
     async def _(self, message: AcceptJob) -> Message | None:
+        if self.admission is not None:
+            self.admission.record_attempt(message.job_id)
         outcome = await write_job(self._store, message.job_id, message.record, _WRITE_TIMEOUT_S)
         if outcome.status is WriteStatus.KEPT and outcome.revision:
             self._forward_to_owner(message.job_id, message.record, outcome.revision, is_cancel=False)
