--- a/packages/kernel/dahliaarch_kernel/admission/backoff.py
+++ b/packages/kernel/dahliaarch_kernel/admission/backoff.py
@@ -10,7 +10,7 @@
 
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 5
-# Number of consecutive seconds over which callers are spread, and over which favoured ones are.
+# Number of consecutive seconds over which callers are spread; favoured ones get the first of these.
 _SPREAD_S = 3
 _FAVOURED_SPREAD_S = 2
 _HASH_BYTES = 8
@@ -53,10 +53,10 @@
     if refusal.left_s <= 0:
         # The request failed alone: nothing suggests that others will return with it.
         return MIN_RETRY_AFTER_S
-    spread_s = _FAVOURED_SPREAD_S if refusal.is_favoured else _SPREAD_S
     # The expected time may exceed all values; the callers must still not return together.
     earliest_s = math.ceil(min(refusal.left_s, latest_s))
-    earliest_s = max(MIN_RETRY_AFTER_S, min(earliest_s, latest_s - spread_s + 1))
+    earliest_s = max(MIN_RETRY_AFTER_S, min(earliest_s, latest_s - _SPREAD_S + 1))
+    spread_s = _FAVOURED_SPREAD_S if refusal.is_favoured else _SPREAD_S
     seconds = min(spread_s, latest_s - earliest_s + 1)
     return earliest_s + _hash(refusal.job_id) % seconds
 
--- a/packages/kernel/dahliaarch_kernel/admission/tests/test_backoff.py
+++ b/packages/kernel/dahliaarch_kernel/admission/tests/test_backoff.py
@@ -32,11 +32,14 @@
     assert set(counts(0.0)) == {1}
 
 
-def test_favoured_callers_get_shorter_values():
+@pytest.mark.parametrize('left_s', [0.5, 2.0, 3.5, 5.0, 30.0])
+def test_favoured_callers_get_shorter_values(left_s):
+    """Also where the expected time exceeds all values."""
+
     def mean(found):
         return sum(value * count for value, count in found.items()) / len(CALLERS)
 
-    assert mean(counts(2.0, is_favoured=True)) < mean(counts(2.0))
+    assert mean(counts(left_s, is_favoured=True)) < mean(counts(left_s))
 
 
 def test_the_value_fits_the_attempts_that_are_left():
