Scheduler: order of work by queues and by the shares of client accounts

Cause: in a pool with too little capacity, ordinary work was ordered by age alone.

Change: `account_shares` keeps each account's usage (decayed, dominant share, plus what it holds) and orders by four levels of overuse; `priority_order` orders ordinary work by the priority of its queue and puts late work last. Work that is passed over for `max_passed_over_s` or less comes before all younger work. Reservations follow the standing of their steps, do not block work that comes before them, and give way where all places are taken. Runs of accounts over their shares are cheaper to stop. A new owner derives usage from the jobs and progress that it reads. Log fields, a gauge and `status` show ratio and level.

--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/accounts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fair sharing between client accounts."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -25,6 +25,12 @@
         Expected run time on this worker, for the log.
     ticket : str
         Ticket of the external policy, if the queue needs one.
+    account : str
+        Account of the job, for the log.
+    account_level : int
+        Level of overuse of the account, for the log.
+    account_ratio : float
+        Overuse ratio of the account, for the log.
     """
 
     worker_id: str
@@ -34,6 +40,9 @@
     rank: int = 0
     expected_s: float = 0.0
     ticket: str = ''
+    account: str = ''
+    account_level: int = 0
+    account_ratio: float = 1.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -220,6 +220,12 @@
         workers that get no starts now, as users of the pool see it.
     has_takers_twice : bool
         The same, counting only workers that accept starts.
+    account : str
+        Account of the job.
+    account_level : int
+        Level of overuse of the account.
+    account_ratio : float
+        Overuse ratio of the account.
     """
 
     step: StepKey
@@ -229,6 +235,9 @@
     used_share: float
     has_room_twice: bool
     has_takers_twice: bool
+    account: str = ''
+    account_level: int = 0
+    account_ratio: float = 1.0
 
 
 Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting | DomainEvacuated | DomainEmptied | DomainReopened
--- a/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/job_state.py
@@ -62,6 +62,8 @@
         # Logarithms of the run times of its tasks, normalized by the pace of their workers.
         self.log_run_times: list[float] = []
         self.sort_key: CachedSortKey | None = None
+        # Since when it has waited without a start of any of its tasks, on the steady clock; None until it is ready.
+        self.passed_over_since_s: float | None = None
         # Whether any worker near the step's data, or any single rack, could hold it, and when that was last checked,
         # on the steady clock.
         self.has_near_capacity = True
--- a/packages/kernel/dahliaarch_kernel/scheduler/memory.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/memory.py
@@ -9,6 +9,7 @@
 
 from ..workload import Resources, StepKey
 from .room import fits
+from .standing import Standing
 
 
 class SearchKey(NamedTuple):
@@ -57,7 +58,8 @@
         self.grown_workers: set[str] = set()
         self.last_full_pass_s = float('-inf')
         self._eligible_workers: set[str] = set()
-        self._failed_placements: dict[SearchKey, int] = {}
+        # Number of tasks by standing: reservations may block a step of one standing and not one that comes before it.
+        self._failed_placements: dict[SearchKey, dict[Standing, int]] = {}
         self._failed_victim_searches: dict[tuple[SearchKey, int], tuple[int, float]] = {}
 
     def begin_full_pass(self, now_s: float) -> None:
@@ -69,18 +71,25 @@
         self.last_full_pass_s = now_s
         self._failed_victim_searches.clear()
         self._failed_placements = {
-            search_key: task_count
-            for search_key, task_count in self._failed_placements.items()
+            search_key: count_by_standing
+            for search_key, count_by_standing in self._failed_placements.items()
             if search_key.owner is None
         }
 
-    def is_known_to_lack_capacity(self, search_key: SearchKey, task_count: int) -> bool:
-        """Return whether a search for this number of tasks, or for fewer, found too little free capacity."""
-        return self._failed_placements.get(search_key, task_count + 1) <= task_count
+    def is_known_to_lack_capacity(self, search_key: SearchKey, task_count: int, standing: Standing) -> bool:
+        """Return whether a search for this number of tasks, or for fewer, found too little free capacity.
 
-    def record_no_capacity(self, search_key: SearchKey, task_count: int) -> None:
+        Only searches for steps of this standing or of one that comes before it count.
+        """
+        failed = self._failed_placements.get(search_key)
+        if failed is None:
+            return False
+        return any(count <= task_count and earlier <= standing for earlier, count in failed.items())
+
+    def record_no_capacity(self, search_key: SearchKey, task_count: int, standing: Standing) -> None:
         """Record that a search for this number of tasks found too little free capacity."""
-        self._failed_placements[search_key] = min(task_count, self._failed_placements.get(search_key, task_count))
+        failed = self._failed_placements.setdefault(search_key, {})
+        failed[standing] = min(task_count, failed.get(standing, task_count))
 
     def is_known_to_lack_victims(self, search_key: SearchKey, rank: int, task_count: int, since_s: float) -> bool:
         """Return whether a search for victims for this many tasks, or fewer, failed after a given time."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from operator import attrgetter
 
+from .accounts import precedence
 from .advice import Advice
 from .clock import Moment
 from .crashes import isolation_s, pending_suspects, waits_for_empty_worker
@@ -69,7 +70,9 @@
             if state.is_capacity_known(worker, now.steady_s) and worker.refusal_backoff.is_over(now.steady_s)
         ]
         self._free_capacity = FreeCapacity(self._workers, state.reservations)
-        self._preemption = Preemption(lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings)
+        self._preemption = Preemption(
+            lambda run: state.step_of(run.key), now.steady_s, state.policy, state.settings, state.account_shares
+        )
         self._failed_searches = state.failed_searches
         self._ranks = rank_by_job(state.active_jobs(), state.guaranteed_by_account)
         self._is_full = now.steady_s - self._failed_searches.last_full_pass_s >= _FULL_PASS_INTERVAL_S
@@ -80,7 +83,10 @@
         self._failed_searches.invalidate(self._free_capacity.free_by_id, self._reservations.pop_freed_workers())
         if self._is_full:
             self._failed_searches.begin_full_pass(self._now.steady_s)
-            share = used_share(self._state.worker_by_id.values())
+            workers = self._state.worker_by_id.values()
+            guaranteed = self._state.guaranteed_by_account
+            self._state.account_shares.update(self._state.active_jobs(), workers, guaranteed, self._now.steady_s)
+            share = used_share(workers)
             self._state.stalls.update(self._state.active_jobs(), share, self._now.steady_s)
             self._reservations.blocks_only_later_steps = self._state.stalls.has_idle_capacity
         for request in self._ordered_requests():
@@ -121,7 +127,7 @@
             return True
         if self._is_full or not step.was_considered or self._reservations.has(step):
             return True
-        return not self._failed_searches.is_known_to_lack_capacity(self._search_key(request), request.min_task_count)
+        return not self._is_known_to_lack_capacity(request, self._search_key(request))
 
     def _sort_key(self, step: StepState, rank: int) -> SortKey:
         """Return a step's sort key, recomputed periodically."""
@@ -134,14 +140,17 @@
             return cached.sort_key
         sort_key = self._compute_sort_key(step, rank)
         step.sort_key = CachedSortKey(sort_key, self._now.steady_s)
+        self._reservations.update_standing(step, sort_key)
         return sort_key
 
     def _compute_sort_key(self, step: StepState, rank: int) -> SortKey:
-        sort_key = SortKey(rank, 0.0, begin_s(step.job.spec, step.occurrence), step.step_key)
-        policy = self._state.policy
+        state = self._state
+        place_in_order = precedence(step, rank, state.account_shares, state.settings, state.times, self._now)
+        sort_key = SortKey(rank, *place_in_order, 0.0, begin_s(step.job.spec, step.occurrence), step.step_key)
+        policy = state.policy
         if not policy.has_priority:
             return sort_key
-        variables = job_variables(step, sort_key, self._state.times, self._now.wall_s)
+        variables = job_variables(step, sort_key, state.times, self._now.wall_s)
         return sort_key._replace(preference=-policy.priority(variables))
 
     def _schedule(self, request: PlacementRequest) -> None:
@@ -222,15 +231,19 @@
 
     def _place(self, request: PlacementRequest, search_key: SearchKey) -> Placement:
         """Return a placement, unless one for an equal search key failed since free capacity last grew."""
-        wanted = request.min_task_count
-        if self._failed_searches.is_known_to_lack_capacity(search_key, wanted):
+        if self._is_known_to_lack_capacity(request, search_key):
             return Placement(())
         placement = place(request, self._free_capacity)
         # Tickets are granted and expire between passes: steps that need them are always tried.
         if not placement.task_count and request.step.advice is None:
-            self._failed_searches.record_no_capacity(search_key, wanted)
+            standing = request.sort_key.standing
+            self._failed_searches.record_no_capacity(search_key, request.min_task_count, standing)
         return placement
 
+    def _is_known_to_lack_capacity(self, request: PlacementRequest, search_key: SearchKey) -> bool:
+        wanted = request.min_task_count
+        return self._failed_searches.is_known_to_lack_capacity(search_key, wanted, request.sort_key.standing)
+
     def _search_key(self, request: PlacementRequest) -> SearchKey:
         """Return a search key that is equal for all steps with the same placement requirements.
 
@@ -329,11 +342,14 @@
         settings = self._state.settings
         if not settings.has(Mechanism.GANG_RESERVATIONS):
             return
-        if self._reservations.has(step) or self._reservations.count_without_preemption() >= settings.reservations:
+        if self._reservations.has(step):
             return
         if self._now.wall_s - begin_s(step.job.spec, step.occurrence) < settings.reserve_after_s:
             return
         sort_key = request.sort_key
+        if self._reservations.count_without_preemption() >= settings.reservations:
+            if not (self._state.account_shares.may_reorder and self._reservations.drop_last_after(sort_key)):
+                return
         if not settings.has(Mechanism.RESERVATION_RANKS):
             sort_key = sort_key._replace(rank=RANK_GUARANTEED)
         reservation = earliest_reservation(
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -5,6 +5,7 @@
 
 from ..policies import Policy
 from ..workload import Resources, weighted_cores
+from .accounts import AccountShares
 from .job_state import StepState
 from .mechanisms import Mechanism
 from .placement import allowed_workers
@@ -99,11 +100,16 @@
         The operators' programs.
     settings : SchedulerSettings
         Limits and weights.
+    shares : AccountShares
+        How far accounts are over their shares: their runs are cheaper to stop.
     """
 
-    def __init__(self, find_step: StepLookup, now_s: float, policy: Policy, settings: SchedulerSettings) -> None:
+    def __init__(
+        self, find_step: StepLookup, now_s: float, policy: Policy, settings: SchedulerSettings, shares: AccountShares
+    ) -> None:
         """Create a search for one scheduling pass."""
         self._settings = settings
+        self._shares = shares
         self._policy = policy
         self._find_step = find_step
         self._now_s = now_s
@@ -137,6 +143,11 @@
         step = self._find_step(run)
         if step is None:
             return 0.0
+        cost = self._cost_before_shares(run, step)
+        # Operators' programs may return negative costs, which a division would raise.
+        return cost / self._shares.victim_divisor(step.job.spec.account) if cost > 0 else cost
+
+    def _cost_before_shares(self, run: Run, step: StepState) -> float:
         if not self._settings.has(Mechanism.CHEAP_VICTIMS):
             return 1.0
         members = list(step.run_by_index.values()) if step.spec.gang else [run]
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from operator import attrgetter
 from typing import NamedTuple
 
 from .job_state import StepState
-from .ranks import RANK_OVERDUE
+from .ranks import RANK_GUARANTEED, RANK_OVERDUE
 from .standing import SortKey
 
 
@@ -79,7 +80,46 @@
             return reservation.blocks_overdue and reservation.sort_key._replace(rank=RANK_OVERDUE) < sort_key
         if self.blocks_only_later_steps:
             return reservation.sort_key < sort_key
-        return reservation.sort_key.rank == sort_key.rank
+        # Work of a more urgent queue or of an account less over its share does not wait for capacity that is kept for
+        # others: two steps could block each other where levels change between passes.
+        return reservation.sort_key.rank == sort_key.rank and reservation.sort_key.standing <= sort_key.standing
+
+    def update_standing(self, step: StepState, sort_key: SortKey) -> None:
+        """Give the reservation of a step its current standing; the rank at its creation stays.
+
+        Steps whose reservations were compared by sort keys of different passes could block each other.
+        """
+        if not self.has(step):
+            return
+        for number, reservation in enumerate(self._reservations):
+            is_current = reservation.sort_key.standing[1:] == sort_key.standing[1:]
+            if reservation.step is not step or is_current:
+                continue
+            renewed = sort_key._replace(rank=reservation.sort_key.rank)
+            if renewed > reservation.sort_key:
+                self._freed_workers.update(reservation.count_by_worker)
+            self._reservations[number] = reservation._replace(sort_key=renewed)
+            self.version += 1
+
+    def drop_last_after(self, sort_key: SortKey) -> bool:
+        """Drop the last reservation in scheduling order that follows a step of its rank; return whether there is one.
+
+        Reservations that await preempted runs are kept, and guaranteed work drops none.
+        """
+        if sort_key.rank == RANK_GUARANTEED:
+            return False
+        followers = [
+            reservation
+            for reservation in self._reservations
+            if not reservation.awaits_preemption
+            and reservation.sort_key.rank == sort_key.rank
+            and reservation.sort_key > sort_key
+        ]
+        if not followers:
+            return False
+        last = max(followers, key=attrgetter('sort_key'))
+        self.drop(lambda reservation: reservation is last)
+        return True
 
     def add(self, reservation: Reservation) -> None:
         """Add a reservation."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -52,6 +52,8 @@
         Assignments of tasks to workers, to be stored before the starts are sent.
     evacuations : Evacuations
         Failure domains in which nothing is started.
+    account_shares : AccountShares
+        How far client accounts are over their shares of the pool.
     """
 
     def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
@@ -59,6 +61,7 @@
         self._state = SchedulerState(settings, epoch, policy or compile_policy(SHIPPED_POLICIES['first-come']))
         self.assignments = Assignments(self._state)
         self.evacuations = Evacuations(self._state)
+        self.account_shares = self._state.account_shares
 
     @property
     def job_by_id(self) -> Mapping[str, JobState]:
@@ -127,6 +130,8 @@
             job.open_due(now.wall_s + self._state.settings.early_s / 2)
             if assignments is not None:
                 restore_assignments(self._state, job, assignments, now)
+        if progress is not None or assignments is not None:
+            self._state.account_shares.inherit(job, self._state.times, now)
         return True
 
     def cancel(self, job_id: str, now: Moment) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -29,6 +29,11 @@
         How long ready work of a job with nothing running respects the reservations of
         others and waits for free capacity near its data or its gang, while less than
         half of the pool is in use.
+    usage_half_life_s : float
+        Time after which an account's past usage of the pool counts half.
+    max_passed_over_s : float
+        How long work may wait for more urgent work, and for work of accounts that are less
+        over their shares.
     without : frozenset of Mechanism
         Mechanisms that are disabled.
     """
@@ -41,6 +46,8 @@
     far_after_share: float = 1.5
     reservations: int = 4
     idle_wait_s: float = 2.5
+    usage_half_life_s: float = 10.0
+    max_passed_over_s: float = 6.0
     without: frozenset[Mechanism] = frozenset()
 
     def has(self, mechanism: Mechanism) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/stall_reports.py
@@ -96,6 +96,8 @@
     def _build_report(self, request: PlacementRequest, reason: WaitReason) -> StepWaiting:
         step = request.step
         stalls = self._state.stalls
+        shares = self._state.account_shares
+        account = step.job.spec.account
         wanted = request.min_task_count
         return StepWaiting(
             step.step_key,
@@ -105,6 +107,9 @@
             stalls.used_share,
             has_room_twice=_total_fitting_count(step, self._listed_capacity) >= 2 * wanted,
             has_takers_twice=_total_fitting_count(step, self._unreserved_capacity) >= 2 * wanted,
+            account=account,
+            account_level=shares.level_of(account),
+            account_ratio=shares.ratio_of(account),
         )
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -5,6 +5,7 @@
 
 from ..policies import Policy
 from ..workload import TaskKey
+from .accounts import AccountShares
 from .effects import Effect, StartRun, StopRun
 from .events import LossCause, Note, RunLost
 from .job_state import JobPhase, JobState, StepState
@@ -153,6 +154,7 @@
         self.recent_crashes: list[WorkerCrash] = []
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
+        self.account_shares = AccountShares(settings)
         # Failure domains in which nothing may be started.
         self.evacuation_by_domain: dict[str, Evacuation] = {}
         # Services whose workers don't enforce their capacity, and when worker entries were last synced.
@@ -222,7 +224,22 @@
             run.discard_pace_baseline()
         self.add_run(step, run)
         ticket = step.advice.ticket(run.worker_id, run.started_s) if step.advice else ''
-        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket))
+        step.passed_over_since_s = run.started_s
+        account = step.job.spec.account
+        self.effects.append(
+            StartRun(
+                run.worker_id,
+                run.key,
+                run.number,
+                run.checkpoint,
+                run.rank,
+                run.work_s,
+                ticket,
+                account,
+                self.account_shares.level_of(account),
+                self.account_shares.ratio_of(account),
+            )
+        )
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a stop, unless one has been ordered already."""
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -131,6 +131,12 @@
             'Runs in these failure domains, which continue to their ends',
             registry=self.registry,
         )
+        self.account_overuse = Gauge(
+            'dahliaarch_account_overuse',
+            'Usage of the pool by an account over its share, for the accounts that are most over theirs',
+            ['account'],
+            registry=self.registry,
+        )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
     def observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -107,6 +107,9 @@
             from_checkpoint=start.checkpoint,
             rank=start.rank,
             expected_s=round(start.expected_s, 2),
+            account=start.account,
+            account_level=start.account_level,
+            account_ratio=round(start.account_ratio, 2),
         )
         link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
 
@@ -173,4 +176,7 @@
             has_room_twice=note.has_room_twice,
             has_takers_twice=note.has_takers_twice,
             used_share=round(note.used_share, 2),
+            account=note.account,
+            account_level=note.account_level,
+            account_ratio=round(note.account_ratio, 2),
         )
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -1,6 +1,7 @@
 """Metrics of the owner's load: active jobs, waiting steps by reason and unconfirmed runs."""
 
 from collections.abc import Iterator
+from heapq import nlargest
 from typing import Self
 
 from dahliaarch_kernel.scheduler import Scheduler
@@ -11,6 +12,8 @@
 
 # Minimum time between two updates, in seconds.
 _UPDATE_INTERVAL_S = 0.25
+# Maximum number of accounts for which a gauge is exported: one time series each.
+_MAX_ACCOUNTS = 32
 
 
 class LoadGauges:
@@ -42,6 +45,7 @@
         self._metrics.evacuated_domains.set(len(self._scheduler.evacuations.by_domain))
         evacuated = (worker for worker in self._scheduler.worker_by_id.values() if worker.is_evacuated)
         self._metrics.evacuated_runs.set(sum(len(worker.run_by_key) for worker in evacuated))
+        self._set_account_overuse()
         ages_s = [now_s - run.started_s for run in self._unconfirmed_runs()]
         self._metrics.unconfirmed_runs.set(len(ages_s))
         self._metrics.unconfirmed_run_s.set(max(ages_s, default=0.0))
@@ -60,6 +64,14 @@
         self._metrics.evacuated_runs.set(0)
         self._metrics.unconfirmed_runs.set(0)
         self._metrics.unconfirmed_run_s.set(0)
+        self._metrics.account_overuse.clear()
+
+    def _set_account_overuse(self) -> None:
+        """Export the overuse ratios of the accounts that are most over their shares."""
+        ratios = self._scheduler.account_shares.ratio_by_account
+        self._metrics.account_overuse.clear()
+        for account in nlargest(_MAX_ACCOUNTS, ratios, key=ratios.__getitem__):
+            self._metrics.account_overuse.labels(account).set(ratios[account])
 
     def _unconfirmed_runs(self) -> Iterator[Run]:
         """Yield the runs whose start has been neither acknowledged nor listed by a worker."""
--- a/packages/node/dahliaarch_node/status.py
+++ b/packages/node/dahliaarch_node/status.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from dahliaarch_kernel.scheduler import JobState, Scheduler, WorkerState
+from dahliaarch_kernel.scheduler.accounts import AccountShares
 from dahliaarch_kernel.scheduler.stalls import Load
 from dahliaarch_platform.store import StoreClient
 
@@ -34,7 +35,7 @@
         jobs = [job for job in owner.scheduler.job_by_id.values() if not job.has_ended]
         status['waiting'] = _waiting(jobs)
         status['waiting_steps'] = _waiting_steps(owner.scheduler.load)
-        status['accounts'] = _accounts(jobs)
+        status['accounts'] = _accounts(jobs, owner.scheduler.account_shares)
         status['evacuations'] = _evacuations(owner.scheduler)
         status['workers'] = [_worker(worker) for worker in owner.scheduler.worker_by_id.values()]
     return status
@@ -50,11 +51,19 @@
     return [{'reason': reason.value, 'steps': count} for reason, count in sorted(load.waiting_by_reason.items())]
 
 
-def _accounts(jobs: list[JobState]) -> list[dict[str, Any]]:
+def _accounts(jobs: list[JobState], shares: AccountShares) -> list[dict[str, Any]]:
     used: Counter[str] = Counter()
     for job in jobs:
         used[job.spec.account] += sum(run.demand.accelerators for run in job.runs())
-    return [{'account': name, 'accelerators': count} for name, count in sorted(used.items())]
+    return [
+        {
+            'account': name,
+            'accelerators': count,
+            'overuse_ratio': round(shares.ratio_of(name), 2),
+            'overuse_level': shares.level_of(name),
+        }
+        for name, count in sorted(used.items())
+    ]
 
 
 def _evacuations(scheduler: Scheduler) -> list[dict[str, Any]]:
--- a/packages/node/dahliaarch_node/tests/test_status.py
+++ b/packages/node/dahliaarch_node/tests/test_status.py
@@ -32,6 +32,23 @@
     assert pool_status(scheduler)['waiting_steps'] == [{'reason': 'no capacity', 'steps': 1}]
 
 
+def test_accounts_are_shown_with_how_far_they_are_over_their_share():
+    scheduler = Scheduler(SchedulerSettings(), 7)
+    now = Moment(1000.0, 1_700_000_000.0)
+    profile = WorkerProfile('w0', 'svc', 'east', Resources(64_000, 262_144, 8), ('a', 'r0'))
+    scheduler.update_worker(profile, now)
+    scheduler.worker_surveyed('w0', (), now.steady_s, now)
+    step = StepSpec(1, Resources(4000, 16_000, 8), 60.0)
+    for number, account in enumerate(('acc', 'other')):
+        scheduler.add_job(JobSpec(f'{number:016x}', account, 'ordinary', 'payload', (step,)), QUEUE, now)
+    scheduler.decide(now)
+    scheduler.decide(Moment(1000.5, 1_700_000_000.5))
+    assert pool_status(scheduler)['accounts'] == [
+        {'account': 'acc', 'accelerators': 8, 'overuse_ratio': 2.0, 'overuse_level': 1},
+        {'account': 'other', 'accelerators': 0, 'overuse_ratio': 0.0, 'overuse_level': 0},
+    ]
+
+
 def test_evacuated_failure_domains_are_shown_with_their_runs():
     scheduler = Scheduler(SchedulerSettings(), 7)
     now = Moment(1000.0, 1_700_000_000.0)
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -122,6 +122,23 @@
 _CARS_POOL = Pool(
     24, 8, Resources(128_000, 524_288, 8), _UNEQUAL, 0.1, 0.4, checkpoint_s=2.0, restore_s=0.1, waste_price=0.0015
 )
+# Ten accounts that compete for too little capacity; one of them submits 40% of the jobs.
+_CROWDED_POOL = Pool(
+    176,
+    20,
+    Resources(128_000, 524_288, 8),
+    _UNEQUAL,
+    0.1,
+    0.4,
+    accounts=10,
+    largest_account_share=0.4,
+    waste_price=0.0007,
+)
+_CROWDED = (
+    _gangs('damage-scan', 0.864, 8.5, 14.0, Resources(52_000, 210_000), 8)._replace(mean_width=13.0, largest_width=76),
+    _urgent('rate-quote', 2.93, Resources(15_000, 79_000), 5.0, 32),
+    _many('fleet-rebalance', 1.06, 6.1, 11.0, Resources(11_000, 59_000), 39.0),
+)
 _ZONES_POOL = Pool(24, 8, Resources(32_000, 131_072, 8), checkpoint_s=0.5, restore_s=0.6)
 
 
@@ -145,6 +162,7 @@
             )
         ),
     ),
+    'cars-crowded': Deployment(_CROWDED_POOL, _CROWDED),
     'cars-grown': Deployment(
         _grown_pool(_CARS_POOL)._replace(capacity=Resources(128_000, 262_144, 8)),
         _grown(_CARS, ((1.48, 10.0, 24), (4.44, 5.0, 24), (1.17, 30.0, 150))),
--- a/packages/standins/dahliaarch_standins/comparison/shapes.py
+++ b/packages/standins/dahliaarch_standins/comparison/shapes.py
@@ -94,6 +94,8 @@
         Share of all accelerators that accounts are guaranteed.
     accounts : int
         Number of client accounts.
+    largest_account_share : float
+        Share of the jobs that the first account submits; the others submit equally many. With 0, all accounts do.
     waste_price : float
         Price of a weighted core-second that is thrown away.
     """
@@ -110,6 +112,7 @@
     hold_s: float = 6.0
     guaranteed_share: float = 0.62
     accounts: int = 4
+    largest_account_share: float = 0.0
     waste_price: float = 0.002
 
 
--- a/packages/standins/dahliaarch_standins/comparison/workload.py
+++ b/packages/standins/dahliaarch_standins/comparison/workload.py
@@ -9,7 +9,7 @@
 from dahliaarch_kernel.scheduler.room import fitting_count
 from dahliaarch_kernel.workload import JobSpec, StepSpec
 
-from .shapes import Deployment, JobKind
+from .shapes import Deployment, JobKind, Pool
 from .troubles import Burst, Cancellations
 
 SERVICE = 'svc'
@@ -133,10 +133,10 @@
     steps = [_draw_step(deployment, kind, choice, after=())]
     if choice.random() < kind.second_step_share:
         steps.append(_draw_step(deployment, kind, choice, after=(0,)))
-    account = f'account-{choice.randrange(deployment.pool.accounts)}'
+    account = _draw_account(deployment.pool, choice)
     spec = JobSpec(
         f'{choice.getrandbits(64):016x}',
-        account,
+        f'account-{account}',
         kind.name,
         '',
         tuple(step for step, _ in steps),
@@ -150,6 +150,15 @@
     return DrawnJob(kind, spec, at_s, work_s, choice.random() < kind.hopeless_share, cancel_at_s)
 
 
+def _draw_account(pool: Pool, choice: random.Random) -> int:
+    """Return the number of the account that submits a job."""
+    if not pool.largest_account_share or pool.accounts == 1:
+        return choice.randrange(pool.accounts)
+    if choice.random() < pool.largest_account_share:
+        return 0
+    return choice.randrange(1, pool.accounts)
+
+
 def _draw_step(
     deployment: Deployment, kind: JobKind, choice: random.Random, *, after: tuple[int, ...]
 ) -> tuple[StepSpec, tuple[float, ...]]:
