--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -54,6 +54,8 @@
         Failure domains in which nothing is started.
     state : SchedulerState
         State of the scheduler, for summaries, which must not change it.
+    account_shares : AccountShares
+        How far client accounts are over their shares of the pool.
     """
 
     def __init__(self, settings: SchedulerSettings, epoch: int, policy: Policy | None = None) -> None:
@@ -62,6 +64,7 @@
         self.state = self._state
         self.assignments = Assignments(self._state)
         self.evacuations = Evacuations(self._state)
+        self.account_shares = self._state.account_shares
 
     @property
     def job_by_id(self) -> Mapping[str, JobState]:
@@ -130,6 +133,8 @@
             job.open_due(now.wall_s + self._state.settings.early_s / 2)
             if assignments is not None:
                 restore_assignments(self._state, job, assignments, now)
+        if progress is not None or assignments is not None:
+            self._state.account_shares.inherit(job, self._state.times, now)
         return True
 
     def cancel(self, job_id: str, now: Moment) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -36,6 +36,11 @@
     certain_work_share : float
         Share of its expected run time that a waiting task certainly takes, in decisions on
         refusals for load.
+    usage_half_life_s : float
+        Time after which an account's past usage of the pool counts half.
+    max_passed_over_s : float
+        How long work may wait for more urgent work, and for work of accounts that are less
+        over their shares.
     without : frozenset of Mechanism
         Mechanisms that are disabled.
     """
@@ -51,6 +56,8 @@
     worthless_factor: float = 3.0
     max_digest_age_s: float = 2.5
     certain_work_share: float = 0.5
+    usage_half_life_s: float = 10.0
+    max_passed_over_s: float = 6.0
     without: frozenset[Mechanism] = frozenset()
 
     def has(self, mechanism: Mechanism) -> bool:
