Learn paces of workers from gangs; place gangs on workers of like pace

Cause: paces were learned from independent tasks only, with single observations clamped at a ratio of 1.65, while workers of one deployment differ by 2.18. A gang on workers of both paces runs at the pace of the slow ones and holds the fast ones as long.

Change (mechanism gang_paces): a gang's run time relative to the one expected is attributed to the member that is most likely the slowest; gangs that are spread, away from their data, cold or restored don't count. Evidence decays with time and is shared by rack or kind where that explains the differences. Gangs get workers of one level of pace, by their slack. StartRun and the log line that orders a run give the slowdown; dahliaarch_slow_workers counts slow workers.

--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -25,6 +25,8 @@
         Expected run time on this worker, for the log.
     ticket : str
         Ticket of the external policy, if the queue needs one.
+    slowdown : float
+        Factor by which the run is expected to take longer there than on a healthy worker, for the log.
     """
 
     worker_id: str
@@ -34,6 +36,7 @@
     rank: int = 0
     expected_s: float = 0.0
     ticket: str = ''
+    slowdown: float = 1.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -9,6 +9,7 @@
 from .clock import Moment
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
+from .paces.gangs import observe_gang
 from .paces.learning import observe_pace
 from .runs import Run, RunPhase
 from .state import SchedulerState
@@ -43,8 +44,9 @@
         worker.failed_jobs.clear()
     if run is not None and worker is not None and run.shows_run_time:
         ran_s = now.steady_s - run.started_s
+        observe_gang(state, step, run, now, has_ended=True)
         state.times.observe(job.queue.name, step.spec, ran_s / run.slowdown)
-        observe_pace(step, run, worker, ran_s, 1.0)
+        observe_pace(step, run, worker, ran_s, 1.0, state.settings)
     job.has_success = True
     was_done = end.key.task_index in step.done
     step.mark_done(end.key.task_index)
--- a/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
@@ -8,9 +8,13 @@
 import math
 from collections.abc import Collection
 
+from ..clock import Moment
 from ..job_state import StepState
+from ..mechanisms import Mechanism
 from ..runs import Run
+from ..settings import SchedulerSettings
 from ..workers import WorkerState
+from .groups import share_by_group
 
 # Progress from which a run's pace predicts its run time, in percent: reports are
 # rounded to whole percent and arrive one second apart.
@@ -19,9 +23,23 @@
 _MIN_PEERS = 2
 # Quantile of the workers' paces that serves as the pace of a healthy worker.
 _REFERENCE_QUANTILE = 0.25
+# Slowdown above which a worker counts as slow: half way between the healthy workers
+# of the users' sites and those that are slower by a factor of 1.3.
+SLOW_FACTOR = 1.12
+# Slowdown from which slow workers belong to the next level.
+_VERY_SLOW_FACTOR = 1.5
+# Limit of a single observation, as the natural logarithm of a ratio of run times: it covers
+# workers that differ by a factor of 2.2.
+MAX_LOG_RATIO = 0.9
+# Time in which evidence on a worker's pace loses half of its weight, in seconds.
+_HALVING_TIME_S = 20.0
+# Standard errors by which a worker must be slower than healthy ones to count as slow.
+_MIN_Z_SCORE = 0.25
 
 
-def observe_pace(step: StepState, run: Run, worker: WorkerState, elapsed_s: float, share: float) -> None:
+def observe_pace(
+    step: StepState, run: Run, worker: WorkerState, elapsed_s: float, share: float, settings: SchedulerSettings
+) -> None:
     """Update the pace of a worker from the share of its work that a run did in a time.
 
     Each run counts once, when enough of its work is done. Runs that resumed from a checkpoint
@@ -38,16 +56,34 @@
     log_time = math.log(elapsed_s / share)
     median = _median_log_time(step)
     if median is not None:
-        worker.pace.observe(log_time - median)
+        if settings.has(Mechanism.GANG_PACES):
+            worker.pace.observe(log_time - median, MAX_LOG_RATIO)
+        else:
+            worker.pace.observe(log_time - median)
     step.log_run_times.append(log_time - worker.pace.log_ratio)
 
 
-def update_slowdowns(workers: Collection[WorkerState]) -> None:
-    """Update each worker's slowdown relative to the pace of a healthy worker."""
+def update_slowdowns(workers: Collection[WorkerState], now: Moment, settings: SchedulerSettings) -> float:
+    """Update each worker's slowdown relative to the pace of a healthy worker, which is returned as a log ratio."""
+    learns_from_gangs = settings.has(Mechanism.GANG_PACES)
+    if learns_from_gangs:
+        for worker in workers:
+            worker.pace.decay(now.steady_s, _HALVING_TIME_S)
+        share_by_group(workers)
     ratios = sorted(worker.pace.log_ratio for worker in workers)
     reference = ratios[int(len(ratios) * _REFERENCE_QUANTILE)] if ratios else 0.0
     for worker in workers:
         worker.slowdown = max(1.0, math.exp(worker.pace.log_ratio - reference))
+        if learns_from_gangs:
+            worker.slowdown_margin = math.exp(_MIN_Z_SCORE * math.sqrt(worker.pace.variance))
+            worker.pace_level = _level(worker)
+    return reference
+
+
+def _level(worker: WorkerState) -> int:
+    if worker.slowdown <= SLOW_FACTOR * worker.slowdown_margin:
+        return 0
+    return 1 if worker.slowdown <= _VERY_SLOW_FACTOR else 2
 
 
 def _median_log_time(step: StepState) -> float | None:
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/tests/test_choosing.py
@@ -0,0 +1,82 @@
+"""Tests of the choice of workers of like pace for gangs."""
+
+from ....configuration import Queue
+from ... import Mechanism, SchedulerSettings
+from ...placement import WorkerAllocation
+from ...tests.pool import ORDINARY, PATIENT, Pool, task, URGENT
+from ..choosing import choose_like_paced, NEUTRAL_FIT
+
+JOB = 'a' * 16
+# Queue whose objective leaves no time for slow workers.
+TIGHT = Queue('tight', 'h', '/t/', 'svc', priority=1, max_attempts=3, stretch=1.1, target_latency_s=0.1)
+
+
+def pool_with_slow_workers(slow, workers=8, settings=None):
+    pool = Pool(workers, settings=settings)
+    pool.advance()
+    for worker_id, worker in pool.scheduler.worker_by_id.items():
+        for _ in range(8):
+            worker.pace.observe(0.6 if worker_id in slow else 0.0, 0.9)
+    return pool
+
+
+def chosen_workers(pool, queue, count, **fields):
+    pool.submit(JOB, task(count, accelerators=8, gang=True, **fields), queue=queue)
+    pool.advance()
+    return {worker for worker, key in pool.running if key.job_id == JOB}
+
+
+SLOW = {'w0', 'w2', 'w4', 'w6'}
+
+
+def test_a_gang_with_slack_gets_slow_workers():
+    assert chosen_workers(pool_with_slow_workers(SLOW), PATIENT, 4) == SLOW
+
+
+def test_a_gang_without_slack_gets_fast_workers():
+    assert not chosen_workers(pool_with_slow_workers(SLOW), TIGHT, 4) & SLOW
+    assert not chosen_workers(pool_with_slow_workers(SLOW), URGENT, 4) & SLOW
+
+
+def test_a_gang_is_not_mixed_if_it_fits_on_faster_workers():
+    """Guards against fast workers that are held at the pace of a slow one."""
+    assert not chosen_workers(pool_with_slow_workers({'w0', 'w2'}), ORDINARY, 3) & {'w0', 'w2'}
+
+
+def test_a_gang_that_fits_on_no_level_alone_still_starts():
+    assert len(chosen_workers(pool_with_slow_workers(SLOW), PATIENT, 6)) == 6
+    assert len(chosen_workers(pool_with_slow_workers(SLOW), URGENT, 6)) == 6
+
+
+def test_a_rack_of_like_pace_is_preferred():
+    slow = {f'w{number}' for number in (0, 1, 2, 3, 8, 9, 10, 11, 12, 13)}
+    pool = pool_with_slow_workers(slow, 16)
+    assert chosen_workers(pool, PATIENT, 6, same_rack=True) == {f'w{number}' for number in range(8, 14)}
+
+
+def test_packing_is_kept_where_paces_are_alike():
+    """Guards against gangs that break up whole workers although a fuller one of the same pace is free."""
+    pool = pool_with_slow_workers(set())
+    pool.submit('b' * 16, task(1, accelerators=4))
+    pool.advance()
+    (used,) = {worker for worker, _ in pool.running}
+    pool.submit(JOB, task(2, accelerators=2, gang=True))
+    pool.advance()
+    assert {worker for worker, key in pool.running if key.job_id == JOB} == {used}
+
+
+def test_cold_workers_stay_last_whatever_their_pace():
+    pool = pool_with_slow_workers({'w0', 'w1'}, 4)
+    pool.scheduler.update_worker(pool.profiles['w0'], pool.now, 8.0)
+    assert chosen_workers(pool, PATIENT, 2) == {'w2', 'w3'}
+
+
+def test_paces_are_not_used_when_disabled():
+    settings = SchedulerSettings(without=frozenset((Mechanism.GANG_PACES,)))
+    assert chosen_workers(pool_with_slow_workers({'w4', 'w5'}, settings=settings), PATIENT, 2) == {'w0', 'w1'}
+
+
+def test_order_is_kept_without_differences():
+    workers = pool_with_slow_workers(set()).scheduler.worker_by_id.values()
+    allocations = [WorkerAllocation(worker, 1) for worker in workers]
+    assert choose_like_paced(allocations, 3, 1.0) == (NEUTRAL_FIT, allocations)
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -8,6 +8,7 @@
 from ..workload import Resources
 from .job_state import StepState
 from .mechanisms import Mechanism
+from .paces.choosing import choose_like_paced, NEUTRAL_FIT, PaceFit
 from .ranks import RANK_OVERDUE
 from .room import effective_demand, fits, fitting_count, FreeCapacity, is_admissible, is_near, per_worker_limit
 from .settings import SchedulerSettings
@@ -73,6 +74,8 @@
     is_overdue : bool
         Whether the step has waited so long while the pool had idle capacity that most
         reservations no longer block it.
+    slack_s : float
+        How long the step can still wait and meet its target.
     """
 
     step: StepState
@@ -86,6 +89,7 @@
     indices: tuple[int, ...] = ()
     isolation_s: float = 0.0
     is_overdue: bool = False
+    slack_s: float = 0.0
 
     @property
     def min_task_count(self) -> int:
@@ -97,6 +101,13 @@
         """Sort key for the check against reservations."""
         return self.sort_key._replace(rank=RANK_OVERDUE) if self.is_overdue else self.sort_key
 
+    @property
+    def max_slowdown(self) -> float:
+        """Slowdown of workers that the slack allows; none for urgent work, which has little slack."""
+        if self.step.job.queue.priority == 0:
+            return 1.0
+        return 1.0 + _SLACK_SHARE * self.slack_s / self.work_s
+
     @property
     def rank(self) -> int:
         """Rank of the step."""
@@ -104,8 +115,12 @@
 
 
 NO_PLACEMENT = Placement(())
+_Allocations = tuple[WorkerAllocation, ...]
+_RackOrder = tuple[bool, bool, PaceFit, int]
 
 
+# Share of its slack that a step may lose on slow workers: run times are uncertain.
+_SLACK_SHARE = 0.5
 # More tasks than any rack holds.
 _UNLIMITED = 1_000_000
 
@@ -181,7 +196,7 @@
 def _place_gang(request: PlacementRequest, free_capacity: FreeCapacity, near: list[WorkerAllocation]) -> Placement:
     step = request.step
     if sum(allocation.task_count for allocation in near) >= request.task_count:
-        found = _fill_one_rack(request, near) if step.spec.same_rack else _fill(near, request.task_count, step)
+        found = _fill_one_rack(request, near) if step.spec.same_rack else _choose(request, near)[1]
         if found:
             return Placement(found)
     if not request.allows_far_workers or not (step.spec.same_rack or step.spec.data_rack):
@@ -189,26 +204,43 @@
     far = _find_allocations(request, free_capacity, request.work_s * request.settings.far_factor, near=False)
     if sum(allocation.task_count for allocation in far) < request.task_count:
         return NO_PLACEMENT
-    return Placement(_fill(far, request.task_count, step), request.settings.far_factor)
+    return Placement(_choose(request, far)[1], request.settings.far_factor)
+
+
+def _choose(request: PlacementRequest, allocations: list[WorkerAllocation]) -> tuple[PaceFit, _Allocations]:
+    """Return allocations for a whole gang, on workers of like pace if there are enough healthy ones."""
+    step, count = request.step, request.task_count
+    if request.settings.has(Mechanism.GANG_PACES) and not request.policy.has_placement:
+        refused = step.refused_until_by_worker
+        healthy = [each for each in allocations if _is_healthy(each.worker) and each.worker.worker_id not in refused]
+        fit, chosen = choose_like_paced(healthy, count, request.max_slowdown)
+        filled = _fill(chosen, count, step)
+        if filled:
+            return fit, filled
+    return NEUTRAL_FIT, _fill(allocations, count, step)
+
+
+def _is_healthy(worker: WorkerState) -> bool:
+    return not (worker.may_hide_ends or worker.is_cold or is_suspect(worker))
 
 
 def _fill_one_rack(request: PlacementRequest, allocations: list[WorkerAllocation]) -> tuple[WorkerAllocation, ...]:
     """Return allocations in the rack with the least free capacity that holds a whole gang.
 
     Racks without a worker that recently refused the step are preferred, then, for urgent
-    gangs, racks where none of the chosen workers is slow.
+    gangs, racks where none of the chosen workers is slow, then those whose paces suit best.
     """
     step = request.step
     is_urgent = step.job.queue.priority == 0
     best: tuple[WorkerAllocation, ...] = ()
-    best_order = (True, True, _UNLIMITED)
+    best_order: _RackOrder = (True, True, NEUTRAL_FIT._replace(excess=_UNLIMITED), _UNLIMITED)
     for rack_allocations in by_rack(allocations).values():
         count = sum(allocation.task_count for allocation in rack_allocations)
         if count < request.task_count:
             continue
-        chosen = _fill(rack_allocations, request.task_count, step)
+        fit, chosen = _choose(request, rack_allocations)
         has_refused = any(allocation.worker.worker_id in step.refused_until_by_worker for allocation in chosen)
-        order = (has_refused, is_urgent and any(is_slow(allocation.worker) for allocation in chosen), count)
+        order = (has_refused, is_urgent and any(is_slow(allocation.worker) for allocation in chosen), fit, count)
         if order < best_order:
             best, best_order = chosen, order
     return best
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -316,7 +316,7 @@
         self.evacuations.report_emptied(now)
         assess_workers(state, now)
         if state.settings.has(Mechanism.WORKER_PACES):
-            update_slowdowns(state.worker_by_id.values())
+            state.pace_reference = update_slowdowns(state.worker_by_id.values(), now, state.settings)
         SchedulingPass(state, now).run()
         effects = state.effects
         state.effects = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -159,6 +159,8 @@
         self.services_without_capacity_check: frozenset[str] = frozenset()
         self.workers_synced_s = float('-inf')
         self.surveyed_workers: set[str] = set()
+        # Pace of a healthy worker, as the logarithm of its ratio of run times.
+        self.pace_reference = 0.0
         self.failed_searches = FailedSearches()
         self.stalls = StallTracker()
         self._runs_started = 0
@@ -222,7 +224,9 @@
             run.discard_pace_baseline()
         self.add_run(step, run)
         ticket = step.advice.ticket(run.worker_id, run.started_s) if step.advice else ''
-        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket))
+        self.effects.append(
+            StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket, run.slowdown)
+        )
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a stop, unless one has been ordered already."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -6,6 +6,7 @@
 from .crashes import clear_suspect
 from .ends import apply_run_end
 from .events import EndKind, ListedRun, LossCause, RunEnd
+from .paces.gangs import observe_gang
 from .paces.learning import observe_pace
 from .ranks import rank_of_queue
 from .room import effective_demand
@@ -77,7 +78,9 @@
     step = state.step_of(run.key)
     if step is not None:
         clear_suspect(step, run)
-        observe_pace(step, run, worker, now.steady_s - run.started_s, listed_run.percent / _FULL_PERCENT)
+        share = listed_run.percent / _FULL_PERCENT
+        observe_pace(step, run, worker, now.steady_s - run.started_s, share, state.settings)
+        observe_gang(state, step, run, now, has_ended=False)
     if listed_run.checkpoint:
         run.checkpoint = listed_run.checkpoint
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/variables.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/variables.py
@@ -4,6 +4,7 @@
 from ..workload import Resources, weighted_cores
 from .job_state import StepState
 from .objectives import slack_s
+from .paces.learning import SLOW_FACTOR
 from .prediction import RunTimes
 from .runs import Run
 from .standing import SortKey
@@ -11,9 +12,6 @@
 
 # Workers that are slower than expected by more than this factor are used last.
 _SUSPECT_SLOWNESS = 2.0
-# Slowdown above which a worker counts as slow: half way between the healthy workers
-# of the users' sites and those that are slower by a factor of 1.3.
-_SLOW_FACTOR = 1.12
 
 
 def is_suspect(worker: WorkerState) -> bool:
@@ -23,7 +21,7 @@
 
 def is_slow(worker: WorkerState) -> bool:
     """Return whether tasks take longer on a worker than on healthy ones."""
-    return worker.slowdown > _SLOW_FACTOR
+    return worker.slowdown > SLOW_FACTOR * worker.slowdown_margin
 
 
 def job_variables(step: StepState, standing: SortKey, times: RunTimes, wall_s: float) -> JobVariables:
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -131,6 +131,11 @@
             'Runs in these failure domains, which continue to their ends',
             registry=self.registry,
         )
+        self.slow_workers = Gauge(
+            'dahliaarch_slow_workers',
+            'Workers on which tasks take longer than on healthy ones',
+            registry=self.registry,
+        )
         self.active_jobs = Gauge('dahliaarch_active_jobs', 'Jobs that have not ended', registry=self.registry)
 
     def observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -107,6 +107,7 @@
             from_checkpoint=start.checkpoint,
             rank=start.rank,
             expected_s=round(start.expected_s, 2),
+            slowdown=round(start.slowdown, 2),
         )
         link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
 
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -6,6 +6,7 @@
 from dahliaarch_kernel.scheduler import Scheduler
 from dahliaarch_kernel.scheduler.events import WaitReason
 from dahliaarch_kernel.scheduler.runs import Run
+from dahliaarch_kernel.scheduler.variables import is_slow
 
 from ..metrics import Metrics
 
@@ -42,6 +43,7 @@
         self._metrics.evacuated_domains.set(len(self._scheduler.evacuations.by_domain))
         evacuated = (worker for worker in self._scheduler.worker_by_id.values() if worker.is_evacuated)
         self._metrics.evacuated_runs.set(sum(len(worker.run_by_key) for worker in evacuated))
+        self._metrics.slow_workers.set(sum(map(is_slow, self._scheduler.worker_by_id.values())))
         ages_s = [now_s - run.started_s for run in self._unconfirmed_runs()]
         self._metrics.unconfirmed_runs.set(len(ages_s))
         self._metrics.unconfirmed_run_s.set(max(ages_s, default=0.0))
@@ -58,6 +60,7 @@
         self._metrics.held_starts.set(0)
         self._metrics.evacuated_domains.set(0)
         self._metrics.evacuated_runs.set(0)
+        self._metrics.slow_workers.set(0)
         self._metrics.unconfirmed_runs.set(0)
         self._metrics.unconfirmed_run_s.set(0)
 
--- a/packages/standins/dahliaarch_standins/comparison/deployments.py
+++ b/packages/standins/dahliaarch_standins/comparison/deployments.py
@@ -8,6 +8,8 @@
 GANG_ACCELERATORS = (1, 2, 4, 8, 8)
 # Factors of run time on different workers.
 _UNEQUAL = (1.0, 1.0, 1.3)
+# The same in a pool of two generations of hardware.
+_TWO_PACES = (0.55, 1.2)
 # Number of workers of a grown pool on an ordinary day with trouble.
 _GROWN_WORKERS = 160
 
@@ -149,6 +151,15 @@
         _grown_pool(_CARS_POOL)._replace(capacity=Resources(128_000, 262_144, 8)),
         _grown(_CARS, ((1.48, 10.0, 24), (4.44, 5.0, 24), (1.17, 30.0, 150))),
     ),
+    'two-paces': Deployment(
+        Pool(176, 8, Resources(64_000, 262_144, 8), _TWO_PACES, 0.1, 0.2, checkpoint_s=2.0, restore_s=0.6, accounts=10),
+        tuple(
+            kind._replace(mean_work_s=work_s)
+            for kind, work_s in zip(
+                _grown(_METERS, ((0.909, 13.0, 29), (3.87, 5.0, 32), (1.12, 39.0, 190))), (7.2, 2.1, 5.2), strict=True
+            )
+        ),
+    ),
     'zones-grown': Deployment(
         _grown_pool(_ZONES_POOL), _grown(_ZONES, ((1.04, 12.3, 60), (4.4, 5.2, 32), (1.02, 37.0, 190)))
     ),
