--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -31,6 +31,8 @@
         Level of overuse of the account, for the log.
     account_ratio : float
         Overuse ratio of the account, for the log.
+    slowdown : float
+        Factor by which the run is expected to take longer there than on a healthy worker, for the log.
     """
 
     worker_id: str
@@ -43,6 +45,7 @@
     account: str = ''
     account_level: int = 0
     account_ratio: float = 1.0
+    slowdown: float = 1.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -161,6 +161,8 @@
         self.services_without_capacity_check: frozenset[str] = frozenset()
         self.workers_synced_s = float('-inf')
         self.surveyed_workers: set[str] = set()
+        # Pace of a healthy worker, as the logarithm of its ratio of run times.
+        self.pace_reference = 0.0
         self.failed_searches = FailedSearches()
         self.stalls = StallTracker()
         self._runs_started = 0
@@ -238,6 +240,7 @@
                 account,
                 self.account_shares.level_of(account),
                 self.account_shares.ratio_of(account),
+                run.slowdown,
             )
         )
 
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -110,6 +110,7 @@
             account=start.account,
             account_level=start.account_level,
             account_ratio=round(start.account_ratio, 2),
+            slowdown=round(start.slowdown, 2),
         )
         link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
 
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -7,6 +7,7 @@
 from dahliaarch_kernel.scheduler import Scheduler
 from dahliaarch_kernel.scheduler.events import WaitReason
 from dahliaarch_kernel.scheduler.runs import Run
+from dahliaarch_kernel.scheduler.variables import is_slow
 
 from ..metrics import Metrics
 
@@ -46,6 +47,7 @@
         evacuated = (worker for worker in self._scheduler.worker_by_id.values() if worker.is_evacuated)
         self._metrics.evacuated_runs.set(sum(len(worker.run_by_key) for worker in evacuated))
         self._set_account_overuse()
+        self._metrics.slow_workers.set(sum(map(is_slow, self._scheduler.worker_by_id.values())))
         ages_s = [now_s - run.started_s for run in self._unconfirmed_runs()]
         self._metrics.unconfirmed_runs.set(len(ages_s))
         self._metrics.unconfirmed_run_s.set(max(ages_s, default=0.0))
@@ -62,6 +64,7 @@
         self._metrics.held_starts.set(0)
         self._metrics.evacuated_domains.set(0)
         self._metrics.evacuated_runs.set(0)
+        self._metrics.slow_workers.set(0)
         self._metrics.unconfirmed_runs.set(0)
         self._metrics.unconfirmed_run_s.set(0)
         self._metrics.account_overuse.clear()
