Scheduler: move runs off leaving workers, stop gangs that lost a member

Cause: every run that could not end before its worker left was stopped in the first pass after the notice, whether or not its tasks could start elsewhere, and nothing was reserved for them. A gang of which one member ended without success kept its other members until their workers ended them; if one member's start was ruled out, the others held their capacity without work.

Change: mechanism early_moves. Ordinary runs on leaving workers wait until their tasks could start elsewhere, at the latest until the last moment at which a stop fits; the capacity is reserved in the pass that orders the stops. Urgent, lasting and speculative work and suspects of crashes are stopped at once as before. The members that are left of a gang are stopped in the pass after an end of one of them was seen.

--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
@@ -1,15 +1,17 @@
 """Drains workers that are about to leave, and gives up silent workers whose leases have ended."""
 
+from collections.abc import Iterable
+
 from ..clock import Moment
 from ..crashes import retain_silent_loss
 from ..events import LossCause
-from ..runs import RunPhase
+from ..mechanisms import Mechanism
 from ..state import SchedulerState
 from ..successors import note_given_up
 from ..workers import WorkerState
-
-# Margin between the last possible stop and a worker's departure, in seconds.
-_LEAVE_MARGIN_S = 0.3
+from .assessing import Departure, departures, may_stop, Timing, timing
+from .gangs import note_lost_member
+from .stopping import stop_departing
 
 
 def expire_leases(state: SchedulerState, now: Moment) -> None:
@@ -20,10 +22,13 @@
 
 
 def drain_leaving_workers(state: SchedulerState, now: Moment) -> None:
-    """Stop runs that are not expected to end before their workers leave, so that they restart elsewhere."""
+    """Stop runs that are not expected to end before their workers leave, so that they restart elsewhere.
+
+    Those that wait for capacity elsewhere are left to the scheduling pass until the last moment.
+    """
     for worker in state.worker_by_id.values():
-        if worker.profile.draining and not worker.is_silent:
-            _drain(state, worker, now)
+        if worker.profile.draining:
+            _drain(state, departures(state, worker, now), now)
 
 
 def _give_up(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
@@ -31,6 +36,7 @@
     retain_silent_loss(state, worker, now)
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
+        note_lost_member(state, run)
         state.remove_run(run)
     worker.is_lapsed = worker.is_lapsed or _is_known_idle(state, worker, now)
     if not worker.is_listed:
@@ -45,11 +51,19 @@
     return not any(sent_s + worker.late_order_s > now.steady_s for sent_s in worker.unanswered_starts.values())
 
 
-def _drain(state: SchedulerState, worker: WorkerState, now: Moment) -> None:
-    leaves_at_s = worker.leaves_at_s
-    if leaves_at_s is None or now.steady_s > leaves_at_s - state.settings.stop_timeout_s - _LEAVE_MARGIN_S:
-        return
-    for run in tuple(worker.run_by_key.values()):
-        ends_s = now.steady_s + run.left_s(now.steady_s)
-        if run.phase is RunPhase.RUNNING and ends_s > leaves_at_s:
-            state.stop_with_gang(run, 'worker leaves')
+def _drain(state: SchedulerState, leaving: Iterable[Departure], now: Moment) -> None:
+    for departure in leaving:
+        if not state.settings.has(Mechanism.EARLY_MOVES):
+            state.stop_with_gang(departure.run, 'worker leaves')
+            continue
+        due = _due_timing(departure, now)
+        if due is not None and may_stop(departure.step):
+            stop_departing(state, departure, due, now)
+
+
+def _due_timing(departure: Departure, now: Moment) -> Timing | None:
+    """Return why a run has to be stopped now, or None if it may wait."""
+    when = timing(departure)
+    if when is Timing.AT_ONCE:
+        return when
+    return Timing.LAST_MOMENT if departure.is_last_moment(now.steady_s) else None
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from .clock import Moment
+from .departures.gangs import note_lost_member
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
 from .paces.learning import observe_pace
@@ -30,6 +31,8 @@
     run = step.run_by_index.get(end.key.task_index)
     is_current = run is not None and run.number == end.run and run.worker_id == end.worker_id
     if run is not None and is_current:
+        if end.kind is not EndKind.DONE:
+            note_lost_member(state, run)
         state.remove_run(run)
     _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/events.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/events.py
@@ -116,6 +116,36 @@
     worker_ids: tuple[str, ...]
 
 
+class RunsMoved(NamedTuple):
+    """A stop of a run, with its gang, because its worker leaves before it can end, for the log.
+
+    Parameters
+    ----------
+    worker_id : str
+        Incarnation of the worker that leaves.
+    step : StepKey
+        Step of the run.
+    saved : str
+        Whether the step saves its progress.
+    timing : str
+        Whether it was stopped at once, when there was capacity elsewhere or at the last moment.
+    runs : int
+        Number of runs stopped.
+    lost_core_s : float
+        Work of these runs that has to be done again, in weighted core-seconds.
+    spared_core_s : float
+        Work without a use that they would have done until the last moment, in weighted core-seconds.
+    """
+
+    worker_id: str
+    step: StepKey
+    saved: str
+    timing: str
+    runs: int
+    lost_core_s: float
+    spared_core_s: float
+
+
 class DomainEvacuated(NamedTuple):
     """A failure domain is evacuated from now on, for the log.
 
@@ -231,7 +261,7 @@
     has_takers_twice: bool
 
 
-Note = RunLost | CrashCounted | TaskGivenUp | StepWaiting | DomainEvacuated | DomainEmptied | DomainReopened
+Note = RunLost | CrashCounted | TaskGivenUp | RunsMoved | StepWaiting | DomainEvacuated | DomainEmptied | DomainReopened
 
 
 class ListedRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -1,11 +1,13 @@
 """One scheduling pass over all steps that have tasks to start."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from itertools import chain
 from operator import attrgetter
 
 from .advice import Advice
 from .clock import Moment
 from .crashes import isolation_s, pending_suspects, waits_for_empty_worker
+from .departures import find_moves, Move, order_move
 from .effects import AskAdvice
 from .gates import job_wait_reason, step_wait_reason
 from .job_state import StepState
@@ -83,17 +85,25 @@
             share = used_share(self._state.worker_by_id.values())
             self._state.stalls.update(self._state.active_jobs(), share, self._now.steady_s)
             self._reservations.blocks_only_later_steps = self._state.stalls.has_idle_capacity
-        for request in self._ordered_requests():
-            self._schedule(request)
+        moves = find_moves(self._state, self._now)
+        for request in self._ordered_requests(self._move_request(step, move) for step, move in moves.items()):
+            if request.step in moves:
+                order_move(self._state, moves[request.step], request, self._free_capacity, self._now)
+            else:
+                self._schedule(request)
         if self._is_full:
             self._report_stalls()
 
-    def _ordered_requests(self) -> list[PlacementRequest]:
-        """Return the requests that may be granted now, in order of sort keys."""
-        return sorted(
-            (request for request in self._requests() if self._may_be_placed(request)),
-            key=attrgetter('sort_key'),
-        )
+    def _ordered_requests(self, moves: Iterable[PlacementRequest]) -> list[PlacementRequest]:
+        """Return the requests that may be granted now, moves among them, in order of sort keys."""
+        waiting = (request for request in self._requests() if self._may_be_placed(request))
+        return sorted(chain(waiting, moves), key=attrgetter('sort_key'))
+
+    def _move_request(self, step: StepState, move: Move) -> PlacementRequest:
+        """Return the request to place the tasks of a move near their data or in one rack, as if they had not waited."""
+        request = self._request(step, self._ranks.get(step.job.spec.job_id, RANK_ORDINARY), move.task_indices)
+        is_far_allowed = self._allows_far_workers(step, request.task_count, has_waited=False)
+        return request._replace(allows_far_workers=is_far_allowed, is_overdue=False)
 
     def _requests(self) -> Iterator[PlacementRequest]:
         """Yield the requests of all ready steps that no gate holds back."""
@@ -366,11 +376,12 @@
 
     def _drop_stale_reservations(self) -> None:
         """Drop reservations that are no longer needed or can no longer be used."""
+        self._reservations.shrink_moves()
         worker_ids = {worker.worker_id for worker in self._workers}
         self._reservations.drop(lambda reservation: not self._is_valid(reservation, worker_ids))
 
     def _is_valid(self, reservation: Reservation, worker_ids: set[str]) -> bool:
-        if reservation.step.job.has_ended or not reservation.step.pending:
+        if reservation.step.job.has_ended or not (reservation.step.pending or reservation.moved):
             return False
         if not reservation.awaits_preemption:
             return not reservation.step.run_by_index
--- a/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
@@ -6,6 +6,7 @@
 
 from .job_state import StepState
 from .ranks import RANK_OVERDUE
+from .runs import RunPhase
 from .standing import SortKey
 
 
@@ -31,6 +32,9 @@
         Whether the step has waited so long while the pool had idle capacity that also
         overdue work that follows it must not use the reserved capacity. Otherwise a
         steady stream of overdue work would starve the step.
+    moved : frozenset of int
+        Tasks that are being moved off leaving workers, for which the capacity is reserved;
+        empty for other reservations.
     """
 
     step: StepState
@@ -40,6 +44,22 @@
     awaits_preemption: bool = False
     created_s: float = 0.0
     blocks_overdue: bool = False
+    moved: frozenset[int] = frozenset()
+
+    def for_rest_of_move(self) -> 'Reservation | None':
+        """Return the reservation for the moved tasks that have not restarted or ended; None if there are none."""
+        runs = self.step.run_by_index
+        stopping = {index for index in self.moved if index in runs and runs[index].phase is RunPhase.STOPPING}
+        rest = stopping | self.moved & self.step.pending
+        if len(rest) == len(self.moved):
+            return self if rest else None
+        counts = Counter(self.count_by_worker)
+        counts.subtract(runs[index].worker_id for index in self.moved - rest if index in runs)
+        counts = +counts
+        while counts.total() > len(rest):
+            counts[next(reversed(counts))] -= 1
+            counts = +counts
+        return self._replace(count_by_worker=dict(counts), moved=frozenset(rest)) if rest else None
 
 
 class Reservations:
@@ -73,6 +93,8 @@
         """Return whether a reservation keeps a step with this sort key from using its capacity."""
         if reservation.step is step:
             return False
+        if reservation.moved and sort_key.rank != RANK_OVERDUE:
+            return reservation.sort_key.rank <= sort_key.rank
         if reservation.awaits_preemption or reservation.sort_key.rank < sort_key.rank:
             return True
         if sort_key.rank == RANK_OVERDUE:
@@ -102,9 +124,22 @@
         self.version += 1
 
     def drop_for_step(self, step: StepState) -> None:
-        """Remove the reservation of a step."""
+        """Remove the reservation of a step, except for moved tasks that still have to start."""
         if self.has(step):
-            self.drop(lambda reservation: reservation.step is step)
+            self.drop(lambda reservation: reservation.step is step and not reservation.moved)
+            self.shrink_moves()
+
+    def shrink_moves(self) -> None:
+        """Reduce the reservations of moves to the tasks that have not restarted or ended."""
+        shrunk = [each.for_rest_of_move() if each.moved else each for each in self._reservations]
+        if all(each is known for each, known in zip(shrunk, self._reservations, strict=True)):
+            return
+        for known in self._reservations:
+            if known.moved:
+                self._freed_workers.update(known.count_by_worker)
+        self._reservations = [each for each in shrunk if each is not None]
+        self._count_by_step = Counter(reservation.step for reservation in self._reservations)
+        self.version += 1
 
     def pop_freed_workers(self) -> set[str]:
         """Return the workers on which reservations were removed since the last call."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -14,7 +14,7 @@
     record_silent_worker_crash,
     record_worker_crash,
 )
-from .departures import drain_leaving_workers, expire_leases
+from .departures import drain_leaving_workers, expire_leases, stop_broken_gangs
 from .effects import Effect
 from .ends import apply_run_end
 from .evacuations import Evacuations
@@ -312,6 +312,7 @@
         apply_crash_limit(state, now)
         for job in state.active_jobs():
             job.open_due(now.wall_s)
+        stop_broken_gangs(state)
         drain_leaving_workers(state, now)
         self.evacuations.report_emptied(now)
         assess_workers(state, now)
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -151,6 +151,8 @@
         self.awaited_incarnations: set[str] = set()
         self.given_up_unacknowledged: set[str] = set()
         self.recent_crashes: list[WorkerCrash] = []
+        # Gangs of which a run has ended without success since the last pass, by step and run number.
+        self.broken_gang_runs: set[tuple[StepState, int]] = set()
         self.effects: list[Effect] = []
         self.guaranteed_by_account: dict[str, int] = {}
         # Failure domains in which nothing may be started.
--- a/packages/node/dahliaarch_node/metrics/core.py
+++ b/packages/node/dahliaarch_node/metrics/core.py
@@ -97,6 +97,18 @@
             ['why'],
             registry=self.registry,
         )
+        self.departure_moves = Counter(
+            'dahliaarch_departure_moves',
+            'Stops of runs or gangs because a worker leaves before they can end',
+            ['saved', 'timing'],
+            registry=self.registry,
+        )
+        self.departure_core_s = Counter(
+            'dahliaarch_departure_core_seconds',
+            'Work of these runs that is done again, and work without a use that earlier stops spared',
+            ['kind'],
+            registry=self.registry,
+        )
         self.decide_s = Histogram(
             'dahliaarch_decide_seconds',
             'Time of one pass of decisions',
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -10,6 +10,7 @@
     DomainEvacuated,
     DomainReopened,
     RunLost,
+    RunsMoved,
     StepWaiting,
     TaskGivenUp,
 )
@@ -143,6 +144,22 @@
     def _(self, note: TaskGivenUp) -> None:
         log_event('task_given_up', task=note.key, workers=note.worker_ids)
 
+    @log_note.register
+    def _(self, note: RunsMoved) -> None:
+        self._metrics.departure_moves.labels(note.saved, note.timing).inc()
+        self._metrics.departure_core_s.labels('lost').inc(note.lost_core_s)
+        self._metrics.departure_core_s.labels('spared').inc(note.spared_core_s)
+        log_event(
+            'runs_moved',
+            worker=note.worker_id,
+            step=note.step,
+            saved=note.saved,
+            timing=note.timing,
+            runs=note.runs,
+            lost_core_s=round(note.lost_core_s, 1),
+            spared_core_s=round(note.spared_core_s, 1),
+        )
+
     @log_note.register
     def _(self, note: DomainEvacuated) -> None:
         log_event(
