Update slowdowns four times a second; count slow workers in a test

Cause: with evidence from gangs, an update of the slowdowns of 176 workers took 0.37 ms per pass, 0.09 ms before. Change: it is done every 0.25 s. The gauge of slow workers is reset when the owner is deposed, with a test.

--- a/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
@@ -33,6 +33,8 @@
 MAX_LOG_RATIO = 0.9
 # Time in which evidence on a worker's pace loses half of its weight, in seconds.
 _HALVING_TIME_S = 20.0
+# Minimum time between two updates of slowdowns, in seconds.
+_UPDATE_INTERVAL_S = 0.25
 # Standard errors by which a worker must be slower than healthy ones to count as slow.
 _MIN_Z_SCORE = 0.25
 
@@ -63,6 +65,11 @@
     step.log_run_times.append(log_time - worker.pace.log_ratio)
 
 
+def is_update_due(updated_s: float, now: Moment, settings: SchedulerSettings) -> bool:
+    """Return whether slowdowns must be updated; not at each pass with the costlier estimates from gangs."""
+    return not settings.has(Mechanism.GANG_PACES) or abs(now.steady_s - updated_s) >= _UPDATE_INTERVAL_S
+
+
 def update_slowdowns(workers: Collection[WorkerState], now: Moment, settings: SchedulerSettings) -> float:
     """Update each worker's slowdown relative to the pace of a healthy worker, which is returned as a log ratio."""
     learns_from_gangs = settings.has(Mechanism.GANG_PACES)
--- a/packages/kernel/dahliaarch_kernel/scheduler/paces/tests/test_gangs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/tests/test_gangs.py
@@ -141,12 +141,12 @@
     pool.advance()
     for _ in range(4):
         worker.pace.observe(0.8, 0.9)
-    pool.advance(0.1)
+    pool.advance(0.3)
     assert is_slow(worker)
     for _ in range(sound_runs):
         pool.advance(interval_s)
         worker.pace.observe(0.0, 0.9)
-    pool.advance(0.1)
+    pool.advance(0.3)
     assert not is_slow(worker)
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -22,7 +22,7 @@
 from .health import assess_workers
 from .job_state import ENDED_PHASES, JobPhase, JobState
 from .mechanisms import Mechanism
-from .paces.learning import update_slowdowns
+from .paces.learning import is_update_due, update_slowdowns
 from .passes import SchedulingPass
 from .progress import JobProgress
 from .runs import RunPhase
@@ -315,7 +315,8 @@
         drain_leaving_workers(state, now)
         self.evacuations.report_emptied(now)
         assess_workers(state, now)
-        if state.settings.has(Mechanism.WORKER_PACES):
+        if state.settings.has(Mechanism.WORKER_PACES) and is_update_due(state.slowdowns_updated_s, now, state.settings):
+            state.slowdowns_updated_s = now.steady_s
             state.pace_reference = update_slowdowns(state.worker_by_id.values(), now, state.settings)
         SchedulingPass(state, now).run()
         effects = state.effects
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -161,6 +161,8 @@
         self.surveyed_workers: set[str] = set()
         # Pace of a healthy worker, as the logarithm of its ratio of run times.
         self.pace_reference = 0.0
+        # When slowdowns of workers were last updated, on the steady clock.
+        self.slowdowns_updated_s = float('-inf')
         self.failed_searches = FailedSearches()
         self.stalls = StallTracker()
         self._runs_started = 0
--- a/packages/node/dahliaarch_node/owner/tests/test_start_turns.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_start_turns.py
@@ -96,6 +96,22 @@
     assert harness.metric_value('waiting_starts', queue='other') == 0
 
 
+def test_slow_workers_are_counted_until_the_owner_is_deposed():
+    """Guards against a count that a former owner goes on exporting."""
+    now = Moment(1000.0, 0.0)
+    scheduler = Scheduler(SchedulerSettings(), 7)
+    for name in ('w0', 'w1', 'w2'):
+        scheduler.update_worker(WorkerProfile(name, 'svc', 'z', Resources(64_000, 262_144, 8), ('a', 'r0')), now)
+    for _ in range(8):
+        scheduler.worker_by_id['w0'].pace.observe(0.5)
+    scheduler.decide(now)
+    harness = LimiterHarness()
+    with LoadGauges(scheduler, harness.metrics) as gauges:
+        gauges.update(1000.0)
+        assert harness.metric_value('slow_workers') == 1
+    assert harness.metric_value('slow_workers') == 0
+
+
 def test_unconfirmed_runs_are_shown_until_confirmed():
     now = Moment(1000.0, 0.0)
     scheduler = Scheduler(SchedulerSettings(), 7)
