Gangs get the fastest workers of like pace; take out slow workers for work with slack

Change: a gang gets the fastest levels of pace that hold it, the slowest of these first; slack is no longer read.

--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -11,7 +11,7 @@
 from .job_state import StepState
 from .mechanisms import Mechanism
 from .memory import SearchKey
-from .objectives import begin_s, slack_s
+from .objectives import begin_s
 from .openings import earliest_reservation
 from .placement import has_near_capacity, place, Placement, PlacementRequest, without_failed
 from .preemption import Preemption, PreemptionPlan
@@ -225,17 +225,12 @@
         wanted = request.min_task_count
         if self._failed_searches.is_known_to_lack_capacity(search_key, wanted):
             return Placement(())
-        placement = place(self._with_slack(request), self._free_capacity)
+        placement = place(request, self._free_capacity)
         # Tickets are granted and expire between passes: steps that need them are always tried.
         if not placement.task_count and request.step.advice is None:
             self._failed_searches.record_no_capacity(search_key, wanted)
         return placement
 
-    def _with_slack(self, request: PlacementRequest) -> PlacementRequest:
-        if not self._state.settings.has(Mechanism.GANG_PACES):
-            return request
-        return request._replace(slack_s=slack_s(request.step, self._state.times, self._now.wall_s))
-
     def _search_key(self, request: PlacementRequest) -> SearchKey:
         """Return a search key that is equal for all steps with the same placement requirements.
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -74,8 +74,6 @@
     is_overdue : bool
         Whether the step has waited so long while the pool had idle capacity that most
         reservations no longer block it.
-    slack_s : float
-        How long the step can still wait and meet its target.
     """
 
     step: StepState
@@ -89,7 +87,6 @@
     indices: tuple[int, ...] = ()
     isolation_s: float = 0.0
     is_overdue: bool = False
-    slack_s: float = 0.0
 
     @property
     def min_task_count(self) -> int:
@@ -101,13 +98,6 @@
         """Sort key for the check against reservations."""
         return self.sort_key._replace(rank=RANK_OVERDUE) if self.is_overdue else self.sort_key
 
-    @property
-    def max_slowdown(self) -> float:
-        """Slowdown of workers that the slack allows; none for urgent work, which has little slack."""
-        if self.step.job.queue.priority == 0:
-            return 1.0
-        return 1.0 + _SLACK_SHARE * self.slack_s / self.work_s
-
     @property
     def rank(self) -> int:
         """Rank of the step."""
@@ -119,8 +109,6 @@
 _RackOrder = tuple[bool, bool, PaceFit, int]
 
 
-# Share of its slack that a step may lose on slow workers: run times are uncertain.
-_SLACK_SHARE = 0.5
 # More tasks than any rack holds.
 _UNLIMITED = 1_000_000
 
@@ -213,7 +201,7 @@
     if request.settings.has(Mechanism.GANG_PACES) and not request.policy.has_placement:
         refused = step.refused_until_by_worker
         healthy = [each for each in allocations if _is_healthy(each.worker) and each.worker.worker_id not in refused]
-        fit, chosen = choose_like_paced(healthy, count, request.max_slowdown)
+        fit, chosen = choose_like_paced(healthy, count)
         filled = _fill(chosen, count, step)
         if filled:
             return fit, filled
@@ -233,7 +221,7 @@
     step = request.step
     is_urgent = step.job.queue.priority == 0
     best: tuple[WorkerAllocation, ...] = ()
-    best_order: _RackOrder = (True, True, NEUTRAL_FIT._replace(excess=_UNLIMITED), _UNLIMITED)
+    best_order: _RackOrder = (True, True, NEUTRAL_FIT._replace(level=_UNLIMITED), _UNLIMITED)
     for rack_allocations in by_rack(allocations).values():
         count = sum(allocation.task_count for allocation in rack_allocations)
         if count < request.task_count:
