--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -14,7 +14,7 @@
 from .job_state import StepState
 from .mechanisms import Mechanism
 from .memory import SearchKey
-from .objectives import begin_s, slack_s
+from .objectives import begin_s
 from .openings import earliest_reservation
 from .placement import has_near_capacity, place, Placement, PlacementRequest, without_failed
 from .preemption import Preemption, PreemptionPlan
@@ -243,7 +243,7 @@
         """Return a placement, unless one for an equal search key failed since free capacity last grew."""
         if self._is_known_to_lack_capacity(request, search_key):
             return Placement(())
-        placement = place(self._with_slack(request), self._free_capacity)
+        placement = place(request, self._free_capacity)
         # Tickets are granted and expire between passes: steps that need them are always tried.
         if not placement.task_count and request.step.advice is None:
             standing = request.sort_key.standing
@@ -254,11 +254,6 @@
         wanted = request.min_task_count
         return self._failed_searches.is_known_to_lack_capacity(search_key, wanted, request.sort_key.standing)
 
-    def _with_slack(self, request: PlacementRequest) -> PlacementRequest:
-        if not self._state.settings.has(Mechanism.GANG_PACES):
-            return request
-        return request._replace(slack_s=slack_s(request.step, self._state.times, self._now.wall_s))
-
     def _search_key(self, request: PlacementRequest) -> SearchKey:
         """Return a search key that is equal for all steps with the same placement requirements.
 
