Predict run times as distributions of the ratio to the expected time

Cause: runs take 0.2 to 6 times as long as expected, and one expected time made a run that had exceeded it look as if it ended at any moment.

Change: each queue, and each account in it with enough runs, has a decaying histogram of the ratio. Runs keep the distribution of their order; left_s is the conditional median or another quantile. Interrupted runs count as lasting at least as long as they did. Orders log p50_s and p90_s; the account command prints the share of runs within each by queue.

--- a/packages/cli/dahliaarch_cli/accounting/__init__.py
+++ b/packages/cli/dahliaarch_cli/accounting/__init__.py
@@ -2,6 +2,7 @@
 
 from .histories import JobHistory, read_histories, RunHistory
 from .inherited import inherited_waits, InheritedWaits
+from .predictions import PredictionSummary
 from .stops import describe_preemptions, FreedCapacityUse, PreemptedJob
 from .sums import AccountingReport, build_report, CostlyDecision, Loss, QueueSummary, WindowSummary
 from .takeovers import Takeover, takeovers
@@ -13,6 +14,7 @@
     'InheritedWaits',
     'JobHistory',
     'Loss',
+    'PredictionSummary',
     'PreemptedJob',
     'QueueSummary',
     'RunHistory',
--- a/packages/cli/dahliaarch_cli/accounting/histories.py
+++ b/packages/cli/dahliaarch_cli/accounting/histories.py
@@ -8,6 +8,9 @@
 
 _Task = tuple[str, int, int, int]
 
+# Fields of `run_ordered` with the run times that a run was predicted not to exceed.
+PREDICTION_FIELDS = ('p50_s', 'p90_s')
+
 
 class RunHistory:
     """One run of a task.
@@ -24,6 +27,9 @@
         Worker that the task was assigned to.
     rank : int
         Rank of the step when the start was ordered.
+    predicted_s : dict
+        Run time that the run was predicted not to exceed, by the name of the log field; empty
+        if its run time is not the usual one of its task.
     """
 
     def __init__(self, task: _Task, number: int, ordered_s: float, worker: str, rank: int = 0) -> None:
@@ -37,6 +43,18 @@
         self.ended_s: float | None = None
         self.end_kind = ''
         self.stop_reason = ''
+        self.predicted_s: dict[str, float] = {}
+        # How long a run that was lost is known to have lasted.
+        self.lost_after_s: float | None = None
+
+    @property
+    def lasted_s(self) -> float:
+        """How long an ended run lasted at least: until it was ordered to stop or was last known to run."""
+        if self.lost_after_s is not None:
+            return self.lost_after_s
+        if self.stop_reason and self.end_kind != 'done':
+            return self.stop_ordered_s - self.ordered_s
+        return self.duration_s
 
     @property
     def duration_s(self) -> float:
@@ -164,6 +182,7 @@
     def on_run_ordered(self, line: LogLine) -> None:
         key = _run_key(line.fields)
         run = RunHistory(*key, line.at_s, line.fields['worker'], line.fields.get('rank', 0))
+        run.predicted_s = {name: line.fields[name] for name in PREDICTION_FIELDS if line.fields.get(name)}
         self._run_by_key[key] = run
         self.job(run.task[0]).runs.append(run)
 
@@ -179,6 +198,7 @@
             run.ended_s = line.at_s
             # A run lost with its worker did not report an end: `run_lost` has no field `how`.
             run.end_kind = line.fields.get('how', 'lost')
+            run.lost_after_s = line.fields.get('ran_s')
 
     def on_job_cancelled(self, line: LogLine) -> None:
         self.job(line.fields['job']).cancelled_s = line.at_s
--- a/packages/cli/dahliaarch_cli/accounting/sums.py
+++ b/packages/cli/dahliaarch_cli/accounting/sums.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from .histories import JobHistory, RunHistory
+from .predictions import PredictionSummary, summarize_predictions
 from .stops import freed_capacity_use, FreedCapacityUse, preempted_jobs, PreemptedJob
 
 # Length of a time window in seconds.
@@ -100,6 +101,8 @@
         Use of the capacity that preemptions freed.
     stopped : list of PreemptedJob
         Jobs that lost the most work to preemptions.
+    predictions : list of PredictionSummary
+        Share of the runs that ended within their predicted times, by queue.
     """
 
     queues: list[QueueSummary]
@@ -109,6 +112,7 @@
     decisions: list[CostlyDecision]
     room: list[FreedCapacityUse]
     stopped: list[PreemptedJob]
+    predictions: list[PredictionSummary]
 
 
 def build_report(history_by_id: Mapping[str, JobHistory]) -> AccountingReport:
@@ -123,6 +127,7 @@
         _costliest_decisions(jobs),
         freed_capacity_use(history_by_id),
         preempted_jobs(jobs)[:_MAX_LISTED],
+        summarize_predictions(jobs),
     )
 
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
@@ -2,7 +2,8 @@
 
 from ..clock import Moment
 from ..crashes import retain_silent_loss
-from ..events import LossCause
+from ..events import EndKind, LossCause
+from ..prediction.observations import observe_end
 from ..runs import RunPhase
 from ..state import SchedulerState
 from ..successors import note_given_up
@@ -31,6 +32,9 @@
     retain_silent_loss(state, worker, now)
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
+        step = state.step_of(run.key)
+        if step is not None:
+            observe_end(state.times, step, run, EndKind.LAPSED, now.steady_s)
         state.remove_run(run)
     worker.is_lapsed = worker.is_lapsed or _is_known_idle(state, worker, now)
     if not worker.is_listed:
--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -25,6 +25,9 @@
         Expected run time on this worker, for the log.
     ticket : str
         Ticket of the external policy, if the queue needs one.
+    p50_s, p90_s : float
+        Run times that the run was predicted not to exceed with probabilities of 0.5 and 0.9,
+        for the log; 0 if its run time is not the usual one of its task.
     """
 
     worker_id: str
@@ -34,6 +37,8 @@
     rank: int = 0
     expected_s: float = 0.0
     ticket: str = ''
+    p50_s: float = 0.0
+    p90_s: float = 0.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -10,6 +10,7 @@
 from .events import EndKind, RunEnd
 from .job_state import JobPhase, StepState
 from .paces.learning import observe_pace
+from .prediction.observations import observe_end
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
@@ -30,6 +31,7 @@
     run = step.run_by_index.get(end.key.task_index)
     is_current = run is not None and run.number == end.run and run.worker_id == end.worker_id
     if run is not None and is_current:
+        observe_end(state.times, step, run, end.kind, now.steady_s)
         state.remove_run(run)
     _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
 
--- /dev/null
+++ b/packages/kernel/dahliaarch_kernel/scheduler/prediction/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the predictions of run times."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -1,8 +1,10 @@
 """Runs of tasks on workers, as the scheduler knows them."""
 
+import math
 from enum import StrEnum
 
 from ..workload import Resources, TaskKey
+from .prediction import MEDIAN, next_change, RatioDistribution
 
 
 class RunPhase(StrEnum):
@@ -57,11 +59,17 @@
         that omits it proves it is not running, since the worker refuses late orders of that owner.
     assigned_s : float
         When its start was decided, in seconds since 1970.
+    ratios : RatioDistribution or None
+        Distribution of its run time over `work_s`, as known when it was ordered; None if
+        run times are predicted by the expected time alone.
     """
 
     __slots__ = (
         '_baseline_percent',
         '_baseline_s',
+        '_median_end_s',
+        '_median_since_s',
+        '_median_valid_until_s',
         'assigned_s',
         'is_inherited',
         'isolation_s',
@@ -77,6 +85,7 @@
         'percent',
         'phase',
         'rank',
+        'ratios',
         'report_gain',
         'report_span_s',
         'last_seen_s',
@@ -121,6 +130,10 @@
         self.report_gain = 0.0
         self._baseline_s: float | None = started_s
         self._baseline_percent = 0.0
+        self._median_end_s = 0.0
+        self._median_since_s = 0.0
+        self._median_valid_until_s = _NEVER_S
+        self.ratios: RatioDistribution | None = None
         self.rank = 0
 
     @property
@@ -144,6 +157,7 @@
         self.progressed_s = started_s
         self.last_seen_s = started_s
         self.was_unlisted = False
+        self._median_valid_until_s = _NEVER_S
         if self._baseline_s is not None:
             self._baseline_s = started_s
 
@@ -155,6 +169,7 @@
         """Record a progress report."""
         self._update_measured_pace(percent, now_s)
         self.last_seen_s = now_s
+        self._median_valid_until_s = _NEVER_S
         if percent > self.percent:
             self.percent = percent
             self.progressed_s = now_s
@@ -173,19 +188,61 @@
 
     def may_have_ended(self, at_s: float) -> bool:
         """Return whether the run, last listed earlier, is expected to have ended by a time on the steady clock."""
-        return at_s > self.last_seen_s and self.left_s(at_s) <= _MIN_LEFT_S
-
-    def left_s(self, now_s: float) -> float:
-        """Return the expected remaining time, in seconds."""
-        estimated_left_s = self.started_s + self.work_s - now_s
+        return at_s > self.last_seen_s and self._expected_end_s() - at_s <= _MIN_LEFT_S
+
+    def predicted_s(self, probability: float) -> float:
+        """Return the run time that it was expected, when it was ordered, not to exceed with a probability.
+
+        The result is 0 if its run time is not the usual one of its task, or if no distribution is known.
+        """
+        if self.ratios is None or not self.shows_run_time:
+            return 0.0
+        return self.work_s * self.ratios.quantile(probability)
+
+    def left_s(self, now_s: float, probability: float = MEDIAN) -> float:
+        """Return the remaining time that the run does not exceed with a probability, in seconds."""
+        if self.ratios is None or self.work_s <= 0:
+            return max(self._expected_end_s() - now_s, _MIN_LEFT_S)
+        if probability != MEDIAN:
+            return max(self._end_quantile_s(now_s, self.ratios, probability) - now_s, _MIN_LEFT_S)
+        # A pass asks for the median of each run on each worker; it changes with reports and when the age of the run
+        # reaches another bin.
+        if not self._median_since_s <= now_s < self._median_valid_until_s:
+            self._median_since_s = now_s
+            self._median_end_s = self._end_quantile_s(now_s, self.ratios, MEDIAN)
+            ratio = (now_s - self.started_s) / self.work_s
+            self._median_valid_until_s = self.started_s + self.work_s * next_change(ratio)
+        return max(self._median_end_s - now_s, _MIN_LEFT_S)
+
+    def _expected_end_s(self) -> float:
+        """Return the time at which the run ends by its expected run time or by its measured pace."""
         if self.percent < _MIN_PACE_PERCENT:
-            return max(estimated_left_s, _MIN_LEFT_S)
+            return self.started_s + self.work_s
         # The measured pace is a better predictor than the estimate made before the start.
-        pace_s = (self.last_seen_s - self.started_s) / self.percent
-        left_s = pace_s * (100.0 - self.percent) - (now_s - self.last_seen_s)
-        return max(left_s, _MIN_LEFT_S)
-
+        percent = min(self.percent, 100.0)
+        pace_s = (self.last_seen_s - self.started_s) / percent
+        return self.last_seen_s + pace_s * (100.0 - percent)
 
+    def _end_quantile_s(self, now_s: float, ratios: RatioDistribution, probability: float) -> float:
+        """Return the time by which the run ends with a probability, given its age and its progress."""
+        reached = (now_s - self.started_s) / self.work_s
+        if self.percent < _MIN_PACE_PERCENT:
+            return self.started_s + self.work_s * ratios.conditional_quantile(reached, probability)
+        # The less work is left, the less the rest of the run differs from the measured pace.
+        uncertainty = max(0.0, 1.0 - self.percent / 100.0)
+        factor = math.pow(ratios.quantile(probability) / ratios.quantile(MEDIAN), uncertainty)
+        ratio = (self._expected_end_s() - self.started_s) / self.work_s * factor
+        shortest = ratios.conditional_quantile(reached, _SHORTEST_PROBABILITY)
+        longest = ratios.conditional_quantile(reached, _LONGEST_PROBABILITY)
+        return self.started_s + self.work_s * min(max(ratio, shortest), longest)
+
+
+# Before all times on the steady clock.
+_NEVER_S = float('-inf')
+# Range of run times, given its age, within which a run's reported progress may place its end: a worker's false
+# percentages have no more effect than that.
+_SHORTEST_PROBABILITY = 0.01
+_LONGEST_PROBABILITY = 0.99
 # Minimum time between two reports for measuring a pace, in seconds.
 _MIN_MEASURED_SPAN_S = 0.35
 # Below this progress, in percent, the measured pace is dominated by start-up time.
--- a/packages/kernel/dahliaarch_kernel/scheduler/state.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/state.py
@@ -25,6 +25,8 @@
 # seconds: entries are written every 1.5 s, and users tolerate starts on capacity that
 # shrank up to 4.5 s ago.
 _CAPACITY_VALID_S = 3.0
+# Probabilities of the run times that are logged when a run is ordered.
+_LOGGED_PROBABILITIES = (0.5, 0.9)
 
 
 # Number of tasks of a step whose assignments are saved together. It bounds the size of
@@ -139,7 +141,10 @@
         self.job_by_id: dict[str, JobState] = {}
         self.active_job_by_id: dict[str, JobState] = {}
         self.worker_by_id: dict[str, WorkerState] = {}
-        self.times = RunTimes(is_learning=settings.has(Mechanism.LEARNED_TIMES))
+        self.times = RunTimes(
+            is_learning=settings.has(Mechanism.LEARNED_TIMES),
+            has_quantiles=settings.has(Mechanism.RUN_TIME_QUANTILES),
+        )
         self.reservations = Reservations()
         self.dirty_jobs: set[str] = set()
         # Parts whose assignments have changed and are not saved yet.
@@ -183,6 +188,7 @@
         """Add a run, which takes its task and its capacity on the worker."""
         step.pending.discard(run.key.task_index)
         step.run_by_index[run.key.task_index] = run
+        run.ratios = self.times.ratios(step.job.queue.name, step.job.spec.account)
         self.unsaved_assignments.add(part_of(run.key))
         worker = self.worker_by_id.get(run.worker_id)
         if worker is not None:
@@ -222,7 +228,10 @@
             run.discard_pace_baseline()
         self.add_run(step, run)
         ticket = step.advice.ticket(run.worker_id, run.started_s) if step.advice else ''
-        self.effects.append(StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket))
+        p50_s, p90_s = (run.predicted_s(probability) for probability in _LOGGED_PROBABILITIES)
+        self.effects.append(
+            StartRun(run.worker_id, run.key, run.number, run.checkpoint, run.rank, run.work_s, ticket, p50_s, p90_s)
+        )
 
     def stop(self, run: Run, reason: str) -> None:
         """Order a stop, unless one has been ordered already."""
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -107,6 +107,8 @@
             from_checkpoint=start.checkpoint,
             rank=start.rank,
             expected_s=round(start.expected_s, 2),
+            p50_s=round(start.p50_s, 2),
+            p90_s=round(start.p90_s, 2),
         )
         link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
 
