--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -191,9 +191,6 @@
             self._sort_key(step, rank),
             tuple(sorted(tasks)),
             is_overdue=is_overdue,
-            backfill_ratio=self._state.times.quantile_ratio(
-                step.job.queue.name, step.job.spec.account, settings.backfill_certainty
-            ),
         )
 
     def _allows_far_workers(self, step: StepState, count: int, *, has_waited: bool) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -73,9 +73,6 @@
     is_overdue : bool
         Whether the step has waited so long while the pool had idle capacity that most
         reservations no longer block it.
-    backfill_ratio : float
-        Multiple of the expected run time within which its tasks end with the certainty that
-        backfilling requires.
     """
 
     step: StepState
@@ -89,7 +86,6 @@
     indices: tuple[int, ...] = ()
     isolation_s: float = 0.0
     is_overdue: bool = False
-    backfill_ratio: float = 1.0
 
     @property
     def min_task_count(self) -> int:
@@ -223,7 +219,7 @@
 ) -> list[WorkerAllocation]:
     step = request.step
     demand = effective_demand(step)
-    end_s = request.now_s + work_s * request.backfill_ratio
+    end_s = request.now_s + work_s
     found = []
     for worker in _with_free_capacity(_candidates(request, free_capacity, near=near), free_capacity.free_by_id, demand):
         free = free_capacity.free_for(worker, step, request.reservation_sort_key, end_s)
--- a/packages/kernel/dahliaarch_kernel/scheduler/prediction/run_times.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/prediction/run_times.py
@@ -42,12 +42,9 @@
 
     def quantile_s(self, queue: str, account: str, step: StepSpec, probability: float) -> float:
         """Return the time within which one task ends with a probability; without quantiles, the expected run time."""
-        return self.expect_s(queue, step) * self.quantile_ratio(queue, account, probability)
-
-    def quantile_ratio(self, queue: str, account: str, probability: float) -> float:
-        """Return the quantile of the ratio of run time to expected time; 1 without quantiles."""
         ratios = self.ratios(queue, account)
-        return 1.0 if ratios is None else ratios.quantile(probability)
+        expected_s = self.expect_s(queue, step)
+        return expected_s if ratios is None else expected_s * ratios.quantile(probability)
 
     def ratios(self, queue: str, account: str) -> RatioDistribution | None:
         """Return the distribution of the ratio of run time to expected time; None without quantiles."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -108,7 +108,6 @@
         self._find_step = find_step
         self._now_s = now_s
         self._cost_by_run: dict[Run, float] = {}
-        self._relative_cost_by_run: dict[Run, float] = {}
 
     def plan(
         self, step: StepState, count: int, free_capacity: FreeCapacity, sort_key: SortKey, *, allows_far_workers: bool
@@ -208,16 +207,8 @@
         return sorted(found, key=lambda run: self._relative_cost(run, worker.profile.capacity))
 
     def _relative_cost(self, run: Run, capacity: Resources) -> float:
-        """Return a run's cost per share of its worker; cached, since each step orders the runs of all workers."""
-        cached = self._relative_cost_by_run.get(run)
-        if cached is None:
-            cached = self._compute_relative_cost(run, capacity)
-            self._relative_cost_by_run[run] = cached
-        return cached
-
-    def _compute_relative_cost(self, run: Run, capacity: Resources) -> float:
         share = max(weighted_cores(run.demand), 1.0) / max(weighted_cores(capacity), 1.0)
-        if run.left_s(self._now_s) < _NEARLY_DONE_S:
+        if run.expected_left_s(self._now_s) < _NEARLY_DONE_S:
             return 0.0
         return self.cost(run) / share
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/runs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/runs.py
@@ -188,7 +188,7 @@
 
     def may_have_ended(self, at_s: float) -> bool:
         """Return whether the run, last listed earlier, is expected to have ended by a time on the steady clock."""
-        return at_s > self.last_seen_s and self._expected_end_s() - at_s <= _MIN_LEFT_S
+        return at_s > self.last_seen_s and self.expected_left_s(at_s) <= _MIN_LEFT_S
 
     def predicted_s(self, probability: float) -> float:
         """Return the run time that it was expected, when it was ordered, not to exceed with a probability.
@@ -199,10 +199,14 @@
             return 0.0
         return self.work_s * self.ratios.quantile(probability)
 
+    def expected_left_s(self, now_s: float) -> float:
+        """Return the remaining time by the expected run time or the measured pace, whatever the distribution."""
+        return max(self._expected_end_s() - now_s, _MIN_LEFT_S)
+
     def left_s(self, now_s: float, probability: float = MEDIAN) -> float:
         """Return the remaining time that the run does not exceed with a probability, in seconds."""
         if self.ratios is None or self.work_s <= 0:
-            return max(self._expected_end_s() - now_s, _MIN_LEFT_S)
+            return self.expected_left_s(now_s)
         if probability != MEDIAN:
             return max(self._end_quantile_s(now_s, self.ratios, probability) - now_s, _MIN_LEFT_S)
         # A pass asks for the median of each run on each worker; it changes with reports and when the age of the run
--- a/packages/kernel/dahliaarch_kernel/scheduler/settings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/settings.py
@@ -29,9 +29,6 @@
         How long ready work of a job with nothing running respects the reservations of
         others and waits for free capacity near its data or its gang, while less than
         half of the pool is in use.
-    backfill_certainty : float
-        Probability with which work must end before a reservation of others begins in order to
-        use the reserved capacity until then.
     without : frozenset of Mechanism
         Mechanisms that are disabled.
     """
@@ -44,7 +41,6 @@
     far_after_share: float = 1.5
     reservations: int = 4
     idle_wait_s: float = 2.5
-    backfill_certainty: float = 0.75
     without: frozenset[Mechanism] = frozenset()
 
     def has(self, mechanism: Mechanism) -> bool:
