--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
@@ -4,8 +4,9 @@
 
 from ..clock import Moment
 from ..crashes import retain_silent_loss
-from ..events import LossCause
+from ..events import EndKind, LossCause
 from ..mechanisms import Mechanism
+from ..prediction.observations import observe_end
 from ..state import SchedulerState
 from ..successors import note_given_up
 from ..workers import WorkerState
@@ -37,6 +38,9 @@
     note_given_up(state, worker)
     for run in tuple(worker.run_by_key.values()):
         note_lost_member(state, run)
+        step = state.step_of(run.key)
+        if step is not None:
+            observe_end(state.times, step, run, EndKind.LAPSED, now.steady_s)
         state.remove_run(run)
     worker.is_lapsed = worker.is_lapsed or _is_known_idle(state, worker, now)
     if not worker.is_listed:
--- a/packages/kernel/dahliaarch_kernel/scheduler/effects.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/effects.py
@@ -33,6 +33,9 @@
         Overuse ratio of the account, for the log.
     slowdown : float
         Factor by which the run is expected to take longer there than on a healthy worker, for the log.
+    p50_s, p90_s : float
+        Run times that the run was predicted not to exceed with probabilities of 0.5 and 0.9,
+        for the log; 0 if its run time is not the usual one of its task.
     """
 
     worker_id: str
@@ -46,6 +49,8 @@
     account_level: int = 0
     account_ratio: float = 1.0
     slowdown: float = 1.0
+    p50_s: float = 0.0
+    p90_s: float = 0.0
 
 
 class StopRun(NamedTuple):
--- a/packages/kernel/dahliaarch_kernel/scheduler/ends.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/ends.py
@@ -12,6 +12,7 @@
 from .job_state import JobPhase, StepState
 from .paces.gangs import observe_gang
 from .paces.learning import observe_pace
+from .prediction.observations import observe_end
 from .runs import Run, RunPhase
 from .state import SchedulerState
 
@@ -34,6 +35,7 @@
     if run is not None and is_current:
         if end.kind is not EndKind.DONE:
             note_lost_member(state, run)
+        observe_end(state.times, step, run, end.kind, now.steady_s)
         state.remove_run(run)
     _HANDLER_BY_KIND.get(end.kind, _on_interrupted)(state, step, end, run if is_current else None, now)
 
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -219,7 +219,7 @@
 
     def _relative_cost(self, run: Run, capacity: Resources) -> float:
         share = max(weighted_cores(run.demand), 1.0) / max(weighted_cores(capacity), 1.0)
-        if run.left_s(self._now_s) < _NEARLY_DONE_S:
+        if run.expected_left_s(self._now_s) < _NEARLY_DONE_S:
             return 0.0
         return self.cost(run) / share
 
--- a/packages/node/dahliaarch_node/owner/effects.py
+++ b/packages/node/dahliaarch_node/owner/effects.py
@@ -112,6 +112,8 @@
             account_level=start.account_level,
             account_ratio=round(start.account_ratio, 2),
             slowdown=round(start.slowdown, 2),
+            p50_s=round(start.p50_s, 2),
+            p90_s=round(start.p90_s, 2),
         )
         link.start(start, self._scheduler.job_by_id[start.key.job_id].spec.payload)
 
