--- a/packages/node/dahliaarch_node/tests/test_status.py
+++ b/packages/node/dahliaarch_node/tests/test_status.py
@@ -32,7 +32,7 @@
     assert pool_status(scheduler)['waiting_steps'] == [{'reason': 'no capacity', 'steps': 1}]
 
 
-def test_accounts_are_shown_with_how_far_they_are_over_their_share():
+def test_accounts_are_shown_with_their_overuse():
     scheduler = Scheduler(SchedulerSettings(), 7)
     now = Moment(1000.0, 1_700_000_000.0)
     profile = WorkerProfile('w0', 'svc', 'east', Resources(64_000, 262_144, 8), ('a', 'r0'))
