--- a/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/reservations.py
@@ -93,9 +93,11 @@
         """Return whether a reservation keeps a step with this sort key from using its capacity."""
         if reservation.step is step:
             return False
-        if reservation.moved and sort_key.rank != RANK_OVERDUE:
-            return reservation.sort_key.rank <= sort_key.rank
-        if reservation.awaits_preemption or reservation.sort_key.rank < sort_key.rank:
+        if reservation.awaits_preemption:
+            # A move does not keep more urgent work from starting.
+            is_move = bool(reservation.moved) and sort_key.rank != RANK_OVERDUE
+            return not is_move or reservation.sort_key.rank <= sort_key.rank
+        if reservation.sort_key.rank < sort_key.rank:
             return True
         if sort_key.rank == RANK_OVERDUE:
             return reservation.blocks_overdue and reservation.sort_key._replace(rank=RANK_OVERDUE) < sort_key
@@ -131,6 +133,8 @@
 
     def shrink_moves(self) -> None:
         """Reduce the reservations of moves to the tasks that have not restarted or ended."""
+        if not any(each.moved for each in self._reservations):
+            return
         shrunk = [each.for_rest_of_move() if each.moved else each for each in self._reservations]
         if all(each is known for each, known in zip(shrunk, self._reservations, strict=True)):
             return
