Departures: a run is left alone while it may end in time with a probability of 0.25

Cause: with run times as distributions, the median of what is left of a run near its expected end is longer than the rest of the notice, and the run was moved shortly before it ended (test_a_run_that_ends_in_time_is_left_alone failed). Change: the lower quartile of the remaining time decides, since a stop costs all unsaved work and staying in vain at most the rest of the notice.

--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/assessing.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/assessing.py
@@ -20,8 +20,11 @@
 # How long before the last possible stop a stop is ordered that has waited until then, in
 # seconds: more than the interval between two passes.
 _LAST_STOP_LEAD_S = 0.3
+# Probability of ending before the worker leaves from which a run is left alone. A stop costs all of its
+# work that is not saved, while staying in vain costs at most the rest of the notice.
+_MIN_END_PROBABILITY = 0.25
 
-# Returns the expected remaining time of a run at a time on the steady clock, in seconds.
+# Returns the remaining time of a run that counts for its end, at a time on the steady clock, in seconds.
 LeftTime = Callable[[Run, float], float]
 
 
@@ -69,8 +72,13 @@
         return now_s >= self.last_stop_s - _LAST_STOP_LEAD_S
 
 
+def likely_left_s(run: Run, now_s: float) -> float:
+    """Return the remaining time within which a run ends with a probability that makes staying worth it."""
+    return run.left_s(now_s, _MIN_END_PROBABILITY)
+
+
 def departures(
-    state: SchedulerState, worker: WorkerState, now: Moment, left_time: LeftTime = Run.left_s
+    state: SchedulerState, worker: WorkerState, now: Moment, left_time: LeftTime = likely_left_s
 ) -> Iterator[Departure]:
     """Yield the runs on a leaving worker that end too late, as long as a stop of them fits."""
     leaves_at_s = worker.leaves_at_s
