--- a/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/mechanisms.py
@@ -30,7 +30,7 @@
     PRIORITY_ORDER = 'priority_order'
     #: Plan with quantiles of run times rather than with one expected time.
     RUN_TIME_QUANTILES = 'run_time_quantiles'
-    #: Learn paces from gangs, and place gangs on workers of like pace.
+    #: Learn paces from gangs too, let evidence decay with time, and share it by rack and kind.
     GANG_PACES = 'gang_paces'
     #: Move runs off leaving workers as soon as there is capacity elsewhere.
     EARLY_MOVES = 'early_moves'
--- a/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/learning.py
@@ -26,8 +26,6 @@
 # Slowdown above which a worker counts as slow: half way between the healthy workers
 # of the users' sites and those that are slower by a factor of 1.3.
 SLOW_FACTOR = 1.12
-# Slowdown from which slow workers belong to the next level.
-_VERY_SLOW_FACTOR = 1.5
 # Limit of a single observation, as the natural logarithm of a ratio of run times: it covers
 # workers that differ by a factor of 2.2.
 MAX_LOG_RATIO = 0.9
@@ -83,16 +81,9 @@
         worker.slowdown = max(1.0, math.exp(worker.pace.log_ratio - reference))
         if learns_from_gangs:
             worker.slowdown_margin = math.exp(_MIN_Z_SCORE * math.sqrt(worker.pace.variance))
-            worker.pace_level = _level(worker)
     return reference
 
 
-def _level(worker: WorkerState) -> int:
-    if worker.slowdown <= SLOW_FACTOR * worker.slowdown_margin:
-        return 0
-    return 1 if worker.slowdown <= _VERY_SLOW_FACTOR else 2
-
-
 def _median_log_time(step: StepState) -> float | None:
     """Return the median logarithm of the run times of a step; None if too few are known."""
     ordered = sorted(step.log_run_times)
--- a/packages/kernel/dahliaarch_kernel/scheduler/paces/tests/test_gangs.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/paces/tests/test_gangs.py
@@ -165,3 +165,15 @@
     pool = Pool(workers=3, settings=SchedulerSettings(without=frozenset((mechanism,))))
     run_gang(pool, 'a' * 16, lambda _: 2.0)
     assert {worker.pace.weight for worker in pool.scheduler.worker_by_id.values()} == {0.0}
+
+
+def test_slowdowns_are_not_updated_at_each_pass():
+    """Guards against passes that get slower by the estimates of all workers."""
+    pool = Pool(workers=8)
+    pool.advance(0.3)
+    worker = pool.scheduler.worker_by_id['w0']
+    worker.pace.observe(0.8, 0.9)
+    pool.advance(0.1)
+    assert worker.slowdown == 1.0
+    pool.advance(0.2)
+    assert worker.slowdown > 1.0
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -8,7 +8,6 @@
 from ..workload import Resources
 from .job_state import StepState
 from .mechanisms import Mechanism
-from .paces.choosing import choose_like_paced, NEUTRAL_FIT, PaceFit
 from .ranks import RANK_OVERDUE
 from .room import effective_demand, fits, fitting_count, FreeCapacity, is_admissible, is_near, per_worker_limit
 from .settings import SchedulerSettings
@@ -105,8 +104,6 @@
 
 
 NO_PLACEMENT = Placement(())
-_Allocations = tuple[WorkerAllocation, ...]
-_RackOrder = tuple[bool, bool, PaceFit, int]
 
 
 # More tasks than any rack holds.
@@ -184,7 +181,7 @@
 def _place_gang(request: PlacementRequest, free_capacity: FreeCapacity, near: list[WorkerAllocation]) -> Placement:
     step = request.step
     if sum(allocation.task_count for allocation in near) >= request.task_count:
-        found = _fill_one_rack(request, near) if step.spec.same_rack else _choose(request, near)[1]
+        found = _fill_one_rack(request, near) if step.spec.same_rack else _fill(near, request.task_count, step)
         if found:
             return Placement(found)
     if not request.allows_far_workers or not (step.spec.same_rack or step.spec.data_rack):
@@ -192,43 +189,26 @@
     far = _find_allocations(request, free_capacity, request.work_s * request.settings.far_factor, near=False)
     if sum(allocation.task_count for allocation in far) < request.task_count:
         return NO_PLACEMENT
-    return Placement(_choose(request, far)[1], request.settings.far_factor)
-
-
-def _choose(request: PlacementRequest, allocations: list[WorkerAllocation]) -> tuple[PaceFit, _Allocations]:
-    """Return allocations for a whole gang, on workers of like pace if there are enough healthy ones."""
-    step, count = request.step, request.task_count
-    if request.settings.has(Mechanism.GANG_PACES) and not request.policy.has_placement:
-        refused = step.refused_until_by_worker
-        healthy = [each for each in allocations if _is_healthy(each.worker) and each.worker.worker_id not in refused]
-        fit, chosen = choose_like_paced(healthy, count)
-        filled = _fill(chosen, count, step)
-        if filled:
-            return fit, filled
-    return NEUTRAL_FIT, _fill(allocations, count, step)
-
-
-def _is_healthy(worker: WorkerState) -> bool:
-    return not (worker.may_hide_ends or worker.is_cold or is_suspect(worker))
+    return Placement(_fill(far, request.task_count, step), request.settings.far_factor)
 
 
 def _fill_one_rack(request: PlacementRequest, allocations: list[WorkerAllocation]) -> tuple[WorkerAllocation, ...]:
     """Return allocations in the rack with the least free capacity that holds a whole gang.
 
     Racks without a worker that recently refused the step are preferred, then, for urgent
-    gangs, racks where none of the chosen workers is slow, then those whose paces suit best.
+    gangs, racks where none of the chosen workers is slow.
     """
     step = request.step
     is_urgent = step.job.queue.priority == 0
     best: tuple[WorkerAllocation, ...] = ()
-    best_order: _RackOrder = (True, True, NEUTRAL_FIT._replace(level=_UNLIMITED), _UNLIMITED)
+    best_order = (True, True, _UNLIMITED)
     for rack_allocations in by_rack(allocations).values():
         count = sum(allocation.task_count for allocation in rack_allocations)
         if count < request.task_count:
             continue
-        fit, chosen = _choose(request, rack_allocations)
+        chosen = _fill(rack_allocations, request.task_count, step)
         has_refused = any(allocation.worker.worker_id in step.refused_until_by_worker for allocation in chosen)
-        order = (has_refused, is_urgent and any(is_slow(allocation.worker) for allocation in chosen), fit, count)
+        order = (has_refused, is_urgent and any(is_slow(allocation.worker) for allocation in chosen), count)
         if order < best_order:
             best, best_order = chosen, order
     return best
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -180,10 +180,8 @@
         self.refusal_backoff = RefusalBackoff()
         # Ratio of run times on this worker to those on a healthy worker, as estimated so far.
         self.slowdown = 1.0
-        # Factor by which the slowdown may be overestimated, as far as evidence on its pace is rare; and the class of
-        # its pace, 0 for that of healthy workers.
+        # Factor by which the slowdown may be overestimated, as far as evidence on its pace is rare.
         self.slowdown_margin = 1.0
-        self.pace_level = 0
 
     @property
     def is_overcommitted(self) -> bool:
