Reservations: compute future slots of workers only as far as they are needed

Cause: with the order by priorities, wide gangs hold the reservations, which are recomputed four times a second; each computed the slots of all workers until all their runs have ended (23 ms under a profiler, a quarter of the slowest passes). Change: the slots of the workers are merged in order of time, lazily, until the gang fits. The result is the same.

--- a/packages/kernel/dahliaarch_kernel/scheduler/openings.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/openings.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
+from heapq import merge
 from typing import NamedTuple
 
 from ..workload import NO_RESOURCES, Resources
@@ -33,14 +34,15 @@
     reserved_by_id = _reserved_by_worker(
         reservation for reservation in reservations if reservations.blocks(reservation, step, sort_key)
     )
-    slots: list[_FutureSlot] = []
+    slots_by_worker: list[Iterator[_FutureSlot]] = []
     for worker in allowed_workers(step, free_capacity):
         if is_near(worker, step):
             free = worker.free.minus(reserved_by_id.get(worker.worker_id, NO_RESOURCES))
-            slots.extend(_future_slots(worker, free, step, count, free_capacity.expected_releases(worker, now_s)))
-    slots.sort()
+            releases = free_capacity.expected_releases(worker, now_s)
+            slots_by_worker.append(_future_slots(worker, free, step, count, releases))
     counts_by_rack: dict[str, Counter[str]] = defaultdict(Counter)
-    for slot in slots:
+    # The slots of each worker come in order of time, so that those after the last one needed are never computed.
+    for slot in merge(*slots_by_worker):
         counts = counts_by_rack[slot.rack]
         counts[slot.worker_id] += 1
         if counts.total() >= count:
