Departures weigh the work that a stop loses; digests carry the overuse ratios of accounts

Change: a run on a leaving worker is left alone if it is more likely than not to end, or if the work that a stop would lose outweighs the rest of the notice by the odds; the digest takes the ratios of the accounts' shares. The tests of the digest run a full pass first, which computes the shares; their expected values are unchanged. Measured: tests of departures, admission, digests and the node pass.

--- a/packages/kernel/dahliaarch_kernel/admission/summary.py
+++ b/packages/kernel/dahliaarch_kernel/admission/summary.py
@@ -4,16 +4,16 @@
 cost is proportional to the number of active jobs and their steps, not of their tasks.
 """
 
-from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from heapq import nlargest
 from typing import NamedTuple
 
 from ..scheduler import Moment, Scheduler
 from ..scheduler.gates import job_wait_reason, step_wait_reason
-from ..scheduler.job_state import JobState, StepState
+from ..scheduler.job_state import StepState
 from ..scheduler.ranks import rank_by_job, RANK_ORDINARY
 from ..scheduler.state import SchedulerState
-from ..workload import dominant_share, NO_RESOURCES, Resources
+from ..workload import NO_RESOURCES, Resources
 from .digest import Digest, MAX_ACCOUNTS, MAX_QUEUES, QueueBacklog
 
 _MILLIS_PER_CORE = 1000.0
@@ -36,13 +36,12 @@
 def summarize(scheduler: Scheduler, now: Moment) -> Digest:
     """Return a summary of the work that waits and of the capacity of the pool."""
     state = scheduler.state
-    capacity_by_service = _capacity_by_service(state)
     return Digest(
         state.epoch,
         now.wall_s,
-        capacity_by_service,
+        _capacity_by_service(state),
         _backlogs(state, now),
-        _ratio_by_account(state, capacity_by_service),
+        _largest_ratios(scheduler.account_shares.ratio_by_account),
     )
 
 
@@ -102,33 +101,7 @@
     return not (is_bound or has_other_terms or has_history)
 
 
-def _ratio_by_account(state: SchedulerState, capacity_by_service: dict[str, Resources]) -> dict[str, float]:
-    """Return the ratio of what accounts with work hold to their shares; the largest ratios if there are too many.
-
-    Shares are proportional to the guarantees. An account without one counts with the
-    smallest guarantee above 0; without any guarantee all are equal.
-    """
-    held: defaultdict[str, float] = defaultdict(float)
-    for job in state.active_jobs():
-        held[job.spec.account] += _held_share(job, capacity_by_service.get(job.queue.service, NO_RESOURCES))
-    total_held = sum(held.values())
-    if not total_held:
-        return dict.fromkeys(sorted(held)[:MAX_ACCOUNTS], 0.0)
-    guarantees = [guaranteed for guaranteed in state.guaranteed_by_account.values() if guaranteed > 0]
-    smallest = min(guarantees, default=1)
-    weight_by_account = {account: state.guaranteed_by_account.get(account, 0) or smallest for account in held}
-    total_weight = sum(weight_by_account.values())
-    ratio_by_account = {
-        account: held[account] / total_held * total_weight / weight for account, weight in weight_by_account.items()
-    }
-    largest = sorted(ratio_by_account.items(), key=lambda row: (-row[1], row[0]))
-    return dict(largest[:MAX_ACCOUNTS])
-
-
-def _held_share(job: JobState, capacity: Resources) -> float:
-    """Return the dominant share of a service's capacity that the runs of a job hold."""
-    held = NO_RESOURCES
-    for step in job.step_by_key.values():
-        if step.run_by_index:
-            held = held.plus(step.spec.demand.times(len(step.run_by_index)))
-    return 0.0 if held == NO_RESOURCES else dominant_share(held, capacity)
+def _largest_ratios(ratio_by_account: Mapping[str, float]) -> dict[str, float]:
+    """Return the overuse ratios of the accounts that are most over their shares."""
+    accounts = nlargest(MAX_ACCOUNTS, ratio_by_account, key=ratio_by_account.__getitem__)
+    return {account: ratio_by_account[account] for account in accounts}
--- a/packages/kernel/dahliaarch_kernel/admission/tests/test_summary.py
+++ b/packages/kernel/dahliaarch_kernel/admission/tests/test_summary.py
@@ -38,6 +38,12 @@
 def start_all(scheduler):
     for effect in scheduler.decide(NOW):
         scheduler.run_started(effect.worker_id, effect.key, effect.run, NOW)
+    update_shares(scheduler)
+
+
+def update_shares(scheduler):
+    """Run a pass that computes the accounts' shares from what they hold now."""
+    scheduler.decide(Moment(NOW.steady_s + 0.3, NOW.wall_s + 0.3))
 
 
 def test_waiting_work_is_summed_by_queue_and_rank():
@@ -87,6 +93,7 @@
     add_job(scheduler, 1, StepSpec(2, TASK, 5.0))
     start_all(scheduler)
     scheduler.set_guarantees({})
+    update_shares(scheduler)
     assert summarize(scheduler, NOW).ratio_by_account == {'acc': 1.0}
 
 
@@ -96,6 +103,7 @@
     for number in range(500):
         queue = (URGENT if number % 2 else ORDINARY)._replace(name=f'queue-{number}')
         add_job(scheduler, number, StepSpec(1, TASK, 1.0), queue=queue, account=f'account-{number}')
+    start_all(scheduler)
     found = summarize(scheduler, NOW)
     assert len(found.backlogs) == MAX_QUEUES
     assert {row.rank for row in found.backlogs} == {1}
--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/assessing.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/assessing.py
@@ -4,12 +4,13 @@
 while most of their runs last longer than that and the rest of the pool is nearly full.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from enum import StrEnum
 from typing import NamedTuple
 
 from ..clock import Moment
 from ..job_state import StepState
+from ..prediction import MEDIAN
 from ..ranks import RANK_ORDINARY
 from ..runs import Run, RunPhase
 from ..state import SchedulerState
@@ -20,12 +21,6 @@
 # How long before the last possible stop a stop is ordered that has waited until then, in
 # seconds: more than the interval between two passes.
 _LAST_STOP_LEAD_S = 0.3
-# Probability of ending before the worker leaves from which a run is left alone. A stop costs all of its
-# work that is not saved, while staying in vain costs at most the rest of the notice.
-_MIN_END_PROBABILITY = 0.25
-
-# Returns the remaining time of a run that counts for its end, at a time on the steady clock, in seconds.
-LeftTime = Callable[[Run, float], float]
 
 
 class Timing(StrEnum):
@@ -72,14 +67,7 @@
         return now_s >= self.last_stop_s - _LAST_STOP_LEAD_S
 
 
-def likely_left_s(run: Run, now_s: float) -> float:
-    """Return the remaining time within which a run ends with a probability that makes staying worth it."""
-    return run.left_s(now_s, _MIN_END_PROBABILITY)
-
-
-def departures(
-    state: SchedulerState, worker: WorkerState, now: Moment, left_time: LeftTime = likely_left_s
-) -> Iterator[Departure]:
+def departures(state: SchedulerState, worker: WorkerState, now: Moment) -> Iterator[Departure]:
     """Yield the runs on a leaving worker that end too late, as long as a stop of them fits."""
     leaves_at_s = worker.leaves_at_s
     if leaves_at_s is None or not worker.profile.draining or worker.is_silent:
@@ -91,7 +79,7 @@
         step = state.step_of(run.key)
         if step is None or run.phase is not RunPhase.RUNNING:
             continue
-        if now.steady_s + left_time(run, now.steady_s) > leaves_at_s:
+        if now.steady_s + run.left_s(now.steady_s, _min_end_probability(run, step, leaves_at_s, now)) > leaves_at_s:
             yield Departure(run, step, last_stop_s)
 
 
@@ -115,6 +103,19 @@
     return spec.task_count - at_work < spec.max_unavailable
 
 
+def _min_end_probability(run: Run, step: StepState, leaves_at_s: float, now: Moment) -> float:
+    """Return the probability of ending before the worker leaves from which a run is left alone.
+
+    A stop loses the work that is not saved; staying in vain delays the restart by the rest of the notice. A
+    run that is more likely than not to end in time is left alone in any case.
+    """
+    if step.spec.checkpoints:
+        return MEDIAN
+    lost_s = max(0.0, now.steady_s - run.started_s)
+    delay_s = max(0.0, leaves_at_s - now.steady_s)
+    return min(MEDIAN, delay_s / (delay_s + lost_s)) if delay_s else 0.0
+
+
 def _has_suspect(departure: Departure) -> bool:
     """Return whether a task to be stopped is suspected of crashing workers: it must start in isolation."""
     suspects = departure.step.suspects
--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/tests/test_moves.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/tests/test_moves.py
@@ -154,6 +154,28 @@
     assert not pool.stops
 
 
+def test_a_run_about_to_end_keeps_its_unsaved_work():
+    """A run of 6 s was stopped for a worker that left 3 s later, though it might have ended before."""
+    pool = Pool(workers=3)
+    pool.submit(A, task(1, accelerators=8, work_s=8.0))
+    pool.advance()
+    advance_until(pool, 6.0)
+    leave(pool, *workers_of(pool, A), leaves_in_s=3.0)
+    pool.advance(0.1)
+    assert not pool.stops
+
+
+def test_a_run_that_has_just_started_is_moved():
+    """A new run stayed with no better chance to end in time than the old one, and its restart came later."""
+    pool = Pool(workers=3)
+    pool.submit(A, task(1, accelerators=8, work_s=3.4))
+    pool.advance()
+    pool.advance(0.1)
+    leave(pool, *workers_of(pool, A), leaves_in_s=3.0)
+    pool.advance(0.1)
+    assert stopped_jobs(pool) == {A}
+
+
 def test_a_gang_that_ends_in_time_is_left_alone():
     """A gang with a member on a leaving worker was stopped though its end came first."""
     pool = Pool(workers=6)
