--- a/packages/kernel/dahliaarch_kernel/scheduler/prediction/tests/test_calibration.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/prediction/tests/test_calibration.py
@@ -9,7 +9,7 @@
 from dahliaarch_kernel.scheduler.prediction import RunTimes
 from dahliaarch_kernel.workload import Resources, StepSpec
 
-# Quantiles of the measured ratios of run time to expected time.
+# Quantiles of the ratio of run time to expected time under heavy load.
 MEASURED = (
     (0.0, 0.1),
     (0.01, 0.2),
