Disabled orders cost nothing; one longest chain and one unit of cores

Cause: with both orders off, as in the deployment's settings, each full pass still summed what accounts hold and each step its wait; admission had copies of the critical path and of the cores' unit. Change: both return at once; longest_chain_s and MILLIS_PER_CORE serve both places. No decision changes. Measured: lint, types, contracts clean; packages/kernel and part of the node's tests passed.

--- a/packages/kernel/dahliaarch_kernel/admission/bounds.py
+++ b/packages/kernel/dahliaarch_kernel/admission/bounds.py
@@ -9,11 +9,9 @@
 
 from ..configuration import Queue
 from ..scheduler.ranks import RANK_GUARANTEED, rank_of_queue, RANK_URGENT
-from ..workload import JobSpec, Resources
+from ..workload import JobSpec, MILLIS_PER_CORE, Resources
 from .digest import Digest, QueueBacklog
 
-_MILLIS_PER_CORE = 1000.0
-
 
 class Candidate(NamedTuple):
     """A submitted job.
@@ -56,7 +54,7 @@
     if capacity is None or not capacity.cpu_millis:
         return 0.0
     rows = list(_rows_ahead(candidate, digest))
-    cores = capacity.cpu_millis / _MILLIS_PER_CORE
+    cores = capacity.cpu_millis / MILLIS_PER_CORE
     served_s = sum(row.core_s for row in rows) / cores
     if capacity.accelerators:
         served_s = max(served_s, sum(row.accelerator_s for row in rows) / capacity.accelerators)
--- a/packages/kernel/dahliaarch_kernel/admission/summary.py
+++ b/packages/kernel/dahliaarch_kernel/admission/summary.py
@@ -13,10 +13,9 @@
 from ..scheduler.job_state import StepState
 from ..scheduler.ranks import rank_by_job, RANK_ORDINARY
 from ..scheduler.state import SchedulerState
-from ..workload import NO_RESOURCES, Resources
+from ..workload import MILLIS_PER_CORE, NO_RESOURCES, Resources
 from .digest import Digest, MAX_ACCOUNTS, MAX_QUEUES, QueueBacklog
 
-_MILLIS_PER_CORE = 1000.0
 # Longest expected run time that is counted for one task, in seconds: a false estimate of one
 # caller must not make the instances refuse the jobs of others.
 _MAX_COUNTED_S = 60.0
@@ -70,7 +69,7 @@
     demand = waiting.demand
     work_s = waiting.task_count * waiting.expected_s
     return row._replace(
-        core_s=row.core_s + work_s * demand.cpu_millis / _MILLIS_PER_CORE,
+        core_s=row.core_s + work_s * demand.cpu_millis / MILLIS_PER_CORE,
         accelerator_s=row.accelerator_s + work_s * demand.accelerators,
         largest=Resources(*(max(pair) for pair in zip(row.largest, demand, strict=True))),
         longest_s=max(row.longest_s, waiting.expected_s),
--- a/packages/kernel/dahliaarch_kernel/admission/verdict.py
+++ b/packages/kernel/dahliaarch_kernel/admission/verdict.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..scheduler import Mechanism, Moment, SchedulerSettings
+from ..scheduler.objectives import longest_chain_s
 from ..workload import JobSpec
 from .bounds import Candidate, start_bound_s
 from .digest import KnownDigest
@@ -130,9 +131,6 @@
 
 def _largest_objective_s(candidate: Candidate) -> float:
     """Return the longest time that the objective of a job may allow, whatever its run times turn out to be."""
-    end_offsets: list[float] = []
-    for step in candidate.spec.steps:
-        start_offset_s = max((end_offsets[earlier] for earlier in step.after), default=0.0)
-        end_offsets.append(start_offset_s + _MAX_UNDERESTIMATE * step.estimate_s)
     queue = candidate.queue
-    return queue.stretch * max(end_offsets, default=0.0) + queue.target_latency_s
+    chain_s = longest_chain_s(candidate.spec.steps, lambda step: _MAX_UNDERESTIMATE * step.estimate_s)
+    return queue.stretch * chain_s + queue.target_latency_s
--- a/packages/kernel/dahliaarch_kernel/scheduler/accounts/order.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/accounts/order.py
@@ -57,7 +57,7 @@
     now : Moment
         The current time.
     """
-    if rank == RANK_GUARANTEED:
+    if rank == RANK_GUARANTEED or not shares.is_enabled:
         return Precedence()
     has_urgency = rank == RANK_ORDINARY and settings.has(Mechanism.PRIORITY_ORDER)
     if passed_over_s(step, now) > max_passed_over_s(step, settings, times):
--- a/packages/kernel/dahliaarch_kernel/scheduler/accounts/shares.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/accounts/shares.py
@@ -50,6 +50,11 @@
         self.ratio_by_account: Mapping[str, float] = {}
         self.most_urgent = _DEFAULT_URGENCY
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether work is ordered by priorities or by the shares of accounts."""
+        return self._settings.has(Mechanism.PRIORITY_ORDER) or self._settings.has(Mechanism.ACCOUNT_SHARES)
+
     @property
     def may_reorder(self) -> bool:
         """Whether steps may be ordered otherwise than by policy and age."""
@@ -93,6 +98,8 @@
         now_s : float
             The current time, steady clock.
         """
+        if not self.is_enabled:
+            return
         held: dict[str, Resources] = {}
         priorities = set()
         for job, steps in _with_work(jobs):
--- a/packages/kernel/dahliaarch_kernel/scheduler/objectives.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/objectives.py
@@ -1,16 +1,23 @@
 """Target times of jobs, and the slack that remains to meet them."""
 
-from ..workload import JobSpec
+from collections.abc import Callable, Sequence
+
+from ..workload import JobSpec, StepSpec
 from .job_state import JobState, StepState
 from .prediction import RunTimes
 
 
 def critical_path_s(job: JobState, times: RunTimes) -> float:
     """Return the expected duration of a job's critical path, its longest chain of dependent steps."""
+    return longest_chain_s(job.spec.steps, lambda step: times.expect_s(job.queue.name, step))
+
+
+def longest_chain_s(steps: Sequence[StepSpec], run_time_s: Callable[[StepSpec], float]) -> float:
+    """Return the duration of the longest chain of dependent steps, given the run time of each step."""
     end_offsets: list[float] = []
-    for step in job.spec.steps:
+    for step in steps:
         start_offset_s = max((end_offsets[earlier] for earlier in step.after), default=0.0)
-        end_offsets.append(start_offset_s + times.expect_s(job.queue.name, step))
+        end_offsets.append(start_offset_s + run_time_s(step))
     return max(end_offsets, default=0.0)
 
 
--- a/packages/kernel/dahliaarch_kernel/workload/demand.py
+++ b/packages/kernel/dahliaarch_kernel/workload/demand.py
@@ -6,12 +6,12 @@
 
 # Number of cores that one accelerator is equivalent to.
 _CORES_PER_ACCELERATOR = 8.0
-_MILLIS_PER_CORE = 1000.0
+MILLIS_PER_CORE = 1000.0
 
 
 def weighted_cores(demand: Resources) -> float:
     """Return a demand in cores, each accelerator converted to its equivalent."""
-    return demand.cpu_millis / _MILLIS_PER_CORE + _CORES_PER_ACCELERATOR * demand.accelerators
+    return demand.cpu_millis / MILLIS_PER_CORE + _CORES_PER_ACCELERATOR * demand.accelerators
 
 
 def dominant_share(demand: Resources, capacity: Resources) -> float:
