Review: a gang with advice never runs again after workers were replaced

Cause: workers that came after the first question to the advice service are never asked about while any worker that once had consent is left. Change: a case with a stand-in of the advice service.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -62,7 +62,7 @@
         self.advice_address: Address | None = None
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self._bounds = bounds
-        self._route = {
+        self.route = {
             'Name': 'r-ce7ejsm',
             'Host': HOST,
             'PathPrefix': PREFIX,
@@ -101,7 +101,7 @@
         self._version += 7
         configuration = {
             'Version': self._version,
-            'Routes': [{**self._route, **route}],
+            'Routes': [{**self.route, **route}],
             'Services': [self._service],
             'Limits': {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 262144, 'HeaderTimeoutMs': 3000},
             'Tenants': [{'Name': 'kaje80', 'ApiKeys': [KEY], 'Priority': 1, 'Guaranteed': {'Gpu': 32}}],
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -71,6 +71,8 @@
         self.max_hold_s = max_hold_s
         self.steps_by_job: dict[str, list[Step]] = {}
         self.workers: list[Worker] = []
+        # The service that says which workers may run a step; None where no queue has advice.
+        self.advice: Advice | None = None
 
     def step_of(self, task: str) -> Step:
         job_id, _, step, _ = task.split('.')
@@ -290,7 +292,10 @@
 
     def ticket_refusal(self, task: str, ticket: str) -> str:
         """Return `ticket` if a start lacks a valid one; queues without advice need none."""
-        return ''
+        advice = self.world.advice
+        if advice is None or advice.is_valid(task.rpartition('.')[0], self.worker_id, ticket):
+            return ''
+        return 'ticket'
 
     def _stop(self, body: dict[str, Any]) -> Response:
         task, number = body['Task'], body['Run']
@@ -324,3 +329,47 @@
 
     def _reply(self, fields: dict[str, Any], status: int = 200) -> Response:
         return Response(status, msgspec.json.encode({'ClockMs': self._clock_ms(), **fields}))
+
+
+class Advice:
+    """Says which workers may run a step: those of one rack, at whatever life."""
+
+    def __init__(self, world: World, rack: str, decision_s: float, per_item_s: float, valid_s: float) -> None:
+        self.terms = {
+            'DecisionMs': int(decision_s * 1000),
+            'PerItemMs': int(per_item_s * 1000),
+            'ValidMs': int(valid_s * 1000),
+        }
+        self._world = world
+        self._rack = rack
+        self._decision_s = decision_s
+        self._per_item_s = per_item_s
+        self._valid_s = valid_s
+        self._expiry_by_ticket: dict[tuple[str, str, str], float] = {}
+        self._turn = asyncio.Lock()
+        self.server = HttpServer(self._handle)
+
+    def allows(self, worker: Worker) -> bool:
+        return worker.rack == self._rack
+
+    def is_valid(self, step: str, worker_id: str, ticket: str) -> bool:
+        return self._expiry_by_ticket.get((step, worker_id, ticket), 0.0) > time.monotonic()
+
+    async def start(self) -> Address:
+        await self.server.listen(ANY_PORT)
+        return Address('127.0.0.1', self.server.port)
+
+    async def _handle(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.body)
+        # One call at a time: instances call from one address here, so that they share the turn.
+        async with self._turn:
+            await asyncio.sleep(self._decision_s + self._per_item_s * len(body['Workers']))
+        by_id = {worker.worker_id: worker for worker in self._world.workers}
+        rows = []
+        for worker_id in body['Workers']:
+            if worker_id in by_id and self.allows(by_id[worker_id]):
+                ticket = secrets.token_hex(8)
+                self._expiry_by_ticket[body['Step'], worker_id, ticket] = time.monotonic() + self._valid_s
+                rows.append([worker_id, ticket])
+        self._world.record('advice', step=body['Step'], asked=body['Workers'], healthy=[row[0] for row in rows])
+        return Response(200, msgspec.json.encode({'Healthy': rows, 'ValidMs': self.terms['ValidMs']}))
