Review: a guarantee is not reclaimed from another tenant's lasting job

Cause: runs of lasting steps are never victims of preemption, so that one such job that fills the pool locks out guaranteed urgent work for as long as it lasts.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -76,6 +76,9 @@
             'Public': False,
             **route,
         }
+        # Further routes, with the fields in which they differ from the first.
+        self.further_routes: list[dict[str, Any]] = []
+        self.tenants = [{'Name': 'kaje80', 'ApiKeys': [KEY], 'Priority': 1, 'Guaranteed': {'Gpu': 32}}]
         self._service = {'Name': 'svc', 'EnforcesCapacity': True, 'Headroom': False, **service}
         self._ports_by_name = {f'front-{number}': free_ports(4) for number in range(instances)}
         self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
@@ -101,10 +104,10 @@
         self._version += 7
         configuration = {
             'Version': self._version,
-            'Routes': [{**self.route, **route}],
+            'Routes': [{**self.route, **each, **route} for each in ({}, *self.further_routes)],
             'Services': [self._service],
             'Limits': {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 262144, 'HeaderTimeoutMs': 3000},
-            'Tenants': [{'Name': 'kaje80', 'ApiKeys': [KEY], 'Priority': 1, 'Guaranteed': {'Gpu': 32}}],
+            'Tenants': self.tenants,
         }
         self.store.put('op/config', msgspec.json.encode(configuration))
         self.record('configuration', version=self._version)
@@ -192,40 +195,44 @@
         return 0 if reply is None else reply[0]
 
     async def _send(
-        self, address: Address, method: str, path: str, body: bytes, timeout_s: float
+        self, address: Address, method: str, path: str, body: bytes, timeout_s: float, key: str = KEY
     ) -> tuple[int, bytes] | None:
-        headers = {'Host': HOST, 'Authorization': f'Token {KEY}', 'Deadline-Ms': str(int(timeout_s * 1000))}
+        headers = {'Host': HOST, 'Authorization': f'Token {key}', 'Deadline-Ms': str(int(timeout_s * 1000))}
         try:
             reply = await self._http.call(address, method, path, body, timeout_s=timeout_s, headers=headers)
         except (RequestNotSentError, RequestUnansweredError):
             return None
         return reply.status, reply.body
 
-    async def call(self, method: str, path: str, body: Any = None, timeout_s: float = 3.0) -> tuple[int, Any]:
+    async def call(
+        self, method: str, path: str, body: Any = None, timeout_s: float = 3.0, *, key: str = KEY
+    ) -> tuple[int, Any]:
         """Send one request to the next instance, as a client does; status 0 if there is no answer."""
         self._calls += 1
         name = self.names[self._calls % len(self.names)]
         address = Address('127.0.0.1', self._ports_by_name[name][0])
         sent_at = self.record.now_s
-        reply = await self._send(address, method, path, b'' if body is None else msgspec.json.encode(body), timeout_s)
+        reply = await self._send(
+            address, method, path, b'' if body is None else msgspec.json.encode(body), timeout_s, key
+        )
         status, data = reply or (0, b'')
         answer = msgspec.json.decode(data) if data else None
         self.record('request', sent_at=sent_at, to=name, method=method, path=path, status=status, answer=answer)
         return status, answer
 
-    async def submit(self, world: Any, steps: list[Any], job_id: str = '') -> str:
+    async def submit(self, world: Any, steps: list[Any], *, prefix: str = PREFIX, key: str = KEY) -> str:
         """Hand in a job, again with the same id until it is accepted; return the id."""
-        job_id = job_id or secrets.token_hex(8)
+        job_id = secrets.token_hex(8)
         world.steps_by_job[job_id] = steps
         body = {'Spec': secrets.token_hex(8), 'Steps': [step.row() for step in steps]}
         with anyio.fail_after(20):
-            while (await self.call('POST', PREFIX + job_id, body))[0] != 200:
+            while (await self.call('POST', prefix + job_id, body, key=key))[0] != 200:
                 await anyio.sleep(0.3)
         return job_id
 
-    async def state(self, job_id: str) -> str:
+    async def state(self, job_id: str, *, prefix: str = PREFIX, key: str = KEY) -> str:
         """Ask once for a job's state; return it, or the status if it is not 200."""
-        status, answer = await self.call('GET', PREFIX + job_id)
+        status, answer = await self.call('GET', prefix + job_id, key=key)
         return str(answer['State']) if status == 200 else str(status)
 
     def close(self) -> None:
