Review: a task that has ended runs again on a restarted worker

Cause: a start that got no answer is ruled out for the present life of its worker, but the next life, which begins under the same id with a clock that starts anew, may still carry it out.

--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -4,6 +4,7 @@
 import secrets
 import socket
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,6 +16,7 @@
 HEARTBEAT_S = 1.5
 HEARTBEATS_UNTIL_REMOVED = 3
 TICK_S = 0.02
+FIRST_LIFE_AGE_S = 100.0
 ANY_PORT = Address('127.0.0.1', 0)
 
 
@@ -139,7 +141,7 @@
         self._end_count = 0
         self._fence = 0
         self._lease_end_s = 0.0
-        self._born_s = time.monotonic() - 100.0
+        self._born_s = time.monotonic() - FIRST_LIFE_AGE_S
         self._updated = asyncio.Event()
         self._seq = 0
         self.server = HttpServer(self._handle)
@@ -167,11 +169,16 @@
             'Labels': ['a', self.rack],
             'ClockMs': self._clock_ms(),
             'Seq': self._seq,
+            **self.entry_extras(),
         }
         if self.is_draining:
             entry['RemainingMs'] = self._remaining_ms
         self.world.store.put(f'servers/{self.worker_id}', msgspec.json.encode(entry))
 
+    def entry_extras(self) -> dict[str, Any]:
+        """Return further fields of the entry."""
+        return {}
+
     def drain(self, remaining_s: float) -> None:
         """State that the worker leaves; it serves on for a while."""
         self.is_draining = True
@@ -311,6 +318,9 @@
     async def _hold(self, body: dict[str, Any]) -> Response:
         self._extend_lease(body)
         acknowledged = body.get('AckedUpto', 0)
+        for row in self._finished:
+            if row[0] <= acknowledged:
+                self.world.record('end_noted', worker=self.worker_id, task=row[1], run=row[2], how=row[3])
         self._finished = [row for row in self._finished if row[0] > acknowledged]
         if body.get('WaitMs') and not self._finished:
             try:
@@ -320,7 +330,7 @@
                 pass
         now_s = time.monotonic()
         running = [[run.task, run.number, '', run.percent(now_s), 0] for run in self.run_by_task.values()]
-        return self._reply({'Running': running, 'Finished': self._finished[:500]})
+        return self._reply({'Running': running, 'Finished': self._finished[:500], **self.entry_extras()})
 
     def _extend_lease(self, body: dict[str, Any]) -> None:
         wanted_s = body.get('UntilMs', 0) / 1000
@@ -373,3 +383,71 @@
                 rows.append([worker_id, ticket])
         self._world.record('advice', step=body['Step'], asked=body['Workers'], healthy=[row[0] for row in rows])
         return Response(200, msgspec.json.encode({'Healthy': rows, 'ValidMs': self.terms['ValidMs']}))
+
+
+class RestartingWorker(Worker):
+    """A worker that may start again under its id, be cut off, and carry out orders late.
+
+    The field `born` tells its lives apart; each knows nothing of the one before, and its clock starts anew.
+    """
+
+    def __init__(self, world: World, rack: str, zone: str, service: str = 'svc') -> None:
+        super().__init__(world, rack, zone, service)
+        self.is_cut = False
+        # The first life is some while old, as its clock tells.
+        self._born_ms = int((time.time() - FIRST_LIFE_AGE_S) * 1000)
+        # Returns how late a start is carried out that gets no answer, in seconds, or None for one that is answered.
+        self.lateness_s: Callable[[dict[str, Any]], float | None] = lambda body: None
+
+    def entry_extras(self) -> dict[str, Any]:
+        return {'born': self._born_ms}
+
+    def cut_off_and_restart(self) -> None:
+        """Cut the worker off from all machines; it crashes behind the cut and starts again under its id."""
+        self.is_cut = True
+        lost = [[run.task, run.number] for run in self.run_by_task.values()]
+        self.run_by_task.clear()
+        self._highest_by_task.clear()
+        self._finished = []
+        self._end_count = self._fence = self._seq = 0
+        self._lease_end_s = 0.0
+        self._born_ms = int(time.time() * 1000)
+        self._born_s = time.monotonic()
+        for connection in tuple(self.server.connections):
+            connection.abort()
+        asyncio.get_running_loop().call_later(HEARTBEAT_S * HEARTBEATS_UNTIL_REMOVED, self._let_entry_lapse)
+        self.world.record('worker_cut_and_reborn', worker=self.worker_id, born=self._born_ms, lost_runs=lost)
+
+    def heal(self) -> None:
+        """End the cut, and publish the entry of the present life."""
+        self.is_cut = False
+        self.publish()
+        self.world.record('worker_healed', worker=self.worker_id)
+
+    def _let_entry_lapse(self) -> None:
+        if self.is_cut:
+            self.world.store.remove(f'servers/{self.worker_id}')
+
+    async def _handle(self, request: Request) -> Response:
+        if self.is_cut:
+            # What is sent into a cut is lost, and nothing is answered.
+            return await _silence()
+        if request.path == '/run-start' and request.header('expected-instance') in {'', self.worker_id}:
+            body = msgspec.json.decode(request.body)
+            late_s = self.lateness_s(body)
+            if late_s is not None:
+                self.world.record('start_unanswered', worker=self.worker_id, task=body['Task'], run=body['Run'])
+                asyncio.get_running_loop().call_later(late_s, self._start_late, body)
+                return await _silence()
+        return await super()._handle(request)
+
+    def _start_late(self, body: dict[str, Any]) -> None:
+        """Carry out a start that got no answer; a fence that this life has seen counts as for any order."""
+        is_fenced = body.get('Fence', 0) < self._fence
+        answer = None if is_fenced else self._start(body).status
+        self.world.record('start_late', worker=self.worker_id, task=body['Task'], run=body['Run'], answer=answer)
+
+
+async def _silence() -> Response:
+    await asyncio.sleep(30.0)
+    return Response(503)
