--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -2,6 +2,8 @@
 
 import os
 import secrets
+import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -236,15 +238,19 @@
         return str(answer['State']) if status == 200 else str(status)
 
     def close(self) -> None:
-        """End all daemons that this fleet started."""
+        """End all daemons that this fleet started, and remove their settings and logs (unless KEEP=1)."""
         for process in self.process_by_name.values():
             process.kill()
             process.wait()
+        if os.environ.get('KEEP') != '1':
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case: Callable[[Record], Awaitable[int]], folder: Path, limit_s: float = 110.0) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(folder)
+    # A request to end goes through the case's clean-up as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def limited() -> int:
         with anyio.fail_after(limit_s):
@@ -252,7 +258,7 @@
 
     try:
         verdict = anyio.run(limited)
-    except Exception as error:
+    except BaseException as error:
         record('case_not_run', why=repr(error))
         verdict = NOT_RUN
     record('verdict', exit_status=verdict, trouble=HAS_TROUBLE)
