Advice: ask about workers without an answer beside those with consent

Cause: once any worker had the policy's consent, questions named only workers with consent. Workers that joined later, or that lay beyond the first 100, were treated like refused ones for as long as one worker with consent remained. Evidence: the record of the case and the owner's advice_given lines, asked 2 and consents 2 every 2.7 s beside six idle workers of the same rack. Ruled out: lost or late answers, expired tickets as such, a gate before the placement.

Change: a question names the workers without any answer as well, by most free accelerators, and excludes workers after failures by the rule of the placement. The choice moved to a module of its own. The same cause on related paths: all workers with consent full, pools larger than one question, workers on which the step had failed.

--- a/packages/kernel/dahliaarch_kernel/scheduler/advice.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/advice.py
@@ -3,7 +3,9 @@
 The policy is slow and handles one call at a time, so it is queried as soon as a
 step may start, while the step still waits for capacity. Its consent does not
 change, but the tickets that prove it expire: when there is capacity and no valid
-ticket, the policy is queried again, only about workers that it already consented to.
+ticket, the policy is queried again about workers that it already consented to.
+Workers that it was never queried about, because they joined later or did not fit
+into a query, are included in every query until it has answered about them.
 """
 
 from collections.abc import Iterable, Mapping
@@ -49,6 +51,10 @@
         """Return whether the policy has consented to a worker, even if the ticket has expired."""
         return worker_id in self._ticket_by_worker
 
+    def has_answer_about(self, worker_id: str) -> bool:
+        """Return whether the policy has consented to a worker or refused it."""
+        return self.consents(worker_id) or worker_id in self._refused_worker_ids
+
     def ticket(self, worker_id: str, now_s: float) -> str:
         """Return a ticket that stays valid long enough to be used, or an empty string."""
         known = self._ticket_by_worker.get(worker_id)
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -5,22 +5,21 @@
 from operator import attrgetter
 
 from .accounts import precedence
-from .advice import Advice
+from .advice_requests import ask_advice
 from .clock import Moment
 from .crashes import isolation_s, pending_suspects, waits_for_empty_worker
 from .departures import find_moves, Move, order_move
-from .effects import AskAdvice
 from .gates import job_wait_reason, step_wait_reason
 from .job_state import StepState
 from .mechanisms import Mechanism
 from .memory import SearchKey
 from .objectives import begin_s
 from .openings import earliest_reservation
-from .placement import has_near_capacity, place, Placement, PlacementRequest, without_failed
+from .placement import has_near_capacity, place, Placement, PlacementRequest
 from .preemption import Preemption, PreemptionPlan
 from .ranks import rank_by_job, RANK_GUARANTEED, RANK_ORDINARY
 from .reservations import Reservation
-from .room import effective_demand, fits, FreeCapacity
+from .room import effective_demand, FreeCapacity
 from .runs import Run
 from .stall_reports import StallReporter
 from .stalls import used_share
@@ -173,8 +172,8 @@
         search_key = self._search_key(request)
         self._drop_outdated_reservation(step)
         placement = self._place(request, search_key)
-        if not placement.task_count and step.advice is not None:
-            self._ask_advice(request, step.advice)
+        if not placement.task_count:
+            ask_advice(self._state, request, self._free_capacity)
         if placement.task_count:
             self._start(request, placement)
         missing = request.task_count - placement.task_count
@@ -225,20 +224,6 @@
             step.near_capacity_checked_s = now_s
         return not step.has_near_capacity
 
-    def _ask_advice(self, request: PlacementRequest, advice: Advice) -> None:
-        """Ask the outside policy: first about all workers, again once a worker with its consent has free capacity."""
-        step = request.step
-        free_by_id = self._free_capacity.free_by_id
-        demand = effective_demand(step)
-        eligible = without_failed(step, self._free_capacity.admissible(step))
-        consenting = [worker for worker in eligible if advice.consents(worker.worker_id)]
-        if consenting and not any(fits(free_by_id[worker.worker_id], demand) for worker in consenting):
-            return
-        most_free_first = sorted(consenting or eligible, key=lambda worker: -free_by_id[worker.worker_id].accelerators)
-        asked = advice.workers_to_query(most_free_first, self._now.steady_s)
-        if asked and step.job.queue.advice is not None:
-            self._state.effects.append(AskAdvice(step.step_key, asked, step.job.queue.advice))
-
     def _place(self, request: PlacementRequest, search_key: SearchKey) -> Placement:
         """Return a placement, unless one for an equal search key failed since free capacity last grew."""
         if self._is_known_to_lack_capacity(request, search_key):
--- a/packages/kernel/dahliaarch_kernel/scheduler/placement.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/placement.py
@@ -146,6 +146,12 @@
     return others if len(others) * 2 >= len(eligible) else eligible
 
 
+def without_avoided(request: PlacementRequest, eligible: list[WorkerState]) -> list[WorkerState]:
+    """Exclude workers on which the step of a request failed, as ``without_failed`` does."""
+    # A worker on which the step failed is better than none to an overdue step.
+    return eligible if request.is_overdue else without_failed(request.step, eligible)
+
+
 def has_near_capacity(step: StepState, count: int, workers: Iterable[WorkerState]) -> bool:
     """Return whether ``count`` tasks of a step would fit near its data, or in one rack, on idle workers.
 
@@ -245,10 +251,7 @@
         eligible = [worker for worker in eligible if is_near(worker, step)]
     if step.advice is not None:
         eligible = [worker for worker in eligible if step.advice.ticket(worker.worker_id, request.now_s)]
-    if request.is_overdue:
-        # A worker on which the step failed is better than none.
-        return eligible
-    return without_failed(step, eligible)
+    return without_avoided(request, eligible)
 
 
 def _by_preference(
