Probes: respect a step's limit per worker on workers that may hide ends

Cause: the bound of four probes for a worker that may hide ends was returned in place of the step's limit per worker. Ruled out: stops under way, placements near and far in one pass, copies.

Change: both limits apply.

--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -117,11 +117,12 @@
 
 def per_worker_limit(worker: WorkerState, step: StepState) -> int:
     """Return the maximum number of further tasks of a step on a worker."""
+    limit = _UNLIMITED
+    if step.spec.max_per_worker:
+        limit = step.spec.max_per_worker - sum(_belongs_to_step(run, step) for run in worker.run_by_key.values())
     if worker.may_hide_ends:
-        return 0 if step.spec.gang or step.spec.lasting else max(0, _MAX_PROBES - len(worker.run_by_key))
-    if not step.spec.max_per_worker:
-        return _UNLIMITED
-    return max(0, step.spec.max_per_worker - sum(_belongs_to_step(run, step) for run in worker.run_by_key.values()))
+        limit = min(limit, _probe_limit(worker, step))
+    return max(limit, 0)
 
 
 def is_admissible(worker: WorkerState, step: StepState) -> bool:
@@ -136,6 +137,11 @@
     return not step.spec.data_rack or step.spec.data_rack in worker.profile.labels
 
 
+def _probe_limit(worker: WorkerState, step: StepState) -> int:
+    """Return how many tasks of a step may start as probes of a worker that may hide ends."""
+    return 0 if step.spec.gang or step.spec.lasting else _MAX_PROBES - len(worker.run_by_key)
+
+
 def _belongs_to_step(run: Run, step: StepState) -> bool:
     key = run.key
     return (key.job_id, key.occurrence, key.step) == (step.job.spec.job_id, step.occurrence, step.number)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_histories.py
@@ -80,6 +80,17 @@
         self.pool.add_worker(worker_id, f'r{number // 8}')
         self.pool.advance()
 
+    @rule(number=st.integers(0, 9))
+    def replace_worker_by_one_that_may_hide_ends(self, number):
+        self.replace_worker(number)
+        self.pool.scheduler.worker_by_id[f'w{number}'].may_hide_ends = True
+        self.pool.advance()
+
+    @rule(number=st.integers(0, 9))
+    def worker_lists_an_end(self, number):
+        self.pool.scheduler.worker_by_id[f'w{number}'].may_hide_ends = False
+        self.pool.advance()
+
     @rule(number=st.integers(0, 9))
     def mark_worker_silent(self, number):
         worker_id = f'w{number}'
@@ -104,7 +115,8 @@
         state = self.pool.scheduler._state
         if self.pool.stopping or list(state.reservations):
             return
-        takers = [worker for worker in state.worker_by_id.values() if worker.takes_starts]
+        workers = state.worker_by_id.values()
+        takers = [worker for worker in workers if worker.takes_starts and not worker.may_hide_ends]
         for job in state.active_jobs():
             for step in job.ready_steps():
                 if step.spec.gang or step.spec.max_per_worker or step.spec.data_rack or step.failed_worker_ids:
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_successors.py
@@ -240,6 +240,17 @@
     assert not pool.advance(0.3)
 
 
+def test_probes_respect_the_limit_per_worker():
+    # An incarnation that may hide ends got as many probes of one step as of any others, beyond its limit per worker.
+    pool = Pool(workers=1)
+    set_may_hide_ends(pool, 'w0')
+    pool.submit(A, task(8, max_per_worker=1))
+    (start,) = pool.advance()
+    assert not pool.advance(0.3)
+    pool.end('w0', start.key, start.run, EndKind.STOPPED)
+    assert len(pool.advance(0.3)) == 1
+
+
 def test_an_incarnation_that_has_listed_an_end_gets_work():
     pool = Pool(workers=1)
     set_may_hide_ends(pool, 'w0')
