Count runs that no task needs until their worker no longer lists them

What callers saw: with workers that don't guard their capacity, a job of 24 tasks was cancelled and the owner told to end; the next owner started 24 tasks of another job on the same workers while the first job's tasks were still being stopped (LIMIT). By the same cause a task could start beyond its step's limit per worker (ROUTE).

Cause: an owner counted only the runs that it had assigned or adopted. A listed run that no task needs was ordered to stop and forgotten. Evidence: a play with real daemons, in which the next owner stops the runs that it finds and 5 ms later starts on the same workers.

Change: a worker's state keeps such runs, with their demand, from one list to the next; all that asks what runs on a worker counts them.

--- a/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/departures/leaving.py
@@ -42,6 +42,7 @@
         if step is not None:
             observe_end(state.times, step, run, EndKind.LAPSED, now.steady_s)
         state.remove_run(run)
+    worker.replace_unassigned_runs(())
     worker.is_lapsed = worker.is_lapsed or _is_known_idle(state, worker, now)
     if not worker.is_listed:
         del state.worker_by_id[worker.worker_id]
--- a/packages/kernel/dahliaarch_kernel/scheduler/evacuations.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/evacuations.py
@@ -60,7 +60,7 @@
         waiting = {domain for domain, evacuation in state.evacuation_by_domain.items() if not evacuation.is_empty}
         if not waiting:
             return
-        busy = {worker.profile.domain for worker in state.worker_by_id.values() if worker.run_by_key}
+        busy = {worker.profile.domain for worker in state.worker_by_id.values() if worker.run_count}
         for emptied in sorted(waiting - busy):
             known = state.evacuation_by_domain[emptied]
             state.evacuation_by_domain[emptied] = known._replace(is_empty=True)
@@ -70,7 +70,7 @@
 def _begin(state: SchedulerState, domain: str) -> None:
     workers = [worker for worker in state.worker_by_id.values() if worker.profile.domain == domain]
     unacknowledged = [run for worker in workers for run in worker.run_by_key.values() if _is_unacknowledged(run)]
-    running = sum(len(worker.run_by_key) for worker in workers) - len(unacknowledged)
+    running = sum(worker.run_count for worker in workers) - len(unacknowledged)
     state.notes.append(DomainEvacuated(domain, len(workers), running, len(unacknowledged)))
     for withdrawn in unacknowledged:
         state.stop_with_gang(withdrawn, 'failure domain evacuated')
--- a/packages/kernel/dahliaarch_kernel/scheduler/passes.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/passes.py
@@ -187,7 +187,7 @@
 
     def _start_isolated(self, request: PlacementRequest) -> None:
         """Start suspects on workers without runs, without preempting any for them."""
-        empty = [worker for worker in self._workers if not worker.run_by_key]
+        empty = [worker for worker in self._workers if not worker.run_count]
         placement = place(request, FreeCapacity(empty, self._reservations))
         if placement.task_count:
             self._start(request, placement)
--- a/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/preemption.py
@@ -190,7 +190,7 @@
         demand = effective_demand(step)
         limit = per_worker_limit(worker, step)
         free = search.free_capacity.free_for(worker, step, search.sort_key, _UNBOUNDED_S)
-        for run in worker.run_by_key.values():
+        for run in worker.runs:
             if run.phase is RunPhase.STOPPING:
                 free = free.plus(run.demand)
         options = []
--- a/packages/kernel/dahliaarch_kernel/scheduler/room.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/room.py
@@ -50,7 +50,7 @@
         """
         cached = self._expected_releases_by_worker.get(worker.worker_id)
         if cached is None:
-            cached = sorted((run.left_s(now_s), run.demand) for run in worker.run_by_key.values())
+            cached = sorted((run.left_s(now_s), run.demand) for run in worker.runs)
             self._expected_releases_by_worker[worker.worker_id] = cached
         return cached
 
@@ -119,7 +119,7 @@
     """Return the maximum number of further tasks of a step on a worker."""
     limit = _UNLIMITED
     if step.spec.max_per_worker:
-        limit = step.spec.max_per_worker - sum(_belongs_to_step(run, step) for run in worker.run_by_key.values())
+        limit = step.spec.max_per_worker - sum(_belongs_to_step(run, step) for run in worker.runs)
     if worker.may_hide_ends:
         limit = min(limit, _probe_limit(worker, step))
     return max(limit, 0)
@@ -139,7 +139,7 @@
 
 def _probe_limit(worker: WorkerState, step: StepState) -> int:
     """Return how many tasks of a step may start as probes of a worker that may hide ends."""
-    return 0 if step.spec.gang or step.spec.lasting else _MAX_PROBES - len(worker.run_by_key)
+    return 0 if step.spec.gang or step.spec.lasting else _MAX_PROBES - worker.run_count
 
 
 def _belongs_to_step(run: Run, step: StepState) -> bool:
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Sequence
 
+from ..workload import NO_RESOURCES
 from .clock import Moment
 from .crashes import clear_suspect
 from .ends import apply_run_end
 from .events import EndKind, ListedRun, LossCause, RunEnd
+from .job_state import StepState
 from .paces.gangs import observe_gang
 from .paces.learning import observe_pace
 from .ranks import rank_of_queue
@@ -43,10 +45,10 @@
     worker.is_surveyed = True
     worker.silent_since_s = None
     state.surveyed_workers.add(worker.worker_id)
-    listed_keys = set()
-    for listed_run in running:
-        listed_keys.add((listed_run.key, listed_run.run))
-        _apply_listed_run(state, worker, listed_run, now)
+    unassigned = [run for each in running if (run := _apply_listed_run(state, worker, each, now)) is not None]
+    if worker.replace_unassigned_runs(unassigned):
+        state.failed_searches.grown_workers.add(worker.worker_id)
+    listed_keys = {(listed_run.key, listed_run.run) for listed_run in running}
     for run in tuple(worker.run_by_key.values()):
         if (run.key, run.number) in listed_keys:
             continue
@@ -63,12 +65,20 @@
     return run.is_inherited or (run.is_confirmed and run.last_seen_s < requested_s)
 
 
-def _apply_listed_run(state: SchedulerState, worker: WorkerState, listed_run: ListedRun, now: Moment) -> None:
+def _apply_listed_run(state: SchedulerState, worker: WorkerState, listed_run: ListedRun, now: Moment) -> Run | None:
+    """Update or adopt a listed run; stop and return it if no task needs it."""
     run = worker.run_by_key.get(listed_run.key)
     if run is None or run.number != listed_run.run:
-        run = _adopt(state, worker, listed_run, now)
-        if run is None:
-            return
+        step = state.step_of(listed_run.key)
+        reason = _stop_reason(step, worker, listed_run)
+        if step is None or reason:
+            return _stop_unassigned(state, step, worker, listed_run, reason, now)
+        run = _adopt(state, step, worker, listed_run, now)
+    _update_run(state, worker, run, listed_run, now)
+    return None
+
+
+def _update_run(state: SchedulerState, worker: WorkerState, run: Run, listed_run: ListedRun, now: Moment) -> None:
     if run.phase is RunPhase.STARTING:
         run.phase = RunPhase.RUNNING
         state.job_by_id[run.key.job_id].mark_begun()
@@ -85,23 +95,37 @@
         run.checkpoint = listed_run.checkpoint
 
 
-def _adopt(state: SchedulerState, worker: WorkerState, listed_run: ListedRun, now: Moment) -> Run | None:
-    """Adopt a run that a previous owner started, or stop one that is not needed."""
-    step = state.step_of(listed_run.key)
-    unexpected = Run(
-        listed_run.key, listed_run.run, worker.worker_id, worker.profile.capacity.times(0), now.steady_s, 0.0
-    )
+def _stop_reason(step: StepState | None, worker: WorkerState, listed_run: ListedRun) -> str:
+    """Return why a listed run that the scheduler does not know is not needed; empty if it can be adopted."""
     if worker.is_lapsed:
         # The next owner may already have read from the store that nothing runs on this worker.
-        state.stop(unexpected, 'lease had ended')
-        return None
+        return 'lease had ended'
     if step is None or step.job.has_ended or listed_run.key.task_index in step.done:
-        state.stop(unexpected, 'run of a task that needs none')
-        return None
-    other = step.run_by_index.get(listed_run.key.task_index)
-    if other is not None or (step.spec.gang and _has_other_run(list(step.run_by_index.values()), listed_run.run)):
-        state.stop(unexpected, 'task runs elsewhere')
-        return None
+        return 'run of a task that needs none'
+    is_elsewhere = listed_run.key.task_index in step.run_by_index
+    if is_elsewhere or (step.spec.gang and _has_other_run(list(step.run_by_index.values()), listed_run.run)):
+        return 'task runs elsewhere'
+    return ''
+
+
+def _stop_unassigned(
+    state: SchedulerState,
+    step: StepState | None,
+    worker: WorkerState,
+    listed_run: ListedRun,
+    reason: str,
+    now: Moment,
+) -> Run:
+    """Order the stop of a listed run that is not needed, and return the run, which holds capacity until it is gone."""
+    # What the tasks of a forgotten job hold is unknown.
+    demand = NO_RESOURCES if step is None else effective_demand(step)
+    run = Run(listed_run.key, listed_run.run, worker.worker_id, demand, now.steady_s, 0.0)
+    state.stop(run, reason)
+    return run
+
+
+def _adopt(state: SchedulerState, step: StepState, worker: WorkerState, listed_run: ListedRun, now: Moment) -> Run:
+    """Adopt a run that a previous owner started."""
     work_s = state.times.expect_s(step.job.queue.name, step.spec)
     started_s = now.steady_s - work_s * listed_run.percent / _FULL_PERCENT
     run = Run(listed_run.key, listed_run.run, worker.worker_id, effective_demand(step), started_s, work_s)
--- a/packages/kernel/dahliaarch_kernel/scheduler/workers.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/workers.py
@@ -1,5 +1,7 @@
 """Workers, their leases and their state as known to the scheduler."""
 
+from collections.abc import Iterable, Iterator
+from itertools import chain
 from typing import NamedTuple
 
 from ..workload import NO_RESOURCES, Resources, TaskKey
@@ -144,6 +146,8 @@
         self.worker_id = profile.worker_id
         self.lease = Lease()
         self.run_by_key: dict[TaskKey, Run] = {}
+        # Runs on its latest list to which no task is assigned: they are being stopped, and hold capacity until then.
+        self.unassigned_runs: tuple[Run, ...] = ()
         self.used = NO_RESOURCES
         # Runs of tasks under which workers crashed; most workers have none.
         self._suspects: list[Run] = []
@@ -225,6 +229,26 @@
             if run.isolation_s:
                 self._suspects.remove(run)
 
+    def replace_unassigned_runs(self, runs: Iterable[Run]) -> bool:
+        """Replace the runs to which no task is assigned; return whether any of the former ones may be gone."""
+        former = self.unassigned_runs
+        self.unassigned_runs = tuple(runs)
+        for gone in former:
+            self.used = self.used.minus(gone.demand)
+        for listed in self.unassigned_runs:
+            self.used = self.used.plus(listed.demand)
+        return bool(former)
+
+    @property
+    def runs(self) -> Iterator[Run]:
+        """All runs that hold capacity, with those to which no task is assigned."""
+        return chain(self.run_by_key.values(), self.unassigned_runs)
+
+    @property
+    def run_count(self) -> int:
+        """Number of runs that hold capacity."""
+        return len(self.run_by_key) + len(self.unassigned_runs)
+
     def count_runs_of_other_jobs(self, run: Run) -> int:
         """Return the number of runs on this worker that belong to other jobs than the given run."""
         return sum(other.job_id != run.key.job_id for other in self.run_by_key)
--- a/packages/node/dahliaarch_node/owner/load_gauges.py
+++ b/packages/node/dahliaarch_node/owner/load_gauges.py
@@ -45,7 +45,7 @@
             self._metrics.waiting_steps.labels(reason.value).set(load.waiting_by_reason.get(reason, 0))
         self._metrics.evacuated_domains.set(len(self._scheduler.evacuations.by_domain))
         evacuated = (worker for worker in self._scheduler.worker_by_id.values() if worker.is_evacuated)
-        self._metrics.evacuated_runs.set(sum(len(worker.run_by_key) for worker in evacuated))
+        self._metrics.evacuated_runs.set(sum(worker.run_count for worker in evacuated))
         self._set_account_overuse()
         self._metrics.slow_workers.set(sum(map(is_slow, self._scheduler.worker_by_id.values())))
         ages_s = [now_s - run.started_s for run in self._unconfirmed_runs()]
--- a/packages/node/dahliaarch_node/owner/registry.py
+++ b/packages/node/dahliaarch_node/owner/registry.py
@@ -195,7 +195,7 @@
                 link.acknowledge(number)
 
     def _roster_entry(self, worker: WorkerState, link: WorkerLink) -> RosterEntry:
-        is_lapsed = worker.is_lapsed and not worker.is_reporting and not worker.run_by_key
+        is_lapsed = worker.is_lapsed and not worker.is_reporting and not worker.run_count
         incarnation = self._roster_incarnation(link)
         profile = worker.profile._replace(worker_id=incarnation.worker_id, leaves_in_s=None)
         return RosterEntry(profile, link.address, incarnation, is_lapsed)
--- a/packages/node/dahliaarch_node/status.py
+++ b/packages/node/dahliaarch_node/status.py
@@ -73,7 +73,7 @@
             'domain': domain,
             'since': datetime.fromtimestamp(evacuation.since_s, UTC).isoformat(timespec='seconds'),
             'workers': sum(worker.profile.domain == domain for worker in workers),
-            'runs': sum(len(worker.run_by_key) for worker in workers if worker.profile.domain == domain),
+            'runs': sum(worker.run_count for worker in workers if worker.profile.domain == domain),
         }
         for domain, evacuation in sorted(scheduler.evacuations.by_domain.items())
     ]
@@ -82,7 +82,7 @@
 def _worker(worker: WorkerState) -> dict[str, Any]:
     return {
         'worker': worker.worker_id,
-        'runs': len(worker.run_by_key),
+        'runs': worker.run_count,
         'free_accelerators': worker.free.accelerators,
         'state': _state(worker),
     }
