Soak: jobs with limits per worker, and a check of them

Cause: no job of the soak had a limit per worker, so that it could not find probes beyond it. Change: from seed 20000 on half of the jobs have one; starts beside more tasks of their step than it allows are violations. Earlier seeds play as before.

--- a/packages/standins/dahliaarch_standins/deployment/jobs.py
+++ b/packages/standins/dahliaarch_standins/deployment/jobs.py
@@ -8,6 +8,9 @@
 
 _TWO_STEP_SHARE = 0.3
 _MAX_TASKS = 4
+# Tasks of a step with a limit per worker, and the highest such limit.
+_LIMITED_TASKS = 6
+_MAX_PER_WORKER = 2
 
 
 def draw_steps(rng: random.Random, *, estimate_ms: int, gang_share: float = 0.0) -> list[dict[str, Any]]:
@@ -25,6 +28,12 @@
     return [first]
 
 
+def limit_per_worker(rng: random.Random, steps: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return steps with several small tasks of which only a few may run on one worker."""
+    limit = rng.randint(1, _MAX_PER_WORKER)
+    return [{**step, 'Count': _LIMITED_TASKS, 'Gpu': 1, 'Gang': False, 'AntiAffinity': limit} for step in steps]
+
+
 def step_specs(steps: Iterable[dict[str, Any]]) -> tuple[StepSpec, ...]:
     """Return the step specifications for submitted steps."""
     return tuple(
@@ -33,6 +42,7 @@
             Resources(step['Cpu'], step['MemMb'], step['Gpu']),
             after=tuple(step.get('After', ())),
             gang=step.get('Gang', False),
+            max_per_worker=step.get('AntiAffinity', 0),
         )
         for step in steps
     )
--- a/packages/standins/dahliaarch_standins/soak/core.py
+++ b/packages/standins/dahliaarch_standins/soak/core.py
@@ -12,7 +12,7 @@
 
 from ..deployment import Caller
 from ..deployment.core import API_KEY, PREFIX_BY_QUEUE
-from ..deployment.jobs import draw_steps, step_specs
+from ..deployment.jobs import draw_steps, limit_per_worker, step_specs
 from .evacuations import starts_in_evacuated_domains
 from .following import APPLY_S, ConfigurationCheck, SLOW_APPLY_S
 from .plans import draw_plan, Fault, inject
@@ -26,6 +26,7 @@
     duplicate_runs,
     ENDED_STATES,
     excess_crash_starts,
+    excess_runs_of_step,
     jobs_that_may_be_given_up,
     refused_jobs_that_ran,
     still_running,
@@ -168,6 +169,7 @@
         *starts_in_evacuated_domains(system.evacuations.periods, system.deployment.workers),
         *await _find_still_running(system, states),
         *excess_crash_starts(submissions, system.deployment.workers),
+        *excess_runs_of_step(submissions, system.deployment.workers),
         *refused_jobs_that_ran(submissions, system.deployment.workers),
         *wrong_final_states(
             states, submissions, _done_tasks(system), jobs_that_may_be_given_up(system.deployment.workers)
@@ -206,12 +208,15 @@
 ) -> None:
     """Submit jobs over persistent connections until some time after the last fault."""
     caller = system.deployment.caller()
-    # A separate generator, so that the other jobs of a seed do not change.
+    # Separate generators, so that the other jobs of a seed do not change.
     crash_rng = random.Random(rng.getrandbits(64) if settings.crashing_share else 0)
+    limit_rng = random.Random(rng.getrandbits(64) if settings.limited_share else 0)
     with anyio.move_on_after(settings.faults_s + _SUBMIT_AFTER_FAULTS_S):
         while True:
             await anyio.sleep(rng.expovariate(1 / _MEAN_SUBMIT_INTERVAL_S))
             steps = _crowded_steps(rng) if settings.is_crowded else draw_steps(rng, estimate_ms=_ESTIMATE_MS)
+            if limit_rng.random() < settings.limited_share:
+                steps = limit_per_worker(limit_rng, steps)
             with anyio.CancelScope(shield=True):
                 if crash_rng.random() < settings.crashing_share:
                     submissions.append(await _submit(caller, crash_rng, [{**steps[0], 'Count': 1}], 'crash'))
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -11,12 +11,16 @@
 EVACUATION_KINDS = ('evacuate_domains',)
 # Seeds below this number have no evacuations, so that those that are kept as regressions play as before.
 FIRST_SEED_WITH_EVACUATIONS = 10_000
+# Seeds below this number have no limits per worker, for the same reason.
+FIRST_SEED_WITH_LIMITS = 20_000
 # Rate of a permanently slow link, in bytes per second: the slowest link of the platform
 # has 5 Mbit/s.
 SLOW_BYTES_PER_S = 600_000
 
 # Share of jobs that crash workers: one or two jobs per soak.
 _CRASHING_SHARE = 0.06
+# Share of jobs whose steps limit the number of their tasks on one worker.
+_LIMITED_SHARE = 0.5
 
 
 class SoakSettings(NamedTuple):
@@ -47,6 +51,8 @@
         which a deposed owner could start by mistake.
     crashing_share : float
         Share of jobs whose task crashes each worker that starts it.
+    limited_share : float
+        Share of jobs whose steps limit the number of their tasks on one worker.
     keeping_ids : int
         Number of workers that return under their previous id after a task crashed them.
     without : str
@@ -66,6 +72,7 @@
     kinds: tuple[str, ...] = ()
     is_crowded: bool = False
     crashing_share: float = 0.0
+    limited_share: float = 0.0
     keeping_ids: int = 0
     without: str = ''
 
@@ -86,6 +93,7 @@
         evacuations=evacuations,
         faults_s=8.0 + 2.0 * (share - 1),
         crashing_share=_CRASHING_SHARE,
+        limited_share=_LIMITED_SHARE if seed >= FIRST_SEED_WITH_LIMITS else 0.0,
         keeping_ids=rng.randint(0, workers),
     )
 
--- a/packages/standins/dahliaarch_standins/soak/violations.py
+++ b/packages/standins/dahliaarch_standins/soak/violations.py
@@ -86,7 +86,39 @@
                 yield Violation('no run after a success that was noted', runs)
 
 
-def _intervals_by_task(workers: Sequence[WorkerStandIn]) -> dict[str, list[_RunInterval]]:
+def excess_runs_of_step(submissions: Iterable[Submission], workers: Iterable[WorkerStandIn]) -> Iterator[Violation]:
+    """Yield starts on a worker beside as many other tasks of their step as the step allows there."""
+    limit_by_step = {
+        f'{submission.job_id}.0.{number}': step.max_per_worker
+        for submission in submissions
+        for number, step in enumerate(submission.steps)
+        if step.max_per_worker
+    }
+    for worker in workers:
+        for (step, _), intervals in _intervals_by_step(worker).items():
+            limit = limit_by_step.get(step, len(intervals))
+            for each in _begun_beside(intervals, limit):
+                runs = f'{each.end_key.task}, {each.run}'
+                yield Violation('no worker runs more tasks of a step than it allows', f'{worker.worker_id}: {runs}')
+
+
+def _intervals_by_step(worker: WorkerStandIn) -> dict[tuple[str, int], list[_RunInterval]]:
+    """Return the runs on a worker by step and incarnation."""
+    intervals_by_step: dict[tuple[str, int], list[_RunInterval]] = defaultdict(list)
+    for task, intervals in _intervals_by_task([worker]).items():
+        for interval in intervals:
+            intervals_by_step[task.rpartition('.')[0], interval.end_key.incarnation].append(interval)
+    return intervals_by_step
+
+
+def _begun_beside(intervals: Sequence[_RunInterval], limit: int) -> Iterator[_RunInterval]:
+    """Yield the runs that began while this many others, or more, were running."""
+    for begun in intervals:
+        if sum(other.begin_s <= begun.begin_s < other.end_s for other in intervals) > limit:
+            yield begun
+
+
+def _intervals_by_task(workers: Iterable[WorkerStandIn]) -> dict[str, list[_RunInterval]]:
     intervals: dict[str, list[_RunInterval]] = defaultdict(list)
     for worker in workers:
         # The next incarnation may execute a start again under the same run number.
