--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -42,6 +42,7 @@
 _SECOND_KINDS = tuple(sorted((*_FIRST_KINDS, 'cut_instance_from_peers', 'grow_configuration', 'slow_link')))
 _THIRD_KINDS = tuple(sorted((*_SECOND_KINDS, 'leave_owner_a_worker')))
 _FOURTH_KINDS = tuple(sorted((*_THIRD_KINDS, 'restart_worker')))
+_RESTART_KINDS = ('kill_instance', 'restart_worker', 'stop_instance', 'pause_instance')
 # Seeds that have failed, each with its cause; see docs/findings.md.
 REGRESSIONS = (
     # SIGHUP during startup, before its handler was installed, terminated an instance.
@@ -68,6 +69,8 @@
     draw_settings(9039)._replace(kinds=_FOURTH_KINDS),
     # Three successive owners lost the store before they could save a crash: a task was started six times.
     draw_settings(9440)._replace(kinds=_FOURTH_KINDS),
+    # Workers that might hide ends got more tasks of a step than it allows on one worker.
+    draw_settings(20_003)._replace(kinds=_RESTART_KINDS, faults=10, crashing_share=0.0, limited_share=1.0),
 )
 UNRESTRICTED_SETTINGS = draw_settings(1)
 EVACUATION_SETTINGS = draw_settings(10_001)
