Known failures: entries name a case of review/ by its path, and no id twice

Change: an entry may name a case, which must be a folder of review/ with its program; the summary prints it as not run. An id that stands twice is an error.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -43,6 +43,14 @@
     return pytester
 
 
+def add_case(project, number):
+    folder = project.path / 'review' / number
+    folder.mkdir(parents=True)
+    program = folder / 'run.sh'
+    program.write_text('exit 1')
+    return program
+
+
 def run_listed(project, *test_ids, options=()):
     (project.path / 'KNOWN-RED.txt').write_text(''.join(f'{test_id}, `pytest`, now and then\n' for test_id in test_ids))
     return project.runpytest_inprocess(*options)
@@ -72,13 +80,33 @@
     result.stdout.fnmatch_lines([f'PASSED, though it is listed: {SOUND}, `pytest`, now and then'])
 
 
-@pytest.mark.parametrize('unknown', ['tests/test_suite.py::test_seeds[3]', 'tests/test_suite.py'])
+@pytest.mark.parametrize('unknown', ['tests/test_suite.py::test_seeds[3]', 'tests/test_suite.py', 'review/2', 'review'])
 def test_an_entry_that_names_no_test_is_an_error(project, unknown):
-    result = run_listed(project, FAILED_SEED, FAILED_SETUP, unknown)
+    add_case(project, '1')
+    result = run_listed(project, FAILED_SEED, FAILED_SETUP, 'review/1', unknown)
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines([f'*names no test: {unknown.replace("[", "[[]")}'])
 
 
+def test_a_listed_case_is_named(project):
+    add_case(project, '1')
+    result = run_listed(project, FAILED_SEED, FAILED_SETUP, 'review/1')
+    assert result.ret == pytest.ExitCode.OK
+    result.stdout.fnmatch_lines(['NOT RUN HERE: review/1, `pytest`, now and then'])
+
+
+def test_a_case_without_a_program_is_an_error(project):
+    add_case(project, '1').unlink()
+    result = run_listed(project, FAILED_SEED, FAILED_SETUP, 'review/1')
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+
+
+def test_entries_with_the_same_id_are_an_error(project):
+    # Only the last of them was printed.
+    result = run_listed(project, FAILED_SEED, FAILED_SETUP, FAILED_SEED)
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+
+
 @pytest.mark.parametrize(
     'options', [['tests/test_suite.py'], [SOUND], ['-k', 'sound'], ['--deselect', SOUND], ['--ignore', 'tests/none']]
 )
