--- a/conftest.py
+++ b/conftest.py
@@ -22,7 +22,7 @@
 
 
 def read_known_red(folder: Path) -> Mapping[str, str]:
-    """Entries of the list of known failures by test id: what stands up to the first comma of a line."""
+    """Entries of the list by the id of a test or case: what stands up to the first comma of a line."""
     path = folder / LIST_NAME
     lines = [line.strip() for line in path.read_text().splitlines() if line.strip()] if path.exists() else []
     entries_by_id = {line.partition(',')[0].strip(): line for line in lines}
--- a/packages/kernel/dahliaarch_kernel/scheduler/advice_requests.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/advice_requests.py
@@ -39,6 +39,6 @@
     unknown = [worker for worker in eligible if not advice.has_answer_about(worker.worker_id)]
     demand = effective_demand(request.step)
     if not any(fits(free_by_id[worker.worker_id], demand) for worker in consenting):
-        # Renewed tickets would expire before they can be used.
+        # Renewed tickets could expire before they are used.
         consenting = []
     return sorted(consenting + unknown, key=lambda worker: -free_by_id[worker.worker_id].accelerators)
