--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -71,6 +71,8 @@
     draw_settings(9440)._replace(kinds=_FOURTH_KINDS),
     # Workers that might hide ends got more tasks of a step than it allows on one worker.
     draw_settings(20_003)._replace(kinds=_RESTART_KINDS, faults=10, crashing_share=0.0, limited_share=1.0),
+    # Tasks suspected of crashes ran isolated, one on each worker at a time, and other jobs waited beside idle capacity.
+    draw_settings(20_139),
 )
 UNRESTRICTED_SETTINGS = draw_settings(1)
 EVACUATION_SETTINGS = draw_settings(10_001)
