--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,6 +15,8 @@
 JOB_ID = '00000000000000a5'
 LOSS_SLACK_S = 0.2
 GRACE_S = 6.0
+MACHINES = 7
+ZONE_MACHINES = 3
 # Time between two machines of the zone that get SIGTERM, and from the end of a process to its next start.
 GAP_S = 1.3
 RESTART_S = 1.0
@@ -51,11 +53,17 @@
 
 async def main():
     recorder = Recorder(FOLDER / 'record.txt')
-    async with harness.Deployment(recorder, 3, [['a', 'r0-0']] * 2) as deployment:
+    # Four machines in other zones, one of which owns the pool, and three in the zone of the clients.
+    async with harness.Deployment(recorder, MACHINES, [['a', 'r0-0']] * 2, starts_all=False) as deployment:
+        owner, *others = deployment.instances
+        zone = others[-ZONE_MACHINES:]
+        owner.start()
+        await deployment.wait_ready(instances=[owner])
+        for instance in others:
+            instance.start()
         await deployment.wait_ready()
-        owner = deployment.owner()
-        # The owner of the pool is stopped last.
-        in_turn = [each for each in deployment.instances if each is not owner] + [owner]
+        if deployment.owner() is not owner:
+            return harness.FAILED_TO_RUN
         steps = [{'Count': 1, 'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, 'EstimateMs': 60_000}]
         if await deployment.submit(owner, JOB_ID, steps, '60') != 200:
             return harness.FAILED_TO_RUN
@@ -63,7 +71,7 @@
             await asyncio.sleep(0.1)
         # No disruption for longer than ContactMs.
         await asyncio.sleep(3.5)
-        entry = harness.Entry(deployment)
+        entry = harness.Entry(zone)
         entry_task = asyncio.create_task(entry.run())
         results = []
         until = time.monotonic() + 12.0
@@ -72,7 +80,7 @@
         stopped_at = {}
         restarts = []
         if harness.has_trouble():
-            for instance in in_turn:
+            for instance in zone:
                 instance.signal(signal.SIGTERM)
                 stopped_at[instance] = time.monotonic()
                 restarts.append(asyncio.create_task(restart(instance)))
--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -160,12 +160,13 @@
         'Bounds.ReclaimMs': '2900',
     }
 
-    def __init__(self, recorder, instances, labels_of_workers):
+    def __init__(self, recorder, instances, labels_of_workers, store=None, *, starts_all=True):
         self.recorder = recorder
-        self.store = StoreStandIn()
+        self.store = store or StoreStandIn()
         self.workers = [Worker(self.store, recorder, labels) for labels in labels_of_workers]
         self.instances = []
         self._instance_count = instances
+        self._starts_all = starts_all
         self._folder = tempfile.TemporaryDirectory(prefix='review-')
         self._tasks = []
 
@@ -181,8 +182,9 @@
             Instance(number, folder, store_address, self.recorder, self.bounds)
             for number in range(self._instance_count)
         ]
-        for instance in self.instances:
-            instance.start()
+        if self._starts_all:
+            for instance in self.instances:
+                instance.start()
         return self
 
     async def __aexit__(self, *_):
@@ -219,10 +221,10 @@
         }
         self.store.put('op/config', json.dumps(configuration).encode())
 
-    async def wait_ready(self, timeout_s=20.0):
-        """Wait until all instances are ready and one of them owns the pool."""
+    async def wait_ready(self, timeout_s=20.0, instances=None):
+        """Wait until all instances, or some, are ready and one of them owns the pool."""
         async with asyncio.timeout(timeout_s):
-            for instance in self.instances:
+            for instance in instances or self.instances:
                 while not await instance.is_ready():
                     await asyncio.sleep(0.05)
             while (await self.call(self.instances[0], 'GET', '')).status != 200:
@@ -256,8 +258,8 @@
 class Entry:
     """The platform's entry of one zone: passes new connections to the instances that are in."""
 
-    def __init__(self, deployment):
-        self._instances = deployment.instances
+    def __init__(self, instances):
+        self._instances = instances
         self._misses = dict.fromkeys(range(len(self._instances)), 0)
         self._count = 0
 
--- a/review/lib_2/stand_ins.py
+++ b/review/lib_2/stand_ins.py
@@ -148,6 +148,12 @@
         # The entry of the life before goes after three heartbeats of silence.
         asyncio.get_running_loop().call_later(max(0.0, 4.5 - down_s), self.store.remove, key)
 
+    def break_gang(self, job_id):
+        """End the runs of a gang that has lost a member elsewhere."""
+        for task in tuple(self._running):
+            if task.startswith(job_id):
+                self._end(task, 'broken')
+
     async def close(self):
         if self._server is not None:
             self._server.close()
