--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,77 +1,79 @@
-"""Workers crash while tasks run there that never fail: are the jobs shown as failed?"""
+"""A machine that stops is told that its settings changed: are the requests that it has read answered?"""
 
 import asyncio
-import json
+import signal
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'lib_2'))
 
 import harness  # noqa: E402 - the path is set above
-from stand_ins import Recorder  # noqa: E402 - the path is set above
+from stand_ins import Connection, Recorder  # noqa: E402 - the path is set above
 
-LASTING, ORDINARY = '00000000000000a6', '00000000000000b6'
-WORKERS = 14
-CRASHES = 3
-DOWN_S = 1.0
-# Time from one crash of the workers to the next.
-PERIOD_S = 4.5
-WORK_S = 6
-# Time that the jobs have after the last crash.
-CALM_S = 20.0
+JOB_ID = '00000000000000a6'
+LOSS_SLACK_S = 0.2
+# When the signal about the settings comes after the one to stop; the instance stops for 2.6 s at least.
+SETTINGS_AFTER_S = 1.0
+CLIENTS = 50
+INTERVAL_S = 0.01
 
 
-async def submit(deployment, job_id, step, spec):
-    instance = deployment.instances[0]
-    return await deployment.submit(instance, job_id, [{'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, **step}], spec) == 200
+async def ask(deployment, connection, number, delay_s):
+    """Ask for the job's state on an open connection."""
+    await asyncio.sleep(delay_s)
+    path = harness.PREFIX + JOB_ID
+    answer = await connection.call('GET', path, key=harness.KEY, host=harness.HOST)
+    deployment.recorder.write(
+        f'client {number:2}: GET, {answer.status or "connection ended without an answer"} '
+        f'{answer.ended_at - answer.sent_at:.3f} s after its last byte'
+    )
+    return answer
 
 
-async def follow(deployment, job_id, seen):
-    """Ask for the job's state every half second, and write down each new one."""
-    while True:
-        for instance in deployment.instances:
-            answer = await deployment.call(instance, 'GET', job_id)
-            if answer.status == 200:
-                state = json.loads(answer.body)['State']
-                if seen[-1:] != [state]:
-                    seen.append(state)
-                    deployment.recorder.write(f'client: GET {job_id} at {instance.name}: {state}')
-        await asyncio.sleep(0.5)
+def is_lost(answer):
+    return answer.sent_at > 0 and answer.status is None and answer.ended_at - answer.sent_at > LOSS_SLACK_S
 
 
 async def main():
     recorder = Recorder(FOLDER / 'record.txt')
-    labels = [['kind-b', 'r0-0'], ['kind-c', 'r0-0'], *(['a', f'r0-{number // 8}'] for number in range(2, WORKERS))]
-    async with harness.Deployment(recorder, 3, labels) as deployment:
+    async with harness.Deployment(recorder, 3, [['a', 'r0-0']] * 2) as deployment:
         await deployment.wait_ready()
-        lasting = {'Count': 1, 'LongRunning': True, 'Requirements': 'kind-b'}
-        ordinary = {'Count': 1, 'EstimateMs': WORK_S * 1000, 'Requirements': 'kind-c'}
-        if not await submit(deployment, LASTING, lasting, '600'):
+        # The machine that is stopped does not own the pool: it serves clients, and nothing else.
+        stopped = next(each for each in deployment.instances if each is not deployment.owner())
+        steps = [{'Count': 1, 'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, 'EstimateMs': 60_000}]
+        if await deployment.submit(stopped, JOB_ID, steps, '60') != 200:
             return harness.FAILED_TO_RUN
-        if not await submit(deployment, ORDINARY, ordinary, str(WORK_S)):
-            return harness.FAILED_TO_RUN
-        seen = {LASTING: [], ORDINARY: []}
-        followers = [asyncio.create_task(follow(deployment, job_id, seen[job_id])) for job_id in seen]
-        await asyncio.sleep(2.0)
-        for _ in range(CRASHES if harness.has_trouble() else 0):
-            await asyncio.gather(*(worker.crash(DOWN_S) for worker in deployment.workers[:2]))
-            await asyncio.sleep(PERIOD_S - DOWN_S)
-        recorder.write('no more crashes')
-        await asyncio.sleep(CALM_S)
-        for follower in followers:
-            follower.cancel()
-        ends = [end for worker in deployment.workers for end in worker.ends]
-        broken = False
-        for job_id, states in seen.items():
-            failures = sum(task.startswith(job_id) and how == 'failed' for task, _, how in ends)
-            is_broken = 'failed' in states and failures < harness.MAX_ATTEMPTS
-            broken = broken or is_broken
-            recorder.write(
-                f'{job_id}: states {states}, {failures} ends `failed` of {harness.MAX_ATTEMPTS}'
-                + (': shown as failed without cause' if is_broken else '')
-            )
-        return harness.BROKEN if broken else harness.HELD
+        while await deployment.state(stopped, JOB_ID) != 'running':
+            await asyncio.sleep(0.1)
+        # No disruption for longer than ContactMs.
+        await asyncio.sleep(3.5)
+        connections = [Connection(stopped.front) for _ in range(CLIENTS)]
+        for connection in connections:
+            await connection.open()
+        stopped.signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        first_s = SETTINGS_AFTER_S - CLIENTS * INTERVAL_S
+        calls = [
+            asyncio.create_task(ask(deployment, connection, number, first_s + number * INTERVAL_S))
+            for number, connection in enumerate(connections)
+        ]
+        await asyncio.sleep(stopped_at + SETTINGS_AFTER_S - time.monotonic())
+        if harness.has_trouble():
+            text = stopped.settings.read_text(encoding='utf-8')
+            stopped.settings.write_text(f'{text}Seeds={stopped.ip}:8526\n', encoding='utf-8')
+            stopped.signal(signal.SIGHUP)
+        answers = await asyncio.gather(*calls)
+        while stopped.exit_status() is None:
+            await asyncio.sleep(0.01)
+        recorder.write(
+            f'{stopped.name}: exit status {stopped.exit_status()}, {time.monotonic() - stopped_at:.2f} s after SIGTERM'
+        )
+        lost = sum(is_lost(answer) for answer in answers)
+        unanswered = sum(answer.status is None for answer in answers)
+        recorder.write(f'{len(answers)} requests sent, {unanswered} without an answer, {lost} of them LOST')
+        return harness.BROKEN if lost else harness.HELD
 
 
 harness.run_case(main)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""A cancel is answered while the write of the job's record is still on its way to the store: does the job run later?"""
+"""Machines of a zone are stopped one after the other: are the requests that they have read answered?"""
 
 import asyncio
-import json
+import signal
 import sys
 import time
 from pathlib import Path
@@ -10,84 +10,100 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib_2'))
 
 import harness  # noqa: E402 - the path is set above
-from stand_ins import Recorder  # noqa: E402 - the path is set above
-
-from dahliaarch_standins.platform import StoreStandIn  # noqa: E402 - the path is set by the harness
+from stand_ins import Connection, Recorder  # noqa: E402 - the path is set above
 
 JOB_ID = '00000000000000a7'
-OTHERS = [f'00000000000000{number}7' for number in range(8)]
-# Writes without an answer are done this long after they came.
-LATE_S = 5.5
-CANCEL_S = 3.0
-CONTACT_S = 3.0
-# The largest share of writes without an answer, by the site file.
-MAX_SHARE = 0.35
+LOSS_SLACK_S = 0.2
+GRACE_S = 6.0
+MACHINES = 7
+ZONE_MACHINES = 3
+# Time between two machines of the zone that get SIGTERM, and from the end of a process to its next start.
+GAP_S = 1.3
+RESTART_S = 1.0
+CLIENTS = 90
+# Time between the answer to a client and its next request.
+PAUSE_S = 0.3
 
 
-class LosingStore(StoreStandIn):
-    """A store that gives no answer to the writes of one record, and does them late."""
+async def follow(deployment, entry, number, results, until):
+    """Ask for the job's state from time to time, each time on a new connection from the entry."""
+    path = harness.PREFIX + JOB_ID
+    await asyncio.sleep(number * PAUSE_S / CLIENTS)
+    while time.monotonic() < until:
+        instance = entry.pick()
+        connection = Connection(instance.front)
+        answer = await connection.call('GET', path, key=harness.KEY, host=harness.HOST)
+        connection.close()
+        results.append((instance, answer))
+        if answer.status is None and answer.is_connected:
+            deployment.recorder.write(
+                f'client {number:2}: GET at {instance.name}, connection ended without an answer '
+                f'{answer.ended_at - answer.sent_at:.3f} s after its last byte'
+            )
+        await asyncio.sleep(PAUSE_S)
 
-    def __init__(self, recorder):
-        super().__init__()
-        self.recorder = recorder
-        self.is_losing = False
-        self.writes = 0
-        self.lost = 0
 
-    async def _handle_transaction(self, request):
-        if self.is_losing:
-            self.writes += 1
-            keys = [row['Key'] for row in json.loads(request.body).get('Writes', ())]
-            if any(key.endswith(JOB_ID) for key in keys):
-                self.lost += 1
-                self.recorder.write(f'store: write of {keys} comes, and gets no answer')
-                await asyncio.sleep(LATE_S)
-                status = self._apply_transaction(request).status
-                self.recorder.write(f'store: write of {keys} is done late, status {status}')
-                return await self.faults.lose()
-        return self._apply_transaction(request)
+async def restart(instance):
+    """Start the instance again a short time after its process has ended, as the platform does."""
+    while instance.exit_status() is None:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(RESTART_S)
+    instance.start()
 
 
 async def main():
     recorder = Recorder(FOLDER / 'record.txt')
-    store = LosingStore(recorder)
-    async with harness.Deployment(recorder, 3, [['a', 'r0-0']] * 4, store) as deployment:
+    # Four machines in other zones, one of which owns the pool, and three in the zone of the clients.
+    async with harness.Deployment(recorder, MACHINES, [['a', 'r0-0']] * 2, starts_all=False) as deployment:
+        owner, *others = deployment.instances
+        zone = others[-ZONE_MACHINES:]
+        owner.start()
+        await deployment.wait_ready(instances=[owner])
+        for instance in others:
+            instance.start()
         await deployment.wait_ready()
-        owner = deployment.owner()
-        first, second = (each for each in deployment.instances if each is not owner)
-        steps = [{'Count': 1, 'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, 'EstimateMs': 2000}]
-        store.is_losing = harness.has_trouble()
-        calls = [deployment.submit(second, each, steps, '2') for each in OTHERS]
-        status, *others = await asyncio.gather(deployment.submit(first, JOB_ID, steps, '2'), *calls)
-        store.is_losing = False
-        if set(others) != {200}:
-            return harness.FAILED_TO_RUN
-        calm_at = time.monotonic()
-        share = store.lost / max(1, store.writes)
-        recorder.write(f'store: sound from now on; {store.lost} of {store.writes} writes got no answer')
-        if share > MAX_SHARE or (harness.has_trouble() and status != 504):
+        if deployment.owner() is not owner:
             return harness.FAILED_TO_RUN
-        await asyncio.sleep(0.3)
-        answer = await deployment.call(second, 'DELETE', JOB_ID)
-        cancelled_at = time.monotonic()
-        recorder.write(f'client: DELETE {JOB_ID} at {second.name}: {answer.status}')
-        if answer.status not in (200, 410):
+        steps = [{'Count': 1, 'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, 'EstimateMs': 60_000}]
+        if await deployment.submit(owner, JOB_ID, steps, '60') != 200:
             return harness.FAILED_TO_RUN
-        started_at = None
-        while started_at is None and time.monotonic() < cancelled_at + 12.0:
-            if any(task.startswith(JOB_ID) for worker in deployment.workers for task, _ in worker.starts[:]):
-                started_at = time.monotonic()
-            await asyncio.sleep(0.02)
-        if not harness.has_trouble():
-            started_at = None if started_at is None or started_at < cancelled_at + CANCEL_S else started_at
-        recorder.write(f'client: GET {JOB_ID} at {second.name}: {await deployment.state(second, JOB_ID)}')
-        if started_at is None:
-            recorder.write('the job was not started after its cancel')
-            return harness.HELD
-        after_s = started_at - cancelled_at
-        in_touch = started_at > calm_at + CONTACT_S
-        recorder.write(f'a task of the job starts {after_s:.2f} s after the answer to its cancel; {in_touch=}')
-        return harness.BROKEN if in_touch and after_s > CANCEL_S else harness.HELD
+        while await deployment.state(owner, JOB_ID) != 'running':
+            await asyncio.sleep(0.1)
+        # No disruption for longer than ContactMs.
+        await asyncio.sleep(3.5)
+        entry = harness.Entry(zone)
+        entry_task = asyncio.create_task(entry.run())
+        results = []
+        until = time.monotonic() + 12.0
+        clients = [asyncio.create_task(follow(deployment, entry, number, results, until)) for number in range(CLIENTS)]
+        await asyncio.sleep(1.0)
+        stopped_at = {}
+        restarts = []
+        if harness.has_trouble():
+            for instance in zone:
+                instance.signal(signal.SIGTERM)
+                stopped_at[instance] = time.monotonic()
+                restarts.append(asyncio.create_task(restart(instance)))
+                await asyncio.sleep(GAP_S)
+        await asyncio.gather(*clients, *restarts)
+        entry_task.cancel()
+        lost = [
+            (instance, answer)
+            for instance, answer in results
+            if answer.is_connected
+            and answer.sent_at
+            and answer.status is None
+            and answer.ended_at - answer.sent_at > LOSS_SLACK_S
+            and instance in stopped_at
+            and stopped_at[instance] < answer.ended_at < stopped_at[instance] + GRACE_S + 1.0
+        ]
+        unanswered = sum(answer.is_connected and answer.status is None for _, answer in results)
+        for instance, answer in lost:
+            recorder.write(f'LOST at {instance.name}: {answer.ended_at - stopped_at[instance]:.2f} s after its SIGTERM')
+        recorder.write(
+            f'{len(results)} requests, {unanswered} without an answer on an open connection, {len(lost)} of them LOST'
+        )
+        return harness.BROKEN if lost else harness.HELD
 
 
 harness.run_case(main)
--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -19,6 +19,7 @@
 ]
 os.environ.setdefault('PYTHONDONTWRITEBYTECODE', '1')
 
+from network import Network  # noqa: E402 - the path is set above
 from stand_ins import Connection, Worker  # noqa: E402 - the path is set above
 
 from dahliaarch_standins.platform import StoreStandIn  # noqa: E402 - the path is set above
@@ -60,10 +61,12 @@
 class Instance:
     """One daemon, started with the command of the deploy file."""
 
-    def __init__(self, number, folder, store_address, recorder, bounds):
-        self.name = f'front-z0-{number + 1}'
+    def __init__(self, number, folder, store_address, recorder, bounds, *, zone='z0', is_led=False):
+        self.name = f'front-{zone}-{number + 1}'
         self.ip = f'127.0.0.{21 + number}'
-        self.front_port, self.ready_port, peer_port = free_ports(self.ip, 3)
+        self.number = number
+        self.zone = zone
+        self.front_port, self.ready_port, self.peer_port = free_ports(self.ip, 3)
         self._folder = folder
         self._recorder = recorder
         self._process = None
@@ -72,6 +75,10 @@
         self._environment = {name: os.environ[name] for name in ('PATH', 'HOME', 'LANG') if name in os.environ}
         self._environment |= deploy.get('env', {})
         self._environment['PYTHONPATH'] = str(ROOT / 'target/deps')
+        if is_led:
+            # Its connections lead through the proxies of a network, see site/sitecustomize.py.
+            self._environment['PYTHONPATH'] += f':{Path(__file__).resolve().parent / "site"}'
+            self._environment['REVIEW_NETWORK'] = str(number)
         settings = folder / f'{self.name}.conf'
         self._environment['DAHLIAARCH_BOOT'] = str(settings)
         self.settings = settings
@@ -81,17 +88,21 @@
             'Class': 'front',
             'Serves': 'front',
             'Ip': self.ip,
-            'Zone': 'z0',
-            'Region': 'r',
-            'Zones.z0': 'r',
+            'Zone': zone,
+            'Region': f'region-{zone}',
+            'Zones.z0': 'region-z0',
+            'Zones.z1': 'region-z1',
             'Listen.Front': f'{self.ip}:{self.front_port}',
             'Listen.Ready': f'{self.ip}:{self.ready_port}',
-            'PortRange': f'{peer_port},{peer_port + 15}',
+            'PortRange': f'{self.peer_port},{self.peer_port + 15}',
             'Bootstrap': 'true',
             'Limits.CpuShare': '0.537',
             'Limits.Cores': '2',
             'Limits.MemoryMb': '300',
             'Limits.MaxFds': '4100',
+            'FaultTolerance.Machines': '2',
+            'FaultTolerance.Zones': '1',
+            'FaultTolerance.Regions': '0',
             'Discovery': 'platform',
             'Entry': 'vip',
             'HeartbeatMs': '1500',
@@ -160,11 +171,17 @@
         'Bounds.ReclaimMs': '2900',
     }
 
-    def __init__(self, recorder, instances, labels_of_workers, store=None, *, starts_all=True):
+    def __init__(self, recorder, instances, labels_of_workers, store=None, *, starts_all=True, far=None):
         self.recorder = recorder
         self.store = store or StoreStandIn()
         self.workers = [Worker(self.store, recorder, labels) for labels in labels_of_workers]
         self.instances = []
+        # How many instances and workers, the last ones, are in another region than the first ones, and proxies on the
+        # paths between machines, if a case cuts regions.
+        self._far_instances, far_workers = far or (0, 0)
+        self.network = Network() if far else None
+        for worker in self.workers[len(self.workers) - far_workers :]:
+            worker.zone = 'z1'
         self._instance_count = instances
         self._starts_all = starts_all
         self._folder = tempfile.TemporaryDirectory(prefix='review-')
@@ -174,14 +191,24 @@
         store_address = await self.store.listen()
         self._run(self.store.run())
         self.put_configuration(1)
-        for worker in self.workers:
-            await worker.start()
+        for number, worker in enumerate(self.workers):
+            await worker.start(f'127.0.0.{51 + number}')
             self._run(worker.run())
         folder = Path(self._folder.name)
         self.instances = [
-            Instance(number, folder, store_address, self.recorder, self.bounds)
+            Instance(
+                number,
+                folder,
+                store_address,
+                self.recorder,
+                self.bounds,
+                zone='z1' if number >= self._instance_count - self._far_instances else 'z0',
+                is_led=self.network is not None,
+            )
             for number in range(self._instance_count)
         ]
+        if self.network is not None:
+            await self._lead(store_address)
         if self._starts_all:
             for instance in self.instances:
                 instance.start()
@@ -194,9 +221,23 @@
             task.cancel()
         for worker in self.workers:
             await worker.close()
+        if self.network is not None:
+            self.network.close()
         self.store.server.close()
         self._folder.cleanup()
 
+    async def _lead(self, store_address):
+        """Lead all connections of the instances through proxies; the store is in the second region."""
+        self.network.place(store_address[0], 'z1')
+        for instance in self.instances:
+            self.network.place(instance.ip, instance.zone)
+        for worker in self.workers:
+            self.network.place(worker.address[0], worker.zone)
+        for instance in self.instances:
+            peers = [(peer.ip, peer.peer_port) for peer in self.instances]
+            for target in (store_address, *peers, *(worker.address for worker in self.workers)):
+                await self.network.lead(instance.number, instance.ip, tuple(target))
+
     def _run(self, coroutine):
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
--- a/review/lib_2/stand_ins.py
+++ b/review/lib_2/stand_ins.py
@@ -50,11 +50,14 @@
         self.store = store
         self.recorder = recorder
         self.labels = labels
+        self.zone = 'z0'
         self.max_hold_s = max_hold_s
         self.stop_s = stop_s
         # Each start and each end that a run came to, with the life of the worker.
         self.starts = []
         self.ends = []
+        # Whether the worker is cut off from the store, and does not write its entry.
+        self.is_cut_off = False
         self._server = None
         self._connections = set()
         self._begin_life()
@@ -75,6 +78,16 @@
     def clock_ms(self):
         return int((time.monotonic() - self._born) * 1000) + 1
 
+    @property
+    def running(self):
+        """The numbers of the runs that are going on, by task."""
+        return {task: run['number'] for task, run in self._running.items()}
+
+    def cut_off(self):
+        """Stop writing the entry, which goes after three heartbeats of silence."""
+        self.is_cut_off = True
+        asyncio.get_running_loop().call_later(4.5, self.store.remove, self.key)
+
     @property
     def run_count(self):
         return len(self._running)
@@ -92,7 +105,7 @@
         entry = {
             'Service': 'svc',
             'Addr': '{}:{}'.format(*self.address),
-            'Zone': 'z0',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 8,
             'State': 'ready',
@@ -109,7 +122,7 @@
             await asyncio.sleep(0.01)
             if self._server is None:
                 continue
-            if time.monotonic() > next_beat:
+            if time.monotonic() > next_beat and not self.is_cut_off:
                 next_beat = time.monotonic() + 1.5
                 self._seq += 1
                 self.publish()
