--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 from stand_ins import Recorder  # noqa: E402 - the path is set above
 
 JOB_IDS = [f'0000000000000{number:02}5' for number in range(14)]
-TASKS_OF_JOB = 100
+TASKS_OF_JOB = 210
 TASKS = TASKS_OF_JOB * len(JOB_IDS)
 # Time between two jobs; their tasks end with the same pauses between them.
 PAUSE_S = 0.3
@@ -25,13 +25,13 @@
 
 async def main():
     recorder = Recorder(FOLDER / 'record.txt')
-    deployment = harness.Deployment(recorder, 3, [['a', 'r0-0']] * 2)
+    deployment = harness.Deployment(recorder, 3, [['a', 'r0-0']] * 4)
     for worker in deployment.workers:
         worker.slots = TASKS
     async with deployment:
         await deployment.wait_ready()
         await asyncio.sleep(2.0)
-        steps = [{'Count': TASKS_OF_JOB, 'Cpu': 20, 'MemMb': 10, 'EstimateMs': WORK_S * 1000}]
+        steps = [{'Count': TASKS_OF_JOB, 'Cpu': 20, 'MemMb': 250, 'EstimateMs': WORK_S * 1000}]
         begun_at = time.monotonic()
         for number, job_id in enumerate(JOB_IDS):
             await asyncio.sleep(begun_at + number * PAUSE_S - time.monotonic())
--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -36,10 +36,16 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+async def until_terminated(main):
+    """Run a case; SIGTERM cancels it, so that it ends all processes that it started."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await main()
+
+
 def run_case(main):
     """Run a case and exit with its result; an error of the case itself is no result."""
     try:
-        result = asyncio.run(main())
+        result = asyncio.run(until_terminated(main))
     except BaseException:
         traceback.print_exc()
         result = FAILED_TO_RUN
