--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Two regions lose each other: do two owners act, and does a task run twice at the same time?"""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,6 +12,8 @@
 import harness  # noqa: E402 - the path is set above
 from stand_ins import Recorder  # noqa: E402 - the path is set above
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 JOB_ID = '00000000000000a4'
 WORKERS = 6
 TASKS = 4
@@ -45,7 +48,7 @@
         if await deployment.submit(other, JOB_ID, steps, '60') != 200:
             return harness.FAILED_TO_RUN
         await asyncio.sleep(2.0)
-        if harness.has_trouble():
+        if TROUBLE:
             recorder.write('the regions lose each other')
             deployment.network.is_cut = True
             for worker in deployment.workers[: WORKERS // 2]:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """More than 500 ends wait on one worker while the store is down: does a task run again after it has ended?"""
 
 import asyncio
+import os
 import sys
 import time
 from collections import Counter
@@ -12,6 +13,8 @@
 import harness  # noqa: E402 - the path is set above
 from stand_ins import Recorder  # noqa: E402 - the path is set above
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 JOB_IDS = [f'0000000000000{number:02}5' for number in range(14)]
 TASKS_OF_JOB = 210
 TASKS = TASKS_OF_JOB * len(JOB_IDS)
@@ -43,7 +46,7 @@
                 return harness.FAILED_TO_RUN
         recorder.write(f'{TASKS} tasks started in {time.monotonic() - begun_at:.2f} s')
         await asyncio.sleep(begun_at + WORK_S - 0.2 - time.monotonic())
-        if harness.has_trouble():
+        if TROUBLE:
             recorder.write('the store answers 503 to all calls')
             deployment.store.faults.is_refusing = True
         most = 0
@@ -51,7 +54,7 @@
         while time.monotonic() < until:
             most = max(most, *(each.unacknowledged for each in deployment.workers))
             await asyncio.sleep(0.05)
-        if harness.has_trouble():
+        if TROUBLE:
             deployment.store.faults.is_refusing = False
             recorder.write('the store answers again')
         await asyncio.sleep(20.0)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -12,6 +13,8 @@
 import harness  # noqa: E402 - the path is set above
 from stand_ins import Recorder  # noqa: E402 - the path is set above
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 from dahliaarch_standins.platform import StoreStandIn  # noqa: E402 - the path is set by the harness
 
 JOB_ID = '00000000000000a6'
@@ -56,7 +59,7 @@
         owner = deployment.owner()
         first, second = (each for each in deployment.instances if each is not owner)
         steps = [{'Count': 1, 'Cpu': 1000, 'MemMb': 256, 'Gpu': 1, 'EstimateMs': 2000}]
-        store.is_losing = harness.has_trouble()
+        store.is_losing = TROUBLE
         calls = [deployment.submit(second, each, steps, '2') for each in OTHERS]
         status, *others = await asyncio.gather(deployment.submit(first, JOB_ID, steps, '2'), *calls)
         store.is_losing = False
@@ -65,7 +68,7 @@
         calm_at = time.monotonic()
         share = store.lost / max(1, store.writes)
         recorder.write(f'store: sound from now on; {store.lost} of {store.writes} writes got no answer')
-        if share > MAX_SHARE or (harness.has_trouble() and status != 504):
+        if share > MAX_SHARE or (TROUBLE and status != 504):
             return harness.FAILED_TO_RUN
         await asyncio.sleep(0.3)
         answer = await deployment.call(second, 'DELETE', JOB_ID)
@@ -78,7 +81,7 @@
             if any(task.startswith(JOB_ID) for worker in deployment.workers for task, _ in worker.starts[:]):
                 started_at = time.monotonic()
             await asyncio.sleep(0.02)
-        if not harness.has_trouble():
+        if not TROUBLE:
             started_at = None if started_at is None or started_at < cancelled_at + CANCEL_S else started_at
         recorder.write(f'client: GET {JOB_ID} at {second.name}: {await deployment.state(second, JOB_ID)}')
         if started_at is None:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A machine that stops is told that its settings changed: are the requests that it has read answered?"""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -12,6 +13,8 @@
 import harness  # noqa: E402 - the path is set above
 from stand_ins import Connection, Recorder  # noqa: E402 - the path is set above
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 JOB_ID = '00000000000000a7'
 LOSS_SLACK_S = 0.2
 # When the signal about the settings comes after the one to stop; the instance stops for 2.6 s at least.
@@ -60,7 +63,7 @@
             for number, connection in enumerate(connections)
         ]
         await asyncio.sleep(stopped_at + SETTINGS_AFTER_S - time.monotonic())
-        if harness.has_trouble():
+        if TROUBLE:
             text = stopped.settings.read_text(encoding='utf-8')
             stopped.settings.write_text(f'{text}Seeds={stopped.ip}:8526\n', encoding='utf-8')
             stopped.signal(signal.SIGHUP)
--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -32,10 +32,6 @@
 HELD, BROKEN, FAILED_TO_RUN = 0, 1, 2
 
 
-def has_trouble():
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 async def until_terminated(main):
     """Run a case; SIGTERM cancels it, so that it ends all processes that it started."""
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
