Ownership: the whole electorate, not a majority, keeps an owner without the store

Cause: an owner without the store kept its authority while a majority of the instances knew of no newer owner, but a newer owner is elected by the store alone. A majority without the store excludes nothing.

Change: every instance of the electorate, whose names the store holds, has to reply with the owner's epoch. An instance outside the electorate may claim the pool, and allows for the longest time that an owner may go on without the store.

--- a/packages/node/dahliaarch_node/authority.py
+++ b/packages/node/dahliaarch_node/authority.py
@@ -2,32 +2,48 @@
 
 import math
 
+# Longest time that an owner keeps its authority without the store, in seconds. Regions lose each other for up to an
+# hour; an instance outside the electorate waits this long before it gives up the work of silent workers.
+MAX_OUTAGE_S = 3600.0
+
 
 class Authority:
     """Permission to send orders to workers; expires unless it is confirmed again.
 
     Renewing the owner's lease in the store confirms it. While the store is
-    unreachable, a majority of the instances confirms it instead, each by replying
-    that it knows of no newer owner: nobody can take the pool over then, so it keeps
-    working. Without either confirmation another instance may own the pool, with
-    workers that this one doesn't know of.
+    unreachable, the instances that may claim the pool can extend it instead: if all
+    of them reply that they know of no newer owner, none has claimed the pool. A
+    majority is not enough, because a single instance that reaches the store can
+    claim the pool. Without either confirmation another instance may own the pool,
+    with workers that this one doesn't know of.
 
     Parameters
     ----------
     duration_s : float
         How long a confirmation is valid, in seconds, counted from when it was
         requested; at most the duration of the lease in the store.
+    max_outage_s : float
+        How long the authority may be extended without the store, in seconds, counted
+        from the last confirmation by the store.
     """
 
-    def __init__(self, duration_s: float) -> None:
+    def __init__(self, duration_s: float, max_outage_s: float = MAX_OUTAGE_S) -> None:
         """Start without authority."""
         self._duration_s = duration_s
+        self._max_outage_s = max_outage_s
         self._valid_until_s = -math.inf
+        self._confirmed_s = -math.inf
 
     def confirm(self, requested_s: float) -> None:
-        """Extend the authority by a confirmation requested at the given time on the `steady_s` clock."""
+        """Record a confirmation by the store, requested at the given time on the `steady_s` clock."""
+        self._confirmed_s = max(self._confirmed_s, requested_s)
         self._valid_until_s = max(self._valid_until_s, requested_s + self._duration_s)
 
+    def extend(self, requested_s: float) -> None:
+        """Record that all instances that may claim the pool have agreed, asked at the given time."""
+        until_s = min(requested_s + self._duration_s, self._confirmed_s + self._max_outage_s)
+        self._valid_until_s = max(self._valid_until_s, until_s)
+
     def is_valid(self, now_s: float) -> bool:
         """Return whether orders may be sent now."""
         return now_s <= self._valid_until_s
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -19,7 +19,9 @@
 
 from .asking import policy_queries
 from .authority import Authority
+from .clock import steady_s
 from .configuration import ConfigurationFollower, PeerFeed, StoreFeed
+from .electorate import Electorate
 from .front import AdmissionControl, Front
 from .logs import log_event, LogWriter
 from .membership import Membership
@@ -80,13 +82,15 @@
         self._member = Member(settings.instance, secrets.token_hex(4), settings.ip, settings.peer_ports[0])
         self._follower = ConfigurationFollower(self._metrics)
         self._store_feed = StoreFeed(self._follower, self._store, self._timing)
-        self._authority = Authority(own_settings.ownership.lease_s)
+        self._authority = Authority(own_settings.ownership.lease_s, own_settings.ownership.max_outage_s)
+        self._electorate = Electorate(self._store, self._timing)
         self._ownership = Ownership(
             self._member,
             self._store,
             self._timing,
             own_settings.ownership,
             self._authority,
+            self._electorate,
             is_preferred=settings.cpu_share * settings.cores >= _MIN_PREFERRED_OWNER_CORES,
         )
         self._advice = AdviceClient(self._http, settings.advice) if settings.advice else None
@@ -102,6 +106,7 @@
             self._peer_feed,
             self._mesh,
             self._authority,
+            self._electorate,
             self._ownership.observe_newer_epoch,
         )
         self._replies.membership = self._membership
@@ -181,7 +186,9 @@
     async def _run_owner(self, epoch: int) -> None:
         """Run the pool owner for one epoch, until it is deposed."""
         owner = PoolOwner(
-            OwnerSettings(epoch, self._settings.bounds, self._timing, self._own_settings),
+            OwnerSettings(
+                epoch, self._settings.bounds, self._timing, self._own_settings, self._ownership.predecessors_end_s
+            ),
             self._store,
             WorkerClient(self._http),
             partial(policy_queries, self._advice, self._mesh, self._membership),
@@ -195,6 +202,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._forward_configuration, owner)
                 tasks.start_soon(self._membership.send_heartbeats, epoch, partial(self._make_digest, owner))
+                tasks.start_soon(self._membership.maintain, epoch, partial(self._has_replaced_predecessors, owner))
                 tasks.start_soon(self._depose_when_replaced, owner, epoch)
                 await owner.run()
                 tasks.cancel_scope.cancel()
@@ -204,6 +212,10 @@
         if owner.is_deposed:
             self._ownership.step_down()
 
+    def _has_replaced_predecessors(self, owner: PoolOwner) -> bool:
+        """Return whether previous owners have lost their authority, or have no worker left that obeys them."""
+        return self._ownership.have_predecessors_ended(steady_s()) or owner.has_fenced_workers
+
     async def _depose_when_replaced(self, owner: PoolOwner, epoch: int) -> None:
         """Depose the pool owner once its epoch has ended."""
         while True:
--- a/packages/node/dahliaarch_node/membership.py
+++ b/packages/node/dahliaarch_node/membership.py
@@ -11,6 +11,7 @@
 from .authority import Authority
 from .clock import steady_s
 from .configuration import ConfigurationFollower, PeerFeed
+from .electorate import Electorate, next_electorate
 from .logs import log_event
 from .peers import Heartbeat, HeartbeatReply, Hello, Mesh, PeerSilentError, PoolDigest
 from .records import Member, member_key, MEMBERS_PREFIX
@@ -24,6 +25,11 @@
 _HEARTBEAT_TIMEOUT_S = 0.6
 # Time without a reply after which an instance is removed, in seconds.
 _REMOVE_AFTER_S = 30.0
+# Delay before instances that reply for the first time are added to the electorate, in seconds: after a change of the
+# owner all of them reply at once, and share a write.
+_ELECTORATE_DELAY_S = 0.03
+# Time without a reply after which an instance no longer belongs to the electorate, in seconds: longer than a restart.
+_ELECTOR_TIMEOUT_S = 10.0
 
 
 class _Peer(NamedTuple):
@@ -36,18 +42,20 @@
 
 
 class _HeartbeatRound:
-    """One heartbeat sent to every instance; confirms the owner's authority once a majority has agreed."""
+    """One heartbeat sent to every instance; extends the owner's authority once the whole electorate has agreed."""
 
-    def __init__(self, asked_s: float, instances: int, authority: Authority) -> None:
+    def __init__(self, asked_s: float, electorate: Electorate, authority: Authority) -> None:
         self._asked_s = asked_s
-        self._needed_agreements = instances // 2 + 1
+        self._electorate = electorate
         self._authority = authority
+        self._agreed: set[str] = set()
 
-    def add_agreement(self) -> None:
-        """Count one more instance that knows of no newer owner."""
-        self._needed_agreements -= 1
-        if self._needed_agreements <= 0:
-            self._authority.confirm(self._asked_s)
+    def add_agreement(self, instance: str) -> None:
+        """Record that an instance knows of no newer owner."""
+        self._agreed.add(instance)
+        # Read at each reply: an instance that was added during the round can claim the pool as well.
+        if self._electorate.instances <= self._agreed:
+            self._authority.extend(self._asked_s)
 
 
 class Membership:
@@ -68,7 +76,9 @@
     mesh : Mesh
         Sends messages to peers.
     authority : Authority
-        Confirmed when a majority of the instances knows of no newer owner.
+        Extended when the whole electorate knows of no newer owner.
+    electorate : Electorate
+        Kept up to date by the owner.
     on_newer_epoch : callable
         Called with the epoch of a newer owner that another instance has reported.
     """
@@ -82,10 +92,12 @@
         peer_feed: PeerFeed,
         mesh: Mesh,
         authority: Authority,
+        electorate: Electorate,
         on_newer_epoch: Callable[[int], None],
     ) -> None:
         """Initialize without known peers."""
         self._authority = authority
+        self._electorate = electorate
         self._on_newer_epoch = on_newer_epoch
         self._member = member
         self._store = store
@@ -94,6 +106,7 @@
         self._peer_feed = peer_feed
         self._mesh = mesh
         self._peer_by_instance: dict[str, _Peer] = {}
+        self._new_peer_replied = anyio.Event()
 
     async def register(self) -> None:
         """Write this instance's entry to the store, retrying until it succeeds."""
@@ -143,7 +156,43 @@
             while True:
                 self._send_digest(epoch, make_digest())
                 await self._heartbeat_all(epoch)
-                await self._remove_silent_peers()
+
+    async def maintain(self, epoch: int, may_change_electorate: Callable[[], bool]) -> None:
+        """Keep the electorate and the members in the store up to date, until cancelled.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of this owner.
+        may_change_electorate : callable
+            Tells whether the authority of previous owners, which rests on the electorate that they
+            stored, has certainly ended or no longer matters.
+        """
+        started_s = steady_s()
+        while True:
+            with anyio.move_on_after(_HEARTBEAT_INTERVAL_S):
+                await self._new_peer_replied.wait()
+            self._new_peer_replied = anyio.Event()
+            await anyio.sleep(_ELECTORATE_DELAY_S)
+            now_s = steady_s()
+            if may_change_electorate():
+                await self._update_electorate(epoch, started_s, now_s)
+            await self._remove_silent_peers(now_s)
+
+    async def _update_electorate(self, epoch: int, started_s: float, now_s: float) -> None:
+        current = self._electorate.instances
+        responsive = {peer.member.instance for peer in self._peer_by_instance.values() if peer.version >= 0}
+        contact_by_instance = {peer.member.instance: peer.last_contact_s for peer in self._peer_by_instance.values()}
+        overdue = {
+            instance
+            for instance in current | responsive
+            if now_s - contact_by_instance.get(instance, started_s) > _ELECTOR_TIMEOUT_S
+        }
+        overdue.discard(self._member.instance)
+        responsive.add(self._member.instance)
+        wanted = next_electorate(current, responsive - overdue, overdue)
+        if wanted != current:
+            await self._electorate.replace(wanted, epoch)
 
     async def _announce_changes(self, epoch: int) -> None:
         """Announce each new version of the configuration at once, without waiting for the next heartbeat."""
@@ -160,8 +209,8 @@
                 self._mesh.send((member.host, member.port), PoolDigest(epoch, data))
 
     async def _heartbeat_all(self, epoch: int) -> None:
-        heartbeat_round = _HeartbeatRound(steady_s(), len(self._peer_by_instance) + 1, self._authority)
-        heartbeat_round.add_agreement()
+        heartbeat_round = _HeartbeatRound(steady_s(), self._electorate, self._authority)
+        heartbeat_round.add_agreement(self._member.instance)
         async with anyio.create_task_group() as tasks:
             for peer in tuple(self._peer_by_instance.values()):
                 tasks.start_soon(self._send_heartbeat, peer, epoch, heartbeat_round)
@@ -185,11 +234,13 @@
         self.record_version(member, reply.version)
         if reply.epoch > epoch:
             self._on_newer_epoch(reply.epoch)
-        else:
-            heartbeat_round.add_agreement()
+        elif reply.epoch == epoch:
+            heartbeat_round.add_agreement(member.instance)
         if peer.missed:
             log_event('heartbeats_answered_again', member=member.instance, missed=peer.missed, version=reply.version)
         self._replace_peer(peer, _Peer(member, reply.version, steady_s()))
+        if member.instance not in self._electorate.instances:
+            self._new_peer_replied.set()
 
     def _record_missed(self, peer: _Peer, error: PeerSilentError) -> None:
         if not peer.missed:
@@ -201,10 +252,11 @@
         if self._peer_by_instance.get(before.member.instance) is before:
             self._peer_by_instance[before.member.instance] = after
 
-    async def _remove_silent_peers(self) -> None:
-        limit_s = steady_s() - _REMOVE_AFTER_S
+    async def _remove_silent_peers(self, now_s: float) -> None:
+        limit_s = now_s - _REMOVE_AFTER_S
         for instance, peer in tuple(self._peer_by_instance.items()):
-            if peer.last_contact_s > limit_s:
+            # An elector is asked for its agreement for as long as it is one.
+            if peer.last_contact_s > limit_s or instance in self._electorate.instances:
                 continue
             log_event('member_forgotten', member=instance)
             del self._peer_by_instance[instance]
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -141,6 +141,11 @@
         """Epoch of this owner."""
         return self._settings.epoch
 
+    @property
+    def has_fenced_workers(self) -> bool:
+        """Whether no worker accepts orders of previous owners any more."""
+        return self._previous.have_all_workers_reported
+
     def post(self, message: OwnerMessage) -> None:
         """Queue a message for the scheduling task.
 
@@ -228,7 +233,7 @@
         self._recorder.revision_by_key = workers.revision_by_key | stored.revision_by_key
         # A silent worker may run jobs of previous owners until its lease expires, and the
         # previous owner may have granted that lease at any time until its authority ended.
-        lease_s = self._settings.own.ownership.lease_s + self._settings.bounds.max_hold_s
+        lease_s = self._settings.predecessors_end_s + self._settings.bounds.max_hold_s
         self._previous.set_lease_bound(lease_s, steady_s())
         for number, item in enumerate(sorted(stored.jobs.items, key=lambda each: len(each.key))):
             handler.handle_all(job_messages(item))
--- a/packages/node/dahliaarch_node/owner/previous_work.py
+++ b/packages/node/dahliaarch_node/owner/previous_work.py
@@ -37,6 +37,11 @@
         """Whether any worker has not yet reported what is running there."""
         return bool(self._unreported)
 
+    @property
+    def have_all_workers_reported(self) -> bool:
+        """Whether every worker that previous owners used has answered this one, and so accepts no orders of theirs."""
+        return self._all_workers_reported
+
     def set_lease_bound(self, lease_s: float, now_s: float) -> None:
         """Set how long silent workers may run jobs of previous owners: until a lease granted now has expired."""
         self._leases_end_s = now_s + lease_s * _MAX_CLOCK_DRIFT_FACTOR
--- a/packages/node/dahliaarch_node/owner/settings.py
+++ b/packages/node/dahliaarch_node/owner/settings.py
@@ -6,6 +6,7 @@
 from dahliaarch_platform.settings import Bounds
 
 from ..own_settings import OwnSettings
+from ..ownership import OwnershipSettings
 from ..timing import StoreTiming
 
 
@@ -22,12 +23,15 @@
         Timeouts and retry pauses of store calls.
     own : OwnSettings
         Settings chosen by the project's operators.
+    predecessors_end_s : float
+        Time after the claim of the pool by which the authority of previous owners has ended, in seconds.
     """
 
     epoch: int
     bounds: Bounds
     timing: StoreTiming
     own: OwnSettings = OwnSettings()
+    predecessors_end_s: float = OwnershipSettings().lease_s
 
 
 def scheduler_settings(settings: OwnerSettings) -> SchedulerSettings:
--- a/packages/node/dahliaarch_node/owner/tests/test_assignments.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_assignments.py
@@ -92,6 +92,24 @@
     assert workers.starts == starts
 
 
+def test_an_owner_from_outside_the_electorate_waits_for_the_work_of_silent_workers():
+    """Guards against a task that runs twice: the owner before may still renew the leases of the silent worker."""
+    items = [job_item(INHERITED_JOB_ID, time.time()), *WORKER_ITEMS, assigner_item(), assignments_item('w0')]
+    workers = silent_workers('w0')
+    bounds = Bounds(max_hold_s=0.5)
+
+    async def run(predecessors_end_s):
+        settings = OwnerSettings(EPOCH, bounds, StoreTiming(), predecessors_end_s=predecessors_end_s)
+        owner = PoolOwner(settings, InMemoryStore(items), workers, tuple, Metrics())
+        with anyio.move_on_after(2.0):
+            await owner.run()
+
+    anyio.run(run, 60.0)
+    assert not workers.starts
+    anyio.run(run, 0.5)
+    assert workers.starts == [('w1', TASK)]
+
+
 class ConditionalStore(InMemoryStore):
     """A store that tracks revisions, checks conditions and can refuse all writes."""
 
--- a/packages/node/dahliaarch_node/owner/tests/test_digests.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_digests.py
@@ -11,6 +11,7 @@
 
 from ... import membership as membership_module
 from ...authority import Authority
+from ...electorate import Electorate
 from ...front import AdmissionControl
 from ...membership import Membership
 from ...metrics import Metrics
@@ -80,7 +81,10 @@
 
     async def run():
         own = Member('i', 'a', 'h', 99)
-        members = Membership(own, None, StoreTiming(), follower, feed, mesh, Authority(2.0), lambda epoch: None)
+        electorate = Electorate(None, StoreTiming())
+        members = Membership(
+            own, None, StoreTiming(), follower, feed, mesh, Authority(2.0), electorate, lambda epoch: None
+        )
         members._load_members = anyio.lowlevel.checkpoint
         members.add(Member('i1', 'a', 'h', 1))
         with anyio.move_on_after(0.13):
--- a/packages/node/dahliaarch_node/owner/tests/test_suspension.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_suspension.py
@@ -22,6 +22,7 @@
 
 from ...authority import Authority
 from ...clock import steady_s
+from ...electorate import Electorate
 from ...membership import Membership
 from ...metrics import Metrics
 from ...ownership import Owner, Ownership, OwnershipSettings
@@ -143,11 +144,20 @@
     async def renew_lease(self, lease, *, timeout_s):
         raise StoreUnansweredError('silent')
 
+    async def get(self, key, *, timeout_s):
+        raise StoreUnansweredError('silent')
+
+
+def make_ownership(member, authority):
+    store = SilentStore()
+    electorate = Electorate(store, StoreTiming())
+    return Ownership(member, store, StoreTiming(), OwnershipSettings(), authority, electorate, is_preferred=True)
+
 
 def test_a_renewal_without_an_answer_confirms_nothing():
     authority = Authority(LEASE_S)
     member = Member('i0', 'a', 'h', 1)
-    ownership = Ownership(member, SilentStore(), StoreTiming(), OwnershipSettings(), authority, is_preferred=True)
+    ownership = make_ownership(member, authority)
     with pytest.raises(StoreUnansweredError):
         anyio.run(ownership._renew_lease)
     assert not authority.is_valid(steady_s())
@@ -176,31 +186,63 @@
 
 
 def make_membership(peers, authority, outdated=lambda epoch: None):
+    electorate = Electorate(None, StoreTiming())
+    electorate.instances = frozenset(['i', *(f'i{number}' for number, _ in enumerate(peers.replies))])
     membership = Membership(
-        Member('i', 'a', 'h', 99), None, StoreTiming(), Follower(), PeerFeed(), peers, authority, outdated
+        Member('i', 'a', 'h', 99), None, StoreTiming(), Follower(), PeerFeed(), peers, authority, electorate, outdated
     )
     for number, _ in enumerate(peers.replies):
         membership.add(Member(f'i{number}', 'a', 'h', number))
     return membership
 
 
+AGREES = HeartbeatReply(1, EPOCH)
+# From an instance that has not read the store since its start.
+UNDECIDED = HeartbeatReply(1, 0)
+NEWER = HeartbeatReply(1, EPOCH + 1)
+
+
 @pytest.mark.parametrize(
     ('replies', 'holds'),
     [
         ([], True),
-        ([HeartbeatReply(1, EPOCH), HeartbeatReply(1, 0), None, None], True),
-        ([HeartbeatReply(1, EPOCH), None, None, None], False),
+        ([AGREES, AGREES, AGREES, AGREES], True),
+        ([AGREES, AGREES, AGREES, None], False),
+        ([AGREES, AGREES, AGREES, UNDECIDED], False),
+        ([AGREES, AGREES, AGREES, NEWER], False),
+        ([AGREES, None, None, None], False),
         ([None, None], False),
-        ([HeartbeatReply(1, EPOCH + 1), HeartbeatReply(1, EPOCH + 1)], False),
+        ([NEWER, NEWER], False),
     ],
-    ids=['alone', 'most', 'few', 'none', 'a newer owner'],
+    ids=['alone', 'all', 'most', 'one undecided', 'one newer owner', 'few', 'none', 'a newer owner'],
 )
-def test_a_majority_confirms_an_owner_without_the_store(replies, holds):
+def test_only_the_whole_electorate_keeps_an_owner_without_the_store(replies, holds):
+    """Guards against two owners: an instance that does not answer may have claimed the pool in the store."""
     authority = Authority(LEASE_S)
+    authority.confirm(steady_s() - 1.5 * LEASE_S)
     anyio.run(make_membership(StubPeers(replies), authority)._heartbeat_all, EPOCH)
     assert authority.is_valid(steady_s()) is holds
 
 
+def test_an_instance_that_stops_being_a_member_still_counts():
+    """Guards against an owner on its own that became a majority of one, since silent peers were removed after 30 s."""
+    authority = Authority(LEASE_S)
+    authority.confirm(steady_s() - 1.5 * LEASE_S)
+    membership = make_membership(StubPeers([None, None]), authority)
+    membership._peer_by_instance.clear()
+    anyio.run(membership._heartbeat_all, EPOCH)
+    assert not authority.is_valid(steady_s())
+
+
+@pytest.mark.parametrize(('outage_s', 'holds'), [(99.0, True), (101.0, False)])
+def test_an_outage_that_outlasts_the_limit_ends_the_authority(outage_s, holds):
+    """An instance outside the electorate relies on the limit."""
+    authority = Authority(LEASE_S, max_outage_s=100.0)
+    authority.confirm(0.0)
+    authority.extend(outage_s - 0.5)
+    assert authority.is_valid(outage_s) is holds
+
+
 def test_an_owner_told_of_a_newer_one_is_deposed_for_good():
     """An outdated owner kept sending heartbeats after its peers had reported a newer epoch.
 
@@ -219,11 +261,45 @@
 
 def test_an_instance_told_of_a_newer_owner_steps_down():
     member = Member('i0', 'a', 'h', 1)
-    ownership = Ownership(
-        member, SilentStore(), StoreTiming(), OwnershipSettings(), Authority(LEASE_S), is_preferred=True
-    )
+    ownership = make_ownership(member, Authority(LEASE_S))
     ownership.observe(Owner(member, EPOCH))
     ownership.observe_newer_epoch(EPOCH)
     assert ownership.is_owner
     ownership.observe_newer_epoch(EPOCH + 1)
     assert not ownership.is_owner
+
+
+def test_an_instance_that_stepped_down_agrees_to_no_outdated_owner():
+    """Guards against an instance that forgot its own epoch when it stepped down, and then obeyed an outdated owner."""
+    member = Member('i0', 'a', 'h', 1)
+    ownership = make_ownership(member, Authority(LEASE_S))
+    ownership.observe(Owner(member, EPOCH + 1))
+    ownership.step_down()
+    ownership.observe(Owner(Member('i1', 'a', 'h', 2), EPOCH))
+    assert ownership.owner is None
+    assert ownership.agreed_epoch(EPOCH) == EPOCH + 1
+
+
+def test_a_process_that_has_not_read_the_store_agrees_to_no_owner():
+    """Guards against a restarted instance that had claimed the pool, or knew of a newer owner, before its restart."""
+    ownership = make_ownership(Member('i0', 'a', 'h', 1), Authority(LEASE_S))
+    ownership.observe(Owner(Member('i1', 'a', 'h', 2), EPOCH))
+    assert ownership.agreed_epoch(EPOCH) == 0
+    ownership._record_read_epoch(EPOCH)
+    assert ownership.agreed_epoch(EPOCH) == EPOCH
+
+
+def test_an_owner_without_authority_renews_its_lease_only_if_the_store_answers():
+    """Guards against a pool that nobody orders for while renewals reach the store and its answers are lost."""
+    renewals = []
+
+    async def keep():
+        ownership = make_ownership(Member('i0', 'a', 'h', 1), Authority(LEASE_S))
+        ownership.observe(Owner(Member('i0', 'a', 'h', 1), EPOCH))
+        ownership._lease = 1
+        ownership._store.renew_lease = lambda *args, **options: renewals.append(args)
+        await ownership._keep_lease()
+
+    with pytest.raises(StoreUnansweredError):
+        anyio.run(keep)
+    assert not renewals
--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -20,8 +20,9 @@
     Write,
 )
 
-from .authority import Authority
+from .authority import Authority, MAX_OUTAGE_S
 from .clock import steady_s
+from .electorate import Electorate
 from .logs import log_event
 from .records import Member, OWNER_KEY
 from .timing import StoreTiming
@@ -43,12 +44,19 @@
     slow_claim_delay_s : float
         The same delay on an instance with few resources, which also waits when it has just started:
         when all instances restart together, one with more resources owns the pool soonest.
+    outsider_claim_delay_s : float
+        The same delay, in addition, on an instance outside the electorate, which would have to wait
+        for `max_outage_s` before it starts the tasks of silent workers again.
+    max_outage_s : float
+        How long an owner may go on without the store while the whole electorate agrees.
     """
 
     lease_s: float = 2.0
     keep_every_s: float = 0.6
     claim_delay_s: float = 0.15
     slow_claim_delay_s: float = 0.4
+    outsider_claim_delay_s: float = 0.5
+    max_outage_s: float = MAX_OUTAGE_S
 
 
 class Owner(NamedTuple):
@@ -73,6 +81,8 @@
         Durations for the lease.
     authority : Authority
         Confirmed by each successful claim and renewal of the lease.
+    electorate : Electorate
+        Read at each claim of the pool.
     is_preferred : bool
         Whether this instance has enough resources to claim the pool after the shorter delay.
     """
@@ -84,6 +94,7 @@
         timing: StoreTiming,
         settings: OwnershipSettings,
         authority: Authority,
+        electorate: Electorate,
         *,
         is_preferred: bool,
     ) -> None:
@@ -96,6 +107,13 @@
         self._timing = timing
         self._settings = settings
         self._authority = authority
+        self._electorate = electorate
+        # Whether the last claim of this instance was made from within the electorate.
+        self._is_elector = True
+        self._claimed_s = 0.0
+        # Epoch of the newest owner known, whether or not it still owns the pool.
+        self._newest_epoch = 0
+        self._has_read_epoch = False
         self._is_preferred = is_preferred
         self._claim_delay_s = settings.claim_delay_s if is_preferred else settings.slow_claim_delay_s
         self._lease = 0
@@ -106,10 +124,30 @@
         """Whether this process is the last known owner of the pool."""
         return self.owner is not None and self.owner.member == self._member
 
+    @property
+    def predecessors_end_s(self) -> float:
+        """Time after a claim of this instance by which the authority of previous owners has ended, in seconds."""
+        return self._settings.lease_s + (0.0 if self._is_elector else self._settings.max_outage_s)
+
+    def have_predecessors_ended(self, now_s: float) -> bool:
+        """Return whether the authority of the owners before this one has certainly ended."""
+        return self._is_elector or now_s > self._claimed_s + self.predecessors_end_s
+
+    def agreed_epoch(self, asked_epoch: int) -> int:
+        """Return the epoch to reply to the heartbeat of an owner with; the owner's own if this instance agrees.
+
+        Until this process has read the store, it can't tell whether its previous process knew of a
+        newer owner, or was one, and replies with 0.
+        """
+        if self._has_read_epoch or self._newest_epoch > asked_epoch:
+            return self._newest_epoch
+        return 0
+
     def observe(self, owner: Owner) -> None:
         """Record the owner of the pool; an epoch that is not newer is ignored."""
-        if self.owner is not None and owner.epoch <= self.owner.epoch:
+        if owner.epoch < self._newest_epoch or (self.owner is not None and owner.epoch <= self.owner.epoch):
             return
+        self._newest_epoch = owner.epoch
         log_event('owner_known', owner=owner.member.instance, epoch=owner.epoch)
         self.owner = owner
         self._had_owner = True
@@ -128,6 +166,7 @@
         The report is acted on at once because that instance may restart and no longer know the
         newer owner when it is asked again.
         """
+        self._newest_epoch = max(self._newest_epoch, newer_epoch)
         if self.is_owner and self.owner is not None and self.owner.epoch < newer_epoch:
             log_event('owner_outdated', epoch=self.owner.epoch, newer=newer_epoch)
             self.step_down()
@@ -160,6 +199,7 @@
         if item is None:
             await self._claim_absent_key()
             return
+        self._record_read_epoch(item.revision)
         found = decode(item.value, Member, 'member')
         if found == self._member:
             # A claim of this process that was acknowledged late: its lease is no longer known, so claim again.
@@ -176,6 +216,10 @@
         await anyio.sleep(self._settings.keep_every_s)
         if self.is_leaving or not self.is_owner:
             return
+        if not self._authority.is_valid(steady_s()):
+            # While renewals reach the store and its answers are lost, each would keep the pool from
+            # the other instances. A read that gets no answer leaves the lease to end.
+            await self._store.get(OWNER_KEY, timeout_s=self._timing.call_timeout_s)
         if await self._renew_lease():
             return
         log_event('owner_lease_over', lease=self._lease)
@@ -219,13 +263,19 @@
         """Write the owner's key if it is still at the given revision (0: absent)."""
         if self.is_leaving:
             return
+        # The electorate is read after the owner's key, so that no claim falls between the two.
+        await self._electorate.read()
+        self._record_read_epoch(self._electorate.newest_epoch)
+        self._is_elector = not self._electorate.exists or self._member.instance in self._electorate.instances
+        if not self._is_elector:
+            await anyio.sleep(self._settings.outsider_claim_delay_s)
         asked_s = steady_s()
         lease = await self._store.grant_lease(self._settings.lease_s, timeout_s=self._timing.call_timeout_s)
         write = Write(OWNER_KEY, encode(self._member), lease)
         try:
             outcome = await self._store.commit(
-                [Condition(OWNER_KEY, revision)],
-                [write],
+                [Condition(OWNER_KEY, revision), self._electorate.condition()],
+                [write, self._electorate.claim_write(self._member.instance)],
                 timeout_s=self._timing.call_timeout_s,
             )
         except StoreUnansweredError:
@@ -241,7 +291,12 @@
             self._become_owner(lease, item.revision, asked_s)
 
     def _become_owner(self, lease: int, epoch: int, asked_s: float) -> None:
+        self._electorate.record_claim(self._member.instance, epoch)
+        log_event(
+            'pool_claimed', epoch=epoch, is_elector=self._is_elector, electorate=sorted(self._electorate.instances)
+        )
         self._authority.confirm(asked_s)
+        self._claimed_s = steady_s()
         self._lease = lease
         self.observe(Owner(self._member, epoch))
 
@@ -257,6 +312,11 @@
                 return
             revision = max(revision, page.revision)
 
+    def _record_read_epoch(self, epoch: int) -> None:
+        """Record the epoch of the newest owner, as read from the store."""
+        self._newest_epoch = max(self._newest_epoch, epoch)
+        self._has_read_epoch = True
+
     def _clear_owner(self) -> None:
         self.owner = None
         self._lease = 0
--- a/packages/node/dahliaarch_node/records/core.py
+++ b/packages/node/dahliaarch_node/records/core.py
@@ -14,6 +14,7 @@
 from dahliaarch_platform.settings import Address
 
 OWNER_KEY = 'dahliaarch/owner'
+ELECTORATE_KEY = 'dahliaarch/electorate'
 MEMBERS_PREFIX = 'dahliaarch/members/'
 JOBS_PREFIX = 'dahliaarch/jobs/'
 PROGRESS_PREFIX = 'dahliaarch/progress/'
@@ -96,6 +97,22 @@
     port: int
 
 
+class ElectorateRecord(NamedTuple):
+    """The instances whose agreement the owner of the pool needs in order to go on without the store.
+
+    Parameters
+    ----------
+    instances : tuple of str
+        Names of the instances.
+    epoch : int
+        Epoch of the newest owner at the time of the write; 0 if the write itself claimed the pool,
+        so that its revision is the epoch.
+    """
+
+    instances: tuple[str, ...]
+    epoch: int = 0
+
+
 def job_key(job_id: str) -> str:
     """Return the key of a job's record."""
     return JOBS_PREFIX + job_id
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -92,8 +92,7 @@
         self._ownership.observe(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.record_version(message.owner, message.version)
-        known = self._ownership.owner
-        return HeartbeatReply(self._follower.version, 0 if known is None else known.epoch)
+        return HeartbeatReply(self._follower.version, self._ownership.agreed_epoch(message.epoch))
 
     @_reply.register
     async def _(self, message: PoolDigest) -> None:
--- a/packages/node/dahliaarch_node/tests/test_ownership.py
+++ b/packages/node/dahliaarch_node/tests/test_ownership.py
@@ -3,26 +3,28 @@
 import anyio
 import pytest
 
-from dahliaarch_kernel.codec import encode
+from dahliaarch_kernel.codec import decode, encode
 from dahliaarch_platform.store import CommitResult, CommitStatus, Item, Page
 
 from ..authority import Authority
+from ..electorate import Electorate, next_electorate
 from ..ownership import Ownership, OwnershipSettings
-from ..records import Member, OWNER_KEY
+from ..records import ELECTORATE_KEY, ElectorateRecord, Member, OWNER_KEY
 from ..timing import StoreTiming
 
 SETTINGS = OwnershipSettings()
+CLAIM_REVISION = 7
 
 
 class EmptyStore:
     """A store without an owner's key until the first claim, which counts the leases that it grants."""
 
     def __init__(self):
-        self.item = None
+        self.item_by_key = {}
         self.leases = 0
 
     async def get(self, key, *, timeout_s):
-        return self.item
+        return self.item_by_key.get(key)
 
     async def grant_lease(self, ttl_s, *, timeout_s):
         self.leases += 1
@@ -36,17 +38,21 @@
         return Page((), after)
 
     async def commit(self, conditions, writes, removals=(), *, timeout_s):
-        (condition,), (write,) = conditions, writes
-        if (0 if self.item is None else self.item.revision) != condition.revision:
-            return CommitResult(CommitStatus.CONDITION_FAILED, current=(self.item,))
-        self.item = Item(OWNER_KEY, write.value, 7)
-        return CommitResult(CommitStatus.DONE, 7)
+        assert [each.key for each in conditions] == [OWNER_KEY, ELECTORATE_KEY]
+        for key, revision in conditions:
+            item = self.item_by_key.get(key)
+            if (0 if item is None else item.revision) != revision:
+                return CommitResult(CommitStatus.CONDITION_FAILED, current=tuple(self.item_by_key.values()))
+        for write in writes:
+            self.item_by_key[write.key] = Item(write.key, write.value, CLAIM_REVISION)
+        return CommitResult(CommitStatus.DONE, CLAIM_REVISION)
 
 
 def make_ownership(store, name, *, is_preferred):
     authority = Authority(SETTINGS.lease_s)
     member = Member(name, 'x', '127.0.0.1', 1)
-    return Ownership(member, store, StoreTiming(), SETTINGS, authority, is_preferred=is_preferred)
+    electorate = Electorate(store, StoreTiming())
+    return Ownership(member, store, StoreTiming(), SETTINGS, authority, electorate, is_preferred=is_preferred)
 
 
 def run_together(*starts, within_s=1.0):
@@ -84,7 +90,57 @@
 
 def test_a_small_instance_claims_what_its_previous_process_owned():
     store = EmptyStore()
-    store.item = Item(OWNER_KEY, encode(Member('small', 'earlier', '127.0.0.1', 1)), 3)
+    store.item_by_key[OWNER_KEY] = Item(OWNER_KEY, encode(Member('small', 'earlier', '127.0.0.1', 1)), 3)
     small = make_ownership(store, 'small', is_preferred=False)
     assert run_together((small, 0.0), within_s=0.2) == 'small'
     assert small.is_owner
+
+
+@pytest.mark.parametrize(
+    ('electorate', 'end_s'),
+    [
+        (None, SETTINGS.lease_s),
+        (('i0', 'i1'), SETTINGS.lease_s),
+        (('i1',), SETTINGS.lease_s + SETTINGS.max_outage_s),
+    ],
+    ids=['first owner', 'elector', 'outsider'],
+)
+def test_an_instance_outside_the_electorate_allows_for_an_owner_without_the_store(electorate, end_s):
+    """Guards against an instance that started during a cut: the owner does not know it and does not ask it."""
+    store = EmptyStore()
+    if electorate is not None:
+        store.item_by_key[ELECTORATE_KEY] = Item(ELECTORATE_KEY, encode(ElectorateRecord(electorate)), 3)
+    claimant = make_ownership(store, 'i0', is_preferred=True)
+    run_together((claimant, 0.0), within_s=SETTINGS.outsider_claim_delay_s + 0.5)
+    assert claimant.is_owner
+    assert claimant.predecessors_end_s == end_s
+    assert claimant.agreed_epoch(3) == CLAIM_REVISION
+    stored = decode(store.item_by_key[ELECTORATE_KEY].value, ElectorateRecord, 'electorate')
+    assert stored.instances == (electorate or ('i0',))
+
+
+def test_a_claim_is_made_on_the_electorate_that_was_read():
+    """Guards against an instance that claims the pool while the owner removes it from the electorate."""
+
+    class ChangingStore(EmptyStore):
+        async def grant_lease(self, ttl_s, *, timeout_s):
+            self.item_by_key[ELECTORATE_KEY] = Item(ELECTORATE_KEY, encode(ElectorateRecord(('i1',), 3)), 4)
+            return await super().grant_lease(ttl_s, timeout_s=timeout_s)
+
+    claimant = make_ownership(ChangingStore(), 'i0', is_preferred=True)
+    anyio.run(claimant._claim, 0)
+    assert not claimant.is_owner
+
+
+@pytest.mark.parametrize(
+    ('responsive', 'overdue', 'expected'),
+    [
+        ({'a', 'b', 'c'}, set(), {'a', 'b', 'c'}),
+        ({'a', 'b'}, {'c'}, {'a', 'b'}),
+        ({'a', 'b', 'd'}, set(), {'a', 'b', 'c', 'd'}),
+        ({'a'}, {'b', 'c'}, {'a', 'b', 'c'}),
+    ],
+    ids=['all', 'one failed', 'one is new', 'the owner is alone'],
+)
+def test_an_owner_on_its_own_removes_nobody_from_the_electorate(responsive, overdue, expected):
+    assert next_electorate({'a', 'b', 'c'}, responsive, overdue) == expected
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_slow_links.py
@@ -23,6 +23,7 @@
 
 from dahliaarch_node.authority import Authority
 from dahliaarch_node.configuration import ConfigurationFollower, PeerFeed, StoreFeed
+from dahliaarch_node.electorate import Electorate
 from dahliaarch_node.membership import Membership
 from dahliaarch_node.metrics import Metrics
 from dahliaarch_node.ownership import Ownership, OwnershipSettings
@@ -79,7 +80,8 @@
         self.follower = ConfigurationFollower(Metrics())
         self._store_feed = StoreFeed(self.follower, store, timing)
         authority = Authority(OwnershipSettings().lease_s)
-        ownership = Ownership(self.member, store, timing, OwnershipSettings(), authority, is_preferred=True)
+        electorate = Electorate(store, timing)
+        ownership = Ownership(self.member, store, timing, OwnershipSettings(), authority, electorate, is_preferred=True)
         replies = PeerReplies(store, self.follower, ownership, None)
         self.mesh = Mesh(replies.answer)
         self._peer_feed = PeerFeed(self.follower, self.mesh)
@@ -91,6 +93,7 @@
             self._peer_feed,
             self.mesh,
             authority,
+            electorate,
             ownership.observe_newer_epoch,
         )
         replies.membership = self.membership
