Surveys: a full list of ends rules nothing out

Cause: a worker lists 500 ends at most, and the owner took a full list for a whole one: a run that is neither running nor listed as ended counted as lost. Ruled out: lapsed leases, restarted workers, ends acknowledged unread.

Change: a survey says whether it is complete; an incomplete one adds to what is known and rules nothing out.

--- a/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/scheduler.py
@@ -286,6 +286,7 @@
         now: Moment,
         *,
         lists_ends: bool = False,
+        is_complete: bool = True,
     ) -> None:
         """Apply a worker's list of runs.
 
@@ -301,15 +302,18 @@
             Current time.
         lists_ends : bool
             Whether the worker is known to list ends of runs; it then lists those of later runs, too.
+        is_complete : bool
+            Whether the worker listed all ends; if not, runs that it does not list may have ended.
         """
         worker = self._state.worker_by_id.get(worker_id)
         if worker is not None:
             discard_silent_loss(self._state, worker_id)
-            self._state.given_up_unacknowledged.discard(worker_id)
+            if is_complete:
+                self._state.given_up_unacknowledged.discard(worker_id)
             if lists_ends and worker.may_hide_ends:
                 worker.may_hide_ends = False
                 self._state.failed_searches.grown_workers.add(worker_id)
-            apply_survey(self._state, worker, running, requested_s, now)
+            apply_survey(self._state, worker, running, requested_s, now, is_complete=is_complete)
 
     def decide(self, now: Moment) -> list[Effect]:
         """Run one scheduling pass and return the resulting orders."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/surveys.py
@@ -26,6 +26,8 @@
     running: Sequence[ListedRun],
     requested_s: float,
     now: Moment,
+    *,
+    is_complete: bool = True,
 ) -> None:
     """Reconcile the scheduler's state with the runs that a worker lists.
 
@@ -41,8 +43,11 @@
         Steady time of the request: the list does not cover starts after it.
     now : Moment
         Current time.
+    is_complete : bool
+        Whether the worker listed all ends. A full list of ends leaves out the latest ones, so that a
+        missing run may have succeeded and must not start again.
     """
-    worker.is_surveyed = True
+    worker.is_surveyed = worker.is_surveyed or is_complete
     worker.silent_since_s = None
     state.surveyed_workers.add(worker.worker_id)
     unassigned = [run for each in running if (run := _apply_listed_run(state, worker, each, now)) is not None]
@@ -52,7 +57,7 @@
     for run in tuple(worker.run_by_key.values()):
         if (run.key, run.number) in listed_keys:
             continue
-        if not _is_known_absent(run, requested_s):
+        if not is_complete or not _is_known_absent(run, requested_s):
             run.was_unlisted = run.was_unlisted or run.started_s < requested_s
             continue
         state.record_loss(worker, run, LossCause.NOT_LISTED)
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/pool.py
@@ -101,11 +101,11 @@
                 self.end(worker_id, key, run, EndKind.STOPPED, f'c{run}')
         self.stopping.clear()
 
-    def survey(self, worker_id, percent=50.0):
+    def survey(self, worker_id, percent=50.0, **options):
         rows = tuple(
             ListedRun(key, run, '', percent) for (worker, key), run in self.running.items() if worker == worker_id
         )
-        self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now)
+        self.scheduler.worker_surveyed(worker_id, rows, self.now_s, self.now, **options)
 
     def save_progress(self):
         """Mark changed progress as saved to the store, as the recorder of an owner does."""
--- a/packages/kernel/dahliaarch_kernel/scheduler/tests/test_surveys.py
+++ b/packages/kernel/dahliaarch_kernel/scheduler/tests/test_surveys.py
@@ -22,6 +22,22 @@
     assert (note.worker_id, note.cause) == ('w0', LossCause.NOT_LISTED)
 
 
+def test_a_run_that_a_full_list_of_ends_leaves_out_is_not_lost():
+    # It had ended done, and started again while its end waited behind 500 others.
+    pool = Pool(workers=2)
+    pool.submit(A, task())
+    (start,) = pool.advance()
+    pool.survey(start.worker_id)
+    pool.now_s += 1.0
+    pool.running.clear()
+    pool.survey(start.worker_id, is_complete=False)
+    assert not pool.scheduler.take_notes()
+    assert not [effect for effect in pool.scheduler.decide(pool.now) if isinstance(effect, StartRun)]
+    pool.end(start.worker_id, start.key, start.run, EndKind.DONE)
+    pool.survey(start.worker_id)
+    assert pool.scheduler.job_by_id[A].has_succeeded()
+
+
 def test_a_run_of_an_ended_job_holds_its_capacity_until_it_is_gone():
     # A new owner started tasks beside runs of a cancelled job that were still being stopped, over the capacity.
     pool = Pool(workers=1)
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -218,13 +218,20 @@
         link = self._links.get(message.worker_id)
         lists_ends = link is not None and not link.may_hide_ends
         self._scheduler.worker_surveyed(
-            message.worker_id, message.running, message.requested_s, now, lists_ends=lists_ends
+            message.worker_id,
+            message.running,
+            message.requested_s,
+            now,
+            lists_ends=lists_ends,
+            is_complete=message.is_complete,
         )
         if link is not None:
             link.last_processed_end = max(link.last_processed_end, message.last_end)
         worker = self._scheduler.worker_by_id.get(message.worker_id)
         if link is not None and worker is not None:
             link.is_overcommitted = worker.is_overcommitted
+        if not message.is_complete:
+            return
         self._previous.on_worker_reported(message.worker_id)
         predecessor = self._links.pop_predecessor(message.worker_id)
         if predecessor is not None:
--- a/packages/node/dahliaarch_node/owner/links.py
+++ b/packages/node/dahliaarch_node/owner/links.py
@@ -65,6 +65,8 @@
         self.last_contact_s = -math.inf
         # Numbers of the ends listed in the latest answer.
         self._listed_numbers: tuple[int, ...] = ()
+        # Whether the latest answer left out ends.
+        self._is_list_cut = False
         self._acknowledgement_event = anyio.Event()
         self._worker_id = incarnation.worker_id
         self._lease = lease
@@ -331,7 +333,15 @@
             self._contact.may_hide_ends = False
         self._is_idle = not survey.running
         self._orders.reconcile(survey, survey_start)
-        self._context.post(WorkerSurveyed(self._worker_id, survey.running, ended, last_end, survey_start.at_s))
+        if survey.is_complete is self._is_list_cut:
+            self._is_list_cut = not survey.is_complete
+            log_event(
+                'ends_cut' if self._is_list_cut else 'ends_complete', worker=self._worker_id, listed=len(survey.ended)
+            )
+        message = WorkerSurveyed(
+            self._worker_id, survey.running, ended, last_end, survey_start.at_s, survey.is_complete
+        )
+        self._context.post(message)
         self.last_listed_end = max(self.last_listed_end, last_end)
 
     async def _handle_failed_survey(self, error: Exception) -> None:
--- a/packages/node/dahliaarch_node/owner/messages.py
+++ b/packages/node/dahliaarch_node/owner/messages.py
@@ -92,6 +92,8 @@
         Number of the last end listed.
     requested_s : float
         Steady-clock time at which the survey was sent.
+    is_complete : bool
+        Whether the worker listed all ends that have not been acknowledged.
     """
 
     worker_id: str
@@ -99,6 +101,7 @@
     ended: tuple[RunEnd, ...]
     last_end: int
     requested_s: float
+    is_complete: bool = True
 
 
 class WorkerSilent(NamedTuple):
--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -88,19 +88,22 @@
         """Report the runs that, according to a survey, are not on the worker and never will be.
 
         These are runs whose stop was acknowledged before the survey, and unanswered
-        starts whose lease had ended by then.
+        starts whose lease had ended by then. If the survey left out ends, these runs may be
+        among them.
         """
         listed = {(run.key, run.run) for run in survey.running}
         ended = {(each.end.key, each.end.run) for each in survey.ended}
         for stopped, at_s in tuple(self._stopped_at_by_run.items()):
             if at_s > survey_start.at_s or stopped in listed:
                 continue
+            if stopped not in ended and not survey.is_complete:
+                continue
             del self._stopped_at_by_run[stopped]
             if stopped not in ended:
                 was_unanswered = self._unanswered.discard(stopped)
                 self._report_never_ran(stopped, EndKind.REFUSED if was_unanswered else EndKind.STOPPED)
         # An unrecognized new incarnation of the worker begins with a lower clock reading.
-        asked_at_s = min(survey_start.clock_s, survey.clock_s)
+        asked_at_s = min(survey_start.clock_s, survey.clock_s) if survey.is_complete else -math.inf
         for run in self._unanswered.reconcile(listed | ended, asked_at_s):
             self._report_never_ran(run, EndKind.REFUSED)
 
