--- a/packages/node/dahliaarch_node/owner/orders.py
+++ b/packages/node/dahliaarch_node/owner/orders.py
@@ -1,6 +1,7 @@
 """Start and stop orders to one worker, with retries and reconciliation against surveys."""
 
 import math
+from collections.abc import Collection
 from enum import auto, Enum
 from typing import NamedTuple
 
@@ -93,19 +94,22 @@
         """
         listed = {(run.key, run.run) for run in survey.running}
         ended = {(each.end.key, each.end.run) for each in survey.ended}
+        self._reconcile_stopped(listed, ended, survey_start.at_s, is_complete=survey.is_complete)
+        # An unrecognized new incarnation of the worker begins with a lower clock reading.
+        asked_at_s = min(survey_start.clock_s, survey.clock_s) if survey.is_complete else -math.inf
+        for run in self._unanswered.reconcile(listed | ended, asked_at_s):
+            self._report_never_ran(run, EndKind.REFUSED)
+
+    def _reconcile_stopped(
+        self, listed: Collection[RunId], ended: Collection[RunId], asked_s: float, *, is_complete: bool
+    ) -> None:
         for stopped, at_s in tuple(self._stopped_at_by_run.items()):
-            if at_s > survey_start.at_s or stopped in listed:
-                continue
-            if stopped not in ended and not survey.is_complete:
+            if at_s > asked_s or stopped in listed or not (is_complete or stopped in ended):
                 continue
             del self._stopped_at_by_run[stopped]
             if stopped not in ended:
                 was_unanswered = self._unanswered.discard(stopped)
                 self._report_never_ran(stopped, EndKind.REFUSED if was_unanswered else EndKind.STOPPED)
-        # An unrecognized new incarnation of the worker begins with a lower clock reading.
-        asked_at_s = min(survey_start.clock_s, survey.clock_s) if survey.is_complete else -math.inf
-        for run in self._unanswered.reconcile(listed | ended, asked_at_s):
-            self._report_never_ran(run, EndKind.REFUSED)
 
     def _report_never_ran(self, run: RunId, kind: EndKind) -> None:
         pending_stop = self._pending_stops.get(run)
