Front: a cancel of a missing job is stored, and no word ignores a write under way

Cause: a cancel that found no job left nothing in the store, and a write of the job that was still under way was applied afterwards. Ruled out: a stale read, a cancellation lost by the owner.

Change: the cancellation of a missing job is stored on the condition that the job is absent, before the answer 410; the write of a job has as a condition that it is not cancelled. Both hold at every instance and over a change of the owner. Related words: a refusal counts for all attempts (504 while one may still be applied, also at other instances, which ask the owner), 503 instead of 410 for the state of such a job, and the same for cancels through the owner. Messages keep their fields: versions reject replies with a further one. The test of mixed builds names the digest instead of the last kind.

--- a/packages/node/dahliaarch_node/front/admission.py
+++ b/packages/node/dahliaarch_node/front/admission.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from dahliaarch_kernel.admission import (
     assess,
@@ -24,6 +24,7 @@
 from ..clock import steady_s
 from ..logs import log_event
 from ..metrics import Metrics
+from .acceptance import WriteOutcome, WriteStatus
 
 # Outcomes of store calls without an answer, as reported by the client of the store.
 _NOT_SENT = 'not_sent'
@@ -37,6 +38,8 @@
 _MAX_REMEMBERED_JOBS = 4096
 # Time after an outage of the store during which writes that got no answer may still take effect, in seconds.
 _LATE_WRITE_S = 5.0
+# Time after a write without an answer during which it may still take effect, in seconds.
+_UNKNOWN_OUTCOME_S = 10.0
 # Ratio to its share below which an account gets the shorter values of Retry-After.
 _FULL_SHARE_RATIO = 1.0
 
@@ -85,8 +88,10 @@
         self._metrics = metrics
         self._outages = Outages()
         self._known: KnownDigest | None = None
-        # Jobs that this instance has tried to write, oldest first.
-        self._attempted_job_ids: dict[str, None] = {}
+        # Number of attempts of this instance to write a job that may have had an effect, oldest job first.
+        self._attempts_by_job: dict[str, int] = {}
+        # Time at which the latest write of a job that got no answer became known, oldest first.
+        self._unanswered_s_by_job: dict[str, float] = {}
 
     def observe_store_call(self, call: str, outcome: str, took_s: float) -> None:
         """Record the outcome of a call to the store, as reported by its client, and how long the call took."""
@@ -123,20 +128,51 @@
         return assess(Candidate(spec, queue, guaranteed), self._known, owner_epoch, _now(), self._settings)
 
     def record_attempt(self, job_id: str) -> bool:
-        """Record that this instance tries to write a job; return whether it has not tried before."""
-        is_new = job_id not in self._attempted_job_ids
-        self._attempted_job_ids[job_id] = None
-        if len(self._attempted_job_ids) > _MAX_REMEMBERED_JOBS:
-            del self._attempted_job_ids[next(iter(self._attempted_job_ids))]
-        return is_new
-
-    def forget_attempt(self, job_id: str) -> None:
-        """Record that the only attempt to write a job certainly has no effect."""
-        self._attempted_job_ids.pop(job_id, None)
+        """Record that this instance tries to write a job; return whether no earlier attempt may have had an effect."""
+        attempts = self._attempts_by_job.pop(job_id, 0)
+        self._attempts_by_job[job_id] = attempts + 1
+        _drop_oldest(self._attempts_by_job)
+        return not attempts
+
+    def settle_attempt(self, job_id: str, outcome: WriteOutcome, *, is_first: bool) -> WriteOutcome:
+        """Record the outcome of an attempt; return the outcome of all attempts of this instance to write the job.
+
+        An attempt that failed says nothing about earlier ones, which may have written the job or may still do so.
+        """
+        if outcome.status is WriteStatus.UNKNOWN:
+            self.record_unanswered(job_id)
+        if outcome.status is WriteStatus.NO_SUCH_JOB:
+            # Earlier attempts fail as well, however late they are applied.
+            self._attempts_by_job.pop(job_id, None)
+        if outcome.status is not WriteStatus.NOT_KEPT:
+            return outcome
+        attempts = self._attempts_by_job.get(job_id, 0) - 1
+        if attempts > 0:
+            self._attempts_by_job[job_id] = attempts
+        else:
+            self._attempts_by_job.pop(job_id, None)
+        if is_first and not self.is_outcome_unknown(job_id):
+            return outcome
+        return WriteOutcome(WriteStatus.UNKNOWN)
+
+    def record_unanswered(self, job_id: str) -> None:
+        """Record that a write of a job, by this instance or another, got no answer."""
+        self._unanswered_s_by_job.pop(job_id, None)
+        self._unanswered_s_by_job[job_id] = steady_s()
+        _drop_oldest(self._unanswered_s_by_job)
+
+    def unanswered_jobs(self) -> list[str]:
+        """Return the jobs of which a write without an answer may still take effect."""
+        return [job_id for job_id in self._unanswered_s_by_job if self.is_outcome_unknown(job_id)]
+
+    def is_outcome_unknown(self, job_id: str) -> bool:
+        """Return whether a write of a job got no answer and may still take effect."""
+        unanswered_s = self._unanswered_s_by_job.get(job_id)
+        return unanswered_s is not None and steady_s() - unanswered_s < _UNKNOWN_OUTCOME_S
 
     def may_have_been_written(self, job_id: str) -> bool:
         """Return whether a job may be written by an earlier attempt that a read of the store does not show."""
-        if job_id in self._attempted_job_ids:
+        if job_id in self._attempts_by_job or self.is_outcome_unknown(job_id):
             return True
         return self._outages.was_under_way_within(_LATE_WRITE_S, steady_s())
 
@@ -179,5 +215,10 @@
         return age_s, self._known.digest.ratio_by_account.get(account)
 
 
+def _drop_oldest(remembered: dict[str, Any]) -> None:
+    if len(remembered) > _MAX_REMEMBERED_JOBS:
+        del remembered[next(iter(remembered))]
+
+
 def _now() -> Moment:
     return Moment(steady_s(), time.time())
--- a/packages/node/dahliaarch_node/front/core.py
+++ b/packages/node/dahliaarch_node/front/core.py
@@ -30,14 +30,23 @@
     AskPending,
     AskState,
     JobUpdate,
+    MAY_BE_ADDED,
     Mesh,
     Message,
     PeerSilentError,
     PendingReply,
     StateReply,
+    UnansweredWrite,
+)
+from ..records import cancel_key, job_key, JobRecord, progress_key
+from .acceptance import (
+    cancel_missing_job,
+    STORE_WRITE_TIMEOUT_S,
+    write_cancellation,
+    write_job,
+    WriteOutcome,
+    WriteStatus,
 )
-from ..records import job_key, JobRecord, progress_key
-from .acceptance import STORE_WRITE_TIMEOUT_S, write_cancellation, write_job, WriteOutcome, WriteStatus
 from .admission import AdmissionControl, RefusedCall
 
 # Timeout of requests to the owner, in seconds: long enough for the retransmission of
@@ -180,8 +189,11 @@
         outcome = await self._write(write_to_store, AcceptJob(call.job_id, record))
         if outcome.status is WriteStatus.KEPT and outcome.revision:
             self._notify_owner(JobUpdate(call.job_id, record, outcome.revision, is_cancel=False))
-        if outcome.status is WriteStatus.NOT_KEPT and is_first_attempt:
-            self._admission.forget_attempt(call.job_id)
+        if outcome.status is WriteStatus.UNKNOWN:
+            self._notify_owner(UnansweredWrite(call.job_id))
+        outcome = self._admission.settle_attempt(call.job_id, outcome, is_first=is_first_attempt)
+        if outcome.status is WriteStatus.NO_SUCH_JOB:
+            return self._admission.refuse(call.refused('cancelled'))
         return self._write_response(call, outcome)
 
     async def _refuse_for_load(self, call: _AuthorizedRequest, spec: JobSpec) -> Response | None:
@@ -197,6 +209,8 @@
             item = await self._store.get(job_key(call.job_id), timeout_s=_STORE_READ_TIMEOUT_S)
         except STORE_FAILURES:
             return None
+        if item is None and _may_be_added(await self._ask_owner(AskState(call.job_id))):
+            self._admission.record_unanswered(call.job_id)
         verdict = self._assess(call, spec)
         if item is not None or not verdict.is_refused or self._admission.may_have_been_written(call.job_id):
             return None
@@ -209,6 +223,7 @@
         return self._admission.assess(spec, call.queue, account_by_name, None if owner is None else owner.epoch)
 
     async def _cancel(self, call: _AuthorizedRequest) -> Response:
+        write = write_cancellation
         reply = await self._ask_owner(AskState(call.job_id))
         if isinstance(reply, StateReply) and reply.is_known:
             if reply.has_ended:
@@ -222,8 +237,8 @@
                 log_event('cancel_outcome_unknown', job=call.job_id, why=str(error))
                 return self._write_response(call, await self._write_through_owner(AcceptCancel(call.job_id)))
             if item is None:
-                return Response(HTTPStatus.GONE)
-        write_to_store = partial(write_cancellation, self._store, call.job_id)
+                write = cancel_missing_job
+        write_to_store = partial(write, self._store, call.job_id)
         outcome = await self._write(write_to_store, AcceptCancel(call.job_id))
         if outcome.status is WriteStatus.KEPT:
             self._notify_owner(JobUpdate(call.job_id, b'', outcome.revision, is_cancel=True))
@@ -233,23 +248,37 @@
         reply = await self._ask_owner(AskState(call.job_id, _END_WAIT_S), _END_WAIT_S)
         if isinstance(reply, StateReply) and reply.is_known:
             return _json(HTTPStatus.OK, {'State': reply.phase})
+        if _may_be_added(reply):
+            self._admission.record_unanswered(call.job_id)
         if self._store.is_suspect:
             log_event('state_unknown', job=call.job_id, why='the store does not answer')
             return self._admission.refuse(call.refused('state unknown'))
         try:
-            return await self._state_in_store(call.job_id)
+            return await self._state_in_store(call)
         except STORE_FAILURES as error:
             log_event('state_unknown', job=call.job_id, why=str(error))
             return self._admission.refuse(call.refused('state unknown'))
 
-    async def _state_in_store(self, job_id: str) -> Response:
-        """Read a job's state from the store; only a current read may report that the job doesn't exist."""
-        if await self._store.get(job_key(job_id), timeout_s=_STORE_READ_TIMEOUT_S) is None:
-            return Response(HTTPStatus.GONE)
-        item = await self._store.get(progress_key(job_id), timeout_s=_STORE_READ_TIMEOUT_S)
+    async def _state_in_store(self, call: _AuthorizedRequest) -> Response:
+        """Read a job's state from the store; only a current read may report that the job doesn't exist.
+
+        A write that got no answer may still add the job.
+        """
+        if await self._store.get(job_key(call.job_id), timeout_s=_STORE_READ_TIMEOUT_S) is None:
+            if not await self._may_still_be_added(call.job_id):
+                return Response(HTTPStatus.GONE)
+            log_event('state_unknown', job=call.job_id, why='a write of the job got no answer')
+            return self._admission.refuse(call.refused('state unknown'))
+        item = await self._store.get(progress_key(call.job_id), timeout_s=_STORE_READ_TIMEOUT_S)
         phase = 'queued' if item is None else decode(item.value, JobProgress, 'progress').phase
         return _json(HTTPStatus.OK, {'State': phase})
 
+    async def _may_still_be_added(self, job_id: str) -> bool:
+        """Return whether a write without an answer may still add a job: none can once the job has been cancelled."""
+        if not self._admission.is_outcome_unknown(job_id):
+            return False
+        return await self._store.get(cancel_key(job_id), timeout_s=_STORE_READ_TIMEOUT_S) is None
+
     async def _pending(self, call: _AuthorizedRequest) -> Response:
         if call.request.method != 'GET':
             return Response(HTTPStatus.METHOD_NOT_ALLOWED)
@@ -275,7 +304,7 @@
         if self._ownership.owner is None or self._ownership.is_owner:
             return await write_to_store(STORE_WRITE_TIMEOUT_S)
         own = await write_to_store(_LOCAL_WRITE_TIMEOUT_S)
-        if own.status is WriteStatus.KEPT:
+        if own.status in _FINAL_STATUSES:
             return own
         other = await self._write_through_owner(message)
         if other.status is WriteStatus.NOT_KEPT and own.status is WriteStatus.UNKNOWN:
@@ -306,12 +335,14 @@
             return self._admission.refuse(call.refused('not written'))
         return Response(_HTTP_STATUS_BY_WRITE_STATUS[outcome.status])
 
-    def _notify_owner(self, update: JobUpdate) -> None:
+    def _notify_owner(self, update: JobUpdate | UnansweredWrite) -> None:
         owner = self._ownership.owner
         if owner is not None:
             self._mesh.send((owner.member.host, owner.member.port), update)
 
 
+# Outcomes that the store has answered.
+_FINAL_STATUSES = frozenset((WriteStatus.KEPT, WriteStatus.NO_SUCH_JOB))
 _LOGGED_OPERATIONS = frozenset(('submit', 'cancel'))
 _HTTP_STATUS_BY_WRITE_STATUS = {
     WriteStatus.KEPT: HTTPStatus.OK,
@@ -320,5 +351,10 @@
 }
 
 
+def _may_be_added(reply: Message | None) -> bool:
+    """Return whether the owner knows of a write of a job that got no answer and may still be applied."""
+    return isinstance(reply, StateReply) and not reply.is_known and reply.phase == MAY_BE_ADDED
+
+
 def _json(status: HTTPStatus, fields: dict[str, object]) -> Response:
     return Response(status, msgspec.json.encode(fields))
--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -30,7 +30,7 @@
 from .owner import PoolOwner
 from .owner.settings import OwnerSettings
 from .ownership import Ownership
-from .peers import Mesh
+from .peers import Mesh, UnansweredWrite
 from .probing import probe_store
 from .records import Member
 from .relaying import available_relays
@@ -235,12 +235,14 @@
             await changed.wait()
 
     async def _send_hello_to_owners(self) -> None:
-        """Announce this instance to each new owner."""
+        """Announce this instance, and the jobs that its writes may still add, to each new owner."""
         while True:
             changed = self._ownership.changed
             owner = self._ownership.owner
             if owner is not None and not self._ownership.is_owner:
                 self._membership.send_hello(owner.member)
+                for job_id in self._admission.unanswered_jobs():
+                    self._mesh.send((owner.member.host, owner.member.port), UnansweredWrite(job_id))
             await changed.wait()
 
     async def _apply_http_limits(self) -> None:
--- a/packages/node/dahliaarch_node/owner/core.py
+++ b/packages/node/dahliaarch_node/owner/core.py
@@ -23,6 +23,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from .advising import AdviceDispatcher, AskPolicyFunction
+from .barred_jobs import BarredJobs
 from .committing import CommitFunction, Committer
 from .effects import EffectExecutor
 from .end_notifier import EndNotifier
@@ -106,6 +107,7 @@
         self._workers_feed = WorkersFeed(self._feed)
         self._evacuations_feed = EvacuationsFeed(self._feed)
         self._unserved = UnservedWorkers()
+        self._barred = BarredJobs()
         self._previous = PreviousWork(self.scheduler, settings.epoch)
         self._scope = anyio.CancelScope()
         context = LinkContext(
@@ -128,6 +130,7 @@
             self.scheduler,
             settings.epoch,
             held_starts=self._effects.held_starts,
+            barred=self._barred,
             processed_ends=self._links.last_processed_ends,
             on_persisted=self._links.acknowledge,
             on_end_persisted=self.end_notifier.notify,
@@ -193,6 +196,7 @@
                     self._previous,
                     self._unserved,
                     self._effects.held_starts,
+                    self._barred,
                     self.depose,
                     _now,
                 )
--- a/packages/node/dahliaarch_node/owner/intake.py
+++ b/packages/node/dahliaarch_node/owner/intake.py
@@ -13,6 +13,7 @@
 from dahliaarch_platform.settings import Address
 
 from ..logs import log_event
+from .barred_jobs import BarredJobs
 from .held_starts import HeldStarts
 from .links import WorkerLink
 from .messages import (
@@ -58,6 +59,8 @@
         Holds back workers whose service is not configured.
     held_starts : HeldStarts
         Starts that have not been sent yet.
+    barred : BarredJobs
+        Jobs that were cancelled before they were known.
     on_deposed : callable
         Called when a message shows that there is a newer owner.
     now : callable
@@ -69,6 +72,7 @@
     previous: PreviousWork
     unserved: UnservedWorkers
     held_starts: HeldStarts
+    barred: BarredJobs
     on_deposed: Callable[[], None]
     now: Callable[[], Moment]
 
@@ -100,6 +104,7 @@
         self._previous = dependencies.previous
         self._unserved = dependencies.unserved
         self._held_starts = dependencies.held_starts
+        self._barred = dependencies.barred
         self._on_deposed = dependencies.on_deposed
         self._now = dependencies.now
         self._epoch = epoch
@@ -151,11 +156,16 @@
             runs = [run for each in assignments.values() for run in each.runs]
             workers = sorted({run.worker_id for run in runs})
             log_event('job_inherited', job=job_id, runs=len(runs), workers=workers[:_MAX_LOGGED_WORKERS])
+        if job_id in self._barred:
+            self._barred.discard(job_id)
+            self.handle(JobCancelled(job_id))
 
     @handle.register
     def _(self, message: JobCancelled) -> None:
         if self._scheduler.cancel(message.job_id, self._now()):
             log_event('job_cancelled', job=message.job_id)
+        elif message.job_id not in self._scheduler.job_by_id:
+            self._barred.add(message.job_id, self._now().wall_s)
 
     @handle.register
     def _(self, message: WorkerListed) -> None:
--- a/packages/node/dahliaarch_node/owner/recorder.py
+++ b/packages/node/dahliaarch_node/owner/recorder.py
@@ -36,6 +36,7 @@
     RosterEntry,
 )
 from ..timing import StoreTiming
+from .barred_jobs import BarredJobs
 from .changes import batches, Change, domain_conditions, DomainEvacuatedError
 from .committing import Committer
 from .held_starts import HeldStarts, RunId
@@ -108,6 +109,8 @@
         Revision of the owner's key.
     held_starts : HeldStarts
         Starts that are sent once their assignments are persisted.
+    barred : BarredJobs
+        Jobs that were cancelled before they were known.
     processed_ends : callable
         Returns, by worker, the number of the last end that has been processed.
     on_persisted : callable
@@ -128,6 +131,7 @@
         epoch: int,
         *,
         held_starts: HeldStarts,
+        barred: BarredJobs,
         processed_ends: Callable[[], dict[str, int]],
         on_persisted: Callable[[dict[str, int]], None],
         on_end_persisted: Callable[[str], None],
@@ -151,6 +155,7 @@
         self._scheduler = scheduler
         self._epoch = epoch
         self._held_starts = held_starts
+        self._barred = barred
         self._processed_ends = processed_ends
         self._on_persisted = on_persisted
         self._on_end_persisted = on_end_persisted
@@ -185,6 +190,8 @@
         old = self._scheduler.jobs_ended_before(before_wall_s)
         for first in range(0, len(old), _MAX_JOBS_PER_REMOVAL):
             await self._remove_jobs(old[first : first + _MAX_JOBS_PER_REMOVAL])
+        for job_id in self._barred.seen_before(before_wall_s):
+            await self._remove_cancellation(job_id)
 
     async def _flush(self) -> None:
         processed_ends = self._processed_ends()
@@ -349,6 +356,19 @@
             entries_by_key[roster_key(number)].append(entry)
         return {key: encode(entries) for key, entries in entries_by_key.items()}
 
+    async def _remove_cancellation(self, job_id: str) -> None:
+        """Remove the cancellation of a job that was not added until the end of the retention period."""
+        conditions = [Condition(OWNER_KEY, self._epoch), Condition(job_key(job_id), 0)]
+        try:
+            outcome = await self._store.commit(
+                conditions, [], [cancel_key(job_id)], timeout_s=self._timing.call_timeout_s
+            )
+        except STORE_FAILURES as error:
+            log_event('cancellation_not_removed', job=job_id, why=str(error))
+            return
+        if outcome.status is CommitStatus.DONE:
+            self._barred.discard(job_id)
+
     async def _remove_jobs(self, job_ids: list[str]) -> None:
         keys = [key(job_id) for job_id in job_ids for key in (job_key, cancel_key, progress_key)]
         try:
--- a/packages/node/dahliaarch_node/owner/tests/test_recorder.py
+++ b/packages/node/dahliaarch_node/owner/tests/test_recorder.py
@@ -22,6 +22,7 @@
 
 from ...records import OWNER_KEY, progress_key, RosterEntry
 from ...timing import StoreTiming
+from ..barred_jobs import BarredJobs
 from ..held_starts import HeldStarts
 from ..recorder import Recorder
 
@@ -80,6 +81,7 @@
         scheduler,
         EPOCH,
         held_starts=HeldStarts(lambda start: None),
+        barred=BarredJobs(),
         processed_ends=dict,
         on_persisted=on_persisted,
         on_end_persisted=lambda job_id: None,
--- a/packages/node/dahliaarch_node/peers/__init__.py
+++ b/packages/node/dahliaarch_node/peers/__init__.py
@@ -17,14 +17,17 @@
     HeartbeatReply,
     Hello,
     JobUpdate,
+    MAY_BE_ADDED,
     Message,
     PendingReply,
     PolicyReply,
     PoolDigest,
     StateReply,
+    UnansweredWrite,
 )
 
 __all__ = (
+    'MAY_BE_ADDED',
     'AcceptCancel',
     'AcceptJob',
     'Accepted',
@@ -47,4 +50,5 @@
     'PolicyReply',
     'PoolDigest',
     'StateReply',
+    'UnansweredWrite',
 )
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -108,13 +108,34 @@
 
 
 class StateReply(NamedTuple):
-    """State of a job; `is_known` is false if the owner has no such job."""
+    """State of a job.
+
+    Parameters
+    ----------
+    is_known : bool
+        Whether the owner knows the job.
+    phase : str
+        Its phase; if it is not known, `MAY_BE_ADDED` or empty. Versions that don't know `MAY_BE_ADDED`
+        ignore the phase of such a job, and reject a reply with a further field.
+    has_ended : bool
+        Whether it has ended and its end is stored.
+    """
 
     is_known: bool
     phase: str = ''
     has_ended: bool = False
 
 
+# Phase of a job that is not known, of which a write without an answer may still be applied.
+MAY_BE_ADDED = 'may be added'
+
+
+class UnansweredWrite(NamedTuple):
+    """Tells the owner of a job whose write got no answer: it may be added for some time."""
+
+    job_id: str
+
+
 class AskPending(NamedTuple):
     """Requests the number of jobs in a queue that have not started."""
 
@@ -160,7 +181,7 @@
     is_certain : bool
         If not done: whether it is certain that the write will never take effect.
     is_missing : bool
-        Whether the job doesn't exist.
+        Whether the job doesn't exist and never will, because its cancellation is in the store.
     """
 
     is_done: bool
@@ -280,6 +301,7 @@
     | CommitFor
     | CommitReply
     | PoolDigest
+    | UnansweredWrite
 )
 
 _TYPES: tuple[type[Message], ...] = (
@@ -301,6 +323,7 @@
     CommitFor,
     CommitReply,
     PoolDigest,
+    UnansweredWrite,
 )
 _NUMBER_BY_TYPE = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/packages/node/dahliaarch_node/peers/tests/test_mixed_builds.py
+++ b/packages/node/dahliaarch_node/peers/tests/test_mixed_builds.py
@@ -35,6 +35,6 @@
     """A kind that a version doesn't know is logged and dropped; it must not be taken for another message."""
     frame = encode(0, PoolDigest(7, b'data'))
     assert decode(frame) == (0, PoolDigest(7, b'data'))
-    monkeypatch.setattr(messages, '_TYPES', messages._TYPES[:-1])
+    monkeypatch.setattr(messages, '_TYPES', messages._TYPES[: messages._TYPES.index(PoolDigest)])
     with pytest.raises(ProtocolError):
         decode(frame)
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -8,7 +8,7 @@
 
 from .configuration import ConfigurationFollower
 from .front import AdmissionControl
-from .front.acceptance import write_cancellation, write_job, WriteOutcome, WriteStatus
+from .front.acceptance import cancel_missing_job, write_cancellation, write_job, WriteOutcome, WriteStatus
 from .logs import log_event
 from .membership import Membership
 from .owner import PoolOwner
@@ -27,11 +27,13 @@
     HeartbeatReply,
     Hello,
     JobUpdate,
+    MAY_BE_ADDED,
     Message,
     PendingReply,
     PolicyReply,
     PoolDigest,
     StateReply,
+    UnansweredWrite,
 )
 from .records import job_key, JobRecord
 from .relaying import commit_for_peer
@@ -107,7 +109,8 @@
     async def _(self, message: AskState) -> Message | None:
         job = None if self.owner is None else self.owner.scheduler.job_by_id.get(message.job_id)
         if job is None or self.owner is None:
-            return StateReply(is_known=False)
+            may_be_added = self.admission is not None and self.admission.is_outcome_unknown(message.job_id)
+            return StateReply(is_known=False, phase=MAY_BE_ADDED if may_be_added else '')
         if job.is_end_near and message.wait_s > 0:
             await self.owner.end_notifier.wait(message.job_id, message.wait_s)
         return StateReply(True, job.shown_phase.value, job.has_ended and job.is_end_saved)
@@ -124,23 +127,29 @@
 
     @_reply.register
     async def _(self, message: AcceptJob) -> Message | None:
-        if self.admission is not None:
-            self.admission.record_attempt(message.job_id)
+        is_first_attempt = self.admission is None or self.admission.record_attempt(message.job_id)
         outcome = await write_job(self._store, message.job_id, message.record, _WRITE_TIMEOUT_S)
+        if self.admission is not None:
+            outcome = self.admission.settle_attempt(message.job_id, outcome, is_first=is_first_attempt)
         if outcome.status is WriteStatus.KEPT and outcome.revision:
             self._forward_to_owner(message.job_id, message.record, outcome.revision, is_cancel=False)
         return _acceptance_reply(outcome)
 
+    @_reply.register
+    async def _(self, message: UnansweredWrite) -> None:
+        if self.admission is not None:
+            self.admission.record_unanswered(message.job_id)
+
     @_reply.register
     async def _(self, message: AcceptCancel) -> Message | None:
         if self._store.is_suspect:
             return Accepted(is_done=False, is_certain=True)
         try:
-            if await self._store.get(job_key(message.job_id), timeout_s=_READ_TIMEOUT_S) is None:
-                return Accepted(is_done=False, is_certain=True, is_missing=True)
+            item = await self._store.get(job_key(message.job_id), timeout_s=_READ_TIMEOUT_S)
         except STORE_FAILURES:
             return Accepted(is_done=False, is_certain=True)
-        outcome = await write_cancellation(self._store, message.job_id, _WRITE_TIMEOUT_S)
+        write = cancel_missing_job if item is None else write_cancellation
+        outcome = await write(self._store, message.job_id, _WRITE_TIMEOUT_S)
         if outcome.status is WriteStatus.KEPT:
             self._forward_to_owner(message.job_id, b'', outcome.revision, is_cancel=True)
         return _acceptance_reply(outcome)
@@ -172,4 +181,8 @@
 
 
 def _acceptance_reply(outcome: WriteOutcome) -> Accepted:
-    return Accepted(outcome.status is WriteStatus.KEPT, outcome.status is WriteStatus.NOT_KEPT)
+    return Accepted(
+        is_done=outcome.status is WriteStatus.KEPT,
+        is_certain=outcome.status is not WriteStatus.UNKNOWN,
+        is_missing=outcome.status is WriteStatus.NO_SUCH_JOB,
+    )
--- a/packages/node/dahliaarch_node/tests/test_admission.py
+++ b/packages/node/dahliaarch_node/tests/test_admission.py
@@ -284,5 +284,5 @@
 def test_the_memory_of_attempts_is_bounded(node):
     for number in range(5000):
         assert node.admission.record_attempt(f'{number:016x}')
-    assert len(node.admission._attempted_job_ids) == 4096
+    assert len(node.admission._attempts_by_job) == 4096
     assert not node.admission.record_attempt(f'{4999:016x}')
--- a/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
+++ b/packages/standins/dahliaarch_standins/proxy/tests/test_large_writes.py
@@ -17,6 +17,7 @@
 from dahliaarch_kernel.scheduler import EndKind, Moment, Scheduler, SchedulerSettings, WorkerProfile
 from dahliaarch_kernel.scheduler.events import RunEnd
 from dahliaarch_kernel.workload import JobSpec, Resources, StepSpec, TaskKey
+from dahliaarch_node.owner.barred_jobs import BarredJobs
 from dahliaarch_node.owner.held_starts import HeldStarts
 from dahliaarch_node.owner.recorder import Recorder
 from dahliaarch_node.owner.takeover import read_workers
@@ -67,6 +68,7 @@
             self.scheduler,
             self._epoch,
             held_starts=HeldStarts(lambda held: None),
+            barred=BarredJobs(),
             processed_ends=dict,
             on_persisted=self._count_flush,
             on_end_persisted=lambda job_id: None,
