Instance: signals are handled from the first instruction to the last

Cause: signals were received until the first SIGTERM; leaving the receiver restored the default actions for the 2.6 to 5.2 s of the shutdown. Ruled out: the reload of the settings, the end of the grace period.

Change: handlers are installed before the imports and never removed; signals are taken in order, and what comes after the first request to stop is logged and ignored.

--- a/packages/node/dahliaarch_node/instance.py
+++ b/packages/node/dahliaarch_node/instance.py
@@ -1,7 +1,6 @@
 """One instance of the daemon: its HTTP servers, its links to other instances and, while elected, the pool owner."""
 
 import secrets
-import signal
 import time
 from functools import partial
 from pathlib import Path
@@ -35,6 +34,7 @@
 from .records import Member
 from .relaying import available_relays
 from .replies import PeerReplies
+from .signals import ReceivedSignals, STOP_SIGNALS
 from .status import build_status
 from .timing import StoreTiming
 
@@ -64,16 +64,24 @@
         Settings chosen by the project's operators.
     log_writer : LogWriter
         Writes log lines in the background.
+    signals : ReceivedSignals
+        Signals to this process.
     """
 
     def __init__(
-        self, settings: InstanceSettings, path: Path, own_settings: OwnSettings, log_writer: LogWriter
+        self,
+        settings: InstanceSettings,
+        path: Path,
+        own_settings: OwnSettings,
+        log_writer: LogWriter,
+        signals: ReceivedSignals,
     ) -> None:
         """Build the components; `run` starts them."""
         self._own_settings = own_settings
         self._settings = settings
         self._path = path
         self._log_writer = log_writer
+        self._signals = signals
         self._metrics = Metrics()
         self._timing = StoreTiming()
         self._http = HttpClient()
@@ -120,7 +128,9 @@
         self._is_stopping = False
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then shut down gracefully."""
+        """Serve until asked to stop, then shut down gracefully."""
+        if self._signals.is_stop_pending:
+            return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._log_writer.run)
             tasks.start_soon(self._mesh.run, self._settings.ip, self._settings.peer_ports[0])
@@ -135,7 +145,7 @@
             tasks.start_soon(self._run_owner_when_elected)
             tasks.start_soon(self._apply_http_limits)
             tasks.start_soon(self._watch_settings)
-            await self._wait_for_signals(tasks)
+            await self._handle_signals(tasks)
         self._log_writer.flush()
 
     def _observe_store_call(self, call: str, outcome: str, took_s: float, answer_bytes: int) -> None:
@@ -271,20 +281,22 @@
             log_event('settings_reloaded', cause=cause)
             self._settings = settings
 
-    async def _wait_for_signals(self, tasks: TaskGroup) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
-            async for number in received:
-                if number == signal.SIGTERM:
-                    break
+    async def _handle_signals(self, tasks: TaskGroup) -> None:
+        """Handle each signal until the shutdown that the first request to stop begins is complete."""
+        while True:
+            received = await self._signals.receive()
+            if self._is_stopping:
+                log_event('signal_ignored', signal=received.name, why='the instance is stopping')
+            elif received in STOP_SIGNALS:
+                self._is_stopping = True
+                tasks.start_soon(self._stop, tasks)
+            else:
                 self._reload_settings('signal')
-        await self._stop()
-        tasks.cancel_scope.cancel()
 
-    async def _stop(self) -> None:
+    async def _stop(self, tasks: TaskGroup) -> None:
         """Release the pool, wait until the load balancer has removed this instance, and finish open requests."""
         started_s = time.monotonic()
         log_event('stopping', is_owner=self._ownership.is_owner)
-        self._is_stopping = True
         with anyio.move_on_after(self._settings.bounds.grace_s / 3):
             await self._ownership.release()
         await anyio.sleep(max(0.0, started_s + _SHUTDOWN_ACCEPT_S - time.monotonic()))
@@ -296,3 +308,4 @@
         self._front_server.close()
         self._internal_server.close()
         self._metrics_server.close()
+        tasks.cancel_scope.cancel()
--- a/packages/node/dahliaarch_node/main.py
+++ b/packages/node/dahliaarch_node/main.py
@@ -1,14 +1,14 @@
 """Entry point of the daemon."""
 
+from .signals import ignore_signals, ReceivedSignals
+
+# The imports below take most of the startup time.
+ignore_signals()
+
 import os
-import signal
 import sys
 from pathlib import Path
 
-# SIGHUP asks for a reload of the settings. By default it would terminate a process that has not
-# installed its handler yet, and the imports below take most of the startup time.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
 import anyio
 
 from dahliaarch_kernel.errors import DahliaarchError
@@ -24,6 +24,7 @@
 
 def main() -> None:
     """Run one instance until it is told to stop."""
+    received = ReceivedSignals()
     path = Path(os.environ.get(PATH_VARIABLE, _DEFAULT_PATH))
     try:
         settings = read_settings(path)
@@ -31,8 +32,9 @@
     except (DahliaarchError, OSError) as error:
         sys.exit(f'dahliaarchd: {error}')
     writer = configure_logs(settings.instance)
-    instance = Instance(settings, path, own_settings, writer)
+    instance = Instance(settings, path, own_settings, writer, received)
     anyio.run(instance.run)
+    received.close()
 
 
 if __name__ == '__main__':
