--- a/packages/standins/dahliaarch_standins/deployment/core.py
+++ b/packages/standins/dahliaarch_standins/deployment/core.py
@@ -251,6 +251,10 @@
         process.kill()
         process.wait()
 
+    def process(self, name: str) -> subprocess.Popen[bytes] | None:
+        """Return the process of an instance's daemon, which ignores signals once it has exited; None without one."""
+        return self._process_by_name.get(name)
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a daemon."""
         self._process_by_name[name].send_signal(number)
--- a/packages/standins/dahliaarch_standins/deployment/tests/test_signals.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_signals.py
@@ -40,7 +40,7 @@
         answers.append(await deployment.caller(name).state('ordinary', job_id))
 
     deployment.terminate(name)
-    process = deployment._process_by_name[name]
+    process = deployment.process(name)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(send_repeatedly, deployment, name, REPEATED)
         with anyio.move_on_after(2.0):
@@ -85,7 +85,7 @@
             tasks.start_soon(send_repeatedly, deployment, name, (signal.SIGHUP, signal.SIGUSR1))
             await deployment.wait_ready(name)
             tasks.cancel_scope.cancel()
-    return deployment._process_by_name[name].poll()
+    return deployment.process(name).poll()
 
 
 def test_a_starting_instance_survives_signals(running):
--- a/packages/standins/dahliaarch_standins/proxy/core.py
+++ b/packages/standins/dahliaarch_standins/proxy/core.py
@@ -32,6 +32,7 @@
         self.caller = caller
         self.target = target
         self.route = route
+        self.caller_host = str(caller.extra(SocketAttribute.remote_address)[0])
         self.drops_requests = False
         self.drops_answers = False
 
@@ -152,13 +153,27 @@
         """Return the links that a caller's connection traverses."""
         return self._default_route
 
+    def _is_cut(self, caller_host: str) -> bool:
+        """Return whether all bytes between a caller and the target are dropped now."""
+        return self.drops_all
+
     async def _read_requests(
         self, connection: _ProxiedConnection, queue: MemoryObjectSendStream[_DelayedChunk]
     ) -> None:
-        await self._read(connection.caller, connection.route.requests, lambda: connection.drops_requests, queue)
+        await self._read(
+            connection.caller,
+            connection.route.requests,
+            lambda: connection.drops_requests or self._is_cut(connection.caller_host),
+            queue,
+        )
 
     async def _read_answers(self, connection: _ProxiedConnection, queue: MemoryObjectSendStream[_DelayedChunk]) -> None:
-        await self._read(connection.target, connection.route.answers, lambda: connection.drops_answers, queue)
+        await self._read(
+            connection.target,
+            connection.route.answers,
+            lambda: connection.drops_answers or self._is_cut(connection.caller_host),
+            queue,
+        )
 
     async def _read(
         self,
@@ -172,7 +187,7 @@
             while True:
                 chunk = await source.receive(_CHUNK_BYTES)
                 await self._throttle(chunk, links)
-                if not (drops() or self.drops_all):
+                if not drops():
                     await queue.send(_DelayedChunk(time.monotonic() + self.latency_s, chunk))
 
     async def _throttle(self, chunk: bytes, links: tuple[SlowLink, ...]) -> None:
--- a/packages/standins/dahliaarch_standins/soak/faults.py
+++ b/packages/standins/dahliaarch_standins/soak/faults.py
@@ -5,11 +5,10 @@
 
 import anyio
 
-from dahliaarch_node.owner.registry import epoch_of, fence_of
-
 from ..deployment.core import DOMAINS
 from ..proxy import FaultProxy
 from .evacuations import EVACUATE_S
+from .partitions import worker_of_current_owner
 from .plans import Fault, register
 from .system import System
 
@@ -91,9 +90,7 @@
 @register
 async def leave_owner_a_worker(system: System, fault: Fault, rng: random.Random) -> None:
     """Cut the owner off from the store, and let a worker answer it but not its successor."""
-    worker = rng.choice(system.deployment.workers)
-    fences = [start.fence for each in system.deployment.workers for start in each.starts]
-    worker.faults.highest_fence = fence_of(epoch_of(max(fences, default=0)) + 1, 0) - 1
+    worker = worker_of_current_owner(system, rng)
     await cut_owner_from_store(system, fault, rng)
     worker.faults.highest_fence = 0
 
--- a/packages/standins/dahliaarch_standins/soak/plans.py
+++ b/packages/standins/dahliaarch_standins/soak/plans.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from .settings import CONFIGURATION_KINDS, EVACUATION_KINDS, SoakSettings
+from .settings import CONFIGURATION_KINDS, EVACUATION_KINDS, PARTITION_KINDS, SoakSettings
 from .system import System
 
 # Range of the duration of a fault, in seconds: it covers the owner's lease of 2 s and a
@@ -51,7 +51,7 @@
 def draw_plan(settings: SoakSettings) -> list[Fault]:
     """Return random faults, which may overlap, sorted by time."""
     rng = random.Random(settings.seed)
-    names = settings.kinds or sorted(set(_INJECTION_BY_NAME).difference(EVACUATION_KINDS))
+    names = settings.kinds or sorted(set(_INJECTION_BY_NAME).difference(EVACUATION_KINDS, PARTITION_KINDS))
     plan = [_draw_fault(rng, names, settings.faults_s) for _ in range(settings.faults)]
     for _ in range(settings.changes):
         plan.append(_draw_fault(rng, CONFIGURATION_KINDS, settings.faults_s + _CHANGES_AFTER_FAULTS_S))
@@ -59,6 +59,9 @@
     evacuations = random.Random(f'{settings.seed} evacuations')
     for _ in range(settings.evacuations):
         plan.append(_draw_fault(evacuations, EVACUATION_KINDS, settings.faults_s))
+    partitions = random.Random(f'{settings.seed} partitions')
+    for _ in range(settings.partitions):
+        plan.append(_draw_fault(partitions, PARTITION_KINDS, settings.faults_s))
     return sorted(plan, key=attrgetter('at_s'))
 
 
--- a/packages/standins/dahliaarch_standins/soak/settings.py
+++ b/packages/standins/dahliaarch_standins/soak/settings.py
@@ -9,10 +9,14 @@
 CONFIGURATION_KINDS = ('change_keys', 'grow_configuration')
 # Kinds of faults that evacuate failure domains. They are drawn in addition to the other faults.
 EVACUATION_KINDS = ('evacuate_domains',)
+# Kinds of faults that cut a region off, or send signals to an instance that is stopping; drawn in addition as well.
+PARTITION_KINDS = ('cut_region', 'signal_stopping_instance')
 # Seeds below this number have no evacuations, so that those that are kept as regressions play as before.
 FIRST_SEED_WITH_EVACUATIONS = 10_000
 # Seeds below this number have no limits per worker, for the same reason.
 FIRST_SEED_WITH_LIMITS = 20_000
+# Seeds below this number have no such faults, for the same reason.
+FIRST_SEED_WITH_PARTITIONS = 40_000
 # Rate of a permanently slow link, in bytes per second: the slowest link of the platform
 # has 5 Mbit/s.
 SLOW_BYTES_PER_S = 600_000
@@ -40,6 +44,8 @@
         Number of random configuration changes in addition to the faults.
     evacuations : int
         Number of random evacuations of failure domains in addition to the faults.
+    partitions : int
+        Number of random faults of `PARTITION_KINDS` in addition to the faults.
     faults_s : float
         Period in which the faults begin.
     settle_s : float
@@ -67,6 +73,7 @@
     faults: int = 6
     changes: int = 3
     evacuations: int = 0
+    partitions: int = 0
     faults_s: float = 8.0
     settle_s: float = 30.0
     kinds: tuple[str, ...] = ()
@@ -91,6 +98,7 @@
         slow_links=slow_links,
         faults=int(6 * share),
         evacuations=evacuations,
+        partitions=2 if seed >= FIRST_SEED_WITH_PARTITIONS else 0,
         faults_s=8.0 + 2.0 * (share - 1),
         crashing_share=_CRASHING_SHARE,
         limited_share=_LIMITED_SHARE if seed >= FIRST_SEED_WITH_LIMITS else 0.0,
--- a/packages/standins/dahliaarch_standins/soak/system.py
+++ b/packages/standins/dahliaarch_standins/soak/system.py
@@ -3,8 +3,9 @@
 import itertools
 import math
 import signal
+import subprocess  # noqa: S404 - the daemons are real processes
 import time
-from collections.abc import Generator, Sequence
+from collections.abc import Collection, Generator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -29,6 +30,8 @@
 _LAG_THRESHOLD_S = 0.2
 # Time for an instance to show that it is ready before it is terminated, in seconds.
 _READY_TIMEOUT_S = 0.1
+# Interval between the signals to an instance that is stopping, in seconds.
+_SIGNAL_INTERVAL_S = 0.1
 # Variant of the daemon that sends its messages through the proxies.
 _PROGRAM = 'dahliaarch_standins.daemon'
 
@@ -144,16 +147,21 @@
                 self.deployment.launch(name)
         self._restarting.difference_update(available)
 
-    async def stop_and_start(self, name: str) -> None:
-        """Terminate an instance and restart it once it has stopped."""
+    async def stop_and_start(self, name: str, signals: Sequence[int] = ()) -> None:
+        """Terminate an instance, send it signals in turn until it has stopped, and restart it."""
         if name in self._restarting or name not in self.deployment.running_names:
             return
         self._restarting.add(name)
         with self.disturbing(name):
             self.deployment.resume(name)
             was_ready = await self._is_ready(name)
+            process = self.deployment.process(name)
             self.deployment.terminate(name)
-            status = await self.deployment.wait_stopped(name)
+            async with anyio.create_task_group() as tasks:
+                if was_ready and process is not None:
+                    tasks.start_soon(_send_repeatedly, process, signals)
+                status = await self.deployment.wait_stopped(name)
+                tasks.cancel_scope.cancel()
             self.deployment.launch(name)
         self._restarting.discard(name)
         # An instance that is still starting has not installed its signal handlers.
@@ -175,6 +183,22 @@
         """Crash a worker, which returns as a new incarnation."""
         worker.crash(f'{worker.worker_id.split("-")[0]}-{next(self._incarnations)}')
 
+    async def cut_off(self, side: Collection[str], for_s: float) -> None:
+        """Drop all traffic between some instances and the store, and between them and the other instances."""
+        host_by_name = self.deployment.host_by_name
+        others = set(self.deployment.names).difference(side)
+        for name, proxy in self.peer_proxy_by_name.items():
+            proxy.cut_hosts = frozenset(host_by_name[each] for each in (others if name in side else side))
+        for name in side:
+            self.store_proxy_by_name[name].drops_all = True
+        await anyio.sleep(for_s)
+        for name in side:
+            self.store_proxy_by_name[name].drops_all = False
+            await self.store_proxy_by_name[name].reset()
+        for proxy in self.peer_proxy_by_name.values():
+            proxy.cut_hosts = frozenset()
+            await proxy.reset()
+
     async def watch_processes(self) -> None:
         """Record and restart daemons that exit by themselves, until cancelled."""
         while True:
@@ -214,3 +238,9 @@
     def close(self) -> None:
         """Stop all daemons."""
         self.deployment.close()
+
+
+async def _send_repeatedly(process: subprocess.Popen[bytes], signals: Sequence[int]) -> None:
+    for number in itertools.cycle(signals):
+        await anyio.sleep(_SIGNAL_INTERVAL_S)
+        process.send_signal(number)
