--- a/packages/standins/dahliaarch_standins/soak/partitions.py
+++ b/packages/standins/dahliaarch_standins/soak/partitions.py
@@ -3,8 +3,6 @@
 import random
 import signal
 
-import anyio
-
 from dahliaarch_node.owner.registry import epoch_of, fence_of
 
 from ..platform import WorkerStandIn
