Ownership: an instance that restarted agrees to the owner that it is told of

An owner without the store lost its authority when an instance restarted during the outage, since that instance agreed to nothing before it had read the store. The rule added nothing: an outdated owner that such an instance lets go on starts nothing without the store, and has no lease left to renew that a later owner took to have ended, since that one refused it from its claim on.

--- a/packages/node/dahliaarch_node/ownership.py
+++ b/packages/node/dahliaarch_node/ownership.py
@@ -113,7 +113,6 @@
         self._claimed_s = 0.0
         # Epoch of the newest owner known, whether or not it still owns the pool.
         self._newest_epoch = 0
-        self._has_read_epoch = False
         self._is_preferred = is_preferred
         self._claim_delay_s = settings.claim_delay_s if is_preferred else settings.slow_claim_delay_s
         self._lease = 0
@@ -133,15 +132,15 @@
         """Return whether the authority of the owners before this one has certainly ended."""
         return self._is_elector or now_s > self._claimed_s + self.predecessors_end_s
 
-    def agreed_epoch(self, asked_epoch: int) -> int:
-        """Return the epoch to reply to the heartbeat of an owner with; the owner's own if this instance agrees.
+    @property
+    def newest_epoch(self) -> int:
+        """Epoch of the newest owner that this instance knows of, whether or not it still owns the pool; 0 for none.
 
-        Until this process has read the store, it can't tell whether its previous process knew of a
-        newer owner, or was one, and replies with 0.
+        A process that has just started may not know of an owner that its previous process knew or was. An
+        outdated owner that it lets go on starts nothing, since the store refuses its writes, and renews no
+        lease that an owner after it took to have ended.
         """
-        if self._has_read_epoch or self._newest_epoch > asked_epoch:
-            return self._newest_epoch
-        return 0
+        return self._newest_epoch
 
     def observe(self, owner: Owner) -> None:
         """Record the owner of the pool; an epoch that is not newer is ignored."""
@@ -199,7 +198,7 @@
         if item is None:
             await self._claim_absent_key()
             return
-        self._record_read_epoch(item.revision)
+        self._newest_epoch = max(self._newest_epoch, item.revision)
         found = decode(item.value, Member, 'member')
         if found == self._member:
             # A claim of this process that was acknowledged late: its lease is no longer known, so claim again.
@@ -265,7 +264,7 @@
             return
         # The electorate is read after the owner's key, so that no claim falls between the two.
         await self._electorate.read()
-        self._record_read_epoch(self._electorate.newest_epoch)
+        self._newest_epoch = max(self._newest_epoch, self._electorate.newest_epoch)
         self._is_elector = not self._electorate.exists or self._member.instance in self._electorate.instances
         if not self._is_elector:
             await anyio.sleep(self._settings.outsider_claim_delay_s)
@@ -312,11 +311,6 @@
                 return
             revision = max(revision, page.revision)
 
-    def _record_read_epoch(self, epoch: int) -> None:
-        """Record the epoch of the newest owner, as read from the store."""
-        self._newest_epoch = max(self._newest_epoch, epoch)
-        self._has_read_epoch = True
-
     def _clear_owner(self) -> None:
         self.owner = None
         self._lease = 0
--- a/packages/node/dahliaarch_node/peers/messages.py
+++ b/packages/node/dahliaarch_node/peers/messages.py
@@ -46,7 +46,7 @@
         Version of the configuration that is active on the instance.
     epoch : int
         Epoch of the newest owner that the instance knows: it agrees that the owner goes on if that is the
-        owner's own; 0 if the instance can't agree, since it has not read the store since its start.
+        owner's own.
     """
 
     version: int
--- a/packages/node/dahliaarch_node/replies.py
+++ b/packages/node/dahliaarch_node/replies.py
@@ -94,7 +94,7 @@
         self._ownership.observe(Owner(message.owner, message.epoch))
         if self.membership is not None:
             self.membership.record_version(message.owner, message.version)
-        return HeartbeatReply(self._follower.version, self._ownership.agreed_epoch(message.epoch))
+        return HeartbeatReply(self._follower.version, self._ownership.newest_epoch)
 
     @_reply.register
     async def _(self, message: PoolDigest) -> None:
