Mesh: forgetting a peer ends the task of that peer alone

Cause: closing the socket of a forgotten peer cancels its pending read; the cancellation ended the whole mesh, so that an owner got no reply from any instance from then on.

Measured: test_forgetting_a_peer_leaves_the_others_connected failed before, passes now; the other tests of peers pass.

--- a/packages/node/dahliaarch_node/peers/core.py
+++ b/packages/node/dahliaarch_node/peers/core.py
@@ -173,9 +173,11 @@
                 frame = await self._socket.recv()
                 self.frames_received += 1
                 self._resolve(frame)
-        except (zmq.ZMQError, asyncio.CancelledError) as error:
-            if isinstance(error, asyncio.CancelledError):
+        except asyncio.CancelledError:
+            # Closing the socket cancels the pending read; the tasks of other peers would be cancelled as well.
+            if not self._socket.closed:
                 raise
+        except zmq.ZMQError as error:
             log_event('peer_socket_closed', why=str(error))
 
     async def ask(self, message: Message) -> Message:
