--- a/packages/node/dahliaarch_node/main.py
+++ b/packages/node/dahliaarch_node/main.py
@@ -1,6 +1,6 @@
 """Entry point of the daemon."""
 
-from .signals import ignore_signals, ReceivedSignals
+from .ignored_signals import ignore_signals
 
 # The imports below take most of the startup time.
 ignore_signals()
@@ -17,6 +17,7 @@
 from .instance import Instance
 from .logs import configure_logs
 from .own_settings import read_own_settings
+from .signals import ReceivedSignals
 
 # Default path of the platform's settings file.
 _DEFAULT_PATH = '/etc/dahliaarch/boot.conf'
--- a/packages/node/dahliaarch_node/signals.py
+++ b/packages/node/dahliaarch_node/signals.py
@@ -1,8 +1,7 @@
-"""Signals to this process, which are handled from its start to its exit.
+"""Signals to this process, which are handled until its exit.
 
-The handlers are installed before anything is imported that takes time, and are never removed: the
-default action of each of these signals would terminate the process, with the requests that it has
-read. Only the standard library is imported here.
+The handlers are never removed: the default action of each of these signals would terminate the process,
+with the requests that it has read.
 """
 
 import asyncio
@@ -10,21 +9,11 @@
 from collections import deque
 from types import FrameType
 
+from .ignored_signals import ignore_signals
+
 # Ask the process to stop.
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 _RECEIVED = (*STOP_SIGNALS, signal.SIGHUP)
-# Mean nothing to the daemon, and would terminate it by default.
-_IGNORED = (signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM, signal.SIGPROF, signal.SIGPIPE)
-
-
-def ignore_signals() -> None:
-    """Ignore all signals that are neither fatal errors nor stop the process at once, except those that ask it to stop.
-
-    For the time before `ReceivedSignals` is created: the settings are read afterwards anyway, and a
-    process that is asked to stop has read no request yet.
-    """
-    for number in (signal.SIGHUP, *_IGNORED):
-        signal.signal(number, signal.SIG_IGN)
 
 
 class ReceivedSignals:
--- a/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
+++ b/packages/standins/dahliaarch_standins/soak/tests/test_soak.py
@@ -73,6 +73,9 @@
     draw_settings(20_003)._replace(kinds=_RESTART_KINDS, faults=10, crashing_share=0.0, limited_share=1.0),
     # Tasks suspected of crashes ran isolated, one on each worker at a time, and other jobs waited beside idle capacity.
     draw_settings(20_139),
+    # SIGHUP during the imports before it was ignored, which took 75 ms, terminated an instance.
+    draw_settings(40_017),
+    draw_settings(40_044),
 )
 UNRESTRICTED_SETTINGS = draw_settings(1)
 EVACUATION_SETTINGS = draw_settings(10_001)
