--- a/packages/standins/dahliaarch_standins/deployment/tests/test_signals.py
+++ b/packages/standins/dahliaarch_standins/deployment/tests/test_signals.py
@@ -66,11 +66,14 @@
     assert set(answers) == {'running'}
 
 
-def ignores_hangups(pid):
-    """Return whether a process ignores or handles SIGHUP, i.e. has executed its first instruction."""
+def has_run_first_instructions(pid):
+    """Return whether a process ignores SIGPROF, the last of the signals that it ignores before it imports modules.
+
+    SIGHUP does not tell: a process inherits that it is ignored, for example from `nohup`.
+    """
     lines = Path(f'/proc/{pid}/status').read_text(encoding='utf-8').splitlines()
-    masks = (int(line.split()[1], 16) for line in lines if line.startswith(('SigIgn', 'SigCgt')))
-    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+    (mask,) = (int(line.split()[1], 16) for line in lines if line.startswith('SigIgn'))
+    return bool(mask >> (signal.SIGPROF - 1) & 1)
 
 
 async def start_under_signals(deployment, name):
@@ -79,7 +82,7 @@
     deployment.launch(name)
     pid = deployment.incarnation(name)
     with anyio.fail_after(20):
-        while not ignores_hangups(pid):
+        while not has_run_first_instructions(pid):
             await anyio.sleep(0.001)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send_repeatedly, deployment, name, (signal.SIGHUP, signal.SIGUSR1))
